--- /dev/null
+++ b/cmd/standin/main.go
@@ -0,0 +1,3 @@
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/version/raft/raft.go
@@ -0,0 +1,42 @@
+package raft
+
+import (
+	"context"
+	"time"
+)
+
+// Machine is the replicated state machine. The replica calls it from one
+// goroutine at a time, in log order.
+type Machine interface {
+	// Apply applies a committed command and returns its result, which Propose
+	// hands to the proposer.
+	Apply(index uint64, command []byte) any
+	// Snapshot encodes the whole state as of the last applied command.
+	Snapshot() ([]byte, error)
+	// Restore replaces the state with that of a snapshot.
+	Restore(snapshot []byte) error
+}
+
+// Transport carries messages to other replicas. Send must not block and may
+// drop a message.
+type Transport interface {
+	Send(to string, message Message)
+}
+
+// Log is what the rest of the daemon needs of the replicated log. Replica
+// implements it.
+type Log interface {
+	// Propose commits a command and returns the machine's result for it. It
+	// fails with ErrNotLeader if the command was certainly not appended here,
+	// and with ErrUnknown if it may or may not commit.
+	Propose(ctx context.Context, command []byte) (any, error)
+	// Leader returns the name of the leader known to this replica, empty if
+	// none, and the current term.
+	Leader() (name string, term uint64)
+	// Lease returns the time until which no other replica can lead. It is zero
+	// unless this replica leads and has applied an entry of its own term.
+	Lease() time.Time
+	// Changed returns a channel that is closed at the next change of
+	// leadership, term or readiness of the lease.
+	Changed() <-chan struct{}
+}
--- /dev/null
+++ b/internal/work/resources.go
@@ -0,0 +1,55 @@
+package work
+
+// Resources is an amount of each resource that a worker offers.
+type Resources struct {
+	Processors   int64 // millicores
+	Memory       int64 // bytes
+	Accelerators int64 // whole devices
+}
+
+// Add returns the sum of r and s.
+func (r Resources) Add(s Resources) Resources {
+	return Resources{r.Processors + s.Processors, r.Memory + s.Memory, r.Accelerators + s.Accelerators}
+}
+
+// Sub returns r less s. Fields may become negative.
+func (r Resources) Sub(s Resources) Resources {
+	return Resources{r.Processors - s.Processors, r.Memory - s.Memory, r.Accelerators - s.Accelerators}
+}
+
+// Times returns r taken n times.
+func (r Resources) Times(n int64) Resources {
+	return Resources{r.Processors * n, r.Memory * n, r.Accelerators * n}
+}
+
+// Fits reports whether r is at most s in every resource.
+func (r Resources) Fits(s Resources) bool {
+	return r.Processors <= s.Processors && r.Memory <= s.Memory && r.Accelerators <= s.Accelerators
+}
+
+// Within reports whether r is at most limit in every resource for which limit
+// is not zero.
+func (r Resources) Within(limit Resources) bool {
+	return (limit.Processors == 0 || r.Processors <= limit.Processors) &&
+		(limit.Memory == 0 || r.Memory <= limit.Memory) &&
+		(limit.Accelerators == 0 || r.Accelerators <= limit.Accelerators)
+}
+
+// Valid reports whether no field is negative and at least one is positive.
+func (r Resources) Valid() bool {
+	return r.Processors >= 0 && r.Memory >= 0 && r.Accelerators >= 0 && r != Resources{}
+}
+
+// Dominant returns the largest fraction that r takes of total, as in
+// dominant-resource fairness (Ghodsi et al., NSDI 2011).
+func (r Resources) Dominant(total Resources) float64 {
+	share := 0.0
+	for _, p := range [...][2]int64{
+		{r.Processors, total.Processors}, {r.Memory, total.Memory}, {r.Accelerators, total.Accelerators},
+	} {
+		if p[1] > 0 {
+			share = max(share, float64(p[0])/float64(p[1]))
+		}
+	}
+	return share
+}
--- /dev/null
+++ b/pkg/api/api.go
@@ -0,0 +1,165 @@
+// Package api defines the JSON bodies and error codes of rosemaryloft's HTTP
+// interface towards callers, upstreams, workers and operators.
+//
+// # Usage
+//
+// A caller submits a batch job with
+//
+//	POST /v1/jobs
+//	Authorization: Bearer SECRET
+//	Idempotency-Key: 0f3c…
+//
+//	{"entry":"sorting","tasks":4,"size":{"cpu":1000,"memory":1073741824},"seconds":60}
+//
+// and follows it with GET /v1/jobs/{id}. Every answer with a status of 400 or
+// above has an Error as its body.
+//
+// Processors are in millicores, memory in bytes, accelerators in whole
+// devices, and times in RFC 3339.
+package api
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Header names beyond the standard ones.
+const (
+	// IdempotencyHeader names a request so that a resend is recognized.
+	IdempotencyHeader = "Idempotency-Key"
+	// TimeoutHeader gives the time, in seconds, that a caller waits.
+	TimeoutHeader = "Request-Timeout"
+	// RequestHeader carries the identity that the system gave a request. A
+	// runner returns it unchanged with its answer.
+	RequestHeader = "X-Request-Id"
+)
+
+// Size is an amount of each resource.
+type Size struct {
+	CPU          int64 `json:"cpu"`                    // millicores
+	Memory       int64 `json:"memory"`                 // bytes
+	Accelerators int64 `json:"accelerators,omitempty"` // whole devices
+}
+
+// Submission is the body of POST /v1/jobs.
+type Submission struct {
+	Entry   string `json:"entry"`
+	Tasks   uint32 `json:"tasks"`
+	Size    Size   `json:"size"`              // of each task
+	Seconds int64  `json:"seconds,omitempty"` // declared run time of a task
+	Urgent  bool   `json:"urgent,omitempty"`
+	Command string `json:"command,omitempty"` // opaque; handed to the worker
+}
+
+// Job answers POST /v1/jobs, GET /v1/jobs/{id} and DELETE /v1/jobs/{id}.
+type Job struct {
+	ID        uint64    `json:"id"`
+	Entry     string    `json:"entry"`
+	Team      string    `json:"team"`
+	Class     string    `json:"class"`
+	Urgent    bool      `json:"urgent,omitempty"`
+	State     string    `json:"state"` // queued, running, succeeded, failed, cancelled
+	Reason    string    `json:"reason,omitempty"`
+	Submitted time.Time `json:"submitted"`
+	Ended     time.Time `json:"ended,omitzero"`
+	Size      Size      `json:"size"`
+	Tasks     []Task    `json:"tasks"`
+}
+
+// Task is one task of a Job.
+type Task struct {
+	Index    uint32    `json:"index"`
+	State    string    `json:"state"` // queued, started, stopping, ended
+	Worker   string    `json:"worker,omitempty"`
+	Token    uint64    `json:"token,omitempty"` // fencing token of its last start
+	Outcome  string    `json:"outcome,omitempty"`
+	Attempts uint32    `json:"attempts,omitempty"`
+	Started  time.Time `json:"started,omitzero"`
+}
+
+// Announcement is the body of POST /v1/runners/{name}/announce.
+type Announcement struct {
+	Entry       string         `json:"entry"`
+	Address     netip.AddrPort `json:"address"` // where the runner serves HTTP
+	Zone        string         `json:"zone"`
+	Boot        uint64         `json:"boot"`              // random number, drawn when the runner starts
+	Slots       int64          `json:"slots"`             // requests it handles at once
+	Connections int64          `json:"connections"`       // connections it accepts at once
+	Busy        int64          `json:"busy"`              // requests it is handling now
+	Deadline    time.Time      `json:"deadline,omitzero"` // the announcement ends then; at most 30 s ahead
+}
+
+// Leave is the body of POST /v1/runners/{name}/leave.
+type Leave struct {
+	Entry string `json:"entry"`
+	Boot  uint64 `json:"boot"`
+}
+
+// Accepted answers an announcement or a leave.
+type Accepted struct {
+	Deadline time.Time `json:"deadline,omitzero"` // announce again before then
+}
+
+// Poll is the body of POST /v1/workers/{name}/poll. The worker's lease is 15 s
+// from when it sent the poll, once the poll is answered. A worker must ignore
+// the answer of any but its latest poll and must stop its tasks when its lease
+// ends.
+type Poll struct {
+	Boot        uint64         `json:"boot"`     // random number, drawn when the VM boots
+	Sequence    uint64         `json:"sequence"` // grows with each poll of a boot
+	Address     netip.AddrPort `json:"address"`
+	Zone        string         `json:"zone"`
+	Rack        string         `json:"rack"`
+	Capacity    Size           `json:"capacity"`
+	Accelerator string         `json:"accelerator,omitempty"` // model
+	Running     []Running      `json:"running"`
+	Ended       []Ended        `json:"ended"` // repeated until an answer lists them
+}
+
+// Running is a task that runs on a worker.
+type Running struct {
+	Job   uint64    `json:"job"`
+	Index uint32    `json:"index"`
+	Token uint64    `json:"token"`
+	Used  Size      `json:"used"`
+	At    time.Time `json:"at"` // when Used was measured
+}
+
+// Ended is a run that is over.
+type Ended struct {
+	Job     uint64 `json:"job"`
+	Index   uint32 `json:"index"`
+	Token   uint64 `json:"token"`
+	Outcome string `json:"outcome"` // succeeded, failed, oversized, checkpointed, stopped
+}
+
+// Orders answers a Poll.
+type Orders struct {
+	Sequence uint64    `json:"sequence"` // of the poll answered
+	Lease    int64     `json:"lease"`    // milliseconds from when that poll was sent
+	Starts   []Start   `json:"starts,omitempty"`
+	Stops    []Stop    `json:"stops,omitempty"`
+	Throttle []Running `json:"throttle,omitempty"` // Used holds the new cap
+	Ended    []Ended   `json:"ended,omitempty"`    // recorded; need not be repeated
+}
+
+// Start tells a worker to start a task. A start whose token is not greater
+// than that of an earlier start of the task must be ignored.
+type Start struct {
+	Job     uint64 `json:"job"`
+	Index   uint32 `json:"index"`
+	Token   uint64 `json:"token"`
+	Entry   string `json:"entry"`
+	Team    string `json:"team"`
+	Size    Size   `json:"size"` // cap on what the task may use
+	Resume  bool   `json:"resume,omitempty"`
+	Command string `json:"command,omitempty"`
+}
+
+// Stop tells a worker to end a task.
+type Stop struct {
+	Job   uint64 `json:"job"`
+	Index uint32 `json:"index"`
+	Token uint64 `json:"token"`
+	Mode  string `json:"mode"` // checkpoint, stop
+}
--- /dev/null
+++ b/pkg/api/catalogue.go
@@ -0,0 +1,117 @@
+package api
+
+import "time"
+
+// Team is a workspace: it owns entries and keys. Version is the version that a
+// change is based on; zero adds the team.
+type Team struct {
+	Name     string `json:"name"`
+	Weight   int64  `json:"weight"`             // share of a full pool relative to other teams
+	Limit    Size   `json:"limit"`              // on running tasks; zero fields mean no limit
+	Tasks    int64  `json:"tasks,omitempty"`    // limit on running tasks; zero means no limit
+	Requests int64  `json:"requests,omitempty"` // limit on requests in flight; zero means no limit
+	Version  uint64 `json:"version"`
+	Retired  bool   `json:"retired,omitempty"`
+}
+
+// Entry is a catalogue entry. Version is as in Team.
+type Entry struct {
+	Name       string `json:"name"`
+	Owner      string `json:"owner"` // team
+	Class      string `json:"class"` // service, batch, gang
+	Open       bool   `json:"open,omitempty"`
+	Idempotent bool   `json:"idempotent,omitempty"`
+	Maximum    Size   `json:"maximum"`         // largest declared size of a task; zero fields mean no limit
+	Tasks      int64  `json:"tasks,omitempty"` // limit on running tasks; zero means no limit
+	Body       int64  `json:"body,omitempty"`  // largest request body in bytes; zero means 1 MiB
+	Version    uint64 `json:"version"`
+	Retired    bool   `json:"retired,omitempty"`
+}
+
+// Key grants a role in a team. Secret is only in the answer to its creation.
+type Key struct {
+	Name      string `json:"name"`
+	Team      string `json:"team,omitempty"`
+	Role      string `json:"role"` // caller, upstream, worker, operator
+	Secret    string `json:"secret,omitempty"`
+	Version   uint64 `json:"version"`
+	Withdrawn bool   `json:"withdrawn,omitempty"`
+}
+
+// Catalogue answers GET /v1/catalogue.
+type Catalogue struct {
+	Version uint64  `json:"version"`
+	Teams   []Team  `json:"teams"`
+	Entries []Entry `json:"entries"`
+	Keys    []Key   `json:"keys"`
+}
+
+// Changed answers a change of the catalogue.
+type Changed struct {
+	Version uint64 `json:"version"`
+	Secret  string `json:"secret,omitempty"` // of a new key
+}
+
+// Worker is a worker as operators see it.
+type Worker struct {
+	Name     string    `json:"name"`
+	Zone     string    `json:"zone"`
+	Rack     string    `json:"rack"`
+	Capacity Size      `json:"capacity"`
+	Reserved Size      `json:"reserved"`
+	Tasks    int       `json:"tasks"`
+	Drained  bool      `json:"drained,omitempty"`
+	Aside    bool      `json:"aside,omitempty"` // set aside after failures
+	Gone     bool      `json:"gone,omitempty"`
+	Lease    time.Time `json:"lease,omitzero"`
+}
+
+// Upstream is a runner as operators see it.
+type Upstream struct {
+	Entry string `json:"entry"`
+	Name  string `json:"name"`
+	Zone  string `json:"zone"`
+	Owner string `json:"owner"` // entry VM that counts its slots
+	Slots int64  `json:"slots"`
+}
+
+// Queue is the load of a catalogue entry.
+type Queue struct {
+	Entry   string    `json:"entry"`
+	Team    string    `json:"team"`
+	Queued  int       `json:"queued"`
+	Running int       `json:"running"`
+	Oldest  time.Time `json:"oldest,omitzero"`
+}
+
+// Status answers GET /v1/status.
+type Status struct {
+	Leader    string   `json:"leader"`
+	Term      uint64   `json:"term"`
+	Applied   uint64   `json:"applied"`
+	Catalogue uint64   `json:"catalogue"`
+	Members   []Member `json:"members"`
+	Entries   []Node   `json:"entries"`
+}
+
+// Member is a replica of the control group.
+type Member struct {
+	Name    string `json:"name"`
+	Disk    uint64 `json:"disk"` // random identity of its data directory
+	Voter   bool   `json:"voter"`
+	Matched uint64 `json:"matched"`
+}
+
+// Node is an entry VM.
+type Node struct {
+	Name     string    `json:"name"`
+	Zone     string    `json:"zone"`
+	Draining bool      `json:"draining,omitempty"`
+	Version  uint64    `json:"version"`
+	Deadline time.Time `json:"deadline"`
+}
+
+// Explanation answers GET /v1/jobs/{id}/explain.
+type Explanation struct {
+	Text string `json:"text"`
+}
