--- /dev/null
+++ b/internal/process/event/event.go
@@ -0,0 +1,66 @@
+// Package event numbers the log events of the daemon. Operators search and
+// alert on the number; the wording of a line may change, its number does not.
+// docs/events.md is the catalogue, and a test keeps the two alike.
+//
+// # Usage
+//
+//	log := event.New(zap.NewProduction())
+//	log.Emit(event.RequestRouted, zap.String("entry", entry), zap.String("runner", runner))
+//
+// Numbers are grouped: 1xx process, 2xx replicated log, 3xx leader and
+// sessions, 4xx placement, 5xx entry VM's link and runners, 6xx requests,
+// 7xx workers, 8xx operators. Each group stands in a file of its own.
+package event
+
+import (
+	"maps"
+	"slices"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// ID is the number of an event.
+type ID int
+
+// Kind describes an event.
+type Kind struct {
+	ID    ID
+	Name  string // the log line's message
+	Level zapcore.Level
+	Help  string // what it means and what to do, one sentence for docs/events.md
+}
+
+var kinds = map[ID]Kind{}
+
+// define registers an event and returns its number. It panics on a number
+// that is taken, which any test run shows.
+func define(id ID, level zapcore.Level, name, help string) ID {
+	if _, taken := kinds[id]; taken {
+		panic("event: number defined twice: " + name)
+	}
+	kinds[id] = Kind{ID: id, Name: name, Level: level, Help: help}
+	return id
+}
+
+// All returns every event in the order of the numbers.
+func All() []Kind {
+	return slices.SortedFunc(maps.Values(kinds), func(a, b Kind) int { return int(a.ID - b.ID) })
+}
+
+// Log writes events. The zero Log drops them.
+type Log struct{ zap *zap.Logger }
+
+// New returns a Log that writes to logger.
+func New(logger *zap.Logger) Log { return Log{zap: logger} }
+
+// Emit writes one event.
+func (l Log) Emit(id ID, fields ...zap.Field) {
+	if l.zap == nil {
+		return
+	}
+	k := kinds[id]
+	if c := l.zap.Check(k.Level, k.Name); c != nil {
+		c.Write(append(fields, zap.Int("event", int(id)))...)
+	}
+}
--- /dev/null
+++ b/internal/process/event/process.go
@@ -0,0 +1,10 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+// Events of the process itself.
+var (
+	ProcessStarted  = define(100, zapcore.InfoLevel, "process started", "The daemon runs its roles.")
+	ProcessStopping = define(101, zapcore.InfoLevel, "process stopping", "A signal asked for a graceful shutdown; requests in flight are finished first.")
+	ProcessStopped  = define(102, zapcore.InfoLevel, "process stopped", "Every role has ended.")
+)
--- a/internal/version/raft/raft.go
+++ b/internal/version/raft/raft.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Machine is the replicated state machine. The replica calls it from one
@@ -40,3 +42,11 @@
 	// leadership, term or readiness of the lease.
 	Changed() <-chan struct{}
 }
+
+// Errors of Propose.
+var (
+	// ErrNotLeader tells that the command was certainly not appended.
+	ErrNotLeader = errors.New("this replica does not lead")
+	// ErrUnknown tells that the command may or may not commit.
+	ErrUnknown = errors.New("it is not known whether the command commits")
+)
