--- /dev/null
+++ b/internal/process/event/raft.go
@@ -0,0 +1,24 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+// Events of the replicated log.
+var (
+	GroupFounded      = define(200, zapcore.InfoLevel, "control group founded", "This replica stored the founding membership of a new control group.")
+	FoundingRefused   = define(201, zapcore.WarnLevel, "founding refused", "The founder's list of members differs from this replica's settings; make the settings alike.")
+	ElectionStarted   = define(202, zapcore.InfoLevel, "election started", "This replica heard of no leader and asks for votes in a new term.")
+	LeadershipWon     = define(203, zapcore.InfoLevel, "leadership won", "This replica leads the control group in the term.")
+	LeadershipLost    = define(204, zapcore.WarnLevel, "leadership lost", "This replica no longer leads; frequent changes point to a slow disk or network.")
+	LeaderFound       = define(205, zapcore.InfoLevel, "leader found", "This replica follows the leader.")
+	LearnerAdded      = define(206, zapcore.InfoLevel, "non-voter added", "A replica with a new disk receives the log and does not vote yet.")
+	VoterAdded        = define(207, zapcore.InfoLevel, "voter added", "A replica that has caught up becomes a voter.")
+	MemberRemoved     = define(208, zapcore.WarnLevel, "member removed", "An identity leaves the control group; its messages are ignored from now on.")
+	MemberAllowed     = define(209, zapcore.InfoLevel, "name allowed again", "An operator lets a name that was removed for good join again.")
+	JoinRefused       = define(210, zapcore.WarnLevel, "join refused", "A replica asked to join whose name is not in the settings or was removed for good.")
+	SnapshotTaken     = define(211, zapcore.InfoLevel, "snapshot taken", "The state was saved and older log segments can be removed.")
+	SnapshotSent      = define(212, zapcore.InfoLevel, "snapshot sending", "A replica is too far behind for the log and receives the snapshot.")
+	SnapshotInstalled = define(213, zapcore.InfoLevel, "snapshot installed", "This replica was too far behind and took over the leader's snapshot.")
+	ReplicaStarted    = define(214, zapcore.InfoLevel, "replica started", "The replica has read its disk.")
+	WriteCut          = define(215, zapcore.WarnLevel, "interrupted write cut", "The last write before a crash was incomplete and never answered; it was removed.")
+	ReplicaFailed     = define(216, zapcore.ErrorLevel, "replica failed", "The disk failed or its data is damaged; replace the disk, the replica then joins as a new one.")
+)
--- /dev/null
+++ b/internal/version/disk/directory.go
@@ -0,0 +1,458 @@
+package disk
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// segmentSize is the size in bytes at which a new segment is started.
+	segmentSize = 16 << 20
+	// bufferKeep is the largest write buffer in bytes kept between syncs.
+	bufferKeep = 4 << 20
+
+	lockFile       = "lock"
+	identityFile   = "identity"
+	segmentPrefix  = "wal-"
+	snapshotPrefix = "snapshot-"
+	unfinished     = ".tmp"
+
+	identitySize   = 8 + 4
+	snapshotMagic  = 0x726c736e
+	snapshotHeader = 4 + 8 + 8 + 8 + 8 // magic, index, term, length of the membership, length of the data
+)
+
+// segment is one file of the write-ahead log.
+type segment struct {
+	sequence uint64 // of its first record
+	last     uint64 // highest index of an entry in it
+}
+
+// Directory is a Store in one data directory.
+type Directory struct {
+	path     string
+	lock     *os.File
+	identity uint64
+
+	// Owned by the goroutine that calls Append and Sync.
+	buffer   []byte
+	batches  int
+	active   *os.File
+	size     int64
+	sequence uint64 // of the next record
+	hard     Hard
+	failed   error
+
+	mu       sync.Mutex // guards segments
+	segments []segment  // in the order of sequence; the last one is active
+
+	snapshotMu sync.Mutex // held while a snapshot is written or read
+	snapshot   Snapshot   // without Data
+
+	contents Contents // as of Open, handed over by Load
+	cut      int64    // bytes of an interrupted write that Open cut
+}
+
+// Open opens a data directory, or creates it. It cuts an interrupted write at
+// the end of the log and returns ErrDamaged on any other damage.
+func Open(path string) (*Directory, error) {
+	if err := os.MkdirAll(path, 0o700); err != nil {
+		return nil, errors.Wrap(err, "create data directory")
+	}
+	lock, err := os.OpenFile(filepath.Join(path, lockFile), os.O_CREATE|os.O_RDWR, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "open lock file")
+	}
+	if err := syscall.Flock(int(lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return nil, errors.CombineErrors(errors.Wrapf(ErrLocked, "%s", path), lock.Close())
+	}
+	d := &Directory{path: path, lock: lock}
+	if err := d.open(); err != nil {
+		return nil, errors.CombineErrors(err, d.Close())
+	}
+	return d, nil
+}
+
+func (d *Directory) open() error {
+	names, err := d.list()
+	if err != nil {
+		return err
+	}
+	if err := d.readIdentity(); err != nil {
+		if !errors.Is(err, os.ErrNotExist) {
+			return err
+		}
+		return d.create(names)
+	}
+	if err := d.readSnapshots(names); err != nil {
+		return err
+	}
+	if err := d.readSegments(names); err != nil {
+		return err
+	}
+	d.contents.Snapshot = d.snapshot
+	d.hard = d.contents.Hard
+	return d.contents.align()
+}
+
+// list returns the names in the directory and removes unfinished files.
+func (d *Directory) list() ([]string, error) {
+	files, err := os.ReadDir(d.path)
+	if err != nil {
+		return nil, errors.Wrap(err, "read data directory")
+	}
+	var names []string
+	for _, f := range files {
+		if strings.HasSuffix(f.Name(), unfinished) {
+			if err := os.Remove(filepath.Join(d.path, f.Name())); err != nil {
+				return nil, errors.Wrap(err, "remove unfinished file")
+			}
+			continue
+		}
+		names = append(names, f.Name())
+	}
+	return names, nil
+}
+
+// create prepares an empty directory. The identity is written last, so that a
+// directory without it holds at most the first segment's first record.
+func (d *Directory) create(names []string) error {
+	for _, n := range names {
+		if strings.HasPrefix(n, snapshotPrefix) || strings.HasPrefix(n, segmentPrefix) && n != segmentName(1) {
+			return errors.Wrapf(ErrDamaged, "%s exists but the identity is missing", n)
+		}
+	}
+	if slices.Contains(names, segmentName(1)) {
+		b, err := os.ReadFile(filepath.Join(d.path, segmentName(1)))
+		if err != nil {
+			return errors.Wrap(err, "read segment")
+		}
+		if _, _, size, err := parseRecord(b); err == nil && size < len(b) {
+			return errors.Wrap(ErrDamaged, "the log holds records but the identity is missing")
+		}
+	}
+	d.sequence = 1
+	if err := d.rotate(); err != nil {
+		return err
+	}
+	var b [identitySize]byte
+	for d.identity == 0 {
+		if _, err := rand.Read(b[:8]); err != nil {
+			return errors.Wrap(err, "draw identity")
+		}
+		d.identity = binary.LittleEndian.Uint64(b[:])
+	}
+	binary.LittleEndian.PutUint32(b[8:], crc32.Checksum(b[:8], castagnoli))
+	return d.replace(identityFile, b[:])
+}
+
+func (d *Directory) readIdentity() error {
+	b, err := os.ReadFile(filepath.Join(d.path, identityFile))
+	if err != nil {
+		return errors.Wrap(err, "read identity")
+	}
+	if len(b) != identitySize || binary.LittleEndian.Uint32(b[8:]) != crc32.Checksum(b[:8], castagnoli) {
+		return errors.Wrap(ErrDamaged, "identity")
+	}
+	d.identity = binary.LittleEndian.Uint64(b)
+	return nil
+}
+
+// replace writes a whole file durably: parts, sync, rename, sync of the directory.
+func (d *Directory) replace(name string, parts ...[]byte) (err error) {
+	path := filepath.Join(d.path, name)
+	f, err := os.OpenFile(path+unfinished, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Wrapf(err, "create %s", name)
+	}
+	for _, p := range parts {
+		if err == nil {
+			_, err = f.Write(p)
+		}
+	}
+	if err == nil {
+		err = f.Sync()
+	}
+	if err = errors.CombineErrors(err, f.Close()); err != nil {
+		return errors.Wrapf(err, "write %s", name)
+	}
+	if err := os.Rename(path+unfinished, path); err != nil {
+		return errors.Wrapf(err, "rename %s", name)
+	}
+	return d.syncDirectory()
+}
+
+func (d *Directory) syncDirectory() error {
+	f, err := os.Open(d.path)
+	if err != nil {
+		return errors.Wrap(err, "open data directory")
+	}
+	return errors.Wrap(errors.CombineErrors(f.Sync(), f.Close()), "sync data directory")
+}
+
+func segmentName(sequence uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, sequence) }
+
+func snapshotName(index uint64) string { return fmt.Sprintf("%s%016x", snapshotPrefix, index) }
+
+// numbers returns the numbers in the names with a prefix, ascending.
+func numbers(names []string, prefix string) ([]uint64, error) {
+	var list []uint64
+	for _, n := range names {
+		rest, ok := strings.CutPrefix(n, prefix)
+		if !ok {
+			continue
+		}
+		var number uint64
+		if _, err := fmt.Sscanf(rest, "%016x", &number); err != nil || len(rest) != 16 {
+			return nil, errors.Wrapf(ErrDamaged, "unexpected file name %s", n)
+		}
+		list = append(list, number)
+	}
+	slices.Sort(list)
+	return list, nil
+}
+
+// readSegments replays the log and opens the last segment for writing.
+func (d *Directory) readSegments(names []string) error {
+	list, err := numbers(names, segmentPrefix)
+	if err != nil {
+		return err
+	}
+	if len(list) == 0 {
+		return errors.Wrap(ErrDamaged, "no segment of the log")
+	}
+	d.sequence = list[0]
+	for i, number := range list {
+		if number != d.sequence {
+			return errors.Wrapf(ErrDamaged, "record %d is missing before segment %s", d.sequence, segmentName(number))
+		}
+		if err := d.readSegment(number, i == len(list)-1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Directory) readSegment(number uint64, last bool) error {
+	name := segmentName(number)
+	b, err := os.ReadFile(filepath.Join(d.path, name))
+	if err != nil {
+		return errors.Wrap(err, "read segment")
+	}
+	s := segment{sequence: number}
+	offset := 0
+	for offset < len(b) {
+		sequence, payload, size, err := parseRecord(b[offset:])
+		if err != nil {
+			if next := findRecord(b[offset:]); !last || next >= 0 {
+				return errors.Wrapf(ErrDamaged, "record %d at offset %d of %s", d.sequence, offset, name)
+			}
+			break
+		}
+		if sequence != d.sequence {
+			return errors.Wrapf(ErrDamaged, "record %d at offset %d of %s, expected %d", sequence, offset, name, d.sequence)
+		}
+		if err := d.replay(payload, &s); err != nil {
+			return errors.Wrapf(err, "record %d of %s", sequence, name)
+		}
+		offset += size
+		d.sequence++
+	}
+	d.segments = append(d.segments, s)
+	if !last {
+		return nil
+	}
+	return d.reopen(name, int64(offset), int64(len(b)))
+}
+
+func (d *Directory) replay(payload []byte, s *segment) error {
+	batches, err := decodeRecord(payload)
+	if err != nil {
+		return err
+	}
+	for _, b := range batches {
+		if err := d.contents.merge(b); err != nil {
+			return err
+		}
+		s.note(b)
+	}
+	return nil
+}
+
+func (s *segment) note(b Batch) {
+	if n := len(b.Entries); n > 0 {
+		s.last = max(s.last, b.Entries[n-1].Index)
+	}
+}
+
+// reopen opens the last segment for writing and cuts an interrupted write. A
+// segment left without any record is created anew, with term and vote.
+func (d *Directory) reopen(name string, valid, size int64) error {
+	if valid == 0 {
+		d.segments = d.segments[:len(d.segments)-1]
+		d.hard, d.cut = d.contents.Hard, size
+		return d.rotate()
+	}
+	f, err := os.OpenFile(filepath.Join(d.path, name), os.O_RDWR, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "open segment")
+	}
+	d.active, d.size, d.cut = f, valid, size-valid
+	if d.cut > 0 {
+		if err := f.Truncate(valid); err != nil {
+			return errors.Wrap(err, "cut interrupted write")
+		}
+	}
+	// Without a sync the replica could answer from records that a second crash
+	// takes away: the crashed process may have written but not synced them.
+	if err := f.Sync(); err != nil {
+		return errors.Wrap(err, "sync segment")
+	}
+	if _, err := f.Seek(valid, io.SeekStart); err != nil {
+		return errors.Wrap(err, "seek in segment")
+	}
+	return d.syncDirectory()
+}
+
+// rotate starts a new segment whose first record repeats term and vote.
+func (d *Directory) rotate() error {
+	f, err := os.OpenFile(filepath.Join(d.path, segmentName(d.sequence)), os.O_CREATE|os.O_TRUNC|os.O_RDWR, 0o600)
+	if err != nil {
+		return errors.Wrap(err, "create segment")
+	}
+	b := appendBatch(beginRecord(nil), Batch{Hard: &d.hard})
+	finishRecord(b, 0, d.sequence)
+	if _, err = f.Write(b); err == nil {
+		err = f.Sync()
+	}
+	if err == nil {
+		err = d.syncDirectory()
+	}
+	if err != nil {
+		return errors.CombineErrors(errors.Wrap(err, "start segment"), f.Close())
+	}
+	if d.active != nil {
+		if err := d.active.Close(); err != nil {
+			return errors.CombineErrors(errors.Wrap(err, "close segment"), f.Close())
+		}
+	}
+	d.mu.Lock()
+	d.segments = append(d.segments, segment{sequence: d.sequence})
+	d.mu.Unlock()
+	d.active, d.size = f, int64(len(b))
+	d.sequence++
+	return nil
+}
+
+// Identity implements Store.
+func (d *Directory) Identity() uint64 { return d.identity }
+
+// Cut returns how many bytes of an interrupted write Open removed.
+func (d *Directory) Cut() int64 { return d.cut }
+
+// Load implements Store. It hands over the contents read by Open and can be
+// called once.
+func (d *Directory) Load() (Contents, error) {
+	c := d.contents
+	d.contents = Contents{}
+	return c, nil
+}
+
+// Append implements Store.
+func (d *Directory) Append(batch Batch) error {
+	if d.failed != nil {
+		return d.failed
+	}
+	if d.batches == 0 {
+		d.buffer = beginRecord(d.buffer[:0])
+	}
+	d.buffer = appendBatch(d.buffer, batch)
+	d.batches++
+	if batch.Hard != nil {
+		d.hard = *batch.Hard
+	}
+	d.mu.Lock()
+	d.segments[len(d.segments)-1].note(batch)
+	d.mu.Unlock()
+	if len(d.buffer) > recordLimit/2 {
+		return d.Sync()
+	}
+	return nil
+}
+
+// Sync implements Store. After a failed write or sync the state of the file is
+// not known, so every later call returns the same error.
+func (d *Directory) Sync() error {
+	if d.failed != nil || d.batches == 0 {
+		return d.failed
+	}
+	if d.failed = d.flush(); d.failed != nil {
+		return d.failed
+	}
+	if d.size >= segmentSize {
+		d.failed = d.rotate()
+	}
+	return d.failed
+}
+
+func (d *Directory) flush() error {
+	finishRecord(d.buffer, 0, d.sequence)
+	if _, err := d.active.Write(d.buffer); err != nil {
+		return errors.Wrap(err, "write log")
+	}
+	if err := d.active.Sync(); err != nil {
+		return errors.Wrap(err, "sync log")
+	}
+	d.size += int64(len(d.buffer))
+	d.sequence++
+	d.batches = 0
+	if cap(d.buffer) > bufferKeep {
+		d.buffer = nil
+	}
+	return nil
+}
+
+// Compact implements Store. It removes whole segments from the oldest on.
+func (d *Directory) Compact(index uint64) error {
+	d.snapshotMu.Lock()
+	index = min(index, d.snapshot.Index)
+	d.snapshotMu.Unlock()
+	d.mu.Lock()
+	n := 0
+	for n < len(d.segments)-1 && d.segments[n].last <= index {
+		n++
+	}
+	removed := slices.Clone(d.segments[:n])
+	d.segments = slices.Delete(d.segments, 0, n)
+	d.mu.Unlock()
+	// The oldest goes first: a crash in between must not leave a gap.
+	for _, s := range removed {
+		if err := os.Remove(filepath.Join(d.path, segmentName(s.sequence))); err != nil {
+			return errors.Wrap(err, "remove segment")
+		}
+		if err := d.syncDirectory(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close implements Store.
+func (d *Directory) Close() error {
+	var err error
+	if d.active != nil {
+		err = d.active.Close()
+	}
+	return errors.CombineErrors(err, d.lock.Close())
+}
--- /dev/null
+++ b/internal/version/raft/membership.go
@@ -0,0 +1,58 @@
+package raft
+
+import "slices"
+
+func (m *Membership) clone() *Membership {
+	return &Membership{
+		Group:   m.Group,
+		Members: slices.Clone(m.Members),
+		Removed: slices.Clone(m.Removed),
+		Retired: slices.Clone(m.Retired),
+	}
+}
+
+// member returns the member with an identity, nil if there is none.
+func (m *Membership) member(identity uint64) *Member {
+	for i := range m.Members {
+		if m.Members[i].Identity == identity {
+			return &m.Members[i]
+		}
+	}
+	return nil
+}
+
+func (m *Membership) voter(identity uint64) bool {
+	p := m.member(identity)
+	return p != nil && p.Voter
+}
+
+func (m *Membership) voters() int {
+	n := 0
+	for _, p := range m.Members {
+		if p.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// named returns the member with a name that votes, or that does not.
+func (m *Membership) named(name string, voter bool) *Member {
+	for i := range m.Members {
+		if p := &m.Members[i]; p.Name == name && p.Voter == voter {
+			return p
+		}
+	}
+	return nil
+}
+
+// without returns the membership after the removal of an identity.
+func (m *Membership) without(identity uint64) *Membership {
+	n := m.clone()
+	n.Members = slices.DeleteFunc(n.Members, func(p Member) bool { return p.Identity == identity })
+	n.Removed = append(n.Removed, identity)
+	if extra := len(n.Removed) - removedKeep; extra > 0 {
+		n.Removed = n.Removed[extra:]
+	}
+	return n
+}
--- /dev/null
+++ b/internal/version/raft/options.go
@@ -0,0 +1,83 @@
+package raft
+
+import (
+	crypto "crypto/rand"
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/disk"
+)
+
+// Defaults of Options.
+const (
+	defaultSnapshotEntries = 50_000
+	defaultSnapshotBytes   = 64 << 20
+)
+
+// Options are the settings of a replica.
+type Options struct {
+	// Name is the replica's name in the settings.
+	Name string
+	// Members are the names of all control replicas in the settings. The first
+	// one founds the group.
+	Members []string
+	// Directory is the data directory. It is ignored if Store is set.
+	Directory string
+	// Store replaces the data directory. The replica closes it.
+	Store     disk.Store
+	Machine   Machine
+	Transport Transport
+	// Now returns the time with a monotonic clock reading. The default is time.Now.
+	Now func() time.Time
+	// Random draws election timeouts. The default is seeded by the system.
+	Random *rand.Rand
+	Log    event.Log
+	// SnapshotEntries and SnapshotBytes are the number of applied entries and
+	// the bytes of their commands after which a snapshot is taken.
+	SnapshotEntries uint64
+	SnapshotBytes   int
+
+	hooks hooks
+}
+
+// check fills in defaults and returns all findings.
+func (o *Options) check() error {
+	var err error
+	if o.Name == "" {
+		err = errors.CombineErrors(err, errors.New("raft: no name"))
+	}
+	if o.Machine == nil {
+		err = errors.CombineErrors(err, errors.New("raft: no machine"))
+	}
+	if o.Transport == nil && !(len(o.Members) == 1 && o.Members[0] == o.Name) {
+		err = errors.CombineErrors(err, errors.New("raft: no transport"))
+	}
+	if o.Store == nil && o.Directory == "" {
+		err = errors.CombineErrors(err, errors.New("raft: no data directory"))
+	}
+	if sorted := slices.Sorted(slices.Values(o.Members)); len(slices.Compact(sorted)) != len(o.Members) {
+		err = errors.CombineErrors(err, errors.New("raft: a member is named twice"))
+	}
+	if o.Now == nil {
+		o.Now = time.Now
+	}
+	if o.SnapshotEntries == 0 {
+		o.SnapshotEntries = defaultSnapshotEntries
+	}
+	if o.SnapshotBytes == 0 {
+		o.SnapshotBytes = defaultSnapshotBytes
+	}
+	if o.Random == nil {
+		var seed [16]byte
+		if _, e := crypto.Read(seed[:]); e != nil {
+			return errors.CombineErrors(err, errors.Wrap(e, "raft: draw seed"))
+		}
+		o.Random = rand.New(rand.NewPCG(binary.LittleEndian.Uint64(seed[:8]), binary.LittleEndian.Uint64(seed[8:])))
+	}
+	return err
+}
--- a/internal/version/raft/raft.go
+++ b/internal/version/raft/raft.go
@@ -1,3 +1,38 @@
+// Package raft replicates a log of commands over the control replicas and
+// applies it to a state machine on each of them.
+//
+// # Usage
+//
+//	replica, err := raft.New(raft.Options{
+//		Name:      "control-1",
+//		Members:   []string{"control-1", "control-2", "control-3"},
+//		Directory: "data/log",
+//		Machine:   state,
+//		Transport: transport,
+//	})
+//	go replica.Run(ctx)
+//	result, err := replica.Propose(ctx, command)
+//	if time.Now().Before(replica.Lease()) {
+//		// no other replica can lead now; the local state is current
+//	}
+//
+// The transport hands incoming messages to Receive. EncodeMessage and
+// DecodeMessage are the wire format.
+//
+// # Parts
+//
+// The core is deterministic: it has no goroutine and no clock, and the tests
+// run it on a simulated network. Replica drives it with goroutines and a disk.
+// One sync covers all proposals and messages that arrived during the previous
+// one. A leader sends entries before its own sync ends; it counts itself
+// towards a commit only afterwards. Every promise (a vote, an accepted append)
+// is answered after its sync.
+//
+// # Members
+//
+// A replica is its name plus the random identity on its disk; founding and
+// change describe how groups are founded and changed. Votes, answers and
+// leases count by identity only.
 package raft
 
 import (
@@ -49,4 +84,6 @@
 	ErrNotLeader = errors.New("this replica does not lead")
 	// ErrUnknown tells that the command may or may not commit.
 	ErrUnknown = errors.New("it is not known whether the command commits")
+	// ErrTooLarge tells that the command exceeds MaxCommand and was not appended.
+	ErrTooLarge = errors.New("the command is too large")
 )
