--- a/internal/version/raft/apply.go
+++ b/internal/version/raft/apply.go
@@ -168,7 +168,7 @@
 	if err := r.store.SaveSnapshot(s); err != nil {
 		return err
 	}
-	keep := s.Index - min(s.Index, trailing)
+	keep := s.Index - min(s.Index, r.options.Trailing)
 	if err := r.store.Compact(keep); err != nil {
 		return err
 	}
--- a/internal/version/raft/change.go
+++ b/internal/version/raft/change.go
@@ -73,7 +73,7 @@
 	}
 	for _, name := range c.settingsAndMembers() {
 		j, ok := c.joins[name]
-		if !ok || c.now.Sub(j.at) > joinFresh {
+		if !ok || c.now.Sub(j.at) > joinFresh || s.member(j.identity) != nil || c.ignored(j.identity) {
 			continue
 		}
 		if old := s.named(name, false); old != nil {
--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -21,9 +21,6 @@
 	leaseLength = 750 * time.Millisecond
 	// joinInterval is the time between two attempts to found or join a group.
 	joinInterval = 200 * time.Millisecond
-	// trailing is the number of entries kept behind a snapshot, so that a
-	// replica that is slightly behind needs no snapshot.
-	trailing = 5000
 )
 
 // role is what a replica does in its term.
@@ -69,6 +66,7 @@
 	random   *rand.Rand
 	log      event.Log
 	load     func() (disk.Snapshot, error) // reads the stored snapshot
+	trailing uint64
 	hooks    hooks
 
 	term, vote  uint64
@@ -116,7 +114,7 @@
 func newCore(options Options, identity uint64, contents disk.Contents, now time.Time) (*core, error) {
 	c := &core{
 		name: options.Name, identity: identity, settings: options.Members, random: options.Random, log: options.Log,
-		hooks: options.hooks, term: max(contents.Hard.Term, contents.Snapshot.Term), vote: contents.Hard.Vote,
+		trailing: options.Trailing, hooks: options.hooks, term: max(contents.Hard.Term, contents.Snapshot.Term), vote: contents.Hard.Vote,
 		now: now, origin: now, contact: now, joinDue: now, joins: map[string]join{},
 	}
 	s := contents.Snapshot
@@ -444,8 +442,8 @@
 		return
 	}
 	c.snapshot = p
-	if p.Index > trailing {
-		c.entries.compact(max(c.entries.base.Index, p.Index-trailing))
+	if p.Index > c.trailing {
+		c.entries.compact(max(c.entries.base.Index, p.Index-c.trailing))
 	}
 	for len(c.memberships) > 1 && c.memberships[1].index <= p.Index {
 		c.memberships = c.memberships[1:]
--- /dev/null
+++ b/internal/version/raft/core_test.go
@@ -0,0 +1,248 @@
+package raft
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/version/disk"
+)
+
+// Guards against any loss of safety under crashes, lost disks, partitions and
+// duplicated, delayed and reordered messages, and against a group that does
+// not recover once the faults are over.
+func TestCoreUnderFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		names := []string{"a", "b", "c"}
+		if rapid.Bool().Draw(t, "five") {
+			names = append(names, "d", "e")
+		}
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"), Options{}, names...)
+		name := rapid.SampledFrom(names)
+		proposed := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"run":      func(t *rapid.T) { s.run(time.Duration(rapid.IntRange(1, 4000).Draw(t, "ms")) * time.Millisecond) },
+			"start":    func(t *rapid.T) { s.start(name.Draw(t, "name")) },
+			"startAll": func(*rapid.T) { s.startAll() },
+			"crash":    func(t *rapid.T) { s.crash(name.Draw(t, "name")) },
+			"replace": func(t *rapid.T) {
+				if n := name.Draw(t, "name"); s.settled() {
+					s.replaceDisk(n)
+				}
+			},
+			"isolate": func(t *rapid.T) { s.isolate(name.Draw(t, "name"), true) },
+			"block":   func(t *rapid.T) { s.block(name.Draw(t, "one"), name.Draw(t, "other"), true) },
+			"heal":    func(*rapid.T) { clear(s.blocked) },
+			"network": func(t *rapid.T) {
+				share := rapid.SampledFrom([]float64{0, 0.05, 0.3})
+				s.drops, s.copies, s.late = share.Draw(t, "drops"), share.Draw(t, "copies"), share.Draw(t, "late")
+			},
+			"propose": func(t *rapid.T) {
+				for range rapid.IntRange(1, 15).Draw(t, "count") {
+					proposed++
+					s.propose(s.nodes[name.Draw(t, "name")], fmt.Sprint(proposed))
+					s.propose(s.leader(), fmt.Sprint(-proposed))
+				}
+			},
+			"": func(t *rapid.T) {
+				if s.violation != "" {
+					t.Fatal(s.violation)
+				}
+			},
+		})
+		s.drops, s.copies, s.late = 0, 0, 0
+		clear(s.blocked)
+		s.startAll()
+		s.run(45 * time.Second)
+		l := s.elect()
+		if s.violation == "" {
+			s.propose(l, "last")
+			s.run(2 * time.Second)
+			s.check(s.settled(), "the members are not those that run: %+v", l.core.membership())
+			for _, n := range s.nodes {
+				s.check(n.applied == l.applied, "%s applied %d, the leader %d", n.name, n.applied, l.applied)
+			}
+		}
+		if s.violation != "" {
+			t.Fatal(s.violation)
+		}
+	})
+}
+
+// guard runs a scenario with a safety guard on and off. With the guard it must
+// hold, without it the named check must fail.
+func guard(t *testing.T, off hooks, check string, scenario func(s *simulation)) {
+	t.Helper()
+	for _, h := range []hooks{{}, off} {
+		s := newSimulation(3, Options{hooks: h}, "a", "b", "c")
+		scenario(s)
+		if h == off && !strings.HasPrefix(s.violation, check) {
+			t.Errorf("without the guard: got %q, want a failure of %q", s.violation, check)
+		}
+		if h != off && s.violation != "" {
+			t.Errorf("with the guard: %s", s.violation)
+		}
+	}
+}
+
+func others(s *simulation, l *node) (*node, *node) {
+	var o []*node
+	for _, n := range s.names {
+		if s.nodes[n] != l {
+			o = append(o, s.nodes[n])
+		}
+	}
+	return o[0], o[1]
+}
+
+// Guards against an answer before the sync: a committed entry would be lost
+// when the replicas that hold it crash.
+func TestGuardSync(t *testing.T) {
+	guard(t, hooks{noSync: true}, "", func(s *simulation) {
+		l := s.elect()
+		b, c := others(s, l)
+		s.isolate(c.name, true)
+		s.propose(l, "one")
+		s.run(time.Second)
+		s.check(s.committed[l.applied].Index > 0, "nothing committed")
+		before := s.violation
+		s.crash(l.name)
+		s.crash(b.name)
+		clear(s.blocked)
+		s.startAll()
+		s.run(10 * time.Second)
+		s.check(len(before) == 0, "%s", before)
+	})
+}
+
+// Guards against a replica that returns from a partition and deposes a leader
+// that has a quorum.
+func TestGuardPreVote(t *testing.T) {
+	guard(t, hooks{noPreVote: true}, "the term changed", func(s *simulation) {
+		l := s.elect()
+		term := l.core.term
+		_, c := others(s, l)
+		s.isolate(c.name, true)
+		s.run(10 * time.Second)
+		clear(s.blocked)
+		s.run(3 * time.Second)
+		s.check(l.core.term == term && l.core.role == leader, "the term changed from %d to %d", term, l.core.term)
+	})
+}
+
+// Guards against an empty disk that votes under the name of the lost one: it
+// would elect a leader without a committed entry.
+func TestGuardDiskIdentity(t *testing.T) {
+	guard(t, hooks{noIdentity: true}, "leader completeness", func(s *simulation) {
+		l := s.elect()
+		b, c := others(s, l)
+		s.isolate(c.name, true)
+		s.propose(l, "one")
+		s.run(time.Second)
+		founding := l.core.memberships[0].Membership.encode()
+		s.crash(l.name)
+		s.replaceDisk(b.name)
+		// As if the replica took the members from its settings.
+		b.core.replace(disk.Snapshot{Index: foundingIndex, Term: foundingTerm, Membership: founding})
+		s.flush(b)
+		clear(s.blocked)
+		s.run(10 * time.Second)
+	})
+}
+
+// Guards against a commit of an older term's entry by counting replicas (figure
+// 8 of the Raft paper): a leader with a later term would replace it.
+func TestGuardOwnTerm(t *testing.T) {
+	guard(t, hooks{anyTerm: true}, "leader completeness", func(s *simulation) {
+		m := &Membership{Group: 9}
+		for _, n := range s.names {
+			m.Members = append(m.Members, Member{n, s.nodes[n].store.Identity(), true})
+		}
+		for n, e := range map[string][]disk.Entry{"a": {{Index: 2, Term: 2, Data: make([]byte, appendBytes)}}, "b": nil, "c": {{Index: 2, Term: 3, Data: []byte("new")}}} {
+			s.crash(n)
+			st := s.nodes[n].store
+			s.check(st.SaveSnapshot(disk.Snapshot{Index: 1, Term: 1, Membership: m.encode()}) == nil, "snapshot")
+			s.check(st.Append(disk.Batch{Hard: &disk.Hard{Term: 3}, Entries: e}) == nil && st.Sync() == nil, "append")
+		}
+		s.startAll()
+		s.isolate("c", true)
+		// The old entry fills an append; the empty one of the new term never arrives.
+		s.drop = func(m Message) bool {
+			return m.Type == Append && m.Index >= 2 && s.nodes["b"].core.entries.last() >= 2
+		}
+		s.nodes["b"].core.electionDeadline = epoch.Add(time.Hour)
+		s.run(5 * time.Second)
+		s.crash("a")
+		s.drop = nil
+		clear(s.blocked)
+		s.run(10 * time.Second)
+	})
+}
+
+// Guards against a vote while the lease of a leader may run.
+func TestGuardLease(t *testing.T) {
+	guard(t, hooks{noLease: true}, "lease exclusivity", func(s *simulation) {
+		l := s.elect()
+		_, c := others(s, l)
+		s.block(l.name, c.name, true)
+		s.run(10 * time.Second)
+	})
+}
+
+// Guards against a group that loses an entry or stops for good when a replica
+// is replaced just before a second one is lost.
+func TestReplacedThenSecondLost(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(5, Options{}, "a", "b", "c")
+	l := s.elect()
+	for i := range 100 {
+		s.propose(l, fmt.Sprint(i))
+		s.run(10 * time.Millisecond)
+	}
+	b, _ := others(s, l)
+	old := b.store.Identity()
+	s.replaceDisk(b.name)
+	s.run(500 * time.Millisecond)
+	is.True(l.core.membership().voter(old)) // the new disk does not vote yet
+	for i := 0; i < 1000 && !s.settled(); i++ {
+		s.run(10 * time.Millisecond)
+	}
+	is.True(s.settled())
+	last := l.applied
+	s.replaceDisk(l.name)
+	l = s.elect()
+	is.Equal(s.violation, "")
+	is.True(l.applied >= last)
+	s.run(20 * time.Second)
+	is.True(s.settled())
+	is.Equal(s.violation, "")
+	is.Equal(len(s.leader().core.membership().Removed), 2)
+}
+
+// Guards against a founding while a member is unreachable or belongs to a
+// group, which would drop what that group committed.
+func TestFoundingNeedsAllEmpty(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(6, Options{}, "a", "b", "c")
+	s.isolate("c", true)
+	s.run(20 * time.Second)
+	for _, n := range s.nodes {
+		is.True(n.core.membership() == nil)
+	}
+	clear(s.blocked)
+	l := s.elect()
+	s.propose(l, "one")
+	s.run(time.Second)
+	group := l.core.membership().Group
+	s.replaceDisk("a") // a majority of the disks, among them the founder's
+	s.replaceDisk("b")
+	s.run(20 * time.Second)
+	is.Equal(s.violation, "")
+	for _, n := range s.nodes {
+		is.True(n.core.membership() == nil || n.core.membership().Group == group)
+	}
+}
--- a/internal/version/raft/election.go
+++ b/internal/version/raft/election.go
@@ -133,8 +133,8 @@
 	c.leaseFrom = c.now.Add(-leaseLength)
 	c.own = c.entries.last() + 1
 	c.heartbeatDue = c.now.Add(heartbeatInterval)
-	c.append([]disk.Entry{{Index: c.own, Term: c.term, Kind: disk.Empty}})
 	c.track()
+	c.append([]disk.Entry{{Index: c.own, Term: c.term, Kind: disk.Empty}})
 	c.log.Emit(event.LeadershipWon, zap.Uint64("term", c.term), zap.Uint64("entry", c.own))
 	c.broadcast()
 }
--- a/internal/version/raft/options.go
+++ b/internal/version/raft/options.go
@@ -17,6 +17,7 @@
 const (
 	defaultSnapshotEntries = 50_000
 	defaultSnapshotBytes   = 64 << 20
+	defaultTrailing        = 5000
 )
 
 // Options are the settings of a replica.
@@ -41,6 +42,9 @@
 	// the bytes of their commands after which a snapshot is taken.
 	SnapshotEntries uint64
 	SnapshotBytes   int
+	// Trailing is the number of entries kept behind a snapshot, so that a
+	// replica that is slightly behind needs no snapshot.
+	Trailing uint64
 
 	hooks hooks
 }
@@ -72,6 +76,9 @@
 	if o.SnapshotBytes == 0 {
 		o.SnapshotBytes = defaultSnapshotBytes
 	}
+	if o.Trailing == 0 {
+		o.Trailing = defaultTrailing
+	}
 	if o.Random == nil {
 		var seed [16]byte
 		if _, e := crypto.Read(seed[:]); e != nil {
--- /dev/null
+++ b/internal/version/raft/simulation_test.go
@@ -0,0 +1,368 @@
+package raft
+
+import (
+	"bytes"
+	"encoding/binary"
+	"flag"
+	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/version/disk"
+)
+
+// TestMain fixes the seed of rapid, so that every run gives the same verdict.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "11", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := f.Value.Set(value); err != nil {
+				panic(err)
+			}
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// simulation runs cores on a simulated network, with clocks that drift and
+// stores that lose what was not synced. It checks the safety properties after
+// every step and keeps the first violation.
+type simulation struct {
+	random  *rand.Rand
+	names   []string
+	nodes   map[string]*node
+	now     time.Duration
+	packets []packet
+	blocked map[[2]string]bool
+	drop    func(m Message) bool
+	options Options
+	drops   float64 // share of packets dropped
+	copies  float64 // share of packets duplicated
+	late    float64 // share of packets delayed by up to 3 s
+	ids     uint64
+
+	violation string
+	leaders   map[uint64]uint64                // identity by term
+	contents  map[disk.Position]string         // of entries
+	chain     map[uint64]uint64                // state of the machine by index
+	committed map[uint64]disk.Position         // entries by index
+	terms     map[uint64]uint64                // term in which an entry was first seen committed
+	leases    map[uint64]time.Duration         // latest end of a lease by term
+	checked   map[*core]map[disk.Position]bool // entries already compared
+}
+
+type packet struct {
+	at time.Duration
+	to string
+	m  Message
+}
+
+type node struct {
+	name    string
+	rate    float64 // of its clock
+	store   *disk.Memory
+	core    *core // nil when crashed
+	state   uint64
+	applied uint64
+	led     uint64 // latest term checked for completeness
+}
+
+var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func newSimulation(seed uint64, options Options, names ...string) *simulation {
+	s := &simulation{
+		random: rand.New(rand.NewPCG(seed, 1)), names: names, nodes: map[string]*node{}, blocked: map[[2]string]bool{},
+		options: options, leaders: map[uint64]uint64{}, contents: map[disk.Position]string{}, chain: map[uint64]uint64{},
+		committed: map[uint64]disk.Position{}, terms: map[uint64]uint64{}, leases: map[uint64]time.Duration{},
+		checked: map[*core]map[disk.Position]bool{},
+	}
+	for _, n := range names {
+		s.nodes[n] = &node{name: n, rate: 0.9 + 0.2*s.random.Float64()}
+		s.replaceDisk(n)
+	}
+	return s
+}
+
+func (s *simulation) start(name string) {
+	n := s.nodes[name]
+	if n.core != nil {
+		return
+	}
+	contents, err := n.store.Load()
+	s.check(err == nil, "load: %v", err)
+	o := s.options
+	o.Name, o.Members, o.Random = name, s.names, rand.New(rand.NewPCG(s.random.Uint64(), 2))
+	if o.Trailing == 0 {
+		o.Trailing = 10
+	}
+	n.core, err = newCore(o, n.store.Identity(), contents, s.local(n))
+	s.check(err == nil, "start: %v", err)
+	n.core.load = n.store.LoadSnapshot
+	n.state, n.applied, n.led = 0, contents.Snapshot.Index, 0
+	if n.applied > foundingIndex {
+		full, _ := n.store.LoadSnapshot()
+		n.state = binary.LittleEndian.Uint64(full.Data)
+	}
+	s.checked[n.core] = map[disk.Position]bool{}
+}
+
+func (s *simulation) startAll() {
+	for _, n := range s.names {
+		s.start(n)
+	}
+}
+
+func (s *simulation) crash(name string) {
+	n := s.nodes[name]
+	delete(s.checked, n.core)
+	n.core = nil
+	n.store.Crash()
+}
+
+// replaceDisk starts a replica on an empty disk.
+func (s *simulation) replaceDisk(name string) {
+	n := s.nodes[name]
+	s.ids++
+	n.store = disk.NewMemory(s.ids)
+	n.core = nil
+	s.start(name)
+}
+
+func (s *simulation) block(a, b string, blocked bool) {
+	s.blocked[[2]string{a, b}], s.blocked[[2]string{b, a}] = blocked, blocked
+}
+
+func (s *simulation) isolate(name string, blocked bool) {
+	for _, o := range s.names {
+		if o != name {
+			s.block(name, o, blocked)
+		}
+	}
+}
+
+// local returns a node's own time.
+func (s *simulation) local(n *node) time.Time {
+	return epoch.Add(time.Duration(float64(s.now) * n.rate))
+}
+
+func (s *simulation) global(n *node, t time.Time) time.Duration {
+	return time.Duration(float64(t.Sub(epoch))/n.rate) + 1
+}
+
+func (s *simulation) send(from, to string, m Message) {
+	if s.random.Float64() < s.drops || s.drop != nil && s.drop(m) {
+		return
+	}
+	for {
+		delay := time.Duration(500+s.random.IntN(4500)) * time.Microsecond
+		if s.random.Float64() < s.late {
+			delay = time.Duration(s.random.IntN(3000)) * time.Millisecond
+		}
+		s.packets = append(s.packets, packet{s.now + delay, to, m})
+		if s.random.Float64() >= s.copies {
+			return
+		}
+	}
+}
+
+// run lets time pass, event by event.
+func (s *simulation) run(d time.Duration) {
+	end := s.now + d
+	for s.violation == "" {
+		at, next, who := end, -1, ""
+		for i := range s.packets {
+			if s.packets[i].at < at {
+				at, next = s.packets[i].at, i
+			}
+		}
+		for _, name := range s.names {
+			if n := s.nodes[name]; n.core != nil {
+				if t := max(s.now, s.global(n, n.core.next())); t < at {
+					at, next, who = t, -1, name
+				}
+			}
+		}
+		s.now = at
+		switch {
+		case who != "":
+			n := s.nodes[who]
+			n.core.tick(s.local(n))
+			s.flush(n)
+		case next >= 0:
+			p := s.packets[next]
+			s.packets = slices.Delete(s.packets, next, next+1)
+			n := s.nodes[p.to]
+			if n != nil && n.core != nil && !s.blocked[[2]string{p.m.FromName, p.to}] {
+				n.core.step(s.local(n), p.m)
+				s.flush(n)
+			}
+		default:
+			return
+		}
+	}
+}
+
+func (s *simulation) flush(n *node) {
+	w, err := n.core.flush(n.store, func(to string, m Message) { s.send(n.name, to, m) })
+	s.check(err == nil, "flush of %s: %v", n.name, err)
+	if r := w.restore; r != nil {
+		n.state, n.applied = 0, r.Index
+		if r.Index > foundingIndex {
+			n.state = binary.LittleEndian.Uint64(r.Data)
+			s.note(n, r.Index)
+		}
+	}
+	for _, e := range w.entries {
+		s.check(e.Index == n.applied+1, "%s applies entry %d after %d", n.name, e.Index, n.applied)
+		h := fnv.New64()
+		h.Write(binary.LittleEndian.AppendUint64(nil, n.state))
+		h.Write(binary.LittleEndian.AppendUint64(nil, e.Index))
+		h.Write(e.Data)
+		n.state, n.applied = h.Sum64(), e.Index
+		s.note(n, e.Index)
+		if _, ok := s.committed[e.Index]; !ok {
+			s.committed[e.Index] = disk.Position{Index: e.Index, Term: e.Term}
+			s.terms[e.Index] = n.core.term
+		}
+	}
+	s.inspect(n)
+	if n.applied >= n.core.snapshot.Index+20 {
+		s.compact(n)
+	}
+}
+
+// compact takes a snapshot of a node.
+func (s *simulation) compact(n *node) {
+	term, _ := n.core.entries.term(n.applied)
+	p := disk.Position{Index: n.applied, Term: term}
+	var m *Membership
+	for _, a := range n.core.memberships {
+		if a.index <= p.Index {
+			m = a.Membership
+		}
+	}
+	data := binary.LittleEndian.AppendUint64(nil, n.state)
+	err := n.store.SaveSnapshot(disk.Snapshot{Index: p.Index, Term: p.Term, Membership: m.encode(), Data: data})
+	s.check(err == nil, "snapshot: %v", err)
+	n.core.compact(p)
+	err = n.store.Compact(n.core.entries.base.Index)
+	s.check(err == nil, "compact: %v", err)
+}
+
+func (s *simulation) check(ok bool, format string, arguments ...any) {
+	if !ok && s.violation == "" {
+		s.violation = fmt.Sprintf(format, arguments...)
+	}
+}
+
+// note checks state machine safety: all nodes have the same state at an index.
+func (s *simulation) note(n *node, index uint64) {
+	if h, ok := s.chain[index]; ok {
+		s.check(h == n.state, "state machine safety: %s differs at entry %d", n.name, index)
+	}
+	s.chain[index] = n.state
+}
+
+// inspect checks the other properties on a node that has just run.
+func (s *simulation) inspect(n *node) {
+	c := n.core
+	previous := c.entries.base.Term
+	for i := range c.entries.entries {
+		e := &c.entries.entries[i]
+		p := disk.Position{Index: e.Index, Term: e.Term}
+		if !s.checked[c][p] {
+			text := fmt.Sprint(previous, e.Kind, e.Data)
+			if old, ok := s.contents[p]; ok && i > 0 {
+				s.check(old == text, "log matching: entry %d of term %d differs on %s", e.Index, e.Term, n.name)
+			} else if i > 0 {
+				s.contents[p] = text
+			}
+			s.checked[c][p] = true
+		}
+		previous = e.Term
+	}
+	if c.role != leader {
+		return
+	}
+	if id, ok := s.leaders[c.term]; ok {
+		s.check(id == c.identity, "election safety: two leaders in term %d", c.term)
+	}
+	s.leaders[c.term] = c.identity
+	if n.led != c.term {
+		n.led = c.term
+		s.inspectNewLeader(n)
+	}
+	if l := c.lease(); n.applied >= c.own && s.local(n).Before(l) {
+		s.leases[c.term] = max(s.leases[c.term], s.global(n, l))
+		for term := range s.leaders {
+			s.check(term <= c.term, "lease exclusivity: %s holds a lease in term %d while term %d has a leader", n.name, c.term, term)
+		}
+	}
+}
+
+func (s *simulation) inspectNewLeader(n *node) {
+	c := n.core
+	for index, p := range s.committed {
+		if index <= c.entries.base.Index || s.terms[index] >= c.term {
+			continue
+		}
+		t, ok := c.entries.term(index)
+		s.check(ok && t == p.Term, "leader completeness: %s leads term %d without committed entry %d", n.name, c.term, index)
+	}
+	for term, end := range s.leases {
+		s.check(term >= c.term || end <= s.now, "lease exclusivity: %s leads term %d while the lease of term %d runs", n.name, c.term, term)
+	}
+}
+
+// leader returns the leader of the highest term whose lease is valid.
+func (s *simulation) leader() *node {
+	var l *node
+	for _, name := range s.names {
+		n := s.nodes[name]
+		if c := n.core; c != nil && c.role == leader && s.local(n).Before(c.lease()) && (l == nil || c.term > l.core.term) {
+			l = n
+		}
+	}
+	return l
+}
+
+// elect runs until there is a leader.
+func (s *simulation) elect() *node {
+	for range 600 {
+		if l := s.leader(); l != nil || s.violation != "" {
+			return l
+		}
+		s.run(50 * time.Millisecond)
+	}
+	s.check(false, "no leader within 30 s")
+	return nil
+}
+
+// propose lets a node propose a command, and reports whether it leads.
+func (s *simulation) propose(n *node, data string) bool {
+	if n == nil || n.core == nil {
+		return false
+	}
+	_, ok := n.core.propose(s.local(n), disk.Command, bytes.Clone([]byte(data)))
+	s.flush(n)
+	return ok
+}
+
+// settled tells whether the members in force are the nodes with their present
+// disks, so that one more disk may be lost.
+func (s *simulation) settled() bool {
+	l := s.leader()
+	if l == nil || !l.core.changeable() || len(l.core.membership().Members) != len(s.names) {
+		return false
+	}
+	for _, n := range s.nodes {
+		if !l.core.membership().voter(n.store.Identity()) {
+			return false
+		}
+	}
+	return true
+}
