--- /dev/null
+++ b/internal/version/state/codec.go
@@ -0,0 +1,61 @@
+package state
+
+import (
+	"math"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// Times are kept to the nanosecond, because replicas compare them.
+var encoder = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// The library's limit of 131,072 elements is below the intents of a busy day.
+// The decoder checks that the input is long enough before it allocates.
+var decoder = func() cbor.DecMode {
+	m, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return m
+}()
+
+// Encode encodes a command for the log.
+func Encode(command Command) ([]byte, error) {
+	b, err := encoder.Marshal(command)
+	return b, errors.Wrap(err, "encode command")
+}
+
+// Decode decodes a command. It fails if the command does not have exactly one
+// of its pointer fields set.
+func Decode(command []byte) (Command, error) {
+	var c Command
+	if err := decoder.Unmarshal(command, &c); err != nil {
+		return Command{}, errors.Wrap(err, "decode command")
+	}
+	if c.kinds() != 1 {
+		return Command{}, errors.Newf("command has %d kinds", c.kinds())
+	}
+	return c, nil
+}
+
+// kinds returns how many of the command's pointer fields are set.
+func (c *Command) kinds() int {
+	n := 0
+	for _, set := range [...]bool{
+		c.Team != nil, c.Entry != nil, c.Key != nil, c.Submit != nil, c.Cancel != nil, c.Join != nil,
+		c.Depart != nil, c.Drain != nil, c.Round != nil, c.Ends != nil, c.Intent != nil, c.Settle != nil,
+		c.Expire != nil, c.Session != nil,
+	} {
+		if set {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/version/state/command.go
+++ b/internal/version/state/command.go
@@ -13,19 +13,20 @@
 	Time    time.Time
 	Request string // identifies an operator's or caller's request for resends; empty if none
 
-	Team   *TeamChange
-	Entry  *EntryChange
-	Key    *KeyChange
-	Submit *Submit
-	Cancel *Cancel
-	Join   *Join
-	Depart *Depart
-	Drain  *Drain
-	Round  *Round
-	Ends   *Ends
-	Intent *Intent
-	Settle *Settle
-	Expire *Expire
+	Team    *TeamChange
+	Entry   *EntryChange
+	Key     *KeyChange
+	Submit  *Submit
+	Cancel  *Cancel
+	Join    *Join
+	Depart  *Depart
+	Drain   *Drain
+	Round   *Round
+	Ends    *Ends
+	Intent  *Intent
+	Settle  *Settle
+	Expire  *Expire
+	Session *Session
 }
 
 // TeamChange adds, changes or retires a team if its version is still Base.
@@ -98,12 +99,15 @@
 }
 
 // Settle records the outcome of an intent. It is applied only for the holder
-// that recorded the intent.
+// that recorded the intent. An outcome of RanNo that carries the attempt lets
+// a resend of the request run; without the attempt it does not, because a late
+// copy of the command could then settle a newer attempt of the same holder.
 type Settle struct {
 	Team     string
 	Entry    string
 	Identity string
 	Holder   string
+	Attempt  uint64 // Result.Attempt of the intent; zero if not known
 	Ran      Ran
 	Status   int // HTTP status of the answer
 	Header   [][2]string
@@ -121,9 +125,17 @@
 )
 
 // Expire drops records whose deadline has passed at the command's time:
-// intents, request results and ended jobs.
+// intents, request results, ended jobs, workers long gone and ended sessions.
 type Expire struct{}
 
+// Session records that a session of an entry VM began or ended. A new leader
+// learns from it whose allotments it has not heard of yet.
+type Session struct {
+	Entry string // name of the entry VM
+	Boot  uint64
+	Ended bool
+}
+
 // Code classifies the result of a command.
 type Code string
 
@@ -147,6 +159,7 @@
 	Known   *Record    // of an intent that is known already
 	Rejects []Reject   // decisions of a round that failed a check
 	Count   int        // jobs cancelled, or records expired
+	Attempt uint64     // of an intent that was recorded; Settle repeats it
 }
 
 // Record is what is kept of an intent.
--- /dev/null
+++ b/internal/version/state/fifo.go
@@ -0,0 +1,30 @@
+package state
+
+// fifo is a queue. Its zero value is empty.
+type fifo[T any] struct {
+	items []T
+	head  int
+}
+
+func (f *fifo[T]) len() int { return len(f.items) - f.head }
+
+func (f *fifo[T]) push(item T) { f.items = append(f.items, item) }
+
+// first returns the oldest item. The queue must not be empty.
+func (f *fifo[T]) first() T { return f.items[f.head] }
+
+// pop removes the oldest item. Removed places are reclaimed once they are half
+// of the slice, so that pop takes constant time on average.
+func (f *fifo[T]) pop() {
+	var zero T
+	f.items[f.head] = zero
+	f.head++
+	if f.head > 64 && f.head*2 > len(f.items) {
+		n := copy(f.items, f.items[f.head:])
+		clear(f.items[n:])
+		f.items, f.head = f.items[:n], 0
+	}
+}
+
+// all returns the items from the oldest to the newest.
+func (f *fifo[T]) all() []T { return f.items[f.head:] }
--- /dev/null
+++ b/internal/version/state/query.go
@@ -0,0 +1,168 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+)
+
+// Index returns the log index of the last command applied.
+func (s *State) Index() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.index
+}
+
+// Time returns the greatest time of the commands applied.
+func (s *State) Time() time.Time {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.now
+}
+
+// Job returns a job with its tasks.
+func (s *State) Job(id work.JobID) (work.Job, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if j := s.jobs[id]; j != nil {
+		return j.copy(), true
+	}
+	return work.Job{}, false
+}
+
+func (j *job) copy() work.Job {
+	c := j.Job
+	c.Tasks = slices.Clone(j.Tasks)
+	return c
+}
+
+// Jobs returns up to limit jobs of a team, or of all teams if team is empty,
+// with the latest first and without their tasks.
+func (s *State) Jobs(team string, limit int) []work.Job {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	jobs := s.jobs
+	if team != "" {
+		m := s.teams[team]
+		if m == nil {
+			return nil
+		}
+		jobs = m.jobs
+	}
+	ids := make([]work.JobID, 0, len(jobs))
+	for id := range jobs {
+		ids = append(ids, id)
+	}
+	slices.SortFunc(ids, func(a, b work.JobID) int { return cmp.Compare(b, a) })
+	out := make([]work.Job, 0, min(limit, len(ids)))
+	for _, id := range ids[:min(limit, len(ids))] {
+		j := jobs[id].Job
+		j.Tasks = nil
+		out = append(out, j)
+	}
+	return out
+}
+
+// Run is a task that is started or stopping on a worker.
+type Run struct {
+	Task       work.TaskID
+	Token      work.Token
+	State      work.TaskState
+	Stop       work.StopMode
+	Entry      string
+	Team       string
+	Reserved   work.Resources
+	Checkpoint bool
+	Command    []byte // must not be written to
+}
+
+// WorkerState is a worker with its load.
+type WorkerState struct {
+	Worker   work.Worker
+	Reserved work.Resources
+	Tasks    int
+}
+
+// Runs appends the runs on a worker to into, in the order of their tokens. It
+// returns false if the worker is not known.
+func (s *State) Runs(name string, into []Run) (work.Worker, []Run, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	w := s.workers[name]
+	if w == nil {
+		return work.Worker{}, into, false
+	}
+	for _, r := range w.runs {
+		t := r.task()
+		into = append(into, Run{
+			Task: t.ID, Token: t.Token, State: t.State, Stop: t.Stop, Entry: r.job.Entry, Team: r.job.Team,
+			Reserved: t.Reserved, Checkpoint: t.Checkpoint, Command: r.job.Command,
+		})
+	}
+	return w.Worker, into, true
+}
+
+// Worker returns a worker with its load.
+func (s *State) Worker(name string) (WorkerState, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if w := s.workers[name]; w != nil {
+		return WorkerState{w.Worker, w.reserved, len(w.runs)}, true
+	}
+	return WorkerState{}, false
+}
+
+// Workers returns all workers by name.
+func (s *State) Workers() []WorkerState {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	out := make([]WorkerState, 0, len(s.workers))
+	for _, w := range ordered(s.workers) {
+		out = append(out, WorkerState{w.Worker, w.reserved, len(w.runs)})
+	}
+	return out
+}
+
+// Load is the load of a catalogue entry.
+type Load struct {
+	Entry   string
+	Team    string // owner
+	Queued  int
+	Running int
+	Oldest  time.Time // submission of the job that has waited longest; zero if none waits
+}
+
+// Loads returns the load of each entry that is not retired or still has work,
+// by name. Work goes with the entries' owners if team is set.
+func (s *State) Loads(team string) []Load {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	var out []Load
+	for _, e := range ordered(s.entries) {
+		if e.Retired && e.queued == 0 && e.running == 0 || team != "" && e.Owner != team && !e.Open {
+			continue
+		}
+		l := Load{Entry: e.Name, Team: e.Owner, Queued: int(e.queued), Running: int(e.running)}
+		for _, j := range e.waiting {
+			if l.Oldest.IsZero() || j.Submitted.Before(l.Oldest) {
+				l.Oldest = j.Submitted
+			}
+		}
+		out = append(out, l)
+	}
+	return out
+}
+
+// Limit returns a team's limit on requests in flight; zero means no limit. It
+// returns false if the team is not known or retired.
+func (s *State) Limit(team string) (int64, bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	t := s.teams[team]
+	if t == nil || t.Retired {
+		return 0, false
+	}
+	return t.Requests, true
+}
--- /dev/null
+++ b/internal/version/state/worker.go
@@ -0,0 +1,165 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+)
+
+const (
+	// goneRetention is how long a worker that is gone is remembered with its
+	// former boots. It is far longer than any poll can be under way.
+	goneRetention = time.Hour
+	// formerBoots bounds the boot numbers that are remembered of a worker.
+	formerBoots = 16
+)
+
+// worker is a worker with what runs on it.
+type worker struct {
+	work.Worker
+	former   []uint64 // earlier boot numbers, oldest first
+	reserved work.Resources
+	runs     []run // in the order of tokens, then tasks
+	since    time.Time
+}
+
+// run refers to a task that is started or stopping on a worker.
+type run struct {
+	job   *job
+	index uint32
+}
+
+func (r run) task() *work.Task { return &r.job.Tasks[r.index] }
+
+// shape groups workers that take the same tasks.
+type shape struct {
+	capacity work.Resources
+	team     string
+}
+
+func (w *worker) shape() shape { return shape{w.Capacity, w.Team} }
+
+func compareRuns(a, b *work.Task) int {
+	return cmp.Or(cmp.Compare(a.Token, b.Token), cmp.Compare(a.ID.Job, b.ID.Job), cmp.Compare(a.ID.Index, b.ID.Index))
+}
+
+func (w *worker) add(r run) {
+	t := r.task()
+	w.reserved = w.reserved.Add(t.Reserved)
+	w.runs = append(w.runs, r)
+	for i := len(w.runs) - 1; i > 0 && compareRuns(w.runs[i-1].task(), t) > 0; i-- {
+		w.runs[i-1], w.runs[i] = w.runs[i], w.runs[i-1]
+	}
+}
+
+func (w *worker) remove(id work.TaskID, reserved work.Resources) {
+	w.reserved = w.reserved.Sub(reserved)
+	i := slices.IndexFunc(w.runs, func(r run) bool { return r.index == id.Index && r.job.ID == id.Job })
+	if i >= 0 {
+		w.runs = slices.Delete(w.runs, i, i+1)
+	}
+}
+
+// join adds a worker or takes over its new boot or shape. A boot number that
+// was replaced is refused, because a late poll of it would end the tasks of the
+// current boot. Within a boot the capacity cannot shrink below what is reserved.
+func (s *State) join(c *Join) Result {
+	n := c.Worker
+	w := s.workers[n.Name]
+	if !validName(n.Name) || !validSize(n.Capacity) || len(n.Zone) > maximumName || len(n.Rack) > maximumName || len(n.Accelerator) > maximumName {
+		return invalid("the worker's name or shape is not valid")
+	}
+	if n.Team != "" && s.teams[n.Team] == nil {
+		return Result{Code: NotFound, Message: "there is no team " + n.Team}
+	}
+	n.Gone = false
+	if w == nil {
+		n.Drained = false
+		w = &worker{Worker: n}
+		s.workers[n.Name] = w
+		s.shapes[w.shape()]++
+		s.emit(work.WorkerEvent{Worker: &w.Worker})
+		return Result{Code: OK}
+	}
+	n.Drained = w.Drained
+	if n.Boot != w.Boot {
+		if slices.Contains(w.former, n.Boot) && s.on(guardFormerBoot) {
+			return invalid("the worker has booted anew since")
+		}
+		s.lose(w)
+		w.former = append(w.former, w.Boot)
+		w.former = w.former[max(0, len(w.former)-formerBoots):]
+	} else if !w.reserved.Fits(n.Capacity) {
+		return invalid("the capacity is less than what is reserved")
+	} else if n.Team != w.Team && len(w.runs) > 0 {
+		return invalid("the worker runs tasks of its former team")
+	}
+	if n == w.Worker {
+		return Result{Code: OK}
+	}
+	s.drop(w.shape())
+	w.Worker = n
+	s.shapes[w.shape()]++
+	s.emit(work.WorkerEvent{Worker: &w.Worker})
+	return Result{Code: OK}
+}
+
+func (s *State) drop(h shape) {
+	if s.shapes[h]--; s.shapes[h] == 0 {
+		delete(s.shapes, h)
+	}
+}
+
+// lose ends every run on a worker as lost.
+func (s *State) lose(w *worker) {
+	for len(w.runs) > 0 {
+		r := w.runs[len(w.runs)-1]
+		s.end(r.job, r.task(), work.OutcomeLost)
+	}
+}
+
+func (s *State) depart(c *Depart) Result {
+	w := s.workers[c.Worker]
+	switch {
+	case w == nil:
+		return Result{Code: NotFound, Message: "there is no worker " + c.Worker}
+	case w.Boot != c.Boot:
+		return invalid("the worker has booted anew since")
+	case w.Gone:
+		return Result{Code: OK}
+	}
+	s.lose(w)
+	w.Gone, w.since = true, s.now
+	s.gone.push(due[string]{w.Name, s.now.Add(goneRetention)})
+	s.emit(work.WorkerEvent{Worker: &w.Worker})
+	return Result{Code: OK}
+}
+
+func (s *State) drain(c *Drain) Result {
+	w := s.workers[c.Worker]
+	if w == nil {
+		return Result{Code: NotFound, Message: "there is no worker " + c.Worker}
+	}
+	if w.Drained != c.Drained {
+		w.Drained = c.Drained
+		if w.Gone && !w.Drained {
+			w.since = s.now
+			s.gone.push(due[string]{w.Name, s.now.Add(goneRetention)})
+		}
+		s.emit(work.WorkerEvent{Worker: &w.Worker})
+	}
+	return Result{Code: OK}
+}
+
+// forget removes a worker that is still gone since the given time. A drained
+// one stays, so that it is still drained when it comes back.
+func (s *State) forget(d due[string]) {
+	w := s.workers[d.Item]
+	if w == nil || !w.Gone || w.Drained || !w.since.Add(goneRetention).Equal(d.Deadline) {
+		return
+	}
+	s.drop(w.shape())
+	delete(s.workers, d.Item)
+}
