--- a/internal/connection/control/message.go
+++ b/internal/connection/control/message.go
@@ -26,6 +26,8 @@
 	Zone     string
 	Draining bool
 	Version  uint64         // catalogue version held
+	Term     uint64         // of the leader that sent the list of runners held; zero if none is held
+	Routes   uint64         // version of the list of runners held
 	Teams    []TeamUse      // only teams with anything held, used or wanted
 	Owned    []OwnedRunner  // runners this VM owns
 	Runners  []RunnerReport // announcements and leaves received since the last renewal
