--- /dev/null
+++ b/internal/process/leader/propose.go
@@ -0,0 +1,43 @@
+package leader
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/control"
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/raft"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/state"
+)
+
+// propose commits a command of a caller or an operator. Commands that only the
+// leader itself issues are refused. A job that can never run is refused without
+// a log entry.
+func (l *Leader) propose(ctx context.Context, _ string, p *control.Proposal) (any, error) {
+	t := l.current.Load()
+	if t == nil {
+		return nil, l.notLeader()
+	}
+	c := p.Command
+	if !foreign(&c) {
+		return state.Result{Code: state.Invalid, Message: "only the leader issues this command"}, nil
+	}
+	if r, known := t.state().Preview(c); known {
+		return t.answer(control.MethodPropose, r)
+	}
+	r, err := t.propose(ctx, c)
+	switch {
+	case err == nil:
+		return r, nil
+	case errors.Is(err, raft.ErrNotLeader):
+		return nil, l.notLeader()
+	}
+	return nil, &peer.Remote{Code: CodeUnknown, Message: err.Error()}
+}
+
+// foreign reports whether a command may come from another process.
+func foreign(c *state.Command) bool {
+	return c.Team != nil || c.Entry != nil || c.Key != nil || c.Submit != nil || c.Cancel != nil ||
+		c.Drain != nil || c.Intent != nil || c.Settle != nil
+}
--- a/internal/version/state/command.go
+++ b/internal/version/state/command.go
@@ -67,10 +67,12 @@
 type Join struct{ Worker work.Worker }
 
 // Depart ends a worker's membership, because it left or its lease ended. Its
-// tasks end as lost. It is ignored if the worker has another boot number by now.
+// tasks end as lost. It is refused if the worker has another boot number by now
+// or has joined again since Joined.
 type Depart struct {
 	Worker string
 	Boot   uint64
+	Joined uint64 // WorkerState.Joined of the membership to end; zero for any
 }
 
 // Drain sets or clears a worker's drained mark.
--- a/internal/version/state/query.go
+++ b/internal/version/state/query.go
@@ -83,16 +83,21 @@
 	Worker   work.Worker
 	Reserved work.Resources
 	Tasks    int
+	Joined   uint64 // log index at which its membership began
+}
+
+func (w *worker) view() WorkerState {
+	return WorkerState{Worker: w.Worker, Reserved: w.reserved, Tasks: len(w.runs), Joined: w.joined}
 }
 
 // Runs appends the runs on a worker to into, in the order of their tokens. It
 // returns false if the worker is not known.
-func (s *State) Runs(name string, into []Run) (work.Worker, []Run, bool) {
+func (s *State) Runs(name string, into []Run) (WorkerState, []Run, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	w := s.workers[name]
 	if w == nil {
-		return work.Worker{}, into, false
+		return WorkerState{}, into, false
 	}
 	for _, r := range w.runs {
 		t := r.task()
@@ -101,7 +106,7 @@
 			Reserved: t.Reserved, Checkpoint: t.Checkpoint, Command: r.job.Command,
 		})
 	}
-	return w.Worker, into, true
+	return w.view(), into, true
 }
 
 // Worker returns a worker with its load.
@@ -109,7 +114,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	if w := s.workers[name]; w != nil {
-		return WorkerState{w.Worker, w.reserved, len(w.runs)}, true
+		return w.view(), true
 	}
 	return WorkerState{}, false
 }
@@ -120,7 +125,7 @@
 	defer s.mu.RUnlock()
 	out := make([]WorkerState, 0, len(s.workers))
 	for _, w := range ordered(s.workers) {
-		out = append(out, WorkerState{w.Worker, w.reserved, len(w.runs)})
+		out = append(out, w.view())
 	}
 	return out
 }
--- a/internal/version/state/session.go
+++ b/internal/version/state/session.go
@@ -7,6 +7,10 @@
 	Entry string
 	Boot  uint64
 	Ended time.Time // zero while the session lasts
+
+	// Former is when the entry VM's last session before this one ended or was
+	// replaced by it; zero if there was none.
+	Former time.Time
 }
 
 // session records that a session of an entry VM began or ended.
@@ -16,7 +20,17 @@
 	case !validName(c.Entry):
 		return invalid("the name of the entry VM is not valid")
 	case !c.Ended:
-		s.sessions[c.Entry] = &SessionView{Entry: c.Entry, Boot: c.Boot}
+		n := &SessionView{Entry: c.Entry, Boot: c.Boot}
+		switch {
+		case known == nil:
+		case !known.Ended.IsZero():
+			n.Former = known.Ended
+		case known.Boot != c.Boot:
+			n.Former = s.now
+		default:
+			n.Former = known.Former
+		}
+		s.sessions[c.Entry] = n
 	case known == nil || known.Boot != c.Boot:
 		return Result{Code: NotFound, Message: "there is no such session"}
 	case known.Ended.IsZero():
--- a/internal/version/state/state.go
+++ b/internal/version/state/state.go
@@ -91,6 +91,7 @@
 	guardHolder
 	guardWithdrawn
 	guardAttempt
+	guardJoined
 )
 
 func (s *State) on(g guard) bool { return s.off&g == 0 }
--- a/internal/version/state/worker.go
+++ b/internal/version/state/worker.go
@@ -21,8 +21,9 @@
 	work.Worker
 	former   []uint64 // earlier boot numbers, oldest first
 	reserved work.Resources
-	runs     []run // in the order of tokens, then tasks
-	since    time.Time
+	runs     []run     // in the order of tokens, then tasks
+	joined   uint64    // log index at which the current membership began
+	since    time.Time // when it ended
 }
 
 // run refers to a task that is started or stopping on a worker.
@@ -77,7 +78,7 @@
 	n.Gone = false
 	if w == nil {
 		n.Drained = false
-		w = &worker{Worker: n}
+		w = &worker{Worker: n, joined: s.index}
 		s.workers[n.Name] = w
 		s.shapes[w.shape()]++
 		s.emit(work.WorkerEvent{Worker: &w.Worker})
@@ -99,6 +100,9 @@
 	if n == w.Worker {
 		return Result{Code: OK}
 	}
+	if w.Gone || n.Boot != w.Boot {
+		w.joined = s.index
+	}
 	s.drop(w.shape())
 	w.Worker = n
 	s.shapes[w.shape()]++
@@ -127,6 +131,8 @@
 		return Result{Code: NotFound, Message: "there is no worker " + c.Worker}
 	case w.Boot != c.Boot:
 		return invalid("the worker has booted anew since")
+	case c.Joined != 0 && c.Joined != w.joined && s.on(guardJoined):
+		return invalid("the worker has joined again since")
 	case w.Gone:
 		return Result{Code: OK}
 	}
@@ -163,3 +169,12 @@
 	s.drop(w.shape())
 	delete(s.workers, d.Item)
 }
+
+// Replaced reports whether a worker has had a boot and has another one now. A
+// poll of such a boot is late.
+func (s *State) Replaced(name string, boot uint64) bool {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	w := s.workers[name]
+	return w != nil && w.Boot != boot && slices.Contains(w.former, boot)
+}
