--- a/internal/version/state/fifo.go
+++ b/internal/version/state/fifo.go
@@ -26,5 +26,11 @@
 	}
 }
 
-// all returns the items from the oldest to the newest.
-func (f *fifo[T]) all() []T { return f.items[f.head:] }
+// all returns the items from the oldest to the newest, nil if there are none, so
+// that snapshots do not tell a queue that was emptied from a new one.
+func (f *fifo[T]) all() []T {
+	if f.len() == 0 {
+		return nil
+	}
+	return f.items[f.head:]
+}
--- a/internal/version/state/intent.go
+++ b/internal/version/state/intent.go
@@ -68,7 +68,8 @@
 	}
 	id := intentID{n.Team, n.Entry, n.Identity}
 	if known := s.intents[id]; known != nil {
-		again := known.Settle != nil && known.Settle.Ran == RanNo && known.Settle.Attempt == known.attempt
+		again := known.Settle != nil && known.Settle.Ran == RanNo &&
+			(known.Settle.Attempt == known.attempt || !s.on(guardAttempt))
 		switch {
 		case known.Intent.Digest != n.Digest:
 			return Result{Code: Mismatch, Message: "the key came with another request before"}
--- /dev/null
+++ b/internal/version/state/state_test.go
@@ -0,0 +1,445 @@
+package state
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+)
+
+// Guards against commands in any order, resends, stale tokens, duplicate ends
+// and boots that break an invariant, and against a replica restored from a
+// snapshot in the middle that differs from one that applied every command.
+func TestInvariantsHoldUnderRandomCommands(t *testing.T) {
+	starts, gangs, requeued := 0, 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFixture()
+		a := newAudit(f.State)
+		f.Subscribe(func(e work.Event) {
+			if e, ok := e.(work.EndEvent); ok && e.Requeued && e.Job.Class == work.Gang {
+				requeued++
+			}
+			if e, ok := e.(work.StartEvent); ok && e.Job.Class == work.Gang {
+				gangs++
+			}
+		})
+		twin := restored(t, f.State)
+		known := map[string]Command{}
+		first := map[string]Result{}
+		kept := map[string]time.Time{} // until when
+		for range rapid.IntRange(50, 300).Draw(t, "commands") {
+			if rapid.IntRange(0, 14).Draw(t, "restore") == 0 {
+				twin = restored(t, f.State)
+			}
+			c := drawCommand(t, f)
+			if old, ok := known[c.Request]; ok && c.Request != "" {
+				c = old // a resend
+			}
+			f.index++
+			f.now = f.now.Add(time.Duration(rapid.SampledFrom([]int{0, 1, 900, 90000}).Draw(t, "seconds")) * time.Second)
+			c.Time = f.now
+			book, key := f.ledgerOf(&c)
+			resend := book != nil && book.find(key) != nil
+			b, err := Encode(c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r := f.Apply(f.index, b).(Result)
+			if other := twin.Do(f.index, c); !reflect.DeepEqual(r, other) {
+				t.Fatalf("the restored replica answers %+v, not %+v", other, r)
+			}
+			switch {
+			case book == nil:
+			case resend && !reflect.DeepEqual(first[c.Request], r):
+				t.Fatalf("a resend got %+v, not %+v", r, first[c.Request])
+			case !resend && f.now.Before(kept[c.Request]):
+				t.Fatal("a result was dropped before its time")
+			case !resend:
+				known[c.Request], first[c.Request], kept[c.Request] = c, r, f.now.Add(resultRetention)
+			}
+			a.gangs(f.State)
+			a.intent(&c, r, f.index, f.now)
+			if len(a.faults) > 0 {
+				t.Fatalf("%+v: %v", c, a.faults)
+			}
+		}
+		compare(t, f.State, twin)
+		if len(a.running) != len(newAudit(f.State).running) {
+			t.Fatal("replay does not give the running tasks")
+		}
+		starts += a.starts
+	})
+	if starts < 500 || gangs < 50 || requeued < 20 {
+		t.Fatalf("the commands were too tame: %d starts, %d of gangs, %d gang members queued again", starts, gangs, requeued)
+	}
+}
+
+func restored(t *rapid.T, s *State) *State {
+	b, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := New()
+	if err := n.Restore(b); err != nil {
+		t.Fatal(err)
+	}
+	compare(t, s, n)
+	return n
+}
+
+func compare(t *rapid.T, s, n *State) {
+	b, _ := s.Snapshot()
+	c, _ := n.Snapshot()
+	if !bytes.Equal(b, c) {
+		t.Fatal("equal states have different snapshots")
+	}
+	for _, w := range s.Workers() {
+		if v, _ := n.Worker(w.Worker.Name); v != w {
+			t.Fatalf("worker %+v is restored as %+v", w, v)
+		}
+	}
+	if !reflect.DeepEqual(s.Loads(""), n.Loads("")) || !reflect.DeepEqual(s.Catalogue(true), n.Catalogue(true)) || !reflect.DeepEqual(s.shapes, n.shapes) {
+		t.Fatal("counters or the catalogue differ after a restore")
+	}
+}
+
+// drawCommand draws a command that is mostly, but not always, sensible.
+func drawCommand(t *rapid.T, f *fixture) Command {
+	pick := func(label string, from ...string) string { return rapid.SampledFrom(from).Draw(t, label) }
+	base := func() uint64 { return rapid.Uint64Range(0, f.version+1).Draw(t, "base") }
+	worker := func() string { return pick("worker", "w1", "w2", "w3", "w4") }
+	boot := func() uint64 { return rapid.Uint64Range(1, 3).Draw(t, "boot") }
+	amount := func() work.Resources { return size(rapid.Int64Range(1, 5).Draw(t, "size")) }
+	request := ""
+	if rapid.IntRange(0, 3).Draw(t, "named") == 0 {
+		request = fmt.Sprint("r", rapid.IntRange(0, 9).Draw(t, "request"))
+	}
+	switch rapid.IntRange(0, 19).Draw(t, "kind") {
+	case 0:
+		return Command{Request: request, Team: &TeamChange{Base: base(), Team: work.Team{Name: pick("team", "a", "b", "c"), Weight: 1, Limit: size(rapid.Int64Range(4, 14).Draw(t, "limit")), Tasks: rapid.Int64Range(0, 8).Draw(t, "tasks"), Retired: rapid.IntRange(0, 9).Draw(t, "retired") == 0}}}
+	case 1:
+		return Command{Request: request, Entry: &EntryChange{Base: base(), Entry: work.Entry{Name: pick("entry", "batch", "other"), Owner: pick("owner", "a", "b"), Class: work.Batch, Open: rapid.Bool().Draw(t, "open"), Tasks: rapid.Int64Range(0, 6).Draw(t, "tasks"), Retired: rapid.IntRange(0, 9).Draw(t, "retired") == 0}}}
+	case 2:
+		return Command{Request: request, Key: &KeyChange{Base: base(), Key: work.Key{Name: pick("key", "k1", "k2"), Team: "a", Role: work.CallerRole, Digest: [32]byte{byte(rapid.IntRange(1, 4).Draw(t, "digest"))}, Withdrawn: rapid.Bool().Draw(t, "withdrawn")}}}
+	case 3, 4, 5:
+		return Command{Request: request, Submit: &Submit{Job: work.Job{Entry: pick("entry", "batch", "service", "gang", "gang", "other"), Team: pick("team", "a", "b"), Size: amount()}, Count: uint32(rapid.IntRange(1, 4).Draw(t, "count"))}}
+	case 6:
+		return Command{Cancel: &Cancel{Team: pick("team", "", "a"), Jobs: drawJobs(t, f)}}
+	case 7, 8:
+		return Command{Join: &Join{Worker: work.Worker{Name: worker(), Boot: boot(), Capacity: size(rapid.Int64Range(4, 8).Draw(t, "capacity")), Team: pick("team", "", "", "b")}}}
+	case 9:
+		return Command{Depart: &Depart{Worker: worker(), Boot: boot(), Joined: rapid.SampledFrom([]uint64{0, 0, 3}).Draw(t, "joined")}}
+	case 10:
+		return Command{Request: request, Drain: &Drain{Worker: worker(), Drained: rapid.IntRange(0, 3).Draw(t, "drained") == 0}}
+	case 11:
+		return Command{Intent: &Intent{Team: "a", Entry: "service", Identity: pick("identity", "i1", "i2"), Holder: pick("holder", "e1", "e2"), Deadline: f.now.Add(time.Hour)}}
+	case 12:
+		return Command{Settle: &Settle{Team: "a", Entry: "service", Identity: pick("identity", "i1", "i2"), Holder: pick("holder", "e1", "e2"), Ran: Ran(pick("ran", "no", "yes")), Attempt: rapid.Uint64Range(0, f.index).Draw(t, "attempt")}}
+	case 13:
+		return Command{Expire: &Expire{}}
+	case 14:
+		return Command{Session: &Session{Entry: pick("entry", "e1", "e2"), Boot: boot(), Ended: rapid.Bool().Draw(t, "ended")}}
+	case 15, 16:
+		var ends []work.End
+		for _, s := range drawTasks(t, f) {
+			ends = append(ends, work.End{Task: s.ID, Token: s.Token - work.Token(rapid.SampledFrom([]int{0, 0, 0, 1}).Draw(t, "stale")), Outcome: work.Outcome(pick("outcome", "succeeded", "failed", "oversized", "checkpointed", "stopped", "odd"))})
+		}
+		return Command{Ends: &Ends{Ends: append(ends, ends...)}} // each is reported twice
+	}
+	return drawRound(t, f, boot, worker, amount)
+}
+
+func drawRound(t *rapid.T, f *fixture, boot func() uint64, worker func() string, amount func() work.Resources) Command {
+	var round Round
+	for range rapid.IntRange(1, 4).Draw(t, "decisions") {
+		d := work.Decision{Atomic: rapid.Bool().Draw(t, "atomic")}
+		if rapid.IntRange(0, 5).Draw(t, "stops") == 0 {
+			for _, s := range drawTasks(t, f) {
+				d.Stops = append(d.Stops, work.Stop{Task: s.ID, Token: s.Token, Mode: rapid.SampledFrom([]work.StopMode{work.StopCheckpoint, work.StopKill}).Draw(t, "mode")})
+			}
+		}
+		for _, id := range drawJobs(t, f) {
+			for i := range f.jobs[id].Tasks {
+				w := worker()
+				s := work.Start{Task: work.TaskID{Job: id, Index: uint32(i)}, Worker: w, Boot: boot(), Reserved: amount()}
+				if v := f.workers[w]; v != nil && rapid.IntRange(0, 4).Draw(t, "sensible") > 0 {
+					s.Boot, s.Reserved = v.Boot, size(1)
+				}
+				d.Starts = append(d.Starts, s)
+			}
+		}
+		round.Decisions = append(round.Decisions, d)
+	}
+	return Command{Round: &round}
+}
+
+// drawJobs draws up to two jobs that are not over.
+func drawJobs(t *rapid.T, f *fixture) []work.JobID {
+	var ids []work.JobID
+	for _, j := range ordered(f.jobs) {
+		if !j.finished() {
+			ids = append(ids, j.ID)
+		}
+	}
+	if len(ids) == 0 {
+		return nil
+	}
+	return rapid.SliceOfN(rapid.SampledFrom(ids), 1, 2).Draw(t, "jobs")
+}
+
+// drawTasks draws up to three tasks that run.
+func drawTasks(t *rapid.T, f *fixture) []work.Task {
+	var tasks []work.Task
+	for _, w := range ordered(f.workers) {
+		for _, r := range w.runs {
+			tasks = append(tasks, *r.task())
+		}
+	}
+	if len(tasks) == 0 {
+		return nil
+	}
+	return rapid.SliceOfN(rapid.SampledFrom(tasks), 1, 3).Draw(t, "tasks")
+}
+
+// Guards against a check that has no effect: every sequence breaks a rule once
+// its check is switched off, and only then.
+func TestEachGuardIsNeeded(t *testing.T) {
+	clean := func(f *fixture, run func()) bool {
+		a := newAudit(f.State)
+		run()
+		a.gangs(f.State)
+		return len(a.faults) == 0
+	}
+	intent := func(holder string) Command {
+		return Command{Intent: &Intent{Team: "a", Entry: "service", Identity: "i", Holder: holder, Deadline: time.Unix(1<<32, 0)}}
+	}
+	settle := func(holder string, ran Ran, attempt uint64) Command {
+		return Command{Settle: &Settle{Team: "a", Entry: "service", Identity: "i", Holder: holder, Ran: ran, Attempt: attempt}}
+	}
+	for name, c := range map[string]struct {
+		guard guard
+		holds func(f *fixture) bool
+	}{
+		"capacity": {guardCapacity, func(f *fixture) bool {
+			j := f.submit("batch", "a", 3, 2)
+			return clean(f, func() { f.start(j, 0, "w2", 3); f.start(j, 1, "w2", 3) })
+		}},
+		"team size": {guardTeamSize, func(f *fixture) bool {
+			j := f.submit("batch", "b", 4, 2)
+			return clean(f, func() { f.start(j, 0, "w1", 4); f.start(j, 1, "w1", 4) })
+		}},
+		"team tasks": {guardTeamTasks, func(f *fixture) bool {
+			j := f.submit("service", "a", 1, 7)
+			return clean(f, func() {
+				for i := range uint32(7) {
+					f.start(j, i, "w1", 1)
+				}
+			})
+		}},
+		"entry tasks": {guardEntryTasks, func(f *fixture) bool {
+			j := f.submit("batch", "a", 1, 6)
+			return clean(f, func() {
+				for i := range uint32(6) {
+					f.start(j, i, "w1", 1)
+				}
+			})
+		}},
+		"one copy": {guardCopy, func(f *fixture) bool {
+			j := f.submit("batch", "a", 1, 1)
+			return clean(f, func() { f.start(j, 0, "w1", 1); f.start(j, 0, "w2", 1) })
+		}},
+		"boot": {guardBoot, func(f *fixture) bool {
+			j := f.submit("batch", "a", 1, 1)
+			f.do(Command{Join: &Join{Worker: work.Worker{Name: "w1", Boot: 2, Capacity: size(8)}}})
+			return len(f.start(j, 0, "w1", 1).Rejects) == 1
+		}},
+		"drained": {guardDrained, func(f *fixture) bool {
+			j := f.submit("batch", "a", 1, 1)
+			f.do(Command{Drain: &Drain{Worker: "w1", Drained: true}})
+			return clean(f, func() { f.start(j, 0, "w1", 1) })
+		}},
+		"gone": {guardGone, func(f *fixture) bool {
+			j := f.submit("batch", "a", 1, 1)
+			f.do(Command{Depart: &Depart{Worker: "w1", Boot: 1}})
+			return clean(f, func() { f.start(j, 0, "w1", 1) })
+		}},
+		"dedicated": {guardDedicated, func(f *fixture) bool {
+			j := f.submit("service", "a", 1, 1)
+			return clean(f, func() { f.start(j, 0, "w3", 1) })
+		}},
+		"atomic": {guardAtomic, func(f *fixture) bool {
+			j := f.submit("gang", "b", 2, 2)
+			return clean(f, func() { f.startAll(true, begin(j, 0, "w1", 2), begin(j, 1, "w2", 5)) })
+		}},
+		"token": {guardToken, func(f *fixture) bool {
+			j := f.submit("batch", "a", 1, 1)
+			f.start(j, 0, "w1", 1)
+			old := f.jobs[j].Tasks[0]
+			f.end(j, 0, work.OutcomeFailed)
+			f.start(j, 0, "w2", 1)
+			f.do(Command{Ends: &Ends{Ends: []work.End{{Task: old.ID, Token: old.Token, Outcome: work.OutcomeFailed}}}})
+			return f.jobs[j].Tasks[0].State == work.TaskStarted
+		}},
+		"base": {guardBase, func(f *fixture) bool {
+			f.do(Command{Team: &TeamChange{Base: 1, Team: work.Team{Name: "a", Weight: 7}}})
+			f.do(Command{Team: &TeamChange{Base: 1, Team: work.Team{Name: "a", Weight: 9}}})
+			return f.teams["a"].Weight == 7
+		}},
+		"resend": {guardResend, func(f *fixture) bool {
+			c := Command{Request: "r", Submit: &Submit{Job: work.Job{Entry: "batch", Team: "a", Size: size(1)}, Count: 1}}
+			f.do(c)
+			f.do(c)
+			return len(f.jobs) == 1
+		}},
+		"former boot": {guardFormerBoot, func(f *fixture) bool {
+			j := f.submit("batch", "a", 1, 1)
+			f.do(Command{Join: &Join{Worker: work.Worker{Name: "w1", Boot: 2, Capacity: size(8)}}})
+			f.startAll(false, work.Start{Task: work.TaskID{Job: j}, Worker: "w1", Boot: 2, Reserved: size(1)})
+			f.do(Command{Join: &Join{Worker: work.Worker{Name: "w1", Boot: 1, Capacity: size(8)}}})
+			return f.jobs[j].Tasks[0].State == work.TaskStarted
+		}},
+		"joined": {guardJoined, func(f *fixture) bool {
+			v, _ := f.Worker("w1")
+			f.do(Command{Depart: &Depart{Worker: "w1", Boot: 1, Joined: v.Joined}})
+			f.do(Command{Join: &Join{Worker: v.Worker}})
+			f.do(Command{Depart: &Depart{Worker: "w1", Boot: 1, Joined: v.Joined}})
+			return !f.workers["w1"].Gone
+		}},
+		"intent": {guardIntent, func(f *fixture) bool {
+			f.do(intent("e1"))
+			return f.do(intent("e2")).Code == Duplicate
+		}},
+		"holder": {guardHolder, func(f *fixture) bool {
+			f.do(intent("e1"))
+			return f.do(settle("e2", RanYes, 0)).Code == Denied
+		}},
+		"attempt": {guardAttempt, func(f *fixture) bool {
+			old := f.do(intent("e1")).Attempt
+			f.do(settle("e1", RanNo, old))
+			f.do(intent("e1"))
+			f.do(settle("e1", RanNo, old)) // a late copy
+			return f.do(intent("e2")).Code == Duplicate
+		}},
+		"withdrawn": {guardWithdrawn, func(f *fixture) bool {
+			k := work.Key{Name: "k", Team: "a", Role: work.CallerRole, Digest: [32]byte{1}}
+			v := f.do(Command{Key: &KeyChange{Key: k}}).Version
+			k.Withdrawn = true
+			v = f.do(Command{Key: &KeyChange{Base: v, Key: k}}).Version
+			k.Withdrawn = false
+			f.do(Command{Key: &KeyChange{Base: v, Key: k}})
+			return f.keys["k"].Withdrawn
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			is.True(c.holds(newFixture())) // with the check
+			f := newFixture()
+			f.off = c.guard
+			is.True(!c.holds(f)) // without it
+		})
+	}
+}
+
+// Guards against a job that fails for the faults of workers, one that is tried
+// for ever, and a service that is not started again.
+func TestFailuresAreBoundedAndLossesDoNotCount(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	batch, service := f.submit("batch", "a", 1, 1), f.submit("service", "a", 1, 1)
+	for range 10 {
+		is.Equal(len(f.start(batch, 0, "w1", 1).Rejects), 0)
+		f.end(batch, 0, work.OutcomeLost)
+		is.Equal(len(f.start(service, 0, "w1", 1).Rejects), 0)
+		f.end(service, 0, work.OutcomeFailed)
+	}
+	for range failureLimit {
+		is.Equal(f.jobs[batch].State, work.JobRunning)
+		f.start(batch, 0, "w1", 1)
+		f.end(batch, 0, work.OutcomeFailed)
+	}
+	is.Equal(f.jobs[batch].State, work.JobFailed)
+	is.Equal(f.jobs[service].Tasks[0].State, work.TaskQueued)
+}
+
+// Guards against a gang that goes on without a member: the others are stopped,
+// and one that had succeeded runs again.
+func TestGangThatLosesAMemberStartsAgainAsAWhole(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	j := f.submit("gang", "b", 1, 3)
+	starts := []work.Start{begin(j, 0, "w1", 1), begin(j, 1, "w2", 1), begin(j, 2, "w1", 1)}
+	is.Equal(len(f.startAll(true, starts[:2]...).Rejects), 1) // not without the third
+	is.Equal(len(f.startAll(true, starts...).Rejects), 0)
+	f.end(j, 0, work.OutcomeSucceeded)
+	f.do(Command{Depart: &Depart{Worker: "w2", Boot: 1}})
+	is.Equal(f.jobs[j].Tasks[0].State, work.TaskQueued)
+	is.Equal(f.jobs[j].Tasks[2].State, work.TaskStopping)
+	f.end(j, 2, work.OutcomeSucceeded)
+	is.Equal(f.jobs[j].queued, 3)
+	is.Equal(f.jobs[j].Failures, uint32(0))
+}
+
+// Guards against records that stay for ever or go before their time.
+func TestExpireDropsOnlyWhatIsDue(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	j := f.submit("batch", "a", 1, 1)
+	f.do(Command{Cancel: &Cancel{Jobs: []work.JobID{j}}})
+	f.do(Command{Intent: &Intent{Team: "a", Entry: "service", Identity: "i", Holder: "e", Deadline: f.now.Add(2 * time.Hour)}})
+	f.do(Command{Depart: &Depart{Worker: "w2", Boot: 1}})
+	f.now = f.now.Add(jobRetention - 10*time.Second)
+	is.True(!f.Due(f.now))
+	is.Equal(f.do(Command{Expire: &Expire{}}).Count, 0)
+	f.now = f.now.Add(20 * time.Second)
+	is.True(f.Due(f.now))
+	is.Equal(f.do(Command{Expire: &Expire{}}).Count, 2) // the job and the worker
+	f.now = f.now.Add(time.Hour)
+	is.Equal(f.do(Command{Expire: &Expire{}}).Count, 1)
+	is.Equal(len(f.jobs)+len(f.intents), 0)
+}
+
+// Guards against jobs that can never run being accepted, and others refused.
+func TestSubmissionsThatCanNeverRun(t *testing.T) {
+	is := is.New(t)
+	submit := func(f *fixture, entry string, n int64, count uint32) Code {
+		return f.do(Command{Submit: &Submit{Job: work.Job{Entry: entry, Team: "b", Size: size(n)}, Count: count}}).Code
+	}
+	f := newFixture()
+	is.Equal(submit(f, "gang", 6, 1), OK)
+	is.Equal(submit(f, "gang", 7, 1), Infeasible) // the team's limit
+	is.Equal(submit(f, "gang", 3, 3), Infeasible) // the whole gang is over the limit
+	is.Equal(submit(f, "service", 1, 1), Denied)
+	f.do(Command{Team: &TeamChange{Base: 2, Team: work.Team{Name: "b", Weight: 1}}})
+	is.Equal(submit(f, "gang", 9, 1), Infeasible) // the largest worker
+	empty := newFixture()
+	empty.shapes = map[shape]int{}
+	is.Equal(submit(empty, "batch", 6, 1), OK) // no worker is known
+}
+
+// Guards against an entry VM that misses a change or gets one twice.
+func TestCatalogueChangesSinceAVersion(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	for i := range uint64(300) { // enough for the list of changes to be rewritten
+		base := uint64(1)
+		if i > 0 {
+			base = f.version
+		}
+		is.Equal(f.do(Command{Team: &TeamChange{Base: base, Team: work.Team{Name: "a", Weight: int64(i + 1)}}}).Code, OK)
+	}
+	c, ok := f.CatalogueSince(4, 10)
+	is.True(ok)
+	is.Equal(len(c.Teams), 1)
+	is.Equal(c.Teams[0].Weight, int64(300))
+	is.Equal(len(c.Entries), 1)
+	_, ok = f.CatalogueSince(0, 3)
+	is.True(!ok) // too many
+	_, ok = f.CatalogueSince(f.version+1, 10)
+	is.True(!ok) // from the future
+}
