--- /dev/null
+++ b/internal/version/placement/measure/fake.go
@@ -0,0 +1,289 @@
+// Package measure drives the decision core with virtual time and fixed seeds,
+// to compare policies and to test them. Only tests and `make measure` use it.
+//
+// # Usage
+//
+//	fake := measure.NewFake()
+//	fake.Subscribe(scheduler.Observe)
+//	fake.Worker(work.Worker{Name: "w1", Capacity: size})
+//	for _, d := range scheduler.Decide(now, 100) { err := fake.Apply(d, now) }
+//
+// Fake stands in for the replicated state: it checks every decision against
+// the hard limits and answers with events. Run plays a workload and returns
+// its figures.
+package measure
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+)
+
+// attemptsMost is the number of failed runs after which a task is given up.
+const attemptsMost = 20
+
+// Fake applies decisions as the replicated state does, with maps and checks
+// instead of a log.
+type Fake struct {
+	Teams   map[string]*work.Team
+	Entries map[string]*work.Entry
+	Jobs    map[work.JobID]*work.Job
+	Workers map[string]*work.Worker
+
+	Used     map[string]work.Resources // by worker
+	Held     map[string]work.Resources // by team
+	Running  map[string]int64          // tasks by team
+	Active   map[string]int64          // tasks by entry
+	On       map[string]map[work.TaskID]bool
+	Counted  int // running tasks
+	Rejected int // decisions that failed a check
+
+	index     uint64
+	observers []func(work.Event)
+}
+
+// NewFake returns an empty state.
+func NewFake() *Fake {
+	return &Fake{
+		Teams: map[string]*work.Team{}, Entries: map[string]*work.Entry{}, Jobs: map[work.JobID]*work.Job{},
+		Workers: map[string]*work.Worker{}, Used: map[string]work.Resources{}, Held: map[string]work.Resources{},
+		Running: map[string]int64{}, Active: map[string]int64{}, On: map[string]map[work.TaskID]bool{},
+	}
+}
+
+// Subscribe adds an observer of all later events.
+func (f *Fake) Subscribe(observer func(work.Event)) { f.observers = append(f.observers, observer) }
+
+// Replay sends an observer the events that lead to the present state.
+func (f *Fake) Replay(observer func(work.Event), teams, entries, workers []string, jobs []work.JobID) {
+	for _, n := range teams {
+		observer(work.TeamEvent{Team: f.Teams[n]})
+	}
+	for _, n := range entries {
+		observer(work.EntryEvent{Entry: f.Entries[n]})
+	}
+	for _, n := range workers {
+		observer(work.WorkerEvent{Worker: f.Workers[n]})
+	}
+	for _, id := range jobs {
+		observer(work.SubmitEvent{Job: f.Jobs[id]})
+	}
+}
+
+func (f *Fake) emit(e work.Event) {
+	for _, o := range f.observers {
+		o(e)
+	}
+}
+
+// Team adds or changes a team.
+func (f *Fake) Team(t work.Team) {
+	f.Teams[t.Name] = &t
+	f.emit(work.TeamEvent{Team: &t})
+}
+
+// Entry adds or changes a catalogue entry.
+func (f *Fake) Entry(e work.Entry) {
+	f.Entries[e.Name] = &e
+	f.emit(work.EntryEvent{Entry: &e})
+}
+
+// Worker adds or changes a worker. A new boot number, and a worker that is
+// gone, end its tasks as lost.
+func (f *Fake) Worker(w work.Worker, now time.Time) {
+	if o := f.Workers[w.Name]; o != nil && (o.Boot != w.Boot || w.Gone) {
+		for _, id := range sorted(f.On[w.Name]) {
+			f.End(id, work.OutcomeLost, now)
+		}
+	}
+	f.Workers[w.Name] = &w
+	f.emit(work.WorkerEvent{Worker: &w})
+}
+
+// Submit adds a job with n tasks and returns its number.
+func (f *Fake) Submit(j work.Job, n int) work.JobID {
+	f.index++
+	j.ID, j.State, j.Class = work.JobID(f.index), work.JobQueued, f.Entries[j.Entry].Class
+	j.Tasks = make([]work.Task, n)
+	for i := range j.Tasks {
+		j.Tasks[i] = work.Task{ID: work.TaskID{Job: j.ID, Index: uint32(i)}, State: work.TaskQueued}
+	}
+	f.Jobs[j.ID] = &j
+	f.emit(work.SubmitEvent{Job: &j})
+	return j.ID
+}
+
+// Cancel ends a job: its queued tasks end at once, its running ones are
+// returned, to be ended by the caller.
+func (f *Fake) Cancel(id work.JobID) []work.TaskID {
+	j := f.Jobs[id]
+	if j == nil || finished(j) {
+		return nil
+	}
+	return f.finish(j, work.JobCancelled)
+}
+
+func finished(j *work.Job) bool {
+	return j.State == work.JobSucceeded || j.State == work.JobFailed || j.State == work.JobCancelled
+}
+
+func (f *Fake) finish(j *work.Job, state work.JobState) (running []work.TaskID) {
+	j.State = state
+	for i := range j.Tasks {
+		switch t := &j.Tasks[i]; t.State {
+		case work.TaskQueued:
+			t.State = work.TaskEnded
+		case work.TaskStarted, work.TaskStopping:
+			t.State, t.Stop = work.TaskStopping, work.StopKill
+			running = append(running, t.ID)
+		}
+	}
+	f.emit(work.FinishEvent{Job: j})
+	return running
+}
+
+// Task returns a task, or nil.
+func (f *Fake) Task(id work.TaskID) *work.Task {
+	if j := f.Jobs[id.Job]; j != nil && int(id.Index) < len(j.Tasks) {
+		return &j.Tasks[id.Index]
+	}
+	return nil
+}
+
+// End ends the run of a task.
+func (f *Fake) End(id work.TaskID, outcome work.Outcome, now time.Time) {
+	j, t := f.Jobs[id.Job], f.Task(id)
+	if t == nil || t.Worker == "" {
+		return
+	}
+	worker, reserved := t.Worker, t.Reserved
+	f.Used[worker] = f.Used[worker].Sub(reserved)
+	f.Held[j.Team] = f.Held[j.Team].Sub(reserved)
+	f.Running[j.Team]--
+	f.Active[j.Entry]--
+	f.Counted--
+	delete(f.On[worker], id)
+	t.Worker, t.Outcome, t.State, t.Stop = "", outcome, work.TaskEnded, work.StopNone
+	if outcome == work.OutcomeFailed {
+		j.Failures++
+	}
+	again := !finished(j) && outcome != work.OutcomeSucceeded
+	giveUp := again && outcome == work.OutcomeFailed && j.Failures >= attemptsMost
+	if again && !giveUp {
+		t.State = work.TaskQueued
+		t.Checkpoint = t.Checkpoint || outcome == work.OutcomeCheckpointed
+	}
+	f.emit(work.EndEvent{Job: j, Task: t, Worker: worker, Reserved: reserved, Outcome: outcome, Requeued: again && !giveUp, At: now})
+	if giveUp {
+		f.finish(j, work.JobFailed)
+		return
+	}
+	for i := range j.Tasks {
+		if j.Tasks[i].State != work.TaskEnded {
+			return
+		}
+	}
+	if !finished(j) {
+		f.finish(j, work.JobSucceeded)
+	}
+}
+
+// Apply checks a decision against all limits and applies it.
+func (f *Fake) Apply(d work.Decision, now time.Time) error {
+	if err := f.check(d); err != nil {
+		f.Rejected++
+		return err
+	}
+	for _, r := range d.Refuse {
+		if j := f.Jobs[r.Job]; !finished(j) {
+			j.Reason = r.Reason
+			f.finish(j, work.JobFailed)
+		}
+	}
+	for _, p := range d.Stops {
+		t := f.Task(p.Task)
+		t.State, t.Stop = work.TaskStopping, p.Mode
+		f.emit(work.StopEvent{Job: f.Jobs[p.Task.Job], Task: t})
+	}
+	for _, s := range d.Starts {
+		f.index++
+		j, t := f.Jobs[s.Task.Job], f.Task(s.Task)
+		t.State, t.Worker, t.Token, t.Reserved, t.Started = work.TaskStarted, s.Worker, work.Token(f.index), s.Reserved, now
+		t.Attempts++
+		j.State = work.JobRunning
+		f.Used[s.Worker] = f.Used[s.Worker].Add(s.Reserved)
+		f.Held[j.Team] = f.Held[j.Team].Add(s.Reserved)
+		f.Running[j.Team]++
+		f.Active[j.Entry]++
+		f.Counted++
+		if f.On[s.Worker] == nil {
+			f.On[s.Worker] = map[work.TaskID]bool{}
+		}
+		f.On[s.Worker][s.Task] = true
+		f.emit(work.StartEvent{Job: j, Task: t})
+	}
+	return nil
+}
+
+func (f *Fake) check(d work.Decision) error {
+	used, held := map[string]work.Resources{}, map[string]work.Resources{}
+	running, active := map[string]int64{}, map[string]int64{}
+	gangs := map[work.JobID]int{}
+	seen := map[work.TaskID]bool{}
+	for _, s := range d.Starts {
+		j, t, w := f.Jobs[s.Task.Job], f.Task(s.Task), f.Workers[s.Worker]
+		if t == nil || t.State != work.TaskQueued || finished(j) || seen[s.Task] {
+			return errors.Newf("task %v is not queued", s.Task)
+		}
+		seen[s.Task] = true
+		if w == nil || w.Gone || w.Drained || w.Boot != s.Boot {
+			return errors.Newf("worker %s takes no tasks", s.Worker)
+		}
+		team, entry := f.Teams[j.Team], f.Entries[j.Entry]
+		if w.Team != "" && w.Team != j.Team && !entry.Open {
+			return errors.Newf("worker %s takes no work of team %s", s.Worker, j.Team)
+		}
+		used[s.Worker] = used[s.Worker].Add(s.Reserved)
+		held[j.Team] = held[j.Team].Add(s.Reserved)
+		running[j.Team]++
+		active[j.Entry]++
+		if j.Class == work.Gang {
+			gangs[j.ID]++
+		}
+		if !s.Reserved.Valid() || !f.Used[s.Worker].Add(used[s.Worker]).Fits(w.Capacity) {
+			return errors.Newf("worker %s has no room", s.Worker)
+		}
+		if !f.Held[j.Team].Add(held[j.Team]).Within(team.Limit) || team.Tasks > 0 && f.Running[j.Team]+running[j.Team] > team.Tasks {
+			return errors.Newf("team %s is at its limit", j.Team)
+		}
+		if entry.Tasks > 0 && f.Active[j.Entry]+active[j.Entry] > entry.Tasks {
+			return errors.Newf("entry %s is at its limit", j.Entry)
+		}
+	}
+	for id, n := range gangs {
+		if queued := f.queued(id); !d.Atomic || n != queued {
+			return errors.Newf("%d of %d tasks of gang %d would start", n, queued, id)
+		}
+	}
+	for _, p := range d.Stops {
+		if t := f.Task(p.Task); t == nil || t.Worker == "" || t.Token != p.Token {
+			return errors.Newf("task %v does not run under token %d", p.Task, p.Token)
+		}
+	}
+	for _, r := range d.Refuse {
+		if f.Jobs[r.Job] == nil {
+			return errors.Newf("no job %d", r.Job)
+		}
+	}
+	return nil
+}
+
+func (f *Fake) queued(id work.JobID) (n int) {
+	for _, t := range f.Jobs[id].Tasks {
+		if t.State == work.TaskQueued {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/version/placement/property_test.go
@@ -0,0 +1,220 @@
+package placement_test
+
+import (
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/placement"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/placement/measure"
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Date(2026, 3, 1, 0, 0, 0, 0, time.UTC)
+
+func size(processors, memory, accelerators int64) work.Resources {
+	return work.Resources{Processors: processors, Memory: memory, Accelerators: accelerators}
+}
+
+// cluster is a fake state with the scheduler under test and virtual time.
+type cluster struct {
+	*measure.Fake
+	scheduler *placement.Scheduler
+	now       time.Time
+	stops     map[work.TaskID]work.StopMode // requested, not yet followed
+	reject    func(work.Decision) bool
+	log       []string
+	fail      func(format string, values ...any)
+}
+
+func newCluster(o placement.Options, fail func(string, ...any)) *cluster {
+	c := &cluster{Fake: measure.NewFake(), scheduler: placement.New(o), now: epoch, stops: map[work.TaskID]work.StopMode{}, fail: fail}
+	c.Subscribe(c.scheduler.Observe)
+	return c
+}
+
+// round decides once and applies all that is decided.
+func (c *cluster) round(limit int) []work.Decision {
+	list := c.scheduler.Decide(c.now, limit)
+	for _, d := range list {
+		c.log = append(c.log, fmt.Sprint(d))
+		for _, p := range d.Stops {
+			j := c.Jobs[p.Task.Job]
+			if j.Urgent || j.Class == work.Service {
+				c.fail("urgent or service task %v is preempted", p.Task)
+			}
+		}
+		if c.reject != nil && c.reject(d) {
+			c.scheduler.Rejected(d, "test")
+			continue
+		}
+		if err := c.Apply(d, c.now); err != nil {
+			c.fail("decision %v is rejected: %v", d, err)
+			c.scheduler.Rejected(d, err.Error())
+			continue
+		}
+		for _, p := range d.Stops {
+			c.stops[p.Task] = p.Mode
+		}
+	}
+	return list
+}
+
+// settle decides until nothing more is proposed.
+func (c *cluster) settle() (list []work.Decision) {
+	for range 1000 {
+		d := c.round(64)
+		if len(d) == 0 {
+			return list
+		}
+		list = append(list, d...)
+	}
+	c.fail("decisions do not come to an end")
+	return nil
+}
+
+func (c *cluster) running() []work.TaskID {
+	var list []work.TaskID
+	for _, id := range slices.Sorted(maps.Keys(c.Jobs)) {
+		for _, t := range c.Jobs[id].Tasks {
+			if t.Worker != "" {
+				list = append(list, t.ID)
+			}
+		}
+	}
+	return list
+}
+
+func (c *cluster) follow() {
+	for _, id := range c.running() {
+		switch c.stops[id] {
+		case work.StopCheckpoint:
+			c.End(id, work.OutcomeCheckpointed, c.now)
+		case work.StopKill:
+			c.End(id, work.OutcomeStopped, c.now)
+		}
+	}
+	clear(c.stops)
+}
+
+var classes = []work.Class{work.Service, work.Batch, work.Gang}
+
+// step draws one random event.
+func (c *cluster) step(t *rapid.T) {
+	teams := []string{"a", "b", "c"}
+	switch rapid.IntRange(0, 13).Draw(t, "event") {
+	case 0:
+		c.Team(work.Team{Name: rapid.SampledFrom(teams).Draw(t, "team"), Weight: rapid.Int64Range(1, 4).Draw(t, "weight"),
+			Limit: size(rapid.Int64Range(0, 30).Draw(t, "limit"), 0, 0), Tasks: rapid.Int64Range(0, 12).Draw(t, "tasks")})
+	case 1:
+		class := rapid.SampledFrom(classes).Draw(t, "class")
+		c.Entry(work.Entry{Name: "e-" + string(class), Owner: "a", Class: class, Open: rapid.Bool().Draw(t, "open"),
+			Tasks: rapid.Int64Range(0, 10).Draw(t, "tasks")})
+	case 2, 3:
+		n := rapid.IntRange(0, 7).Draw(t, "worker")
+		accelerators := int64(n % 3 * 2)
+		team := ""
+		if n == 7 {
+			team = "b"
+		}
+		c.Worker(work.Worker{Name: fmt.Sprint("w", n), Zone: fmt.Sprint("z", n%3), Rack: fmt.Sprint("r", n/3), Team: team,
+			Boot: rapid.Uint64Range(1, 2).Draw(t, "boot"), Capacity: size(8, 16, accelerators),
+			Drained: rapid.IntRange(0, 9).Draw(t, "drained") == 0, Gone: rapid.IntRange(0, 5).Draw(t, "gone") == 0}, c.now)
+	case 4, 5, 6, 7:
+		class := rapid.SampledFrom(classes).Draw(t, "class")
+		c.Submit(work.Job{Entry: "e-" + string(class), Team: rapid.SampledFrom(teams).Draw(t, "team"), Submitted: c.now,
+			Urgent: rapid.IntRange(0, 4).Draw(t, "urgent") == 0, Finish: c.now.Add(time.Minute),
+			Size: size(rapid.Int64Range(1, 9).Draw(t, "p"), rapid.Int64Range(1, 17).Draw(t, "m"), rapid.Int64Range(0, 3).Draw(t, "a")/2),
+		}, rapid.IntRange(1, 5).Draw(t, "n"))
+	case 8, 9:
+		if list := c.running(); len(list) > 0 {
+			c.End(rapid.SampledFrom(list).Draw(t, "task"), rapid.SampledFrom([]work.Outcome{work.OutcomeSucceeded,
+				work.OutcomeSucceeded, work.OutcomeFailed, work.OutcomeOversized}).Draw(t, "outcome"), c.now)
+		}
+	case 10:
+		c.follow()
+	case 11:
+		if len(c.Jobs) > 0 {
+			for _, id := range c.Cancel(rapid.SampledFrom(slices.Sorted(maps.Keys(c.Jobs))).Draw(t, "job")) {
+				c.End(id, work.OutcomeStopped, c.now)
+			}
+		}
+	case 12:
+		for _, id := range c.running() {
+			k := c.Task(id)
+			c.scheduler.Report(k.Worker, []work.Usage{{Task: id, Token: k.Token, Used: size(1, 2, 0), At: c.now}}, c.now)
+		}
+	case 13:
+		c.now = c.now.Add(time.Duration(rapid.Int64Range(1, 100).Draw(t, "seconds")) * time.Second)
+	}
+}
+
+func (c *cluster) seed() {
+	for _, n := range []string{"a", "b", "c"} {
+		c.Team(work.Team{Name: n, Weight: 1})
+	}
+	for _, k := range classes {
+		c.Entry(work.Entry{Name: "e-" + string(k), Owner: "a", Class: k, Open: true})
+	}
+}
+
+// Guards against overcommitted workers, exceeded limits, split gangs, double
+// starts, preempted work of equal or higher value, and indexes that drift from
+// the tasks. The fake state rejects each of the former; a rejection is a failure.
+func TestRandomEvents(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := newCluster(placement.Options{Samples: 2, Trial: 10 * time.Second}, t.Fatalf)
+		c.seed()
+		if rapid.Bool().Draw(t, "rejections") {
+			n := 0
+			c.reject = func(work.Decision) bool { n++; return n%5 == 0 }
+		}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			c.step(t)
+			c.round(rapid.IntRange(1, 20).Draw(t, "limit"))
+			if text := c.scheduler.Inconsistency(); text != "" {
+				t.Fatal(text)
+			}
+		}
+		again := placement.New(placement.Options{})
+		c.Replay(again.Observe, slices.Sorted(maps.Keys(c.Teams)), slices.Sorted(maps.Keys(c.Entries)),
+			slices.Sorted(maps.Keys(c.Workers)), slices.Sorted(maps.Keys(c.Jobs)))
+		if text := again.Inconsistency(); text != "" {
+			t.Fatal(text)
+		}
+		free, use, _ := c.scheduler.Shape()
+		free2, use2, _ := again.Shape()
+		if !reflect.DeepEqual(free, free2) || !reflect.DeepEqual(use, use2) {
+			t.Fatalf("rebuilt scheduler differs: %v %v, %v %v", free, free2, use, use2)
+		}
+	})
+}
+
+// Guards against decisions that depend on the order of maps.
+func TestSameEventsSameDecisions(t *testing.T) {
+	run := func(seed int) []string {
+		var log []string
+		g := rapid.Custom(func(t *rapid.T) []string {
+			c := newCluster(placement.Options{Samples: 2}, t.Fatalf)
+			c.seed()
+			for range 150 {
+				c.step(t)
+				c.round(7)
+			}
+			return c.log
+		})
+		log = g.Example(seed)
+		return log
+	}
+	is := is.New(t)
+	for seed := range 10 {
+		first := run(seed)
+		is.True(len(first) > 0)
+		is.Equal(first, run(seed))
+	}
+}
