--- a/internal/version/placement/decide.go
+++ b/internal/version/placement/decide.go
@@ -154,9 +154,12 @@
 	return true
 }
 
+// freshTries bounds the searches in vain of one round.
+const freshTries = 64
+
 // placeFresh tries the work that was not tried yet.
 func (s *Scheduler) placeFresh() {
-	for !s.full() {
+	for failed := 0; failed < freshTries && !s.full(); {
 		j := s.pickFresh()
 		if j == nil {
 			return
@@ -167,7 +170,9 @@
 		} else if w := s.borrow(j, size); w != nil {
 			s.start(j, w, size, ReasonBackfill)
 		} else {
+			failed++
 			s.fresh.drop(j.slot)
+			s.passed(j)
 			s.refreshTeam(j.team)
 		}
 	}
--- a/internal/version/placement/estimate.go
+++ b/internal/version/placement/estimate.go
@@ -188,6 +188,7 @@
 
 func (s *Scheduler) learn(t *task) {
 	if t.reports > 0 && s.learnSize(&t.job.profile.usage, t.job.declared, t.peak) {
+		s.startWalk(t.job.profile)
 		s.refreshTeam(t.job.team)
 	}
 }
--- a/internal/version/placement/export_test.go
+++ b/internal/version/placement/export_test.go
@@ -77,3 +77,16 @@
 	}
 	return free, use, s.stats.Queued
 }
+
+// Missed returns a waiting job that could start now, or zero. Work that waits
+// for its retry after a rejection does not count.
+func (s *Scheduler) Missed() work.JobID {
+	for id, j := range s.jobs {
+		if s.waiting.holds(j.slot) && j.class != work.Gang && s.permits(j, s.size(j), 1) {
+			if _, ok := policyOf(j.class).place(s, request{j, s.size(j)}); ok {
+				return id
+			}
+		}
+	}
+	return 0
+}
--- a/internal/version/placement/feasible.go
+++ b/internal/version/placement/feasible.go
@@ -13,8 +13,8 @@
 	capacity work.Resources
 	bound    *team
 	count    int64
-	most     int64 // greatest count since it was last absent for long
-	until    time.Time
+	most     int64     // greatest count since it was last absent for long
+	until    time.Time // when a lower count is taken as lasting; zero if not yet known
 }
 
 // shapes lists the kinds of workers. There are few, whatever the number of workers.
@@ -33,24 +33,28 @@
 	return p
 }
 
-func (h *shapes) remove(p *shape, until time.Time) {
+func (h *shapes) remove(p *shape) {
 	p.count--
-	p.until = until
+	p.until = time.Time{}
 }
 
-// expire forgets shapes that have been absent for long and reports whether any was.
-func (h *shapes) expire(now time.Time) bool {
+// expire forgets workers that have been absent for the given time and reports
+// whether there were any. The time of an absence counts from the first call
+// after it, because worker events carry no time.
+func (h *shapes) expire(now time.Time, memory time.Duration) bool {
 	kept := h.list[:0]
 	changed := false
 	for _, p := range h.list {
-		if p.count == 0 && p.until.Before(now) {
-			changed = true
-			continue
-		}
-		if p.count < p.most && p.until.Before(now) {
+		switch {
+		case p.count == p.most:
+		case p.until.IsZero():
+			p.until = now.Add(memory)
+		case !p.until.After(now):
 			p.most, changed = p.count, true
 		}
-		kept = append(kept, p)
+		if p.most > 0 {
+			kept = append(kept, p)
+		}
 	}
 	clear(h.list[len(kept):])
 	h.list = kept
@@ -127,7 +131,7 @@
 
 // check refuses jobs that can never run, once some worker is known.
 func (s *Scheduler) check() {
-	if s.shapes.expire(s.now) {
+	if s.shapes.expire(s.now, s.options.ShapeMemory) {
 		s.recheck()
 	}
 	for len(s.condemned) > 0 && !s.full() {
--- a/internal/version/placement/model.go
+++ b/internal/version/placement/model.go
@@ -46,6 +46,7 @@
 	fresh   int32 // tree of jobs that were not tried since a task was queued
 	active  bool
 	parked  bool
+	walk    walk
 	runs    float64 // ended runs, halved at times
 	faults  float64 // failed runs among them
 	zones   []int32 // running tasks by zone, for spreading
@@ -53,6 +54,15 @@
 	workers map[int32]int32
 }
 
+// walk tries a profile's waiting jobs again, in order, after a limit or a
+// learned size changed: such a change can let work start on workers that have
+// been free for long, of which no event tells.
+type walk struct {
+	on    bool
+	again bool // start over at the end, because of another change
+	from  key  // next job
+}
+
 // job is a job with queued, proposed or running tasks.
 type job struct {
 	id         work.JobID
--- a/internal/version/placement/property_test.go
+++ b/internal/version/placement/property_test.go
@@ -164,8 +164,8 @@
 }
 
 // Guards against overcommitted workers, exceeded limits, split gangs, double
-// starts, preempted work of equal or higher value, and indexes that drift from
-// the tasks. The fake state rejects each of the former; a rejection is a failure.
+// starts, preempted work of equal or higher value, idle room that waiting work
+// could use, and indexes that drift from the tasks. The fake state rejects each of the former; a rejection is a failure.
 func TestRandomEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		c := newCluster(placement.Options{Samples: 2, Trial: 10 * time.Second}, t.Fatalf)
@@ -181,6 +181,10 @@
 				t.Fatal(text)
 			}
 		}
+		c.settle()
+		if id := c.scheduler.Missed(); id != 0 {
+			t.Fatalf("job %d waits although it could start", id)
+		}
 		again := placement.New(placement.Options{})
 		c.Replay(again.Observe, slices.Sorted(maps.Keys(c.Teams)), slices.Sorted(maps.Keys(c.Entries)),
 			slices.Sorted(maps.Keys(c.Workers)), slices.Sorted(maps.Keys(c.Jobs)))
--- a/internal/version/placement/queue.go
+++ b/internal/version/placement/queue.go
@@ -112,7 +112,9 @@
 		if p.entry.open {
 			open = open.max(v)
 		}
-		if p.fresh != none {
+		if p.walk.on {
+			fresh = fresh.max(v)
+		} else if p.fresh != none {
 			fresh = fresh.max(p.smallest(s.fresh.top(p.fresh)))
 		}
 	}
@@ -166,6 +168,7 @@
 			e.parked[best] = e.parked[len(e.parked)-1]
 			e.parked = e.parked[:len(e.parked)-1]
 			p.parked = false
+			s.startWalk(p)
 			s.refreshTeam(p.team)
 		}
 		if e.reopened = len(e.parked) > 0 && !e.full(); e.reopened {
@@ -199,10 +202,15 @@
 		t := s.teamList[i]
 		left, ok := t.remaining()
 		if ok {
-			if j := s.pick(t, &s.fresh, left, nil); j != nil {
+			if j := s.pick(t, left, nil); j != nil {
 				return j
 			}
 		}
+		if s.walked {
+			s.walked = false
+			s.refreshTeam(t)
+			continue
+		}
 		// It comes back with the next change of its use or queue.
 		s.freshTeams.drop(t.number)
 	}
@@ -214,7 +222,7 @@
 	need := negative(free)
 	if w.bound != nil {
 		if left, ok := w.bound.remaining(); ok && w.bound.waits() {
-			if j := s.pick(w.bound, &s.waiting, smaller(free, left), w); j != nil {
+			if j := s.pick(w.bound, smaller(free, left), w); j != nil {
 				return j
 			}
 		}
@@ -231,31 +239,36 @@
 		from = f.nodes[i].key.next()
 		t := s.teamList[i]
 		if left, ok := t.remaining(); ok {
-			if j := s.pick(t, &s.waiting, smaller(free, left), w); j != nil {
+			if j := s.pick(t, smaller(free, left), w); j != nil {
 				return j
 			}
 		}
 	}
 }
 
-// pick returns the team's next job that fits what is available: services
+// pick returns the team's next job that fits what is available, among those
+// that fit the worker or, without a worker, those that are to be tried: services
 // first, because callers wait for their runners, then in order of submission.
-func (s *Scheduler) pick(t *team, f *forest, available work.Resources, w *worker) *job {
+func (s *Scheduler) pick(t *team, available work.Resources, w *worker) *job {
 	var best *job
 	for _, p := range t.active {
 		if p.parked || p.entry.full() || w != nil && w.bound != nil && w.bound != t && !p.entry.open {
 			continue
 		}
-		root := p.waiting
-		if f == &s.fresh {
-			root = p.fresh
+		f, root, from := &s.waiting, p.waiting, lowest
+		if w == nil {
+			if f, root = &s.fresh, p.fresh; p.walk.on {
+				f, root, from = &s.waiting, p.waiting, p.walk.from
+			}
 		}
 		s.stats.Steps++
 		need := negative(p.usage.unscaled(available))
-		from := lowest
-		for range attempts {
+		for n := range attempts {
 			i := f.first(root, from, need)
 			if i == none {
+				if n == 0 && w == nil && p.walk.on && f.first(root, from, anything) == none {
+					s.endWalk(p)
+				}
 				break
 			}
 			from = f.nodes[i].key.next()
@@ -288,6 +301,41 @@
 	return w.suits(j)
 }
 
+// startWalk has all waiting jobs of a profile tried again.
+func (s *Scheduler) startWalk(p *profile) {
+	switch {
+	case !p.active:
+	case p.walk.on:
+		p.walk.again = true
+	default:
+		p.walk = walk{on: true, from: lowest}
+	}
+}
+
+func (s *Scheduler) endWalk(p *profile) {
+	p.walk = walk{on: p.walk.again, from: lowest}
+	s.walked = true
+}
+
+// passed moves a walk on after a job that found no room, and ends it if there
+// is no room even for the smallest amounts that its jobs ask for.
+func (s *Scheduler) passed(j *job) {
+	p := j.profile
+	if !p.walk.on {
+		return
+	}
+	p.walk.from = j.key().next()
+	if p.waiting == none {
+		p.walk = walk{}
+		return
+	}
+	v := p.smallest(s.waiting.top(p.waiting))
+	least := work.Resources{Processors: -v[0], Memory: -v[1], Accelerators: -v[2]}
+	if _, ok := (pack{}).place(s, request{j, least}); !ok {
+		p.walk = walk{}
+	}
+}
+
 // later holds a job back for a while after a rejection.
 func (s *Scheduler) later(j *job) {
 	if !j.held {
--- a/internal/version/placement/scheduler.go
+++ b/internal/version/placement/scheduler.go
@@ -68,6 +68,7 @@
 	released       []*worker
 	releases       uint64
 	reopened       []*entry
+	walked         bool // a walk came to its end
 	trials         timers[*worker]
 	retries        timers[work.JobID]
 	condemned      []refusal
@@ -77,15 +78,16 @@
 	gangReleases   uint64
 	gangCursor     key
 
-	stats     Stats
-	limit     int
-	out       []work.Decision
-	starts    []work.Start // arena of the decisions' starts
-	shares    []share
-	openings  []opening
-	ends      []*task
-	victims   []*task
-	selection []*task
+	stats      Stats
+	limit      int
+	out        []work.Decision
+	starts     []work.Start // arena of the decisions' starts
+	shares     []share
+	openings   []opening
+	ends       []*task
+	victims    []*task
+	candidates []candidate
+	selection  []*task
 }
 
 type rackName struct{ zone, rack string }
@@ -154,6 +156,9 @@
 		t.weight, s.rekey = weight, true
 	}
 	t.limit, t.tasks = e.Limit, e.Tasks
+	for _, p := range t.active {
+		s.startWalk(p)
+	}
 	s.refreshTeam(t)
 	s.releases++
 	s.recheck()
@@ -174,7 +179,8 @@
 	n.class, n.open, n.maximum, n.tasks = e.Class, e.Open, e.Maximum, e.Tasks
 	if opened {
 		for _, t := range s.teamList {
-			if t.profiles[e.Name] != nil {
+			if p := t.profiles[e.Name]; p != nil {
+				s.startWalk(p)
 				s.refreshTeam(t)
 			}
 		}
@@ -267,7 +273,7 @@
 	} else {
 		s.total = s.total.Sub(w.capacity)
 		s.stats.Workers--
-		s.shapes.remove(w.shape, s.now.Add(s.options.ShapeMemory))
+		s.shapes.remove(w.shape)
 	}
 	// Shares follow the capacity in steps of 1%, because each step costs an
 	// update for every team.
@@ -551,6 +557,11 @@
 	t.worker, t.token = nil, 0
 	s.stats.Running--
 	s.refresh(w)
+	if j.team.tasks > 0 || j.team.limit != (work.Resources{}) {
+		for _, p := range j.team.active {
+			s.startWalk(p)
+		}
+	}
 	s.refreshTeam(j.team)
 	s.reopen(p.entry)
 	s.release(w)
--- a/internal/version/placement/urgent.go
+++ b/internal/version/placement/urgent.go
@@ -19,9 +19,13 @@
 // way for one urgent task.
 type preempt struct{}
 
-// preemptSample bounds the workers of a zone that are compared. The emptiest
-// come first, because they need the fewest victims.
-const preemptSample = 16
+// preemptSample bounds the workers of a tier that are compared, and
+// preemptMinimum is the least for each zone. The emptiest come first, because
+// they need the fewest victims.
+const (
+	preemptSample  = 24
+	preemptMinimum = 2
+)
 
 func (preempt) place(s *Scheduler, q request) (best preemption, ok bool) {
 	need := vectorOf(q.size)
@@ -30,7 +34,7 @@
 		f := &s.forests[family][byRoom]
 		for _, z := range t.zones {
 			before := key{math.MaxInt64, math.MaxUint64}
-			for range preemptSample {
+			for range max(preemptSample/len(t.zones), preemptMinimum) {
 				i := f.last(z.roots[byRoom], before, need)
 				if i == none {
 					break
@@ -41,7 +45,7 @@
 					continue
 				}
 				s.stats.Steps++
-				victims, cost := s.victimsOn(w, q.size)
+				victims, cost := s.victimsOn(w, q.size, len(best.victims))
 				if victims == nil {
 					continue
 				}
@@ -56,43 +60,58 @@
 	return best, best.worker != nil
 }
 
+// candidate is a task that could make way, with what its loss costs.
+type candidate struct {
+	task *task
+	loss float64
+}
+
+func (a candidate) compare(b candidate) int {
+	return cmp.Or(cmp.Compare(a.loss, b.loss), cmp.Compare(a.task.job.id, b.task.job.id), cmp.Compare(a.task.index, b.task.index))
+}
+
 // victimsOn returns the fewest tasks whose end makes room for the size on w,
-// and what their loss costs.
-func (s *Scheduler) victimsOn(w *worker, size work.Resources) ([]*task, float64) {
-	list := s.victims[:0]
+// and what their loss costs. It gives up beyond most tasks, unless most is zero.
+func (s *Scheduler) victimsOn(w *worker, size work.Resources, most int) ([]*task, float64) {
+	list, free := s.candidates[:0], w.free()
+	single := candidate{}
 	for _, t := range w.placed {
-		if t.preemptible() && (t.job.class != work.Gang || s.wholeGang(t.job)) {
-			list = append(list, t)
+		if !t.preemptible() || t.job.class == work.Gang && !s.wholeGang(t.job) {
+			continue
 		}
-	}
-	s.victims = list
-	slices.SortFunc(list, func(a, b *task) int {
-		return cmp.Or(cmp.Compare(s.loss(a), s.loss(b)), cmp.Compare(a.job.id, b.job.id), cmp.Compare(a.index, b.index))
-	})
-	free := w.free()
-	for i, t := range list {
-		if size.Fits(free.Add(t.reserved)) {
-			return list[i : i+1], s.loss(t)
+		c := candidate{t, s.loss(t)}
+		list = append(list, c)
+		if size.Fits(free.Add(t.reserved)) && (single.task == nil || c.compare(single) < 0) {
+			single = c
 		}
 	}
+	s.candidates = list
+	if single.task != nil {
+		s.victims = append(s.victims[:0], single.task)
+		return s.victims, single.loss
+	}
+	if most == 1 {
+		return nil, 0
+	}
+	slices.SortFunc(list, candidate.compare)
 	n := 0
-	for n < len(list) && !size.Fits(free) {
+	for !size.Fits(free) {
+		if n == len(list) || most > 0 && n == most {
+			return nil, 0
+		}
 		// The task that leaves the smallest shortage goes next.
 		pick, least := n, math.Inf(1)
 		for i := n; i < len(list); i++ {
-			if d := shortage(size, free.Add(list[i].reserved), w.capacity); d < least {
+			if d := shortage(size, free.Add(list[i].task.reserved), w.capacity); d < least {
 				pick, least = i, d
 			}
 		}
 		list[n], list[pick] = list[pick], list[n]
-		free = free.Add(list[n].reserved)
+		free = free.Add(list[n].task.reserved)
 		n++
 	}
-	if !size.Fits(free) {
-		return nil, 0
-	}
-	for i := 0; i < n && n > 1; {
-		if rest := free.Sub(list[i].reserved); size.Fits(rest) {
+	for i := 0; i < n; {
+		if rest := free.Sub(list[i].task.reserved); size.Fits(rest) {
 			free = rest
 			n--
 			list[i], list[n] = list[n], list[i]
@@ -101,10 +120,12 @@
 		}
 	}
 	cost := 0.0
-	for _, t := range list[:n] {
-		cost += s.loss(t)
+	s.victims = s.victims[:0]
+	for _, c := range list[:n] {
+		cost += c.loss
+		s.victims = append(s.victims, c.task)
 	}
-	return list[:n], cost
+	return s.victims, cost
 }
 
 // shortage returns by how much free falls short of size, summed over the
--- /dev/null
+++ b/measure.mk
@@ -0,0 +1,11 @@
+# Targets of the decision core, included by the Makefile.
+
+.PHONY: measure bench
+
+# measure prints the table of docs/policy.md. It uses virtual time and fixed
+# seeds; only the lines marked as wall time differ from run to run.
+measure:
+	$(GO) test ./internal/version/placement/measure -run TestTable -count=1 -v -table
+
+bench:
+	$(GO) test ./internal/version/placement -run '^$$' -bench . -benchmem
