--- /dev/null
+++ b/internal/connection/upstream/slot.go
@@ -0,0 +1,121 @@
+package upstream
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+)
+
+// Errors of Send.
+var (
+	// ErrNotSent tells that no byte of the request can have reached the runner.
+	ErrNotSent = errors.New("the request was not sent")
+	// ErrLate tells that the deadline passed before the whole answer was read.
+	ErrLate = errors.New("the answer did not come in time")
+	// ErrBroken tells that the connection broke, or that the answer is cut
+	// short, too large or without a length.
+	ErrBroken = errors.New("the answer broke off")
+	// ErrMismatch tells that the answer carries another request's identity.
+	ErrMismatch = errors.New("the answer belongs to another request")
+)
+
+// Request is one request to a runner.
+type Request struct {
+	ID       string // identity, unique for each attempt to run a request
+	Method   string
+	Path     string // with a leading slash
+	Query    string // without the question mark
+	Header   [][2]string
+	Body     []byte
+	Deadline time.Time
+}
+
+// Answer is a runner's whole answer.
+type Answer struct {
+	Status int
+	Header [][2]string
+	Body   []byte
+}
+
+// Slot is the right to have one request in flight at a runner. It must be
+// released once. It is not safe for concurrent use.
+type Slot struct {
+	pool     *Pool
+	service  *service
+	runner   *runner
+	client   *client
+	lost     bool
+	released bool
+}
+
+// Runner returns the name of the slot's runner.
+func (s *Slot) Runner() string { return s.runner.id.Name }
+
+// Valid reports whether the runner is still owned and not leaving. A holder
+// that has waited since Acquire asks before it sends.
+func (s *Slot) Valid() bool {
+	now := s.pool.options.Now()
+	s.service.mu.Lock()
+	defer s.service.mu.Unlock()
+	return s.runner.owned && s.runner.client == s.client && !now.Before(s.runner.left)
+}
+
+// Send sends a request and reads the whole answer. After an error other than
+// ErrNotSent the runner may have run the request, or may still be running it.
+func (s *Slot) Send(r *Request) (*Answer, error) {
+	answer, err := s.client.do(r, &s.pool.hooks)
+	s.lost = errors.Is(err, ErrLate) || errors.Is(err, ErrMismatch)
+	s.observe(answer, err)
+	return answer, err
+}
+
+// observe keeps count of the runner's failures in a row. A late answer does not
+// count, since the caller may have set a short deadline.
+func (s *Slot) observe(answer *Answer, err error) {
+	failed := err != nil && !errors.Is(err, ErrLate) || err == nil && answer.Status == statusRefused
+	now := s.pool.options.Now()
+	s.service.mu.Lock()
+	defer s.service.mu.Unlock()
+	r := s.runner
+	if !failed {
+		if err == nil {
+			r.failed = 0
+		}
+		return
+	}
+	r.failed++
+	r.avoid = now.Add(avoidTime(r.failed))
+	s.pool.options.Log.Emit(event.RunnerAvoided, zap.String("entry", r.id.Entry), zap.String("runner", r.id.Name),
+		zap.Int("failures", r.failed), zap.Time("until", r.avoid), zap.Error(err))
+	if errors.Is(err, ErrMismatch) {
+		s.pool.options.Log.Emit(event.RunnerMismatch, zap.String("entry", r.id.Entry), zap.String("runner", r.id.Name))
+	}
+}
+
+// avoidTime is how long a runner gets nothing after so many failures in a row.
+func avoidTime(failures int) time.Duration {
+	return min(avoidFirst<<min(failures-1, 10), avoidMaximum)
+}
+
+// Release gives the slot back, or counts it as lost while the runner may still
+// handle the request. Releasing a zero Slot has no effect.
+func (s *Slot) Release() {
+	if s.released || s.runner == nil {
+		return
+	}
+	s.released = true
+	now := s.pool.options.Now()
+	s.service.mu.Lock()
+	defer s.service.mu.Unlock()
+	s.runner.used--
+	if s.lost {
+		s.runner.lost++
+		s.runner.lostAt = now
+	}
+	if s.runner.route.Gone && s.runner.used == 0 && s.service.runners[s.runner.id.Name] == s.runner {
+		delete(s.service.runners, s.runner.id.Name)
+	}
+}
