--- a/internal/connection/control/client.go
+++ b/internal/connection/control/client.go
@@ -32,10 +32,10 @@
 }
 
 // repeatable reports whether a second copy of the command has no further
-// effect: it has a request id, or it is an intent, whose holder is unique and
-// comes back with Duplicate, or a settlement by that holder.
+// effect: it has a request id, it settles an intent, of which the first outcome
+// stays, or it cancels jobs.
 func repeatable(c *state.Command) bool {
-	return c.Request != "" || c.Intent != nil || c.Settle != nil
+	return c.Request != "" || c.Settle != nil || c.Cancel != nil
 }
 
 // call reaches the leader. It returns nil, ErrNoLeader if no replica can have
--- /dev/null
+++ b/internal/request/caller/job.go
@@ -0,0 +1,245 @@
+package caller
+
+import (
+	"context"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/control"
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/upstream"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/request/web"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/state"
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+	"github.com/rosemaryloft/rosemaryloft/pkg/api"
+)
+
+const (
+	// maximumTasks, maximumSeconds and submissionBytes bound a submission.
+	maximumTasks    = 10_000
+	maximumSeconds  = int64(10 * 365 * 24 * time.Hour / time.Second)
+	submissionBytes = 256 << 10
+)
+
+// jobs serves the paths of jobs.
+func (a *Adapter) jobs(ctx *fasthttp.RequestCtx, path string) {
+	key, fail := web.Authorize(ctx, a.options.Directory, work.CallerRole)
+	if fail != nil {
+		a.fail(ctx, fail)
+		return
+	}
+	deadline, fail := web.Deadline(ctx, a.options.Now(), upstream.RequestTime)
+	if fail != nil {
+		a.fail(ctx, fail)
+		return
+	}
+	call, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	method, text := string(ctx.Method()), strings.TrimPrefix(strings.TrimPrefix(path, jobsRoute), "/")
+	id, err := strconv.ParseUint(text, 10, 64)
+	switch {
+	case text == "" && method == fasthttp.MethodPost:
+		a.submit(ctx, call, key)
+	case text == "" && method == fasthttp.MethodGet:
+		a.list(ctx, call, key)
+	case text != "" && err != nil:
+		a.fail(ctx, web.Refuse(api.UnknownJob, "%q is not the number of a job", text))
+	case text != "" && method == fasthttp.MethodGet:
+		a.show(ctx, call, key, work.JobID(id), api.RanNo)
+	case text != "" && method == fasthttp.MethodDelete:
+		a.cancel(ctx, call, key, work.JobID(id))
+	default:
+		a.fail(ctx, web.Refuse(api.UnknownRoute, "%s is not possible on %s", method, path))
+	}
+}
+
+// submit serves POST /v1/jobs.
+func (a *Adapter) submit(ctx *fasthttp.RequestCtx, call context.Context, key work.Key) {
+	body, held, fail := a.body(ctx, submissionBytes)
+	defer a.bytes.Add(-held)
+	if fail != nil {
+		a.fail(ctx, fail)
+		return
+	}
+	identity, fail := web.Identity(ctx)
+	if fail != nil {
+		a.fail(ctx, fail)
+		return
+	}
+	if identity == "" {
+		identity = random() // makes the resends to the leader safe
+	}
+	submission, fail := parse(body)
+	if fail != nil {
+		a.fail(ctx, fail)
+		return
+	}
+	command := submission.command(key.Team, identity, a.options.Now())
+	entry, err := a.options.Directory.Entry(submission.Entry)
+	if err != nil {
+		a.fail(ctx, missing(err, submission.Entry))
+		return
+	}
+	result, err := a.options.Leader.Propose(call, command)
+	if err != nil {
+		a.jobFailed(ctx, key, web.Control(err))
+		return
+	}
+	if fail := refused(&result, submission.Entry); fail != nil {
+		a.jobFailed(ctx, key, fail)
+		return
+	}
+	a.options.Log.Emit(event.RequestJob, zap.String("action", "submit"), zap.Uint64("job", uint64(result.Job)),
+		zap.String("team", key.Team), zap.String("entry", submission.Entry), zap.Uint32("tasks", submission.Tasks))
+	job := command.Submit.Job
+	job.ID, job.Class, job.State = result.Job, entry.Class, work.JobQueued
+	job.Tasks = make([]work.Task, submission.Tasks)
+	for i := range job.Tasks {
+		job.Tasks[i] = work.Task{ID: work.TaskID{Job: job.ID, Index: uint32(i)}, State: work.TaskQueued}
+	}
+	web.JSON(ctx, fasthttp.StatusCreated, describe(&job))
+}
+
+func missing(err error, entry string) *api.Error {
+	if fail := web.Control(err); fail.Code != api.UnknownObject {
+		return fail
+	}
+	return web.Refuse(api.UnknownEntry, "there is no entry %q", entry)
+}
+
+func (a *Adapter) jobFailed(ctx *fasthttp.RequestCtx, key work.Key, fail *api.Error) {
+	a.options.Log.Emit(event.RequestJob, zap.String("team", key.Team), zap.String("code", string(fail.Code)),
+		zap.String("ran", string(fail.Ran)))
+	a.fail(ctx, fail)
+}
+
+// submission is a checked api.Submission.
+type submission struct{ api.Submission }
+
+// parse reads and checks the body of a submission. Limits of the entry and the
+// team are checked by the state machine, which knows the current ones.
+func parse(body []byte) (*submission, *api.Error) {
+	var s submission
+	if fail := web.Decode(body, &s.Submission); fail != nil {
+		return nil, fail
+	}
+	size := resources(s.Size)
+	switch {
+	case s.Entry == "":
+		return nil, web.Refuse(api.Malformed, "field \"entry\" is missing")
+	case s.Tasks == 0 || s.Tasks > maximumTasks:
+		return nil, web.Refuse(api.Malformed, "field \"tasks\" must be 1 to %d", maximumTasks)
+	case !size.Valid() || size.Processors > math.MaxInt64/maximumTasks || size.Memory > math.MaxInt64/maximumTasks ||
+		size.Accelerators > math.MaxInt64/maximumTasks:
+		return nil, web.Refuse(api.Malformed, "field \"size\" must be positive and within bounds")
+	case s.Seconds < 0 || s.Seconds > maximumSeconds:
+		return nil, web.Refuse(api.Malformed, "field \"seconds\" must be 0 to %d", maximumSeconds)
+	}
+	return &s, nil
+}
+
+func (s *submission) command(team, identity string, now time.Time) state.Command {
+	job := work.Job{
+		Entry: s.Entry, Team: team, Urgent: s.Urgent, Size: resources(s.Size), Command: []byte(s.Command), Submitted: now,
+	}
+	if s.Seconds > 0 {
+		job.Finish = now.Add(time.Duration(s.Seconds) * time.Second)
+	}
+	return state.Command{Request: identity, Submit: &state.Submit{Job: job, Count: s.Tasks}}
+}
+
+// refused turns the result of a job command into an error, nil if it is OK.
+func refused(r *state.Result, entry string) *api.Error {
+	switch r.Code {
+	case state.OK:
+		return nil
+	case state.Denied:
+		return web.Refuse(api.Forbidden, "%s", r.Message)
+	case state.NotFound:
+		return web.Refuse(api.UnknownEntry, "%s", r.Message)
+	case state.Infeasible:
+		return web.Refuse(api.Infeasible, "%s", r.Message)
+	case state.Invalid:
+		return web.Refuse(api.Malformed, "%s", r.Message)
+	case state.Mismatch:
+		return web.Refuse(api.Mismatch, "%s came with another submission before", api.IdempotencyHeader)
+	}
+	return web.Refuse(api.Internal, "the submission to %q was answered with %q: %s", entry, r.Code, r.Message)
+}
+
+// list serves GET /v1/jobs.
+func (a *Adapter) list(ctx *fasthttp.RequestCtx, call context.Context, key work.Key) {
+	answer, err := a.options.Leader.Query(call, control.Query{Kind: control.QueryJobs, Team: key.Team})
+	if err != nil {
+		a.fail(ctx, web.Control(err))
+		return
+	}
+	jobs := make([]api.Job, len(answer.Jobs))
+	for i := range answer.Jobs {
+		jobs[i] = describe(&answer.Jobs[i])
+	}
+	web.JSON(ctx, fasthttp.StatusOK, jobs)
+}
+
+// show answers with a job of the key's team. Ran is what an error says.
+func (a *Adapter) show(ctx *fasthttp.RequestCtx, call context.Context, key work.Key, id work.JobID, ran api.Ran) {
+	answer, err := a.options.Leader.Query(call, control.Query{Kind: control.QueryJob, Job: id, Team: key.Team})
+	switch {
+	case err != nil:
+		fail := web.Control(err)
+		fail.Ran = ran
+		a.fail(ctx, fail)
+	case !answer.Found || len(answer.Jobs) == 0 || answer.Jobs[0].Team != key.Team:
+		fail := web.Refuse(api.UnknownJob, "team %q has no job %d", key.Team, id)
+		fail.Ran = ran
+		a.fail(ctx, fail)
+	default:
+		web.JSON(ctx, fasthttp.StatusOK, describe(&answer.Jobs[0]))
+	}
+}
+
+// cancel serves DELETE /v1/jobs/{id}.
+func (a *Adapter) cancel(ctx *fasthttp.RequestCtx, call context.Context, key work.Key, id work.JobID) {
+	command := state.Command{Cancel: &state.Cancel{Team: key.Team, Jobs: []work.JobID{id}}}
+	result, err := a.options.Leader.Propose(call, command)
+	switch {
+	case err != nil:
+		a.jobFailed(ctx, key, web.Control(err))
+		return
+	case result.Code == state.NotFound:
+		a.jobFailed(ctx, key, web.Refuse(api.UnknownJob, "team %q has no job %d", key.Team, id))
+		return
+	case result.Code != state.OK:
+		a.jobFailed(ctx, key, web.Refuse(api.Internal, "the cancellation was answered with %q: %s", result.Code, result.Message))
+		return
+	}
+	a.options.Log.Emit(event.RequestJob, zap.String("action", "cancel"), zap.Uint64("job", uint64(id)), zap.String("team", key.Team))
+	a.show(ctx, call, key, id, api.RanYes)
+}
+
+func resources(s api.Size) work.Resources {
+	return work.Resources{Processors: s.CPU, Memory: s.Memory, Accelerators: s.Accelerators}
+}
+
+// describe returns the JSON form of a job.
+func describe(j *work.Job) api.Job {
+	d := api.Job{
+		ID: uint64(j.ID), Entry: j.Entry, Team: j.Team, Class: string(j.Class), Urgent: j.Urgent,
+		State: string(j.State), Reason: j.Reason, Submitted: j.Submitted, Ended: j.Ended,
+		Size:  api.Size{CPU: j.Size.Processors, Memory: j.Size.Memory, Accelerators: j.Size.Accelerators},
+		Tasks: make([]api.Task, len(j.Tasks)),
+	}
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		d.Tasks[i] = api.Task{
+			Index: t.ID.Index, State: string(t.State), Worker: t.Worker, Token: uint64(t.Token),
+			Outcome: string(t.Outcome), Attempts: t.Attempts, Started: t.Started,
+		}
+	}
+	return d
+}
--- a/internal/request/route/intent.go
+++ b/internal/request/route/intent.go
@@ -29,9 +29,6 @@
 	// settleTime is how long the recording of an outcome is tried. Past it a
 	// resend is answered in_progress until the intent expires.
 	settleTime = 10 * time.Minute
-	// settleAgain is how often a settlement is repeated when the intent is not
-	// there. The commit of the intent may still be on its way.
-	settleAgain = 6
 	// settlePause and settlePauseMaximum bound the pause between two tries.
 	settlePause        = 50 * time.Millisecond
 	settlePauseMaximum = 2 * time.Second
@@ -47,7 +44,9 @@
 // intent is the record that a non-idempotent request is about to be sent.
 type intent struct {
 	digest    [sha256.Size]byte
-	holder    string // unique for this request, so that no other one's settlement matches
+	holder    string    // unique for this request, so that no other one's settlement matches
+	attempt   uint64    // result of the commit; zero if not known
+	expires   time.Time // of the record
 	committed bool
 	doubtful  bool // the commit is uncertain
 	settled   bool
@@ -73,10 +72,8 @@
 	now := r.options.Now()
 	ctx, cancel := context.WithDeadline(context.Background(), earlier(f.deadline, now.Add(intentWait)))
 	defer cancel()
-	answer, err := r.options.Leader.Propose(ctx, state.Command{Intent: &state.Intent{
-		Team: f.team, Entry: f.entry, Identity: f.request.Identity, Digest: f.intent.digest,
-		Holder: f.intent.holder, Deadline: now.Add(IntentTime),
-	}})
+	f.intent.expires = now.Add(IntentTime)
+	answer, err := r.options.Leader.Propose(ctx, f.command())
 	if err != nil {
 		// Nothing was sent. If the commit is uncertain, the record is settled as
 		// not run, so that a resend is not refused for its sake.
@@ -89,11 +86,20 @@
 	return r.intended(f, &answer)
 }
 
+// command returns the command that records the intent. The holder, which is
+// unique, is also the request id, so that a second copy gets the first result.
+func (f *flight) command() state.Command {
+	return state.Command{Request: f.intent.holder, Intent: &state.Intent{
+		Team: f.team, Entry: f.entry, Identity: f.request.Identity, Digest: f.intent.digest,
+		Holder: f.intent.holder, Deadline: f.intent.expires,
+	}}
+}
+
 // intended reads the result of an intent.
 func (r *Router) intended(f *flight, s *state.Result) (result, bool) {
 	switch s.Code {
 	case state.OK:
-		f.intent.committed = true
+		f.intent.committed, f.intent.attempt = true, s.Attempt
 		return result{}, true
 	case state.Mismatch:
 		return result{fail: web.Refuse(api.Mismatch, "%s %q came with another request before", api.IdempotencyHeader, f.request.Identity)}, false
@@ -101,11 +107,6 @@
 		if s.Known == nil {
 			break
 		}
-		if s.Known.Settle == nil && s.Known.Intent.Holder == f.intent.holder {
-			// An earlier copy of the command, sent before a change of leaders.
-			f.intent.committed = true
-			return result{}, true
-		}
 		return r.recorded(s.Known), false
 	case state.Denied:
 		return result{fail: web.Refuse(api.Forbidden, "%s", s.Message)}, false
@@ -146,6 +147,7 @@
 	f.intent.settled = true
 	s := &state.Settle{
 		Team: f.team, Entry: f.entry, Identity: f.request.Identity, Holder: f.intent.holder, Ran: ran,
+		Attempt: f.intent.attempt,
 	}
 	if answer != nil {
 		s.Status = answer.Status
@@ -153,7 +155,8 @@
 			s.Header, s.Body = answer.Header, answer.Body
 		}
 	}
-	r.settling.Go(func() { r.record(s, f.intent.doubtful) })
+	intent := f.command()
+	r.settling.Go(func() { r.record(s, intent) })
 }
 
 // keepable reports whether an answer is small enough to be recorded.
@@ -165,25 +168,37 @@
 	return len(a.Body) <= KeptBody && n <= KeptHeader
 }
 
-// record proposes a settlement until it is applied. A doubtful intent may turn
-// up later than its settlement, which is therefore repeated a few times.
-func (r *Router) record(s *state.Settle, doubtful bool) {
+// record proposes a settlement until it is applied.
+func (r *Router) record(s *state.Settle, intent state.Command) {
 	end := r.options.Now().Add(settleTime)
-	missing := 0
 	var last error
 	for pause := settlePause; r.options.Now().Before(end); pause = min(2*pause, settlePauseMaximum) {
 		ctx, cancel := context.WithDeadline(context.Background(), end)
-		answer, err := r.options.Leader.Propose(ctx, state.Command{Settle: s})
+		last = r.propose(ctx, s, intent)
 		cancel()
-		last = err
-		if err == nil {
-			missing++
-			if answer.Code == state.OK || !doubtful || missing >= settleAgain {
-				return
-			}
+		if last == nil {
+			return
 		}
 		time.Sleep(pause)
 	}
 	r.options.Log.Emit(event.RequestUnsettled, zap.String("entry", s.Entry), zap.String("team", s.Team),
 		zap.String("holder", s.Holder), zap.Error(last))
 }
+
+// propose settles an intent. Without the attempt a settlement would not let a
+// resend run; an intent whose commit is uncertain is therefore proposed again,
+// which returns the attempt if it is recorded and records it if not.
+func (r *Router) propose(ctx context.Context, s *state.Settle, intent state.Command) error {
+	if s.Attempt == 0 {
+		answer, err := r.options.Leader.Propose(ctx, intent)
+		if err != nil {
+			return err
+		}
+		if answer.Code != state.OK {
+			return nil // another request holds the identity: there is nothing to settle
+		}
+		s.Attempt = answer.Attempt
+	}
+	_, err := r.options.Leader.Propose(ctx, state.Command{Settle: s})
+	return err
+}
--- /dev/null
+++ b/internal/request/worker/worker.go
@@ -0,0 +1,293 @@
+// Package worker is the HTTP adapter for workers: it holds their polls until
+// the leader has answered them.
+//
+// # Usage
+//
+//	adapter := worker.New(worker.Options{Directory: link})
+//	link, err := control.New(control.Options{Workers: adapter, ...})
+//	adapter.Start(link, link) // the directory, and what is kicked for each poll
+//	server := fasthttp.Server{Handler: adapter.Handler}
+//
+// Handler serves the paths below /v1/workers/{name}/ that workers use. A poll
+// goes to the leader with the next renewal and is answered when a grant brings
+// orders or acknowledges it, at most HoldTime later.
+package worker
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/control"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/request/web"
+	"github.com/rosemaryloft/rosemaryloft/internal/shard"
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+	"github.com/rosemaryloft/rosemaryloft/pkg/api"
+)
+
+const (
+	// HoldTime is how long a poll waits for the leader.
+	HoldTime = 2 * time.Second
+	// LeaseTime is a worker's lease, from when it sent the poll.
+	LeaseTime = 15 * time.Second
+
+	defaultPolls  = 16384
+	maximumRuns   = 4096 // tasks in one poll
+	bodyBytes     = 1 << 20
+	maximumMillis = int64(LeaseTime / time.Millisecond)
+)
+
+// Kicker asks for a renewal. *control.Link implements it.
+type Kicker interface{ Kick() }
+
+// Options configures an Adapter.
+type Options struct {
+	Polls int64 // most polls held at once; zero means 16,384
+	Now   func() time.Time
+	Log   event.Log
+}
+
+// Adapter serves workers. It implements control.Workers.
+type Adapter struct {
+	options   Options
+	directory control.Directory
+	kicker    Kicker
+	polls     *shard.Map[string, *poll] // waiting, by worker
+	held      atomic.Int64
+}
+
+// poll is a poll that waits for the leader.
+type poll struct {
+	report control.WorkerReport
+	once   sync.Once
+	done   chan struct{}
+	answer *control.WorkerOrders // nil if a later poll of the worker came
+}
+
+func (p *poll) finish(answer *control.WorkerOrders) {
+	p.once.Do(func() {
+		p.answer = answer
+		close(p.done)
+	})
+}
+
+// New returns an Adapter. Start must be called before Handler.
+func New(options Options) *Adapter {
+	if options.Polls == 0 {
+		options.Polls = defaultPolls
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &Adapter{options: options, polls: shard.New[string, *poll]()}
+}
+
+// Start sets what the adapter needs of the link, which in turn needs the adapter.
+func (a *Adapter) Start(directory control.Directory, kicker Kicker) {
+	a.directory, a.kicker = directory, kicker
+}
+
+// Handler serves one request of a worker.
+func (a *Adapter) Handler(ctx *fasthttp.RequestCtx) {
+	key, fail := web.Authorize(ctx, a.directory, work.WorkerRole)
+	if fail != nil {
+		web.Fail(ctx, fail)
+		return
+	}
+	s := web.Segments(ctx.Path())
+	if len(s) != 4 || s[0] != "v1" || s[1] != "workers" || s[3] != "poll" && s[3] != "leave" || !ctx.IsPost() {
+		web.Fail(ctx, web.Refuse(api.UnknownRoute, "%s is not possible on %s", ctx.Method(), ctx.Path()))
+		return
+	}
+	report, fail := read(s[2], key, ctx.PostBody())
+	if fail != nil {
+		web.Fail(ctx, fail)
+		return
+	}
+	report.Leaving = s[3] == "leave"
+	defer a.held.Add(-1)
+	if a.held.Add(1) > a.options.Polls {
+		web.Fail(ctx, web.RefuseUntil(a.options.Now().Add(HoldTime), api.Overloaded, "as many polls are held as this entry VM takes"))
+		return
+	}
+	a.hold(ctx, report)
+}
+
+// read reads and checks the body of a poll.
+func read(name string, key work.Key, body []byte) (control.WorkerReport, *api.Error) {
+	var b api.Poll
+	var none control.WorkerReport
+	if fail := web.Name(name); fail != nil {
+		return none, fail
+	}
+	if len(body) > bodyBytes {
+		return none, web.Refuse(api.TooLarge, "the body has more than %d bytes", bodyBytes)
+	}
+	if fail := web.Decode(body, &b); fail != nil {
+		return none, fail
+	}
+	capacity := resources(b.Capacity)
+	switch {
+	case b.Boot == 0:
+		return none, web.Refuse(api.Malformed, "field \"boot\" must be a random number other than 0")
+	case b.Sequence == 0:
+		return none, web.Refuse(api.Malformed, "field \"sequence\" must start at 1")
+	case b.Zone == "" || b.Rack == "":
+		return none, web.Refuse(api.Malformed, "fields \"zone\" and \"rack\" are needed")
+	case !capacity.Valid():
+		return none, web.Refuse(api.Malformed, "field \"capacity\" must be positive")
+	case len(b.Running) > maximumRuns || len(b.Ended) > maximumRuns:
+		return none, web.Refuse(api.Malformed, "a poll may list %d tasks", maximumRuns)
+	}
+	r := control.WorkerReport{
+		Worker: work.Worker{
+			Name: name, Address: b.Address, Zone: b.Zone, Rack: b.Rack, Team: key.Team, Boot: b.Boot,
+			Capacity: capacity, Accelerator: b.Accelerator,
+		},
+		Sequence: b.Sequence,
+	}
+	return r, fill(&r, &b)
+}
+
+// fill adds the tasks of a poll.
+func fill(r *control.WorkerReport, b *api.Poll) *api.Error {
+	for _, t := range b.Running {
+		if t.Used.CPU < 0 || t.Used.Memory < 0 || t.Used.Accelerators < 0 {
+			return web.Refuse(api.Malformed, "field \"used\" must not be negative")
+		}
+		r.Running = append(r.Running, work.Usage{
+			Task: work.TaskID{Job: work.JobID(t.Job), Index: t.Index}, Token: work.Token(t.Token),
+			Used: resources(t.Used), At: t.At,
+		})
+	}
+	for _, t := range b.Ended {
+		o := work.Outcome(t.Outcome)
+		switch o {
+		case work.OutcomeSucceeded, work.OutcomeFailed, work.OutcomeOversized, work.OutcomeCheckpointed, work.OutcomeStopped:
+		default:
+			return web.Refuse(api.Malformed, "%q is not an outcome that a worker reports", t.Outcome)
+		}
+		r.Ended = append(r.Ended, work.End{
+			Task: work.TaskID{Job: work.JobID(t.Job), Index: t.Index}, Token: work.Token(t.Token), Outcome: o,
+		})
+	}
+	return nil
+}
+
+// hold waits until the leader has answered the poll.
+func (a *Adapter) hold(ctx *fasthttp.RequestCtx, report control.WorkerReport) {
+	p := &poll{report: report, done: make(chan struct{})}
+	if !a.enter(p) {
+		web.Fail(ctx, web.Refuse(api.Conflict, "a later poll of the worker is being held"))
+		return
+	}
+	defer a.leave(p)
+	a.kicker.Kick()
+	timer := time.NewTimer(HoldTime)
+	defer timer.Stop()
+	select {
+	case <-p.done:
+	case <-timer.C:
+		p.finish(nil)
+	}
+	if p.answer == nil {
+		fail := web.Unknown(api.NoLeader, "the leader did not answer the poll, or a later one came")
+		fail.Retry = a.options.Now()
+		web.Fail(ctx, fail)
+		return
+	}
+	id := event.RequestPoll
+	if report.Leaving {
+		id = event.RequestDeparted
+	}
+	a.options.Log.Emit(id, zap.String("worker", report.Worker.Name), zap.Uint64("sequence", report.Sequence),
+		zap.Int("starts", len(p.answer.Starts)), zap.Int("stops", len(p.answer.Stops)))
+	web.JSON(ctx, fasthttp.StatusOK, orders(&p.report, p.answer))
+}
+
+// enter makes p the worker's waiting poll, unless a later one of the same boot
+// is waiting.
+func (a *Adapter) enter(p *poll) bool {
+	entered := true
+	a.polls.With(p.report.Worker.Name, func(m map[string]*poll) {
+		if old := m[p.report.Worker.Name]; old != nil {
+			if old.report.Worker.Boot == p.report.Worker.Boot && old.report.Sequence >= p.report.Sequence {
+				entered = false
+				return
+			}
+			old.finish(nil)
+		}
+		m[p.report.Worker.Name] = p
+	})
+	return entered
+}
+
+func (a *Adapter) leave(p *poll) {
+	a.polls.With(p.report.Worker.Name, func(m map[string]*poll) {
+		if m[p.report.Worker.Name] == p {
+			delete(m, p.report.Worker.Name)
+		}
+	})
+}
+
+// Reports appends the waiting polls.
+func (a *Adapter) Reports(into []control.WorkerReport) []control.WorkerReport {
+	a.polls.Range(func(_ string, p *poll) bool {
+		into = append(into, p.report)
+		return true
+	})
+	return into
+}
+
+// Deliver answers the polls that the orders are for. Orders without an
+// acknowledgement of the waiting poll are delivered, but renew no lease.
+func (a *Adapter) Deliver(list []control.WorkerOrders) {
+	for i := range list {
+		o := &list[i]
+		p, ok := a.polls.Get(o.Worker)
+		if !ok || p.report.Worker.Boot != o.Boot {
+			continue
+		}
+		if o.Acknowledged >= p.report.Sequence || len(o.Starts)+len(o.Stops)+len(o.Throttles)+len(o.Ended) > 0 {
+			p.finish(o)
+		}
+	}
+}
+
+// orders returns the JSON form of the answer to a poll.
+func orders(r *control.WorkerReport, o *control.WorkerOrders) api.Orders {
+	a := api.Orders{Sequence: r.Sequence}
+	if o.Acknowledged >= r.Sequence {
+		a.Lease = maximumMillis
+	}
+	for _, s := range o.Starts {
+		a.Starts = append(a.Starts, api.Start{
+			Job: uint64(s.Task.Job), Index: s.Task.Index, Token: uint64(s.Token), Entry: s.Entry, Team: s.Team,
+			Size: size(s.Size), Resume: s.Resume, Command: string(s.Command),
+		})
+	}
+	for _, s := range o.Stops {
+		a.Stops = append(a.Stops, api.Stop{Job: uint64(s.Task.Job), Index: s.Task.Index, Token: uint64(s.Token), Mode: string(s.Mode)})
+	}
+	for _, t := range o.Throttles {
+		a.Throttle = append(a.Throttle, api.Running{Job: uint64(t.Task.Job), Index: t.Task.Index, Token: uint64(t.Token), Used: size(t.Size)})
+	}
+	for _, e := range o.Ended {
+		a.Ended = append(a.Ended, api.Ended{Job: uint64(e.Task.Job), Index: e.Task.Index, Token: uint64(e.Token), Outcome: string(e.Outcome)})
+	}
+	return a
+}
+
+func resources(s api.Size) work.Resources {
+	return work.Resources{Processors: s.CPU, Memory: s.Memory, Accelerators: s.Accelerators}
+}
+
+func size(r work.Resources) api.Size {
+	return api.Size{CPU: r.Processors, Memory: r.Memory, Accelerators: r.Accelerators}
+}
+
+var _ control.Workers = (*Adapter)(nil)
