--- /dev/null
+++ b/internal/standin/worker.go
@@ -0,0 +1,309 @@
+package standin
+
+import (
+	"cmp"
+	"context"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/rosemaryloft/rosemaryloft/pkg/api"
+)
+
+const (
+	pollInterval = time.Second
+	pollRetry    = 200 * time.Millisecond
+	// failTime is how long a task that fails runs.
+	failTime = 10 * time.Millisecond
+)
+
+// WorkerOptions configures a Worker.
+type WorkerOptions struct {
+	Name        string
+	Zone        string
+	Rack        string
+	Key         string   // secret of a worker key
+	Entries     []string // host:port of entry VMs
+	Capacity    api.Size
+	Accelerator string
+	Interval    time.Duration // between two polls; zero means 1 s
+	Lag         time.Duration // age of the usage that is reported
+	Client      *Client       // shared by several workers; by default its own
+	Dial        fasthttp.DialFunc
+}
+
+// Worker is a stand-in for a worker VM. It runs tasks as timers by their
+// command:
+//
+//	sleep 2s         ends after 2 s
+//	fail [2s]        fails after 2 s, by default at once
+//	need 1073741824 2s   is oversized if it has reserved fewer bytes, else ends after 2 s
+//	(empty)          runs until it is stopped
+//
+// Any other command fails.
+type Worker struct {
+	options WorkerOptions
+	client  *Client
+	boot    uint64
+
+	mu       sync.Mutex
+	sequence uint64
+	lease    time.Time
+	expiry   *time.Timer
+	tasks    map[taskID]*run
+	tokens   map[taskID]uint64 // greatest token of a start, by task
+	ended    map[taskID]api.Ended
+	stats    Stats
+}
+
+// Stats counts what a Worker did.
+type Stats struct {
+	Starts  int
+	Stale   int // starts ignored because of their token
+	Expired int // tasks stopped because the lease ended
+	Peak    int // most tasks at once
+}
+
+type taskID struct {
+	job   uint64
+	index uint32
+}
+
+// run is a task that runs.
+type run struct {
+	start api.Start
+	limit api.Size
+	timer *time.Timer
+}
+
+// NewWorker returns a Worker. Run makes it poll.
+func NewWorker(options WorkerOptions) *Worker {
+	if options.Interval == 0 {
+		options.Interval = pollInterval
+	}
+	if options.Client == nil {
+		options.Client = NewClient(options.Entries, options.Key, options.Dial)
+	}
+	return &Worker{
+		options: options, client: options.Client, boot: boot(),
+		tasks: make(map[taskID]*run), tokens: make(map[taskID]uint64), ended: make(map[taskID]api.Ended),
+	}
+}
+
+// Run polls until ctx ends, then stops the tasks and leaves.
+func (w *Worker) Run(ctx context.Context) error {
+	// Workers that start together do not poll together.
+	wait(ctx, rand.N(w.options.Interval))
+	for ctx.Err() == nil {
+		pause := w.options.Interval
+		if err := w.poll("poll"); err != nil {
+			pause = pollRetry
+		}
+		wait(ctx, pause)
+	}
+	w.stopAll("stopped")
+	return w.poll("leave")
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// poll sends one poll and carries out the orders.
+func (w *Worker) poll(kind string) error {
+	sent := time.Now()
+	body := w.report(sent)
+	var orders api.Orders
+	if err := w.client.Post("/v1/workers/"+w.options.Name+"/"+kind, body, &orders, postTimeout); err != nil {
+		return err
+	}
+	w.obey(&orders, sent)
+	return nil
+}
+
+// report returns the next poll.
+func (w *Worker) report(now time.Time) api.Poll {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sequence++
+	p := api.Poll{
+		Boot: w.boot, Sequence: w.sequence, Zone: w.options.Zone, Rack: w.options.Rack,
+		Capacity: w.options.Capacity, Accelerator: w.options.Accelerator,
+		Running: []api.Running{}, Ended: []api.Ended{},
+	}
+	for id, r := range w.tasks {
+		p.Running = append(p.Running, api.Running{
+			Job: id.job, Index: id.index, Token: r.start.Token, Used: r.limit, At: now.Add(-w.options.Lag),
+		})
+	}
+	for _, e := range w.ended {
+		p.Ended = append(p.Ended, e)
+	}
+	slices.SortFunc(p.Ended, func(a, b api.Ended) int { return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index)) })
+	return p
+}
+
+// obey carries out the answer to the latest poll. Any other answer is dropped.
+func (w *Worker) obey(o *api.Orders, sent time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if o.Sequence != w.sequence {
+		return
+	}
+	if o.Lease > 0 {
+		w.renew(sent.Add(time.Duration(o.Lease) * time.Millisecond))
+	}
+	for _, e := range o.Ended {
+		id := taskID{e.Job, e.Index}
+		if known, ok := w.ended[id]; ok && known.Token == e.Token {
+			delete(w.ended, id)
+		}
+	}
+	for _, s := range o.Stops {
+		outcome := "stopped"
+		if s.Mode == "checkpoint" {
+			outcome = "checkpointed"
+		}
+		w.end(taskID{s.Job, s.Index}, s.Token, outcome)
+	}
+	for _, t := range o.Throttle {
+		if r := w.tasks[taskID{t.Job, t.Index}]; r != nil && r.start.Token == t.Token {
+			r.limit = t.Used
+		}
+	}
+	for _, s := range o.Starts {
+		w.start(s)
+	}
+}
+
+// renew sets the end of the lease, at which every task is stopped.
+func (w *Worker) renew(lease time.Time) {
+	if !lease.After(w.lease) {
+		return
+	}
+	w.lease = lease
+	if w.expiry != nil {
+		w.expiry.Stop()
+	}
+	w.expiry = time.AfterFunc(time.Until(lease), w.expire)
+}
+
+// expire stops every task if the lease has ended.
+func (w *Worker) expire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Now().Before(w.lease) {
+		return
+	}
+	w.stats.Expired += len(w.tasks)
+	for id, r := range w.tasks {
+		w.end(id, r.start.Token, "stopped")
+	}
+}
+
+func (w *Worker) stopAll(outcome string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.expiry != nil {
+		w.expiry.Stop()
+	}
+	for id, r := range w.tasks {
+		w.end(id, r.start.Token, outcome)
+	}
+}
+
+// start begins a task, unless the start is older than one already seen or the
+// lease has ended.
+func (w *Worker) start(s api.Start) {
+	id := taskID{s.Job, s.Index}
+	if s.Token <= w.tokens[id] {
+		w.stats.Stale++
+		return
+	}
+	if !time.Now().Before(w.lease) {
+		return
+	}
+	w.tokens[id] = s.Token
+	if old := w.tasks[id]; old != nil {
+		w.end(id, old.start.Token, "stopped")
+	}
+	delete(w.ended, id) // of an earlier start, which the leader knows to be over
+	w.stats.Starts++
+	r := &run{start: s, limit: s.Size}
+	w.tasks[id] = r
+	w.stats.Peak = max(w.stats.Peak, len(w.tasks))
+	if after, outcome, ends := plan(s); ends {
+		r.timer = time.AfterFunc(after, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if !time.Now().Before(w.lease) {
+				outcome = "stopped" // the process was paused past its lease
+			}
+			w.end(id, s.Token, outcome)
+		})
+	}
+}
+
+// end ends a run under its token and reports it with the next polls.
+func (w *Worker) end(id taskID, token uint64, outcome string) {
+	r := w.tasks[id]
+	if r == nil || r.start.Token != token {
+		return
+	}
+	if r.timer != nil {
+		r.timer.Stop()
+	}
+	delete(w.tasks, id)
+	w.ended[id] = api.Ended{Job: id.job, Index: id.index, Token: token, Outcome: outcome}
+}
+
+// plan returns after what time a task ends and how. Without an end it runs
+// until it is stopped.
+func plan(s api.Start) (after time.Duration, outcome string, ends bool) {
+	words := strings.Fields(s.Command)
+	if len(words) == 0 {
+		return 0, "", false
+	}
+	switch {
+	case words[0] == "sleep" && len(words) == 2:
+		if d, err := time.ParseDuration(words[1]); err == nil {
+			return d, "succeeded", true
+		}
+	case words[0] == "fail" && len(words) == 2:
+		if d, err := time.ParseDuration(words[1]); err == nil {
+			return d, "failed", true
+		}
+	case words[0] == "need" && len(words) == 3:
+		need, err := strconv.ParseInt(words[1], 10, 64)
+		d, wrong := time.ParseDuration(words[2])
+		if err == nil && wrong == nil {
+			if need > s.Size.Memory {
+				return failTime, "oversized", true
+			}
+			return d, "succeeded", true
+		}
+	}
+	return failTime, "failed", true
+}
+
+// Running returns the number of tasks that run.
+func (w *Worker) Running() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.tasks)
+}
+
+// Stats returns what the worker did.
+func (w *Worker) Stats() Stats {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stats
+}
