--- a/internal/process/certificate/certificate.go
+++ b/internal/process/certificate/certificate.go
@@ -303,3 +303,23 @@
 	}
 	return list, nil
 }
+
+// Ensure returns files that the process called name can use, for a process
+// that has no peers: it makes the authority in folder unless there is one, and
+// the certificate unless the present one is still good for a month.
+func Ensure(folder, name string, now time.Time) (Files, error) {
+	files := In(folder, name)
+	a, err := Open(folder)
+	if errors.Is(err, fs.ErrNotExist) {
+		if a, err = Create(now); err == nil {
+			err = a.Write(folder)
+		}
+	}
+	if err != nil {
+		return files, err
+	}
+	if Check(files, name, now.AddDate(0, 1, 0)) == nil && Check(files, name, now) == nil {
+		return files, nil
+	}
+	return files, a.Issue(folder, name, now)
+}
--- a/internal/process/certificate/store.go
+++ b/internal/process/certificate/store.go
@@ -58,7 +58,11 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
-	b, digest, err := read(options.Files, options.Name, options.Now())
+	content, digest, err := read(options.Files)
+	if err != nil {
+		return nil, err
+	}
+	b, err := parse(options.Files, content, options.Name, options.Now())
 	if err != nil {
 		return nil, err
 	}
@@ -71,7 +75,10 @@
 // error names the file and matches one of the package's errors, or is that of
 // reading the file.
 func Check(files Files, name string, now time.Time) error {
-	_, _, err := read(files, name, now)
+	content, _, err := read(files)
+	if err == nil {
+		_, err = parse(files, content, name, now)
+	}
 	return err
 }
 
@@ -96,20 +103,9 @@
 // check takes over changed files. A change of several files that is seen half
 // done does not match and is tried again at the next check.
 func (s *Store) check(now time.Time) {
-	b, digest, err := read(s.options.Files, s.options.Name, now)
-	switch {
-	case digest == s.digest:
-		// Also when the current certificate has expired meanwhile: there is
-		// nothing better to use, and the expiry was announced.
-	case err != nil:
-		if digest != s.rejected {
-			s.rejected = digest
-			s.options.Log.Emit(event.CertificateRejected, zap.Error(err))
-		}
-	default:
-		s.digest, s.warn = digest, time.Time{}
-		s.bundle.Store(b)
-		s.options.Log.Emit(event.CertificateReloaded, zap.Time("expires", b.Expires))
+	content, digest, err := read(s.options.Files)
+	if digest != s.digest {
+		s.replace(content, digest, err, now)
 	}
 	if end := s.Current().Expires; now.After(end.Add(-warnBefore)) && !now.Before(s.warn) {
 		s.warn = now.Add(warnInterval)
@@ -117,12 +113,24 @@
 	}
 }
 
-// read returns the bundle of the files, and a digest of them and of any
-// failure to read them.
-func read(files Files, name string, now time.Time) (*Bundle, [sha256.Size]byte, error) {
+func (s *Store) replace(content [3][]byte, digest [sha256.Size]byte, err error, now time.Time) {
+	var b *Bundle
+	if err == nil {
+		b, err = parse(s.options.Files, content, s.options.Name, now)
+	}
+	if err == nil {
+		s.digest, s.warn = digest, time.Time{}
+		s.bundle.Store(b)
+		s.options.Log.Emit(event.CertificateReloaded, zap.Time("expires", b.Expires))
+	} else if digest != s.rejected {
+		s.rejected = digest
+		s.options.Log.Emit(event.CertificateRejected, zap.Error(err))
+	}
+}
+
+// read returns the files, and a digest of them and of any failure to read them.
+func read(files Files) (content [3][]byte, digest [sha256.Size]byte, failed error) {
 	h := sha256.New()
-	var content [3][]byte
-	var failed error
 	for i, path := range []string{files.Authority, files.Certificate, files.Key} {
 		b, err := os.ReadFile(path)
 		if err != nil {
@@ -133,12 +141,7 @@
 		h.Write(d[:])
 		content[i] = b
 	}
-	digest := [sha256.Size]byte(h.Sum(nil))
-	if failed != nil {
-		return nil, digest, failed
-	}
-	b, err := parse(files, content, name, now)
-	return b, digest, err
+	return content, [sha256.Size]byte(h.Sum(nil)), failed
 }
 
 func parse(files Files, content [3][]byte, name string, now time.Time) (*Bundle, error) {
