--- /dev/null
+++ b/internal/process/leader/cluster_test.go
@@ -0,0 +1,334 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/control"
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/raft"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/state"
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+)
+
+const testLease = 750 * time.Millisecond
+
+// cluster is a control group whose log, elections and partitions the test
+// decides on. It runs in virtual time.
+type cluster struct {
+	t        *testing.T
+	mu       sync.Mutex
+	index    uint64
+	term     uint64
+	replicas []*replica
+	stuck    bool // commands are neither committed nor refused
+	stop     func()
+	done     sync.WaitGroup
+}
+
+// replica is a raft.Log of one replica, with its state and leader.
+type replica struct {
+	c       *cluster
+	name    string
+	state   *state.State
+	leader  *Leader
+	methods map[string]peer.Handler
+	pause   time.Duration // the next reading of the clock is followed by a pause
+
+	// What the replica believes, guarded by the cluster's lock.
+	believed string
+	term     uint64
+	cut      time.Time // when it lost the others; zero if it has not
+	changed  chan struct{}
+}
+
+func newCluster(t *testing.T, n int) *cluster {
+	ctx, cancel := context.WithCancel(t.Context())
+	c := &cluster{t: t, stop: cancel}
+	for i := range n {
+		r := &replica{c: c, name: fmt.Sprint("control-", i), state: state.New(), methods: map[string]peer.Handler{}, changed: make(chan struct{})}
+		l, err := New(Options{Name: r.name, State: r.state, Log: r, Now: r.now, Scheduler: func() Scheduler { return newFirstFit() }})
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.leader = l
+		l.Register(r)
+		c.replicas = append(c.replicas, r)
+		c.done.Go(func() { _ = l.Run(ctx) })
+	}
+	c.elect(0)
+	return c
+}
+
+func (c *cluster) close() {
+	c.stop()
+	c.done.Wait()
+}
+
+// elect makes a replica the leader of a new term. Replicas that are cut off do
+// not learn of it.
+func (c *cluster) elect(i int) {
+	c.mu.Lock()
+	c.term++
+	c.replicas[i].cut = time.Time{}
+	for _, r := range c.replicas {
+		if r.cut.IsZero() {
+			r.learn(c.replicas[i].name, c.term)
+		}
+	}
+	c.mu.Unlock()
+	time.Sleep(time.Millisecond)
+}
+
+func (r *replica) learn(leader string, term uint64) {
+	r.believed, r.term = leader, term
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// part cuts a replica off, and elects another one once its lease is over.
+func (c *cluster) part(from, to int) {
+	c.mu.Lock()
+	c.replicas[from].cut = time.Now()
+	c.mu.Unlock()
+	time.Sleep(testLease + time.Millisecond)
+	c.elect(to)
+}
+
+// heal connects a replica again.
+func (c *cluster) heal(i int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.replicas[i]
+	if r.cut.IsZero() {
+		return
+	}
+	r.cut = time.Time{}
+	for _, o := range c.replicas {
+		if o.believed == o.name && o.term == c.term {
+			r.learn(o.name, c.term)
+		}
+	}
+}
+
+// now reads the clock. A pause after it stands for a process that was stopped
+// between reading the clock and acting on it.
+func (r *replica) now() time.Time {
+	now := time.Now()
+	r.c.mu.Lock()
+	pause := r.pause
+	r.pause = 0
+	r.c.mu.Unlock()
+	if pause > 0 {
+		time.Sleep(pause)
+	}
+	return now
+}
+
+func (r *replica) Handle(method string, h peer.Handler) { r.methods[method] = h }
+
+func (r *replica) Propose(ctx context.Context, command []byte) (any, error) {
+	time.Sleep(time.Millisecond)
+	_, term := r.Leader()
+	for first := true; ; first = false {
+		r.c.mu.Lock()
+		if r.believed != r.name || r.term != term {
+			r.c.mu.Unlock()
+			if first {
+				return nil, raft.ErrNotLeader
+			}
+			return nil, raft.ErrUnknown
+		}
+		if r.cut.IsZero() && !r.c.stuck {
+			defer r.c.mu.Unlock()
+			return r.c.apply(r, command), nil
+		}
+		changed := r.changed
+		r.c.mu.Unlock()
+		select {
+		case <-changed:
+			return nil, raft.ErrUnknown
+		case <-ctx.Done():
+			return nil, raft.ErrUnknown
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+}
+
+func (c *cluster) apply(by *replica, command []byte) (result any) {
+	c.index++
+	for _, r := range c.replicas {
+		if v := r.state.Apply(c.index, command); r == by {
+			result = v
+		}
+	}
+	return result
+}
+
+// do commits a command regardless of who leads.
+func (c *cluster) do(command state.Command) state.Result {
+	command.Time = time.Now()
+	b, err := state.Encode(command)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.apply(c.replicas[0], b).(state.Result)
+	if r.Code != state.OK {
+		c.t.Fatalf("%+v: %+v", command, r)
+	}
+	return r
+}
+
+func (r *replica) Leader() (string, uint64) {
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	return r.believed, r.term
+}
+
+func (r *replica) Lease() time.Time {
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	switch {
+	case r.believed != r.name:
+		return time.Time{}
+	case !r.cut.IsZero():
+		return r.cut.Add(testLease)
+	}
+	return time.Now().Add(testLease)
+}
+
+func (r *replica) Changed() <-chan struct{} {
+	r.c.mu.Lock()
+	defer r.c.mu.Unlock()
+	return r.changed
+}
+
+// call calls a method of a replica. The request and the answer may be late; a
+// caller that has given up does not see the answer.
+func call[A any](ctx context.Context, r *replica, method, from string, request any, late, answerLate time.Duration) (*A, error) {
+	type reply struct {
+		value any
+		err   error
+	}
+	out := make(chan reply, 1)
+	r.c.done.Go(func() {
+		time.Sleep(late)
+		v, err := r.methods[method](context.WithoutCancel(ctx), from, func(into any) error {
+			switch d := into.(type) {
+			case *control.Renewal:
+				*d = request.(control.Renewal)
+			case *control.Proposal:
+				*d = request.(control.Proposal)
+			case *control.Query:
+				*d = request.(control.Query)
+			}
+			return nil
+		})
+		time.Sleep(answerLate)
+		out <- reply{v, err}
+	})
+	select {
+	case a := <-out:
+		if a.err != nil {
+			return nil, a.err
+		}
+		if v, ok := a.value.(A); ok {
+			return &v, nil
+		}
+		return a.value.(*A), nil
+	case <-time.After(500 * time.Millisecond):
+		return nil, peer.ErrUnknown
+	}
+}
+
+// firstFit is a scheduler that starts queued tasks on the first worker with
+// room, gangs as a whole.
+type firstFit struct {
+	workers map[string]*work.Worker
+	free    map[string]work.Resources
+	jobs    map[work.JobID]*work.Job
+	queued  map[work.JobID]map[uint32]bool
+}
+
+func newFirstFit() *firstFit {
+	return &firstFit{
+		workers: map[string]*work.Worker{}, free: map[string]work.Resources{},
+		jobs: map[work.JobID]*work.Job{}, queued: map[work.JobID]map[uint32]bool{},
+	}
+}
+
+func (f *firstFit) Observe(e work.Event) {
+	switch e := e.(type) {
+	case work.WorkerEvent:
+		w := *e.Worker
+		if f.workers[w.Name] == nil {
+			f.free[w.Name] = w.Capacity
+		}
+		f.workers[w.Name] = &w
+	case work.SubmitEvent:
+		j := *e.Job
+		f.jobs[j.ID], f.queued[j.ID] = &j, map[uint32]bool{}
+		for i := range j.Tasks {
+			f.queued[j.ID][uint32(i)] = true
+		}
+	case work.StartEvent:
+		delete(f.queued[e.Job.ID], e.Task.ID.Index)
+		f.free[e.Task.Worker] = f.free[e.Task.Worker].Sub(e.Task.Reserved)
+	case work.EndEvent:
+		f.free[e.Worker] = f.free[e.Worker].Add(e.Reserved)
+		if e.Requeued {
+			f.queued[e.Job.ID][e.Task.ID.Index] = true
+		}
+	case work.FinishEvent:
+		delete(f.jobs, e.Job.ID)
+	}
+}
+
+func (f *firstFit) Decide(time.Time, int) []work.Decision {
+	var out []work.Decision
+	free := map[string]work.Resources{}
+	var names []string
+	for n, r := range f.free {
+		free[n] = r
+		names = append(names, n)
+	}
+	slices.Sort(names)
+	for id, j := range f.jobs {
+		var starts []work.Start
+		for i := range f.queued[id] {
+			for _, n := range names {
+				if w := f.workers[n]; w != nil && !w.Gone && !w.Drained && j.Size.Fits(free[n]) {
+					free[n] = free[n].Sub(j.Size)
+					starts = append(starts, work.Start{Task: work.TaskID{Job: id, Index: i}, Worker: n, Boot: w.Boot, Reserved: j.Size})
+					break
+				}
+			}
+		}
+		if len(starts) > 0 && (j.Class != work.Gang || len(starts) == len(j.Tasks)) {
+			out = append(out, work.Decision{Starts: starts, Atomic: j.Class == work.Gang, Reason: "first fit"})
+		}
+	}
+	return out
+}
+
+func (f *firstFit) Rejected(work.Decision, string)         {}
+func (f *firstFit) Report(string, []work.Usage, time.Time) {}
+func (f *firstFit) Throttles(string) []control.Throttle    { return nil }
+func (f *firstFit) Aside(string) bool                      { return false }
+func (f *firstFit) Explain(work.JobID, time.Time) string   { return "waits" }
+
+func size(n int64) work.Resources { return work.Resources{Processors: n} }
+
+func source(seed uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 1)) }
+
+// millis returns a random time of up to n milliseconds.
+func millis(r *rand.Rand, n int) time.Duration {
+	return time.Duration(r.IntN(n+1)) * time.Millisecond
+}
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -49,6 +49,9 @@
 	CodeInvalid = "invalid" // the message cannot be decoded
 )
 
+// beginPause is the pause after a term could not begin.
+const beginPause = 20 * time.Millisecond
+
 // Scheduler decides where tasks run. Its methods are called one at a time.
 type Scheduler interface {
 	// Observe takes in a change of the replicated state.
@@ -103,6 +106,7 @@
 	guardUnheard                    // allotments of entry VMs not heard of are kept back
 	guardRelease                    // a runner is released before it gets another owner
 	guardOrder                      // renewals in the order of their sequences
+	guardFence                      // commands of a former term are refused
 )
 
 func (l *Leader) on(g guard) bool { return l.off&g == 0 }
@@ -165,7 +169,12 @@
 func (l *Leader) lead(ctx context.Context, number uint64) error {
 	group, ctx := errgroup.WithContext(ctx)
 	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	t := newTerm(l, number)
+	if err := t.begin(ctx); err != nil {
+		t.idle(ctx, beginPause)
+		return nil // Run tries again if the replica still leads
+	}
 	t.follow()
 	t.adopt()
 	defer func() { t.unfollow() }()
--- a/internal/process/leader/propose.go
+++ b/internal/process/leader/propose.go
@@ -20,13 +20,14 @@
 		return nil, l.notLeader()
 	}
 	c := p.Command
+	c.Term = 0
 	if !foreign(&c) {
 		return state.Result{Code: state.Invalid, Message: "only the leader issues this command"}, nil
 	}
 	if r, known := t.state().Preview(c); known {
 		return t.answer(control.MethodPropose, r)
 	}
-	r, err := t.propose(ctx, c)
+	r, err := t.pass(ctx, c)
 	switch {
 	case err == nil:
 		return r, nil
--- a/internal/process/leader/query.go
+++ b/internal/process/leader/query.go
@@ -158,9 +158,10 @@
 		}
 		return text + ", at " + j.Ended.Format(time.RFC3339), true
 	}
+	now := t.now()
 	t.scheduling.Lock()
 	defer t.scheduling.Unlock()
-	return strings.TrimSpace(t.scheduler.Explain(j.ID, t.now())), true
+	return strings.TrimSpace(t.scheduler.Explain(j.ID, now)), true
 }
 
 func over(j *work.Job) bool {
--- a/internal/process/leader/schedule.go
+++ b/internal/process/leader/schedule.go
@@ -74,7 +74,7 @@
 // decide hands usage reports to the scheduler and asks it for a round.
 func (t *term) decide() []work.Decision {
 	caps := make(map[string][]control.Throttle)
-	decisions := t.consult(caps)
+	decisions := t.consult(caps, t.now())
 	// The lease locks may be waiting for the state, whose observer waits for
 	// the scheduler, so that they are taken only after it is unlocked.
 	for worker, c := range caps {
@@ -87,7 +87,7 @@
 	return decisions
 }
 
-func (t *term) consult(caps map[string][]control.Throttle) []work.Decision {
+func (t *term) consult(caps map[string][]control.Throttle, now time.Time) []work.Decision {
 	t.scheduling.Lock()
 	defer t.scheduling.Unlock()
 	for range usageQueue {
@@ -100,7 +100,7 @@
 		}
 		break
 	}
-	return t.scheduler.Decide(t.now(), roundLimit)
+	return t.scheduler.Decide(now, roundLimit)
 }
 
 // round commits a round and returns how many of its decisions were applied at
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/shard"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/raft"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/state"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
@@ -45,7 +46,6 @@
 		usage:  make(chan usageReport, usageQueue),
 	}
 	t.orders.init()
-	t.orders.first = work.Token(l.options.State.Index())
 	t.sessions.init(t)
 	return t
 }
@@ -56,8 +56,31 @@
 
 func (t *term) emit(id event.ID, fields ...zap.Field) { t.leader.options.Events.Emit(id, fields...) }
 
-// propose commits a command, stamped with the time.
+// begin commits that this term has begun, so that commands of former ones are
+// refused from now on.
+func (t *term) begin(ctx context.Context) error {
+	if _, err := t.propose(ctx, state.Command{Lead: &state.Lead{}}); err != nil {
+		return err
+	}
+	t.orders.first = work.Token(t.state().Index())
+	return nil
+}
+
+// propose commits a command that depends on what this term remembers. It fails
+// if a later term has begun.
 func (t *term) propose(ctx context.Context, c state.Command) (state.Result, error) {
+	if t.leader.on(guardFence) {
+		c.Term = t.number
+	}
+	r, err := t.pass(ctx, c)
+	if err == nil && r.Code == state.Superseded {
+		return r, raft.ErrNotLeader
+	}
+	return r, err
+}
+
+// pass commits a command, stamped with the time.
+func (t *term) pass(ctx context.Context, c state.Command) (state.Result, error) {
 	c.Time = t.now()
 	b, err := state.Encode(c)
 	if err != nil {
--- a/internal/version/state/codec.go
+++ b/internal/version/state/codec.go
@@ -51,7 +51,7 @@
 	for _, set := range [...]bool{
 		c.Team != nil, c.Entry != nil, c.Key != nil, c.Submit != nil, c.Cancel != nil, c.Join != nil,
 		c.Depart != nil, c.Drain != nil, c.Round != nil, c.Ends != nil, c.Intent != nil, c.Settle != nil,
-		c.Expire != nil, c.Session != nil,
+		c.Expire != nil, c.Session != nil, c.Lead != nil,
 	} {
 		if set {
 			n++
--- a/internal/version/state/command.go
+++ b/internal/version/state/command.go
@@ -12,6 +12,7 @@
 type Command struct {
 	Time    time.Time
 	Request string // identifies an operator's or caller's request for resends; empty if none
+	Term    uint64 // term whose leader's memory the command depends on; zero if none, see Lead
 
 	Team    *TeamChange
 	Entry   *EntryChange
@@ -27,8 +28,15 @@
 	Settle  *Settle
 	Expire  *Expire
 	Session *Session
+	Lead    *Lead
 }
 
+// Lead is the first command of a leader, with its term in Command.Term. From
+// then on commands with an earlier term are refused. Without it a replica that
+// is paused, deposed and elected again could still commit what it decided on
+// what it remembered of its earlier term, such as that a lease had ended.
+type Lead struct{}
+
 // TeamChange adds, changes or retires a team if its version is still Base.
 // Base zero adds a team.
 type TeamChange struct {
@@ -149,6 +157,7 @@
 	Invalid    Code = "invalid"    // the command breaks a rule; Message says which
 	Infeasible Code = "infeasible" // the job fits no worker or limit; Message says why
 	Duplicate  Code = "duplicate"  // the intent is known; Known holds what is recorded
+	Superseded Code = "superseded" // the command is of an earlier leader
 	Mismatch   Code = "mismatch"   // the same idempotency key came with another request
 )
 
--- a/internal/version/state/snapshot.go
+++ b/internal/version/state/snapshot.go
@@ -21,6 +21,7 @@
 	Format    int
 	Index     uint64
 	Now       time.Time
+	Term      uint64
 	Version   uint64
 	Teams     []work.Team
 	Entries   []work.Entry
@@ -58,7 +59,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	m := image{
-		Format: snapshotFormat, Index: s.index, Now: s.now, Version: s.version,
+		Format: snapshotFormat, Index: s.index, Now: s.now, Term: s.term, Version: s.version,
 		Ended: s.ended.all(), Gone: s.gone.all(), Operators: s.operators.queue.all(), Callers: s.callers.queue.all(),
 	}
 	for _, t := range ordered(s.teams) {
@@ -103,7 +104,7 @@
 		return errors.Newf("snapshot has format %d, not %d", m.Format, snapshotFormat)
 	}
 	n := New()
-	n.index, n.now, n.version = m.Index, normal(m.Now), m.Version
+	n.index, n.now, n.term, n.version = m.Index, normal(m.Now), m.Term, m.Version
 	for _, load := range [...]func(*image) error{
 		n.loadCatalogue, n.loadWorkers, n.loadJobs, n.loadEnded, n.loadIntents, n.loadResults,
 	} {
@@ -113,7 +114,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.index, s.now, s.version = n.index, n.now, n.version
+	s.index, s.now, s.term, s.version = n.index, n.now, n.term, n.version
 	s.teams, s.entries, s.keys, s.digests, s.changes = n.teams, n.entries, n.keys, n.digests, n.changes
 	s.jobs, s.ended, s.workers, s.gone, s.shapes, s.sessions = n.jobs, n.ended, n.workers, n.gone, n.shapes, n.sessions
 	s.intents, s.deadlines, s.operators, s.callers = n.intents, n.deadlines, n.operators, n.callers
@@ -243,6 +244,11 @@
 		seen[d.Item] = true
 		s.ended.push(due[work.JobID]{d.Item, normal(d.Deadline)})
 	}
+	for id, j := range s.jobs {
+		if j.finished() && j.running == 0 && !seen[id] {
+			return errors.Newf("job %d is over and would never be dropped", id)
+		}
+	}
 	return nil
 }
 
--- a/internal/version/state/state.go
+++ b/internal/version/state/state.go
@@ -37,6 +37,7 @@
 
 	index   uint64    // of the last command applied
 	now     time.Time // greatest command time so far; deadlines are compared with it
+	term    uint64    // of the latest Lead
 	version uint64    // of the catalogue
 
 	teams   map[string]*team
@@ -92,6 +93,7 @@
 	guardWithdrawn
 	guardAttempt
 	guardJoined
+	guardTerm
 )
 
 func (s *State) on(g guard) bool { return s.off&g == 0 }
@@ -141,6 +143,9 @@
 	if t := normal(command.Time); t.After(s.now) {
 		s.now = t
 	}
+	if command.Term != 0 && command.Term < s.term && s.on(guardTerm) {
+		return Result{Code: Superseded, Message: "a later leader has taken over"}
+	}
 	book, key := s.ledgerOf(&command)
 	if book == nil || !s.on(guardResend) {
 		return s.do(&command)
@@ -185,6 +190,9 @@
 		return s.settle(c.Settle)
 	case c.Session != nil:
 		return s.session(c.Session)
+	case c.Lead != nil:
+		s.term = max(s.term, c.Term)
+		return Result{Code: OK}
 	default:
 		return s.expire()
 	}
--- a/internal/version/state/state_test.go
+++ b/internal/version/state/state_test.go
@@ -120,7 +120,9 @@
 	if rapid.IntRange(0, 3).Draw(t, "named") == 0 {
 		request = fmt.Sprint("r", rapid.IntRange(0, 9).Draw(t, "request"))
 	}
-	switch rapid.IntRange(0, 19).Draw(t, "kind") {
+	switch rapid.IntRange(0, 20).Draw(t, "kind") {
+	case 20:
+		return Command{Term: rapid.Uint64Range(1, 3).Draw(t, "term"), Lead: &Lead{}}
 	case 0:
 		return Command{Request: request, Team: &TeamChange{Base: base(), Team: work.Team{Name: pick("team", "a", "b", "c"), Weight: 1, Limit: size(rapid.Int64Range(4, 14).Draw(t, "limit")), Tasks: rapid.Int64Range(0, 8).Draw(t, "tasks"), Retired: rapid.IntRange(0, 9).Draw(t, "retired") == 0}}}
 	case 1:
@@ -311,6 +313,11 @@
 			f.do(Command{Depart: &Depart{Worker: "w1", Boot: 1, Joined: v.Joined}})
 			return !f.workers["w1"].Gone
 		}},
+		"term": {guardTerm, func(f *fixture) bool {
+			f.do(Command{Term: 2, Lead: &Lead{}})
+			f.do(Command{Term: 1, Depart: &Depart{Worker: "w1", Boot: 1}})
+			return !f.workers["w1"].Gone
+		}},
 		"intent": {guardIntent, func(f *fixture) bool {
 			f.do(intent("e1"))
 			return f.do(intent("e2")).Code == Duplicate
