--- a/internal/connection/control/message.go
+++ b/internal/connection/control/message.go
@@ -18,6 +18,11 @@
 
 // Renewal is an entry VM's periodic batch to the leader. It reports what the
 // VM holds; a new leader rebuilds its view of holdings from these reports.
+//
+// An entry VM sends a renewal only after the call of the former one is over. Once
+// its view has expired it reports no list of runners, owns no runner, and holds
+// only the allotments of its requests in flight, until a grant says otherwise:
+// another entry VM may have got the rest.
 type Renewal struct {
 	Entry    string // name of the entry VM
 	Boot     uint64 // random number of the process's start
@@ -73,6 +78,7 @@
 	Worker   work.Worker
 	Sequence uint64
 	Leaving  bool
+	Echo     uint64       // latest WorkerOrders.Challenge that the worker got in this boot
 	Running  []work.Usage // tasks that run on it, with their tokens and use
 	Ended    []work.End   // runs that are over, repeated until acknowledged
 }
@@ -128,7 +134,12 @@
 	Stops        []work.Stop
 	Throttles    []Throttle
 	Ended        []work.End // ends that are committed; the worker may forget them
-	Rejoin       bool       // the worker is not known; it must poll with its full shape
+	Rejoin       bool       // the worker has no lease; it must poll again with its full shape
+
+	// Challenge comes with Rejoin while another boot of the worker has a lease.
+	// A poll that echoes it proves that its boot is the newer one. Without an
+	// echo the worker joins once the other lease has ended.
+	Challenge uint64
 }
 
 // StartOrder tells a worker to start a task under a fencing token.
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -45,7 +45,7 @@
 const (
 	CodeUnknown = "unknown" // the command may or may not be committed
 	CodeDenied  = "denied"  // the caller's certificate names another process
-	CodeStale   = "stale"   // a later renewal of the same entry VM was served before
+	CodeStale   = "stale"   // the renewal is late, or another boot of the entry VM has a session
 	CodeInvalid = "invalid" // the message cannot be decoded
 )
 
@@ -106,6 +106,8 @@
 	guardUnheard                    // allotments of entry VMs not heard of are kept back
 	guardRelease                    // a runner is released before it gets another owner
 	guardOrder                      // renewals in the order of their sequences
+	guardBoot                       // the session of one boot ends before another one begins
+	guardRival                      // a boot joins beside another one's lease only if it is newer
 	guardFence                      // commands of a former term are refused
 )
 
--- a/internal/process/leader/lease.go
+++ b/internal/process/leader/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -35,10 +36,14 @@
 	closing   bool                       // the end of the membership is being committed
 	leaving   bool                       // gets no starts any more
 	refused   work.Worker                // shape that was refused last, so that it is proposed once
+	rival     rival                      // another boot that polls
 	sent      map[work.TaskID]work.Token // start orders handed out in this term
 	throttles []control.Throttle
 }
 
+// rival is a boot that polls while another one has the lease.
+type rival struct{ boot, challenge uint64 }
+
 // of reports whether the lease belongs to the membership that the state has.
 func (l *lease) of(w *state.WorkerState) bool {
 	return !w.Worker.Gone && l.boot == w.Worker.Boot && l.joined == w.Joined
@@ -57,6 +62,8 @@
 	ended  []work.End  // reported ends that are not current; they need no commit
 	fresh  []work.End  // reported ends to be committed
 	join   bool        // the worker is new, or has a new boot or shape
+	newer  bool        // its boot is proven to be newer than the one with the lease
+	rival  uint64      // challenge to answer with, as another boot has the lease
 	depart bool
 	done   bool // what it reports is committed
 }
@@ -85,8 +92,8 @@
 	var withdrawn []work.End
 	for i := range polls {
 		p := &polls[i]
-		if p.report.Worker.Capacity == (work.Resources{}) && p.join {
-			out = append(out, control.WorkerOrders{Worker: p.report.Worker.Name, Boot: p.report.Worker.Boot, Rejoin: true})
+		if p.rival != 0 || p.join && p.report.Worker.Capacity == (work.Resources{}) {
+			out = append(out, control.WorkerOrders{Worker: p.report.Worker.Name, Boot: p.report.Worker.Boot, Rejoin: true, Challenge: p.rival})
 			continue
 		}
 		if o, ok := t.serve(p, received, &withdrawn); ok {
@@ -118,9 +125,6 @@
 	if r.Leaving && found && !known.Worker.Gone && known.Worker.Boot == r.Worker.Boot {
 		p.join = false
 	}
-	if p.join && found && t.state().Replaced(name, r.Worker.Boot) {
-		return false // a late poll of a boot that is over
-	}
 	ok := true
 	t.leases.With(name, func(leases map[string]*lease) {
 		l := leases[name]
@@ -133,6 +137,14 @@
 		switch {
 		case !l.of(&known):
 			return // a join or tend renews it
+		case l.boot != r.Worker.Boot && t.leader.on(guardRival):
+			if l.rival.boot != r.Worker.Boot {
+				l.rival = rival{r.Worker.Boot, max(1, rand.Uint64())}
+			}
+			p.newer = r.Echo == l.rival.challenge
+			if !p.newer {
+				p.rival = l.rival.challenge
+			}
 		case l.closing && t.leader.on(guardClosing), r.Sequence < l.sequence && t.leader.on(guardSequence):
 			ok = false
 		case l.newer(r) && !p.join:
@@ -196,6 +208,7 @@
 	for i := range polls {
 		p := &polls[i]
 		switch {
+		case p.rival != 0:
 		case p.join && p.report.Worker.Capacity != (work.Resources{}) && !p.report.Leaving:
 			group.Go(func() error {
 				p.done = t.join(ctx, p, received)
@@ -236,7 +249,7 @@
 // join commits a worker's shape and begins its lease.
 func (t *term) join(ctx context.Context, p *poll, received time.Time) bool {
 	w := p.report.Worker
-	r, err := t.propose(ctx, state.Command{Join: &state.Join{Worker: w}})
+	r, err := t.propose(ctx, state.Command{Join: &state.Join{Worker: w, Newer: p.newer || !t.leader.on(guardRival)}})
 	if err != nil {
 		return false
 	}
--- a/internal/process/leader/session.go
+++ b/internal/process/leader/session.go
@@ -73,7 +73,7 @@
 	received := t.now()
 	fresh, ok := t.sessions.begin(r, received)
 	if !ok {
-		return nil, &peer.Remote{Code: CodeStale, Message: "a later renewal was served before"}
+		return nil, &peer.Remote{Code: CodeStale, Message: "a later renewal was served, or another process has the session"}
 	}
 	if fresh && !t.record(ctx, r) {
 		return nil, &peer.Remote{Code: CodeUnknown, Message: "the session could not be recorded"}
@@ -91,13 +91,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entries[r.Entry]
-	if e != nil && e.boot == r.Boot && r.Sequence <= e.sequence && s.term.leader.on(guardOrder) {
+	switch {
+	case e == nil:
+	case e.boot != r.Boot && s.term.leader.on(guardBoot):
+		// A late renewal of a former process looks like one of a new process.
+		// The current session has to end first, which takes 4 s.
 		return false, false
-	}
-	if e != nil && e.boot != r.Boot {
-		// The former process is over, but not the requests that it sent.
+	case e.boot != r.Boot:
 		s.end(e, received)
 		e = nil
+	case r.Sequence <= e.sequence && s.term.leader.on(guardOrder):
+		return false, false
 	}
 	if e == nil {
 		e = &session{name: r.Entry, boot: r.Boot}
--- a/internal/version/state/command.go
+++ b/internal/version/state/command.go
@@ -70,9 +70,14 @@
 	Jobs []work.JobID
 }
 
-// Join announces a worker, or a new boot or shape of a known one. A new boot
-// number ends all tasks of the former boot as lost.
-type Join struct{ Worker work.Worker }
+// Join announces a worker, or a new boot or shape of a known one. Boot numbers
+// have no order, so that a late poll of an old boot looks like one of a new
+// boot. Another boot than the current one is therefore refused until the current
+// one has departed, unless Newer is set, which ends its tasks as lost.
+type Join struct {
+	Worker work.Worker
+	Newer  bool // it is proven that the boot is newer than the current one
+}
 
 // Depart ends a worker's membership, because it left or its lease ended. Its
 // tasks end as lost. It is refused if the worker has another boot number by now
--- a/internal/version/state/snapshot.go
+++ b/internal/version/state/snapshot.go
@@ -43,7 +43,6 @@
 
 type workerImage struct {
 	Worker work.Worker
-	Former []uint64
 	Joined uint64
 	Since  time.Time
 }
@@ -75,7 +74,7 @@
 		m.Jobs = append(m.Jobs, jobImage{j.Job, j.failures})
 	}
 	for _, w := range ordered(s.workers) {
-		m.Workers = append(m.Workers, workerImage{w.Worker, w.former, w.joined, w.since})
+		m.Workers = append(m.Workers, workerImage{w.Worker, w.joined, w.since})
 	}
 	for _, v := range ordered(s.sessions) {
 		m.Sessions = append(m.Sessions, *v)
@@ -166,7 +165,7 @@
 		if s.workers[v.Worker.Name] != nil || !validSize(v.Worker.Capacity) {
 			return errors.Newf("two workers %q, or its capacity is out of range", v.Worker.Name)
 		}
-		w := &worker{Worker: v.Worker, former: v.Former, joined: v.Joined, since: normal(v.Since)}
+		w := &worker{Worker: v.Worker, joined: v.Joined, since: normal(v.Since)}
 		s.workers[w.Name] = w
 		s.shapes[w.shape()]++
 	}
--- a/internal/version/state/state.go
+++ b/internal/version/state/state.go
@@ -87,7 +87,7 @@
 	guardToken
 	guardBase
 	guardResend
-	guardFormerBoot
+	guardNewer
 	guardIntent
 	guardHolder
 	guardWithdrawn
--- a/internal/version/state/worker.go
+++ b/internal/version/state/worker.go
@@ -8,18 +8,12 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
-const (
-	// goneRetention is how long a worker that is gone is remembered with its
-	// former boots. It is far longer than any poll can be under way.
-	goneRetention = time.Hour
-	// formerBoots bounds the boot numbers that are remembered of a worker.
-	formerBoots = 16
-)
+// goneRetention is how long a worker that is gone is remembered.
+const goneRetention = time.Hour
 
 // worker is a worker with what runs on it.
 type worker struct {
 	work.Worker
-	former   []uint64 // earlier boot numbers, oldest first
 	reserved work.Resources
 	runs     []run     // in the order of tokens, then tasks
 	joined   uint64    // log index at which the current membership began
@@ -63,9 +57,8 @@
 	}
 }
 
-// join adds a worker or takes over its new boot or shape. A boot number that
-// was replaced is refused, because a late poll of it would end the tasks of the
-// current boot. Within a boot the capacity cannot shrink below what is reserved.
+// join adds a worker or takes over its new boot or shape. Within a boot the
+// capacity cannot shrink below what is reserved.
 func (s *State) join(c *Join) Result {
 	n := c.Worker
 	w := s.workers[n.Name]
@@ -86,12 +79,10 @@
 	}
 	n.Drained = w.Drained
 	if n.Boot != w.Boot {
-		if slices.Contains(w.former, n.Boot) && s.on(guardFormerBoot) {
-			return invalid("the worker has booted anew since")
+		if !w.Gone && !c.Newer && s.on(guardNewer) {
+			return Result{Code: Conflict, Message: "another boot of the worker has a lease"}
 		}
 		s.lose(w)
-		w.former = append(w.former, w.Boot)
-		w.former = w.former[max(0, len(w.former)-formerBoots):]
 	} else if !w.reserved.Fits(n.Capacity) {
 		return invalid("the capacity is less than what is reserved")
 	} else if n.Team != w.Team && len(w.runs) > 0 {
@@ -169,12 +160,3 @@
 	s.drop(w.shape())
 	delete(s.workers, d.Item)
 }
-
-// Replaced reports whether a worker has had a boot and has another one now. A
-// poll of such a boot is late.
-func (s *State) Replaced(name string, boot uint64) bool {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	w := s.workers[name]
-	return w != nil && w.Boot != boot && slices.Contains(w.former, boot)
-}
