--- a/internal/version/placement/export_test.go
+++ b/internal/version/placement/export_test.go
@@ -78,15 +78,16 @@
 	return free, use, s.stats.Queued
 }
 
-// Missed returns a waiting job that could start now, or zero. Work that waits
+// Missed names a waiting job that could start now, or nothing. Work that waits
 // for its retry after a rejection does not count.
-func (s *Scheduler) Missed() work.JobID {
-	for id, j := range s.jobs {
+func (s *Scheduler) Missed() string {
+	for _, j := range s.jobs {
 		if s.waiting.holds(j.slot) && j.class != work.Gang && s.permits(j, s.size(j), 1) {
-			if _, ok := policyOf(j.class).place(s, request{j, s.size(j)}); ok {
-				return id
+			if w, ok := policyOf(j.class).place(s, request{j, s.size(j)}); ok {
+				return fmt.Sprintf("%s job %d (urgent %v, size %v of %v) could start on %s (free %v, listed for release: %v; walk %v, parked %v)",
+					j.class, j.id, j.urgent, s.size(j), j.declared, w.name, w.free(), w.dirty, j.profile.walk, j.profile.parked)
 			}
 		}
 	}
-	return 0
+	return ""
 }
--- a/internal/version/placement/feasible.go
+++ b/internal/version/placement/feasible.go
@@ -177,7 +177,10 @@
 	j, u := t.job, &t.job.profile.usage
 	peak := t.peak
 	peak.Memory = max(peak.Memory, t.reserved.Memory)
-	s.learnSize(u, j.declared, peak)
+	if s.learnSize(u, j.declared, peak) {
+		s.startWalk(j.profile)
+		s.refreshTeam(j.team)
+	}
 	// Only memory stops a run; a run short of processors is merely slow. If the
 	// reports name no resource, both grow.
 	both := t.reports > 0 && peak.Processors >= t.reserved.Processors || t.reserved.Memory == 0
--- a/internal/version/placement/property_test.go
+++ b/internal/version/placement/property_test.go
@@ -182,8 +182,8 @@
 			}
 		}
 		c.settle()
-		if id := c.scheduler.Missed(); id != 0 {
-			t.Fatalf("job %d waits although it could start", id)
+		if text := c.scheduler.Missed(); text != "" {
+			t.Fatal(text)
 		}
 		again := placement.New(placement.Options{})
 		c.Replay(again.Observe, slices.Sorted(maps.Keys(c.Teams)), slices.Sorted(maps.Keys(c.Entries)),
--- a/internal/version/placement/queue.go
+++ b/internal/version/placement/queue.go
@@ -103,8 +103,7 @@
 			continue
 		}
 		if p.entry.full() {
-			p.parked = true
-			p.entry.parked = append(p.entry.parked, p)
+			p.park()
 			continue
 		}
 		v := p.smallest(s.waiting.top(p.waiting))
@@ -133,6 +132,13 @@
 	}
 }
 
+// park leaves the profile out of the teams' indexes until its entry is below
+// its limit again.
+func (p *profile) park() {
+	p.parked = true
+	p.entry.parked = append(p.entry.parked, p)
+}
+
 // smallest returns the negated smallest reservation for jobs whose negated
 // declared sizes have the given maximum.
 func (p *profile) smallest(top vector) vector {
@@ -252,7 +258,11 @@
 func (s *Scheduler) pick(t *team, available work.Resources, w *worker) *job {
 	var best *job
 	for _, p := range t.active {
-		if p.parked || p.entry.full() || w != nil && w.bound != nil && w.bound != t && !p.entry.open {
+		if p.parked || w != nil && w.bound != nil && w.bound != t && !p.entry.open {
+			continue
+		}
+		if p.entry.full() {
+			p.park()
 			continue
 		}
 		f, root, from := &s.waiting, p.waiting, lowest
@@ -263,10 +273,11 @@
 		}
 		s.stats.Steps++
 		need := negative(p.usage.unscaled(available))
-		for n := range attempts {
+		passed := 0
+		for ; passed < attempts; passed++ {
 			i := f.first(root, from, need)
 			if i == none {
-				if n == 0 && w == nil && p.walk.on && f.first(root, from, anything) == none {
+				if w == nil && p.walk.on && (p.walk.again || f.first(root, from, anything) == none) {
 					s.endWalk(p)
 				}
 				break
@@ -276,16 +287,29 @@
 			if best != nil && !j.before(best) {
 				break
 			}
-			if size := s.size(j); !size.Fits(available) || w != nil && !s.takes(w, j, size) {
-				continue
+			if size := s.size(j); size.Fits(available) && (w == nil || s.takes(w, j, size)) {
+				best = j
+				break
 			}
-			best = j
-			break
+		}
+		if passed == attempts {
+			s.goOn(p, from, w != nil)
 		}
 	}
 	return best
 }
 
+// goOn has a walk try the jobs that a search did not come to.
+func (s *Scheduler) goOn(p *profile, from key, served bool) {
+	if served {
+		s.startWalk(p)
+		s.refreshTeam(p.team)
+		return
+	}
+	p.walk = walk{on: true, again: p.walk.again, from: from}
+	s.walked = true
+}
+
 func (j *job) before(o *job) bool {
 	if a, b := j.class == work.Service, o.class == work.Service; a != b {
 		return a
@@ -331,7 +355,9 @@
 	}
 	v := p.smallest(s.waiting.top(p.waiting))
 	least := work.Resources{Processors: -v[0], Memory: -v[1], Accelerators: -v[2]}
-	if _, ok := (pack{}).place(s, request{j, least}); !ok {
+	// The probe has no failures, so that it passes over no worker.
+	s.probe = job{profile: p, team: p.team}
+	if _, ok := (pack{}).place(s, request{&s.probe, least}); !ok {
 		p.walk = walk{}
 	}
 }
--- a/internal/version/placement/scheduler.go
+++ b/internal/version/placement/scheduler.go
@@ -68,6 +68,7 @@
 	released       []*worker
 	releases       uint64
 	reopened       []*entry
+	probe          job
 	walked         bool // a walk came to its end
 	trials         timers[*worker]
 	retries        timers[work.JobID]
--- a/internal/version/placement/urgent.go
+++ b/internal/version/placement/urgent.go
@@ -187,10 +187,8 @@
 		from = s.waiting.nodes[i].key.next()
 		j := s.slots[i]
 		size := s.size(j)
-		if j.hold != nil {
-			if size = j.hold.size; !s.permits(j, size, 1) {
-				s.dissolve(j.hold)
-			}
+		if h := j.hold; h != nil && (!size.Fits(h.size) || !s.permits(j, size, 1)) {
+			s.dissolve(h)
 		}
 		if j.class == work.Gang {
 			if n := int64(len(j.ready)); j.stopping == 0 && s.permits(j, size, n) {
