Measure the policy against variants in virtual time

make measure plays both deployments with six teams, declarations that are far off, failing and lost workers, a cancellation wave, urgent work and gangs. It prints first come first fit, the full policy, and each part switched off.

--- a/internal/version/placement/measure/fake.go
+++ b/internal/version/placement/measure/fake.go
@@ -14,6 +14,9 @@
 package measure
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -287,3 +290,11 @@
 	}
 	return n
 }
+
+// sorted returns the tasks of a set in order, so that runs do not depend on
+// the order of maps.
+func sorted(set map[work.TaskID]bool) []work.TaskID {
+	return slices.SortedFunc(maps.Keys(set), func(a, b work.TaskID) int {
+		return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+	})
+}
--- /dev/null
+++ b/internal/version/placement/measure/table_test.go
@@ -0,0 +1,52 @@
+package measure
+
+import (
+	"bytes"
+	"flag"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/placement"
+)
+
+var (
+	table = flag.Bool("table", false, "print the table of all variants")
+	only  = flag.String("only", "", "print only variants whose names contain this")
+	seed  = flag.Uint64("seed", 7, "seed of the workload")
+)
+
+// TestTable prints the table for `make measure`.
+func TestTable(t *testing.T) {
+	if !*table {
+		t.Skip("runs with -table, by make measure")
+	}
+	list := slices.DeleteFunc(Variants(), func(v Variant) bool { return !strings.Contains(v.Name, *only) })
+	Table(os.Stdout, os.Stdout, *seed, list)
+}
+
+// Guards against figures that differ from run to run.
+func TestTableIsTheSameFromRunToRun(t *testing.T) {
+	variants := []Variant{{"full policy", &placement.Options{}}}
+	var a, b bytes.Buffer
+	Table(&a, io.Discard, *seed, variants)
+	Table(&b, io.Discard, *seed, variants)
+	is.New(t).Equal(a.String(), b.String())
+}
+
+// Guards against a policy that is worse than no policy, urgent work that
+// starts late, and decisions that the state rejects.
+func TestFullPolicyAgainstFirstFit(t *testing.T) {
+	is := is.New(t)
+	for i := range Deployments {
+		full, first := Run(&Deployments[i], *seed, &placement.Options{}), Run(&Deployments[i], *seed, nil)
+		for _, u := range users {
+			is.True(u.score(&first, &full) > 1)
+		}
+		is.True(full.Waits["urgent"].High.Seconds() < 6.6)
+		is.Equal(full.Rejected, 0)
+	}
+}
