Keep the start time of a reservation across its plans

Cause: a reservation was planned anew every 10 s, and each plan took its start from the runs that backfill had added since, so the start moved on and on. Ruled out: the choice of workers, as the variant without backfill shares it.

--- a/internal/version/placement/gang.go
+++ b/internal/version/placement/gang.go
@@ -328,7 +328,7 @@
 		switch s.tryGang(j) {
 		case gangBlocked:
 			tries++
-			s.reserveFor(j, s.now)
+			s.reserveFor(j, nil)
 		case gangStarted:
 			tries++
 		}
@@ -372,8 +372,10 @@
 	return gangStarted
 }
 
-// reserveFor gives a blocked gang a reservation if one is to be had.
-func (s *Scheduler) reserveFor(j *job, since time.Time) {
+// reserveFor gives a blocked gang a reservation if one is to be had. A plan
+// that follows an earlier one keeps the earlier time: work that was backfilled
+// in between would otherwise move the start of the gang on and on.
+func (s *Scheduler) reserveFor(j *job, earlier *hold) {
 	if s.options.Off.Reservation {
 		return
 	}
@@ -392,7 +394,14 @@
 		return
 	}
 	s.stats.Reservations++
-	s.install(&hold{owner: j, size: size, since: since, at: b.at, replan: s.now.Add(s.options.Replan), slots: b.slots, changed: true})
+	h := &hold{owner: j, size: size, since: s.now, at: b.at, replan: s.now.Add(s.options.Replan), slots: b.slots, changed: true}
+	if earlier != nil {
+		h.since = earlier.since
+		if earlier.at.Before(h.at) {
+			h.at = earlier.at
+		}
+	}
+	s.install(h)
 }
 
 // serveHold starts the owner of a reservation once every slot has room, or
@@ -427,10 +436,9 @@
 	if s.now.Before(h.replan) && !slices.ContainsFunc(h.slots, func(p slot) bool { return !p.worker.usable() || !s.mayUse(p.worker, j) }) {
 		return false
 	}
-	since := h.since
 	s.dissolve(h)
 	if s.tryGang(j) == gangBlocked {
-		s.reserveFor(j, since)
+		s.reserveFor(j, h)
 	}
 	return true
 }
