--- a/internal/connection/control/replicas.go
+++ b/internal/connection/control/replicas.go
@@ -22,8 +22,8 @@
 type search struct {
 	replicas *replicas
 	current  string
-	index    int
-	followed int
+	index    int // of the replica whose turn it is
+	followed int // hints in a row
 }
 
 func (r *replicas) search() *search {
@@ -62,7 +62,7 @@
 	i := slices.Index(r.names, hint)
 	if i >= 0 && hint != s.current && s.followed < hints {
 		s.followed++
-		s.index, s.current = i, hint
+		s.current = hint // the turn stays where it is, so that hints cannot keep a replica out
 		return lost
 	}
 	s.followed = 0
