--- /dev/null
+++ b/internal/process/daemon/control.go
@@ -0,0 +1,97 @@
+package daemon
+
+import (
+	"context"
+	"path/filepath"
+
+	"golang.org/x/sync/errgroup"
+
+	link "github.com/rosemaryloft/rosemaryloft/internal/connection/control"
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/leader"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/placement"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/raft"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/state"
+)
+
+// methodLog carries messages between replicas of the log.
+const methodLog = "raft"
+
+// control is the control role: a replica of the log and, while it leads, the
+// work of the leader.
+type control struct {
+	replica *raft.Replica
+	leader  *leader.Leader
+}
+
+// logTransport sends the replica's messages over the links between processes.
+type logTransport struct{ peer *peer.Peer }
+
+// Send implements raft.Transport.
+func (t logTransport) Send(to string, message raft.Message) { t.peer.Send(to, methodLog, message) }
+
+func newControl(d *Daemon) (*control, error) {
+	machine := state.New()
+	replica, err := raft.New(raft.Options{
+		Name:      d.settings.Name,
+		Members:   d.settings.ControlNames(),
+		Directory: filepath.Join(d.settings.Data, "log"),
+		Machine:   machine,
+		Transport: logTransport{d.peer},
+		Log:       d.log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c := &control{replica: replica}
+	c.leader, err = leader.New(leader.Options{
+		Name:      d.settings.Name,
+		State:     machine,
+		Log:       replica,
+		Scheduler: func() leader.Scheduler { return scheduler{placement.New(placement.Options{})} },
+		Members:   c.members,
+		Events:    d.log,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.leader.Register(d.peer)
+	d.peer.Handle(methodLog, func(_ context.Context, name string, decode peer.Decode) (any, error) {
+		var m raft.Message
+		if err := decode(&m); err != nil {
+			return nil, &peer.Remote{Code: leader.CodeInvalid, Message: err.Error()}
+		}
+		if m.FromName != name {
+			return nil, &peer.Remote{Code: leader.CodeDenied, Message: "the message names another sender"}
+		}
+		replica.Receive(m)
+		return nil, nil
+	})
+	return c, nil
+}
+
+func (c *control) start(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return c.replica.Run(ctx) })
+	group.Go(func() error { return c.leader.Run(ctx) })
+}
+
+// members lists the replicas for operators.
+func (c *control) members() []link.MemberView {
+	var views []link.MemberView
+	for _, m := range c.replica.Status().Members {
+		views = append(views, link.MemberView{Name: m.Name, Disk: m.Identity, Voter: m.Voter, Matched: m.Match})
+	}
+	return views
+}
+
+// scheduler adapts the decision core, which knows no messages, to the leader.
+type scheduler struct{ *placement.Scheduler }
+
+// Throttles implements leader.Scheduler.
+func (s scheduler) Throttles(worker string) []link.Throttle {
+	var out []link.Throttle
+	for _, t := range s.Scheduler.Throttles(worker) {
+		out = append(out, link.Throttle{Task: t.Task, Token: t.Token, Size: t.Size})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/process/daemon/daemon.go
@@ -0,0 +1,137 @@
+// Package daemon puts the roles of a process together and runs them in groups
+// that stop together.
+//
+// # Usage
+//
+//	s, findings := settings.Load("rosemaryloft.json")
+//	d, err := daemon.New(daemon.Options{Settings: s, Log: log})
+//	err = d.Run(ctx) // until ctx ends and requests in flight are answered
+//
+// # Order of a shutdown
+//
+// When ctx ends, the health check turns first, so that the platform's balancer
+// sends new connections elsewhere. The leader moves this VM's runners to other
+// owners, requests in flight are answered, the HTTP servers close, and last the
+// replica and the links between processes stop. A replica that stops while its
+// entry role still answers requests would leave these without a leader.
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/certificate"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/settings"
+)
+
+const (
+	// balancerDelay is the time between the turn of the health check and the
+	// refusal of new requests, for the balancer to see it.
+	balancerDelay = 2 * time.Second
+	// drainTime bounds a graceful shutdown. It is above the longest request
+	// deadline of 30 s.
+	drainTime = 40 * time.Second
+)
+
+// Options configures a Daemon.
+type Options struct {
+	Settings settings.Settings
+	Log      event.Log
+}
+
+// Daemon is one process with its roles.
+type Daemon struct {
+	settings settings.Settings
+	log      event.Log
+	store    *certificate.Store
+	peer     *peer.Peer
+	control  *control // nil without the control role
+	entry    *entry   // nil without the entry role
+}
+
+// New opens the certificates, the data folder and the sockets.
+func New(options Options) (*Daemon, error) {
+	d := &Daemon{settings: options.Settings, log: options.Log}
+	s := &d.settings
+	var err error
+	if d.store, err = certificate.Load(certificate.Options{Name: s.Name, Files: s.Files(), Log: d.log}); err != nil {
+		return nil, errors.Wrap(err, "certificates")
+	}
+	peers := make(map[string]netip.AddrPort)
+	for _, p := range s.Peers {
+		if p.Name != s.Name {
+			peers[p.Name] = p.Address
+		}
+	}
+	if d.peer, err = peer.New(peer.Options{
+		Name: s.Name, Listen: s.Listen.Peers, Peers: peers, Certificates: d.store, Log: d.log,
+	}); err != nil {
+		return nil, errors.Wrap(err, "links between processes")
+	}
+	if s.Has(settings.Control) {
+		if d.control, err = newControl(d); err != nil {
+			return nil, errors.Wrap(err, "control role")
+		}
+	}
+	if s.Has(settings.Entry) {
+		if d.entry, err = newEntry(d); err != nil {
+			return nil, errors.Wrap(err, "entry role")
+		}
+	}
+	return d, nil
+}
+
+// Run runs all roles until ctx ends or one of them fails.
+func (d *Daemon) Run(ctx context.Context) error {
+	run, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	group, run := errgroup.WithContext(run)
+	group.Go(func() error { return d.store.Run(run) })
+	group.Go(func() error { return d.peer.Run(run) })
+	if d.control != nil {
+		d.control.start(run, group)
+	}
+	if d.entry != nil {
+		d.entry.start(run, group)
+	}
+	d.log.Emit(event.ProcessStarted, zap.String("name", d.settings.Name), zap.Strings("roles", d.settings.RoleNames()))
+	group.Go(func() error {
+		select {
+		case <-ctx.Done():
+			d.drain(run)
+		case <-run.Done():
+		}
+		stop()
+		return nil
+	})
+	err := group.Wait()
+	d.log.Emit(event.ProcessStopped, zap.Error(err))
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+// drain ends what callers see before anything that it depends on.
+func (d *Daemon) drain(ctx context.Context) {
+	d.log.Emit(event.ProcessStopping, zap.String("name", d.settings.Name))
+	ctx, cancel := context.WithTimeout(ctx, drainTime)
+	defer cancel()
+	if d.entry != nil {
+		d.entry.drain(ctx)
+	}
+	if err := d.peer.Drain(ctx); err != nil {
+		d.log.Emit(event.ProcessCut, zap.Error(err))
+	}
+}
+
+// randomBoot draws the number that tells this start of the process from others.
+func randomBoot() uint64 { return rand.Uint64() | 1 }
--- /dev/null
+++ b/model/run.sh
@@ -0,0 +1,53 @@
+#!/usr/bin/env bash
+# Checks each specification with its guards in place, and then once for each
+# guard with that guard removed, when the checker has to find a violation.
+#
+# usage: model/run.sh [specification ...]
+#
+# Exit code 0 if every check ended as expected, 1 if not, 2 if a tool is missing.
+set -eu
+cd "$(dirname "$0")"
+command -v spin >/dev/null && command -v gcc >/dev/null || { echo "model: spin and gcc are needed" >&2; exit 2; }
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+here=$PWD
+failed=0
+
+# check SPECIFICATION EXPECTED-ERRORS FLAGS...
+check() {
+  local name=$1 expected=$2 output states errors search=
+  # Breadth first finds a violation early and by the shortest way.
+  [ "$expected" = 0 ] || search=-DBFS
+  shift 2
+  output=$(cd "$work" && spin -a "$@" "$here/$name.pml" >/dev/null && gcc -w -O2 -DSAFETY -DCOLLAPSE -DMEMLIM=8000 -o pan $search pan.c && ./pan -m2000000 -w24)
+  errors=$(sed -n 's/.*errors: \([0-9]*\).*/\1/p' <<<"$output")
+  states=$(sed -n 's/ *\([0-9]*\) states, stored.*/\1/p' <<<"$output")
+  if grep -qE 'max search depth too small|out of memory|Search not completed' <<<"$output" && [ "$expected" = 0 ]; then
+    errors="incomplete"
+  fi
+  if [ "$errors" = "$expected" ]; then result=ok; else result=FAILED; failed=1; fi
+  printf '%-10s %-45s %12s states  errors %s (expected %s)  %s\n' "$name" "$*" "$states" "$errors" "$expected" "$result"
+}
+
+# specification NAME BOUNDS -- GUARDS
+specification() {
+  local name=$1 bounds=()
+  shift
+  while [ "$1" != -- ]; do bounds+=("$1"); shift; done
+  shift
+  check "$name" 0 "${bounds[@]}"
+  for guard in "$@"; do check "$name" 1 "${bounds[@]}" "-D$guard"; done
+}
+
+for name in "${@:-log lease intent allotment}"; do
+  for one in $name; do
+    case $one in
+      log) specification log -DTERMS=2 -DLENGTH=2 -DLOSSES=1 -- NO_IDENTITY NO_SYNC NO_UPTODATE ;;
+      lease) specification lease -DTOKENS=2 -- NO_MARGIN FROM_ANSWER NO_WAIT NO_LEADER_LEASE NO_LATEST ;;
+      intent) specification intent -DATTEMPTS=3 -- NO_INTENT NO_DUPLICATE LATE_INTENT RETRY_SENT REFUSE_SENT NO_HOLDER ;;
+      allotment) specification allotment -DLIMIT=2 -- NO_HOLD NO_SETTLE NO_SHRINK NO_EXPIRE NO_ORDER ;;
+      *) echo "model: no specification called $one" >&2; exit 2 ;;
+    esac
+  done
+done
+exit $failed
