--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -34,7 +34,7 @@
 	machine := state.New()
 	replica, err := raft.New(raft.Options{
 		Name:      d.settings.Name,
-		Members:   d.settings.ControlNames(),
+		Members:   d.settings.Control(),
 		Directory: filepath.Join(d.settings.Data, "log"),
 		Machine:   machine,
 		Transport: logTransport{d.peer},
@@ -67,6 +67,7 @@
 		replica.Receive(m)
 		return nil, nil
 	})
+	d.peer.Handle(methodRemove, c.remove)
 	return c, nil
 }
 
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -18,8 +18,8 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
-	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +30,7 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/process/certificate"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/settings"
+	"github.com/rosemaryloft/rosemaryloft/internal/request/platform"
 )
 
 const (
@@ -55,6 +56,7 @@
 	peer     *peer.Peer
 	control  *control // nil without the control role
 	entry    *entry   // nil without the entry role
+	servers  []*server
 }
 
 // New opens the certificates, the data folder and the sockets.
@@ -62,31 +64,39 @@
 	d := &Daemon{settings: options.Settings, log: options.Log}
 	s := &d.settings
 	var err error
-	if d.store, err = certificate.Load(certificate.Options{Name: s.Name, Files: s.Files(), Log: d.log}); err != nil {
+	if d.store, err = certificate.Load(certificate.Options{Name: s.Name, Files: s.Certificates.Files(), Log: d.log}); err != nil {
 		return nil, errors.Wrap(err, "certificates")
 	}
-	peers := make(map[string]netip.AddrPort)
-	for _, p := range s.Peers {
-		if p.Name != s.Name {
-			peers[p.Name] = p.Address
-		}
-	}
 	if d.peer, err = peer.New(peer.Options{
-		Name: s.Name, Listen: s.Listen.Peers, Peers: peers, Certificates: d.store, Log: d.log,
+		Name: s.Name, Listen: s.Listen.Peers.AddrPort, Peers: s.Others(), Certificates: d.store, Log: d.log,
 	}); err != nil {
 		return nil, errors.Wrap(err, "links between processes")
 	}
-	if s.Has(settings.Control) {
+	if s.Has(settings.RoleControl) {
 		if d.control, err = newControl(d); err != nil {
 			return nil, errors.Wrap(err, "control role")
 		}
 	}
-	if s.Has(settings.Entry) {
+	if s.Has(settings.RoleEntry) {
 		if d.entry, err = newEntry(d); err != nil {
 			return nil, errors.Wrap(err, "entry role")
 		}
 	}
-	return d, nil
+	d.servers, err = listen(s.Listen.Servers(), d.adapters())
+	return d, err
+}
+
+// adapters returns what each HTTP surface serves. A process without the role
+// entry serves the platform only.
+func (d *Daemon) adapters() map[settings.Surface]adapter {
+	p := platform.Options{}
+	adapters := make(map[settings.Surface]adapter)
+	if d.entry != nil {
+		p = platform.Options{Directory: d.entry.link, Draining: d.entry.draining.Load}
+		maps.Copy(adapters, d.entry.adapters)
+	}
+	adapters[settings.Platform] = platform.New(p)
+	return adapters
 }
 
 // Run runs all roles until ctx ends or one of them fails.
@@ -102,12 +112,16 @@
 	if d.entry != nil {
 		d.entry.start(run, group)
 	}
-	d.log.Emit(event.ProcessStarted, zap.String("name", d.settings.Name), zap.Strings("roles", d.settings.RoleNames()))
+	for _, s := range d.servers {
+		group.Go(s.serve)
+	}
+	d.log.Emit(event.ProcessStarted, zap.String("name", d.settings.Name), zap.Any("roles", d.settings.Roles))
 	group.Go(func() error {
 		select {
 		case <-ctx.Done():
 			d.drain(run)
 		case <-run.Done():
+			d.close(run)
 		}
 		stop()
 		return nil
@@ -128,10 +142,20 @@
 	if d.entry != nil {
 		d.entry.drain(ctx)
 	}
+	d.close(ctx)
 	if err := d.peer.Drain(ctx); err != nil {
 		d.log.Emit(event.ProcessCut, zap.Error(err))
 	}
 }
 
+// close ends the HTTP servers.
+func (d *Daemon) close(ctx context.Context) {
+	for _, s := range d.servers {
+		if err := s.shutdown(ctx); err != nil {
+			d.log.Emit(event.ProcessCut, zap.Error(err))
+		}
+	}
+}
+
 // randomBoot draws the number that tells this start of the process from others.
 func randomBoot() uint64 { return rand.Uint64() | 1 }
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -2,41 +2,44 @@
 
 import (
 	"context"
-	"net/netip"
+	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	link "github.com/rosemaryloft/rosemaryloft/internal/connection/control"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/upstream"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/settings"
 	"github.com/rosemaryloft/rosemaryloft/internal/request/caller"
 	"github.com/rosemaryloft/rosemaryloft/internal/request/operator"
-	"github.com/rosemaryloft/rosemaryloft/internal/request/platform"
 	"github.com/rosemaryloft/rosemaryloft/internal/request/route"
 	announce "github.com/rosemaryloft/rosemaryloft/internal/request/upstream"
 	"github.com/rosemaryloft/rosemaryloft/internal/request/worker"
 )
 
-// entry is the entry role: everything that callers, upstreams, workers,
-// operators and the platform talk to.
+// entry is the entry role: everything that callers, upstreams, workers and
+// operators talk to.
 type entry struct {
 	link     *link.Link
 	router   *route.Router
-	platform *platform.Adapter
-	servers  []*server
+	adapters map[settings.Surface]adapter
+	draining atomic.Bool
+	log      event.Log
 }
 
 func newEntry(d *Daemon) (*entry, error) {
 	s := &d.settings
 	boot := randomBoot()
-	e := &entry{}
+	e := &entry{log: d.log}
 	workers := worker.New(worker.Options{Log: d.log})
 	pool := upstream.New(upstream.Options{Name: s.Name, Zone: s.Zone, Log: d.log})
 	allotments := upstream.NewAllotments(nil, func() { e.link.Kick() })
 	var err error
 	if e.link, err = link.New(link.Options{
 		Name: s.Name, Zone: s.Zone, Boot: boot, Address: d.peer.Address(), Peer: d.peer,
-		Candidates: s.ControlNames(), Teams: allotments, Runners: pool, Workers: workers, Log: d.log,
+		Candidates: s.Control(), Teams: allotments, Runners: pool, Workers: workers, Log: d.log,
 	}); err != nil {
 		return nil, err
 	}
@@ -48,47 +51,35 @@
 		return nil, err
 	}
 	d.peer.Handle(link.MethodForward, e.router.Forwarded)
-	e.platform = platform.New(platform.Options{Directory: e.link, Log: d.log})
 	callers := caller.New(caller.Options{Router: e.router, Directory: e.link, Leader: e.link, Log: d.log})
 	upstreams := announce.New(announce.Options{Directory: e.link, Link: e.link, Pool: pool, Log: d.log})
-	operators := operator.New(operator.Options{
-		Directory: e.link, Leader: e.link, Operators: s.Operators, Log: d.log,
-	})
-	e.servers, err = listen([]binding{
-		{address: s.Listen.Callers, serves: []route1{{"/v1/services/", callers.Handler}, {"/v1/jobs", callers.Handler}}},
-		{address: s.Listen.Upstreams, serves: []route1{{"/v1/runners/", upstreams.Handler}, {"/v1/workers/", workers.Handler}}},
-		{address: s.Listen.Operators, serves: []route1{{"/v1/", operators.Handler}}},
-		{address: s.Listen.Platform, serves: []route1{{"/", e.platform.Handler}}},
-	})
-	return e, err
+	e.adapters = map[settings.Surface]adapter{
+		settings.Callers: prefixed{callers.Handler, []string{"/v1/services/", "/v1/jobs"}},
+		settings.Upstreams: split{
+			prefixed{upstreams.Handler, []string{"/v1/runners/"}},
+			prefixed{workers.Handler, []string{"/v1/workers/"}},
+		},
+		settings.Operators: operator.New(operator.Options{
+			Leader: e.link, Directory: e.link, Members: members{d.peer, s.Control()}, Digests: s.Operators, Log: d.log,
+		}),
+	}
+	return e, nil
 }
 
 func (e *entry) start(ctx context.Context, group *errgroup.Group) {
 	group.Go(func() error { return e.link.Run(ctx) })
-	for _, s := range e.servers {
-		group.Go(s.serve)
-		group.Go(func() error {
-			<-ctx.Done()
-			return s.close()
-		})
-	}
 }
 
-// drain turns the health check, hands the runners over, answers what is in
-// flight and closes the servers.
+// drain hands the runners over and answers what is in flight, after the
+// balancer has had time to see the health check turn.
 func (e *entry) drain(ctx context.Context) {
-	e.platform.Drain()
-	e.link.Drain()
+	e.draining.Store(true)
 	select {
 	case <-time.After(balancerDelay):
 	case <-ctx.Done():
 	}
-	// An error means that requests outlived drainTime; their callers see the
-	// connection end.
-	_ = e.router.Drain(ctx)
-	for _, s := range e.servers {
-		_ = s.shutdown(ctx)
+	e.link.Drain()
+	if err := e.router.Drain(ctx); err != nil {
+		e.log.Emit(event.ProcessCut, zap.Error(err))
 	}
 }
-
-var _ = netip.AddrPort{}
