--- a/internal/connection/upstream/allotment.go
+++ b/internal/connection/upstream/allotment.go
@@ -24,6 +24,12 @@
 // a short pause and is returned within a few seconds.
 const wantedDecay = 8
 
+// firstGrantTime bounds how long the first requests of a team at an entry VM
+// wait for its first allotment there: a renewal in flight, its spacing and one
+// more round trip are well below it. Without the wait a team far from its limit
+// would be refused wherever it has not been seen for a few seconds.
+const firstGrantTime = 500 * time.Millisecond
+
 // Allotments counts requests in flight per team against what the leader
 // granted to this entry VM. It implements control.Teams.
 type Allotments struct {
@@ -41,7 +47,9 @@
 	peak    int64 // largest use since the last renewal
 	refused int64 // requests refused since the last renewal
 	wanted  int64
-	limited bool // the team had a limit when last seen
+	limited bool          // the team had a limit when last seen
+	known   bool          // a grant has named the team, so that a refusal is final
+	first   chan struct{} // closed by the first grant that names the team; nil if nobody waits
 }
 
 // NewAllotments returns Allotments without any grant. The function refused, if
@@ -84,6 +92,44 @@
 	return err
 }
 
+// TakeFirst is Take, except that it waits for the first allotment of a team
+// that has none here yet, at most until deadline.
+func (a *Allotments) TakeFirst(team string, limit int64, deadline time.Time) error {
+	err := a.Take(team, limit)
+	if !errors.Is(err, ErrLimited) {
+		return err
+	}
+	first := a.first(team)
+	if first == nil {
+		return err
+	}
+	timer := time.NewTimer(min(firstGrantTime, deadline.Sub(a.now())))
+	defer timer.Stop()
+	select {
+	case <-first:
+		return a.Take(team, limit)
+	case <-timer.C:
+		return err
+	}
+}
+
+// first returns a channel that the first grant of a team closes, or nil if
+// there was one.
+func (a *Allotments) first(team string) chan struct{} {
+	var c chan struct{}
+	a.teams.With(team, func(m map[string]*allotment) {
+		t := m[team]
+		if t == nil || t.known {
+			return
+		}
+		if t.first == nil {
+			t.first = make(chan struct{})
+		}
+		c = t.first
+	})
+	return c
+}
+
 // Release ends what Take began.
 func (a *Allotments) Release(team string) {
 	a.teams.With(team, func(m map[string]*allotment) {
@@ -122,7 +168,7 @@
 
 // idle reports whether nothing is held, in use or wanted.
 func (t *allotment) idle() bool {
-	return t.granted == 0 && t.peak == 0 && t.refused == 0 && t.wanted == 0
+	return t.granted == 0 && t.peak == 0 && t.refused == 0 && t.wanted == 0 && t.first == nil
 }
 
 // use returns the team's part of a renewal and starts the next period.
@@ -153,6 +199,11 @@
 			}
 			t.granted = g.Granted
 			t.limited = t.limited || g.Granted > 0
+			t.known = true
+			if t.first != nil {
+				close(t.first)
+				t.first = nil
+			}
 		})
 	}
 	a.deadline.Store(int64(deadline.Sub(a.start)))
--- a/internal/connection/upstream/allotment_test.go
+++ b/internal/connection/upstream/allotment_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -170,3 +171,22 @@
 		}
 	})
 }
+
+// Guards against refusing the first request of a team at an entry VM while the
+// team is far from its limit, and against waiting once a grant has said no.
+func TestFirstAllotment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := NewAllotments(nil, nil)
+		later := time.Now().Add(time.Minute)
+		a.Grant(nil, later)
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			a.Grant([]control.TeamGrant{{Team: "t", Granted: 1}}, later)
+		}()
+		is.NoErr(a.TakeFirst("t", 10, later))
+		start := time.Now()
+		is.Equal(a.TakeFirst("t", 10, later), ErrLimited)
+		is.Equal(time.Since(start), time.Duration(0))
+	})
+}
--- a/internal/process/leader/allotment.go
+++ b/internal/process/leader/allotment.go
@@ -169,39 +169,37 @@
 }
 
 // target returns the fair part of an entry VM: wants are filled evenly up to
-// the limit (max-min fairness), and what is left is spread over the entry VMs
-// that use the team, so that most requests find an allotment at hand.
+// the limit (max-min fairness), and what is left is spread over all entry VMs.
+// The parts of those that do not use the team stay free, so that the first
+// request of the team there need not wait until another one gives up its part.
 func (s *sessions) target(a *allotment, name string, limit int64) int64 {
 	left := max(0, limit-a.kept())
 	names := slices.SortedFunc(maps.Keys(a.held), func(x, y string) int {
 		return cmp.Or(cmp.Compare(s.want(a, x), s.want(a, y)), cmp.Compare(x, y))
 	})
 	part := int64(0)
-	spare := 0 // entry VMs that take a part of what is left
 	for i, n := range names {
 		p := min(s.want(a, n), left/int64(len(names)-i))
 		left -= p
 		if n == name {
 			part = p
 		}
-		if !s.drains(n) {
-			spare++
-		}
 	}
 	if s.drains(name) {
 		return part
 	}
-	place := int64(0)
-	for _, n := range slices.Sorted(maps.Keys(a.held)) {
-		if n == name {
-			break
+	place, serving := int64(0), int64(0)
+	for n, e := range s.entries {
+		if e.draining {
+			continue
 		}
-		if !s.drains(n) {
+		serving++
+		if n < name {
 			place++
 		}
 	}
-	part += left / int64(spare)
-	if place < left%int64(spare) {
+	part += left / serving
+	if place < left%serving {
 		part++
 	}
 	return part
