--- a/internal/version/raft/change.go
+++ b/internal/version/raft/change.go
@@ -104,7 +104,10 @@
 func (c *core) maintainLearner(p Member) bool {
 	s, g := c.membership(), c.progress[p.Identity]
 	if c.now.Sub(g.heard) > learnerTimeout {
-		c.change(s.without(p.Identity), event.MemberRemoved, p)
+		// It never voted, so it may come back with the same disk.
+		n := s.without(p.Identity)
+		n.Removed = s.Removed
+		c.change(n, event.MemberRemoved, p)
 		return true
 	}
 	if g.probing || g.sending != nil || g.match+learnerBehind < c.entries.last() || c.now.Sub(g.heard) > electionMin {
--- a/internal/version/raft/chunk.go
+++ b/internal/version/raft/chunk.go
@@ -59,27 +59,41 @@
 		c.answer(m, Message{Type: AppendAnswer, Index: c.commit})
 		return
 	}
+	if !c.collect(m) {
+		return
+	}
+	if s := c.assembled(m); c.replace(s) {
+		c.log.Emit(event.SnapshotInstalled, zap.Uint64("entry", s.Index), zap.Int("bytes", len(s.Data)))
+		c.answer(m, Message{Type: AppendAnswer, Index: s.Index})
+	}
+}
+
+// collect adds a part to the assembly and reports whether it is complete. If
+// not, it asks for the next part.
+func (c *core) collect(m Message) bool {
+	p := disk.Position{Index: m.Index, Term: m.LogTerm}
 	a := &c.assembly
 	if a.from != m.From || a.sender != m.Term || a.position != p || a.size != m.Size {
 		if m.Size > snapshotLimit {
-			return
+			return false
 		}
 		*a = assembly{from: m.From, sender: m.Term, position: p, size: m.Size}
 	}
 	if m.Offset == uint64(len(a.data)) && a.size-m.Offset >= uint64(len(m.Data)) {
 		a.data = append(a.data, m.Data...)
 	}
-	if uint64(len(a.data)) < a.size {
-		c.answer(m, Message{Type: ChunkAnswer, Index: m.Index, Offset: uint64(len(a.data))})
-		return
+	if uint64(len(a.data)) == a.size {
+		return true
 	}
-	s := disk.Snapshot{Index: p.Index, Term: p.Term, Membership: m.Membership, Data: a.data}
+	c.answer(m, Message{Type: ChunkAnswer, Index: m.Index, Offset: uint64(len(a.data)), Term: m.Term})
+	return false
+}
+
+// assembled returns the collected snapshot and frees the assembly.
+func (c *core) assembled(m Message) disk.Snapshot {
+	s := disk.Snapshot{Index: m.Index, Term: m.LogTerm, Membership: m.Membership, Data: c.assembly.data}
 	c.assembly = assembly{}
-	if !c.replace(s) {
-		return
-	}
-	c.log.Emit(event.SnapshotInstalled, zap.Uint64("entry", s.Index), zap.Int("bytes", len(s.Data)))
-	c.answer(m, Message{Type: AppendAnswer, Index: s.Index})
+	return s
 }
 
 // replace puts a snapshot in place of the whole log.
@@ -92,7 +106,7 @@
 	c.entries = entryLog{base: c.snapshot}
 	c.memberships = []membershipAt{{s.Index, m}}
 	c.commit, c.handed, c.stable = s.Index, s.Index, s.Index
-	c.unsaved, c.reset, c.install = 0, &c.snapshot, &s
+	c.unsaved, c.install = 0, &s
 	c.reset = &disk.Position{Index: s.Index, Term: s.Term}
 	return true
 }
--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -194,7 +194,7 @@
 // the sync; urgent ones do not.
 func (c *core) send(urgent bool, to string, m Message) {
 	m.From, m.FromName = c.identity, c.name
-	if s := c.membership(); s != nil {
+	if s := c.membership(); s != nil && m.Group == 0 {
 		m.Group = s.Group
 	}
 	if m.Term == 0 {
@@ -225,12 +225,24 @@
 	if c.role == leader {
 		return c.heartbeatDue
 	}
-	if m := c.membership(); m == nil || m.member(c.identity) == nil {
+	if c.asks() && (!c.inside() || c.joinDue.Before(c.electionDeadline)) {
 		return c.joinDue
 	}
 	return c.electionDeadline
 }
 
+func (c *core) inside() bool {
+	m := c.membership()
+	return m != nil && m.member(c.identity) != nil
+}
+
+// asks tells whether this replica asks to found or join a group: it is not a
+// member, it has promised nothing to its group, or it is a non-voter without a
+// leader, which may have been added by a change that was never committed.
+func (c *core) asks() bool {
+	return !c.inside() || c.empty() || !c.membership().voter(c.identity) && c.now.Sub(c.contact) >= electionMax
+}
+
 // tick lets time pass.
 func (c *core) tick(now time.Time) {
 	c.clock(now)
@@ -238,10 +250,12 @@
 		c.tickLeader()
 		return
 	}
+	if c.asks() {
+		c.tickOutside()
+	}
 	m := c.membership()
 	switch {
-	case m == nil || m.member(c.identity) == nil:
-		c.tickOutside()
+	case !c.inside():
 	case m.voter(c.identity) && (c.single() || !c.now.Before(c.electionDeadline)):
 		c.campaign()
 	case !c.now.Before(c.electionDeadline):
@@ -264,10 +278,11 @@
 		return
 	}
 	s := c.membership()
-	if s == nil && m.Type != Append && m.Type != Chunk {
+	if s == nil || m.Group != s.Group {
+		c.stepOutside(m)
 		return
 	}
-	if s != nil && (m.Group != s.Group || c.ignored(m.From)) {
+	if c.ignored(m.From) {
 		return
 	}
 	if m.Type == PreVote {
--- a/internal/version/raft/election.go
+++ b/internal/version/raft/election.go
@@ -26,7 +26,11 @@
 	}
 	c.role = preCandidate
 	c.votes = map[uint64]bool{c.identity: true}
-	c.request(true, Message{Type: PreVote, Term: c.term + 1})
+	m := Message{Type: PreVote, Term: c.term + 1}
+	if !c.empty() {
+		m.Membership = c.membership().encode() // for voters that missed the founding
+	}
+	c.request(true, m)
 }
 
 // stand starts a real election in the next term.
@@ -65,7 +69,6 @@
 		c.answer(m, Message{Type: PreVoteAnswer, Reject: true})
 		return
 	}
-	c.founding.engaged = true
 	c.answer(m, Message{Type: PreVoteAnswer, Term: m.Term})
 }
 
--- a/internal/version/raft/founding.go
+++ b/internal/version/raft/founding.go
@@ -27,30 +27,33 @@
 //
 // The first name in the settings is the founder. It collects reports from all
 // others, and when all disks are empty, it sends the founding membership to
-// them. Each persists it and answers; the founder persists it last. A nonce
-// binds the membership to the receiver's latest report: once a replica has
-// reported to a founder with another identity, whose predecessor lost its
-// disk, it refuses the predecessor's membership, so that two foundings cannot
-// both be complete. A replica that holds a founding membership but has neither
-// voted nor received an entry has promised nothing, and still reports empty.
+// them. Each persists it and answers; the founder persists it last. A new round
+// begins when the founder starts or a disk has changed. A nonce binds the
+// membership to the receiver's report in the latest round, so that a delayed
+// membership of an older round is refused and two foundings cannot both be
+// complete. A replica that holds a founding membership but has neither voted
+// nor received an entry has promised nothing, and still reports empty. It
+// follows a leader of any group that has its identity as a member, and takes
+// the membership from a voter that asks for its vote. A voter without entries
+// is one of the founding membership, since others vote only once they caught up.
 type founding struct {
-	reports  map[string]report // founder: latest reports by name
+	round    uint64            // founder: drawn for each round
+	reports  map[string]report // founder: reports of this round by name
 	proposed *Membership       // founder: membership handed out
 	accepted map[uint64]bool   // founder: identities that persisted it
 
-	asker   uint64 // identity of the founder that got the latest report
-	nonce   uint64
-	engaged bool // gave a pre-vote, so that a vote may follow
+	asked uint64 // round of the latest report
+	nonce uint64
 }
 
 // empty tells whether this replica has promised nothing to any group.
 func (c *core) empty() bool {
-	return c.term <= foundingTerm && c.vote == 0 && c.entries.last() <= foundingIndex && !c.founding.engaged
+	return c.term <= foundingTerm && c.vote == 0 && c.entries.last() <= foundingIndex
 }
 
 func (c *core) founder() bool { return len(c.settings) > 0 && c.settings[0] == c.name }
 
-// tickOutside runs while this replica is not a member: it founds or joins.
+// tickOutside founds a group or asks to join one.
 func (c *core) tickOutside() {
 	if c.now.Before(c.joinDue) {
 		return
@@ -62,10 +65,12 @@
 	if c.founder() && c.membership() == nil && c.empty() {
 		if len(c.settings) == 1 {
 			c.found(&Membership{Group: c.draw(), Members: []Member{{Name: c.name, Identity: c.identity, Voter: true}}})
-			c.campaign()
 			return
 		}
-		c.toOthers(Message{Type: Report})
+		if c.founding.round == 0 {
+			c.newRound()
+		}
+		c.toOthers(Message{Type: Report, Nonce: c.founding.round})
 		c.handOut()
 	}
 	c.toOthers(Message{Type: Join})
@@ -116,10 +121,10 @@
 	if len(c.settings) == 0 || m.FromName != c.settings[0] {
 		return
 	}
-	if f := &c.founding; f.asker != m.From {
-		f.asker, f.nonce = m.From, c.draw()
+	if f := &c.founding; f.asked != m.Nonce {
+		f.asked, f.nonce = m.Nonce, c.draw()
 	}
-	c.answer(m, Message{Type: ReportAnswer, Empty: c.empty(), Nonce: c.founding.nonce})
+	c.answer(m, Message{Type: ReportAnswer, Empty: c.empty(), Nonce: c.founding.nonce, Hint: m.Nonce})
 }
 
 func (c *core) handleReportAnswer(m Message) {
@@ -127,16 +132,17 @@
 		return
 	}
 	f := &c.founding
-	if f.reports == nil {
-		f.reports = map[string]report{}
+	if m.Hint != f.round {
+		return
 	}
-	if !m.Empty {
-		delete(f.reports, m.FromName)
+	old, known := f.reports[m.FromName]
+	if !m.Empty || known && old.identity != m.From {
+		c.newRound()
 		return
 	}
 	f.reports[m.FromName] = report{m.From, m.Nonce}
-	if len(f.reports) == len(c.settings)-1 && !c.proposes() {
-		f.proposed = &Membership{Group: c.draw(), Members: []Member{}}
+	if f.proposed == nil && len(f.reports) == len(c.settings)-1 {
+		f.proposed = &Membership{Group: c.draw()}
 		for _, name := range c.settings {
 			id := c.identity
 			if name != c.name {
@@ -144,29 +150,20 @@
 			}
 			f.proposed.Members = append(f.proposed.Members, Member{Name: name, Identity: id, Voter: true})
 		}
-		f.accepted = map[uint64]bool{}
 		c.handOut()
 	}
 }
 
-// proposes tells whether the proposed membership agrees with the reports.
-func (c *core) proposes() bool {
-	f := &c.founding
-	if f.proposed == nil {
-		return false
-	}
-	for _, p := range f.proposed.Members {
-		if p.Name != c.name && f.reports[p.Name].identity != p.Identity {
-			return false
-		}
-	}
-	return true
+// newRound drops what the founder has collected.
+func (c *core) newRound() {
+	c.founding.round = c.draw()
+	c.founding.reports, c.founding.accepted, c.founding.proposed = map[string]report{}, map[uint64]bool{}, nil
 }
 
 // handOut sends the proposed membership to those who have not accepted it.
 func (c *core) handOut() {
 	f := &c.founding
-	if f.proposed == nil || len(f.reports) < len(c.settings)-1 || !c.proposes() {
+	if f.proposed == nil {
 		return
 	}
 	for _, p := range f.proposed.Members {
@@ -190,7 +187,7 @@
 		return
 	}
 	if o := c.membership(); o == nil || o.Group != s.Group {
-		if f := &c.founding; !c.empty() || f.asker != m.From || f.nonce != m.Nonce {
+		if f := &c.founding; !c.empty() || f.nonce != m.Nonce {
 			return
 		}
 		c.found(s)
@@ -213,6 +210,37 @@
 	c.found(f.proposed)
 }
 
+// stepOutside handles a message of a group that this replica does not belong
+// to. A replica that has promised nothing takes over the snapshot of a leader
+// that knows its identity. It keeps its term until then, so that it still
+// reports an empty disk.
+func (c *core) stepOutside(m Message) {
+	if !c.empty() {
+		return
+	}
+	switch m.Type {
+	case PreVote:
+		s, err := decodeMembership(m.Membership)
+		if err == nil && s.Group == m.Group && s.voter(c.identity) {
+			c.found(s)
+		}
+	case Append:
+		c.answer(m, Message{Type: AppendAnswer, Index: m.Index, Reject: true, Term: m.Term})
+	case Chunk:
+		if !c.collect(m) {
+			return
+		}
+		s := c.assembled(m)
+		if !c.replace(s) {
+			return
+		}
+		c.term, c.vote, c.changedHard = m.Term, 0, true
+		c.heard(m)
+		c.log.Emit(event.SnapshotInstalled, zap.Uint64("entry", s.Index), zap.Int("bytes", len(s.Data)))
+		c.answer(m, Message{Type: AppendAnswer, Index: s.Index})
+	}
+}
+
 // join is a request of a replica to be admitted.
 type join struct {
 	identity uint64
--- a/internal/version/raft/replication.go
+++ b/internal/version/raft/replication.go
@@ -200,10 +200,6 @@
 
 // handleAppend checks and takes entries of the leader.
 func (c *core) handleAppend(m Message) {
-	if c.membership() == nil { // only a snapshot tells the members
-		c.answer(m, Message{Type: AppendAnswer, Index: m.Index, Reject: true})
-		return
-	}
 	if m.Index < c.commit {
 		c.answer(m, Message{Type: AppendAnswer, Index: c.commit})
 		return
