--- a/internal/version/raft/replica_test.go
+++ b/internal/version/raft/replica_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"encoding/binary"
+	"fmt"
 	"math/rand/v2"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/anishathalye/porcupine"
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
@@ -205,3 +207,241 @@
 		c.stopAll()
 	})
 }
+
+// Guards against a result or a lease that survives the loss of leadership, and
+// against a change of leadership that nobody is told of.
+func TestLostLeadership(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a", "b", "c")
+		c.startAll()
+		old := c.leader()
+		changed := old.Changed()
+		c.mu.Lock()
+		c.cut[old.options.Name] = true
+		c.mu.Unlock()
+		_, err := old.Propose(t.Context(), number(1))
+		is.True(errors.Is(err, ErrUnknown))
+		<-changed
+		is.True(old.Lease().IsZero())
+		_, err = old.Propose(t.Context(), number(1))
+		is.True(errors.Is(err, ErrNotLeader))
+		_, err = old.Propose(t.Context(), make([]byte, MaxCommand+1))
+		is.True(errors.Is(err, ErrTooLarge))
+		l := c.leader(old.options.Name)
+		v, err := l.Propose(t.Context(), number(2))
+		is.NoErr(err)
+		is.Equal(v, uint64(2)) // the command of the old leader is not part of it
+		c.stopAll()
+	})
+}
+
+// padded is a machine whose snapshot takes several chunks.
+type padded struct{ sum }
+
+func (p *padded) Snapshot() ([]byte, error) {
+	b, err := p.sum.Snapshot()
+	return append(b, make([]byte, 3*chunkBytes)...), err
+}
+
+func (p *padded) Restore(b []byte) error { return p.sum.Restore(b[:16]) }
+
+// Guards against a log that grows without bound, and against a replica that is
+// far behind or has a new disk and is never brought up to date.
+func TestSnapshotInstallation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a", "b", "c")
+		machines := map[string]*padded{}
+		c.options = func(o *Options) {
+			machines[o.Name] = &padded{}
+			o.Machine, o.SnapshotEntries, o.Trailing = machines[o.Name], 50, 10
+		}
+		c.startAll()
+		l := c.leader()
+		behind := "a"
+		if l.options.Name == "a" {
+			behind = "b"
+		}
+		c.stop(behind)
+		for range 200 {
+			_, err := l.Propose(t.Context(), number(1))
+			is.NoErr(err)
+		}
+		time.Sleep(time.Second)
+		is.True(l.Status().First > 100)
+		c.start(behind, 0)
+		time.Sleep(3 * time.Second)
+		is.Equal(machines[behind].value(), uint64(200))
+		c.stop(behind)
+		r := c.start(behind, 77) // the same name with an empty disk
+		time.Sleep(10 * time.Second)
+		is.Equal(machines[behind].value(), uint64(200))
+		for _, m := range r.Members() {
+			is.True(m.Voter && (m.Name != behind || m.Identity == 77))
+		}
+		c.stopAll()
+	})
+}
+
+// Guards against a removed member that still votes, comes back by itself, or
+// cannot be allowed again, and against a removal that stops the group.
+func TestRemoveForGood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a", "b", "c")
+		c.startAll()
+		l := c.leader()
+		gone, left := "a", "c"
+		if l.options.Name == "a" {
+			gone = "b"
+		} else if l.options.Name == "c" {
+			left = "b"
+		}
+		is.True(errors.Is(l.Remove(t.Context(), "x"), ErrMember))
+		is.NoErr(l.Remove(t.Context(), gone))
+		is.Equal(len(l.Members()), 2)
+		c.stop(gone)
+		c.start(gone, 50) // a new disk under the removed name
+		time.Sleep(5 * time.Second)
+		is.Equal(len(l.Members()), 2)
+		is.NoErr(l.Allow(t.Context(), gone))
+		time.Sleep(5 * time.Second)
+		is.Equal(len(l.Members()), 3)
+		c.stop(gone)
+		c.stop(left)
+		time.Sleep(500 * time.Millisecond)
+		is.True(l.Remove(t.Context(), gone) != nil) // a quorum would be dead
+		c.stopAll()
+	})
+}
+
+// register is a machine for the history check: a write returns nothing, a read
+// goes through the log and returns the value.
+type register struct {
+	sum
+	value uint64
+}
+
+func (r *register) Apply(_ uint64, command []byte) any {
+	if n, _ := binary.Uvarint(command); n > 0 {
+		r.value = n
+	}
+	return r.value
+}
+
+// Guards against results that no single register would give, while leaders are
+// cut off and crash.
+func TestLinearizableRegister(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, "a", "b", "c")
+		c.options = func(o *Options) { o.Machine = &register{} }
+		c.startAll()
+		c.leader()
+		var mu sync.Mutex
+		var history []porcupine.Operation
+		var clients sync.WaitGroup
+		begin, end := time.Now(), time.Now().Add(30*time.Second)
+		for id := range 4 {
+			clients.Go(func() {
+				random := rand.New(rand.NewPCG(4, uint64(id)))
+				for i := 0; time.Now().Before(end); i++ {
+					var write uint64
+					if random.IntN(2) == 0 {
+						write = uint64(i*4 + id + 1)
+					}
+					c.mu.Lock()
+					r := c.replicas[c.names[random.IntN(3)]]
+					c.mu.Unlock()
+					time.Sleep(time.Duration(random.IntN(40)) * time.Millisecond)
+					if r == nil {
+						continue
+					}
+					o := porcupine.Operation{ClientId: id, Input: write, Call: int64(time.Since(begin))}
+					ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+					v, err := r.Propose(ctx, number(write))
+					cancel()
+					o.Output, o.Return = v, int64(time.Since(begin))
+					if errors.Is(err, ErrNotLeader) || err != nil && write == 0 {
+						continue
+					}
+					if err != nil {
+						// It may take effect at any later time.
+						o.Output, o.Return, o.ClientId = write, 1<<62, 1000+len(history)
+					}
+					mu.Lock()
+					history = append(history, o)
+					mu.Unlock()
+				}
+			})
+		}
+		random := rand.New(rand.NewPCG(9, 9))
+		for time.Now().Before(end) {
+			n := c.names[random.IntN(3)]
+			time.Sleep(2 * time.Second)
+			if random.IntN(2) == 0 {
+				c.stop(n)
+				c.stores[n].(*disk.Memory).Crash()
+				time.Sleep(3 * time.Second)
+				c.start(n, 0)
+				continue
+			}
+			for _, cut := range []bool{true, false} {
+				c.mu.Lock()
+				c.cut[n] = cut
+				c.mu.Unlock()
+				time.Sleep(2 * time.Second)
+			}
+		}
+		clients.Wait()
+		c.stopAll()
+		model := porcupine.Model{
+			Init: func() any { return uint64(0) },
+			Step: func(state, input, output any) (bool, any) {
+				if w := input.(uint64); w > 0 {
+					return true, w
+				}
+				return output == state, state
+			},
+		}
+		t.Logf("%d operations", len(history))
+		if len(history) < 200 || !porcupine.CheckOperations(model, history) {
+			t.Errorf("%d operations, or they are not linearizable", len(history))
+		}
+	})
+}
+
+// Guards against a decoder that panics, and against fields that are lost.
+func FuzzDecodeMessage(f *testing.F) {
+	for _, m := range []Message{
+		{Type: Append, FromName: "a", From: 1, To: 2, Term: 3, Index: 4, Entries: []disk.Entry{{Index: 5, Term: 3, Data: []byte("x")}}},
+		{Type: Chunk, Offset: 1, Size: 2, Data: []byte{1}, Membership: (&Membership{Group: 1, Members: []Member{{"a", 1, true}}}).encode()},
+	} {
+		b, err := EncodeMessage(m)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		m, err := DecodeMessage(b)
+		if err != nil {
+			return
+		}
+		e, err := EncodeMessage(m)
+		again, err2 := DecodeMessage(e)
+		if err != nil || err2 != nil || fmt.Sprint(again) != fmt.Sprint(m) {
+			t.Fatalf("%v, %v: %v became %v", err, err2, m, again)
+		}
+	})
+}
+
+// Guards against a membership decoder that accepts one without members.
+func FuzzDecodeMembership(f *testing.F) {
+	f.Add((&Membership{Group: 1, Members: []Member{{"a", 1, true}}, Removed: []uint64{2}, Retired: []string{"b"}}).encode())
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if m, err := decodeMembership(b); err == nil && len(m.Members) == 0 {
+			t.Fatal("no members")
+		}
+	})
+}
