--- a/internal/process/leader/allotment.go
+++ b/internal/process/leader/allotment.go
@@ -49,12 +49,14 @@
 // what is kept back for it; anything else is past its deadline.
 func (s *sessions) accept(e *session, r *control.Renewal, now time.Time) {
 	for _, u := range r.Teams {
-		a := s.team(u.Team)
-		held := max(0, u.Held)
-		if s.settled {
-			held = a.reclaim(e, held, now)
+		s.team(u.Team).held[e.name] = newHolding(max(0, u.Held), u)
+	}
+	for _, a := range s.teams {
+		h := a.held[e.name]
+		if held := a.reclaim(e, h.held, now); held < h.held && s.settled {
+			h.held = max(held, h.used)
+			a.held[e.name] = h
 		}
-		a.held[e.name] = newHolding(held, u)
 	}
 }
 
@@ -74,15 +76,16 @@
 	return holding{held: max(held, used), used: used, want: max(used, u.Wanted)}
 }
 
-// reclaim gives a session back what is kept back for it, up to an amount.
+// reclaim gives a session back what is kept back for it, up to an amount. The
+// rest is free at once: the process is the same, so that it knows of all
+// requests that it admitted.
 func (a *allotment) reclaim(e *session, amount int64, now time.Time) int64 {
 	got := int64(0)
 	for i := range a.back {
 		b := &a.back[i]
 		if b.entry == e.name && b.boot == e.boot && now.Before(b.until) {
-			n := min(b.amount, amount-got)
-			b.amount -= n
-			got += n
+			got += min(b.amount, amount-got)
+			b.amount = 0
 		}
 	}
 	n := min(a.unheard, amount-got)
--- a/internal/process/leader/lease.go
+++ b/internal/process/leader/lease.go
@@ -25,6 +25,9 @@
 	// commitWait bounds how long a renewal waits for what its polls report.
 	// An entry VM gives a renewal up after 500 ms.
 	commitWait = 300 * time.Millisecond
+	// runsPerPoll is the number of runs for which a poll reserves memory. Fleets
+	// run about four tasks on each worker.
+	runsPerPoll = 4
 )
 
 // lease is what the leader knows of a worker that polls.
@@ -81,9 +84,10 @@
 // through the same entry VM.
 func (t *term) polls(ctx context.Context, entry string, reports []control.WorkerReport, received time.Time) []control.WorkerOrders {
 	polls := make([]poll, 0, len(reports))
+	arena := make([]state.Run, 0, runsPerPoll*len(reports))
 	for i := range reports {
 		p := poll{report: &reports[i]}
-		if t.admit(&p, received) {
+		if t.admit(&p, received, &arena) {
 			polls = append(polls, p)
 		}
 	}
@@ -115,11 +119,14 @@
 
 // admit takes in a poll: it renews the lease if the poll is the latest of the
 // current boot, and finds out what has to be committed. It returns false for a
-// poll that must not be answered.
-func (t *term) admit(p *poll, received time.Time) bool {
+// poll that must not be answered. The runs of the worker are appended to arena.
+func (t *term) admit(p *poll, received time.Time, arena *[]state.Run) bool {
 	r := p.report
 	name := r.Worker.Name
-	known, runs, found := t.state().Runs(name, nil)
+	from := len(*arena)
+	known, all, found := t.state().Runs(name, *arena)
+	*arena = all
+	runs := all[from:len(all):len(all)] // an append must not reach the next poll's
 	p.runs = runs
 	p.join = !found || known.Worker.Gone || !alike(&known.Worker, &r.Worker)
 	if r.Leaving && found && !known.Worker.Gone && known.Worker.Boot == r.Worker.Boot {
--- a/internal/version/state/job.go
+++ b/internal/version/state/job.go
@@ -46,6 +46,9 @@
 	case d.Finish.IsZero():
 	case d.Submitted.IsZero():
 		j.Finish = normal(d.Finish)
+		if j.Finish.Before(s.now) {
+			j.Finish = s.now
+		}
 	default: // the declared run time, counted from when the job is accepted
 		j.Finish = s.now.Add(max(0, d.Finish.Sub(d.Submitted)))
 	}
--- a/internal/version/state/query.go
+++ b/internal/version/state/query.go
@@ -99,6 +99,7 @@
 	if w == nil {
 		return WorkerState{}, into, false
 	}
+	into = slices.Grow(into, len(w.runs))
 	for _, r := range w.runs {
 		t := r.task()
 		into = append(into, Run{
