Reserve for four gangs, expect ends by the median, gate limits for gangs

One reservation at a time. Cause: with some twenty gangs waiting, each waits for the drain of all before it. Kept at four.

Backfill still tripled the gangs' wait. Cause: the start of a reservation was computed from the 90% quantile of run times, so it seemed later than it was, and backfill used the difference.

Gangs that never started. Cause: their team stood at its limit, and its own batch work took every bit that became free. Ruled out: capacity, as the 99th percentile was the same with eight reservations.

--- a/internal/version/placement/decide.go
+++ b/internal/version/placement/decide.go
@@ -84,7 +84,7 @@
 	s.stats.Queued--
 	s.stats.Starts++
 	t.token, t.start = 0, s.now
-	t.end = s.now.Add(s.runTime(j))
+	t.end = s.now.Add(s.runTime(j, s.options.EndQuantile))
 	s.occupy(t, w, size, proposed)
 	if len(j.ready) == 0 {
 		s.dequeue(j)
--- a/internal/version/placement/estimate.go
+++ b/internal/version/placement/estimate.go
@@ -110,18 +110,18 @@
 // unknownTime stands for a run time that nobody knows, and for services.
 const unknownTime = 10 * 365 * 24 * time.Hour
 
-// runTime returns how long a task of j is expected to run at most.
-func (s *Scheduler) runTime(j *job) time.Duration {
+// runTime returns the run time that tasks of j exceed with probability 1-q.
+func (s *Scheduler) runTime(j *job, q float64) time.Duration {
 	u := &j.profile.usage
 	switch {
 	case j.class == work.Service:
 		return unknownTime
 	case j.duration > 0 && !s.options.Off.Times && u.ratio.count >= s.options.Samples:
-		return time.Duration(float64(j.duration) * u.ratio.quantile(s.options.TimeQuantile, ratioLow))
+		return time.Duration(float64(j.duration) * u.ratio.quantile(q, ratioLow))
 	case j.duration > 0:
 		return j.duration
 	case !s.options.Off.Times && u.seconds.count >= s.options.Samples:
-		return time.Duration(u.seconds.quantile(s.options.TimeQuantile, timeLow) * float64(time.Second))
+		return time.Duration(u.seconds.quantile(q, timeLow) * float64(time.Second))
 	}
 	return unknownTime
 }
--- a/internal/version/placement/gang.go
+++ b/internal/version/placement/gang.go
@@ -243,7 +243,7 @@
 	if w.bound != nil && w.bound != j.team && !j.profile.entry.open {
 		return false
 	}
-	if now.Before(h.since.Add(s.options.Patience)) && !now.Add(s.runTime(j)).After(h.at) {
+	if now.Before(h.since.Add(s.options.Patience)) && !now.Add(s.runTime(j, s.options.TimeQuantile)).After(h.at) {
 		return true
 	}
 	later := w.capacity.Sub(w.held).Sub(size)
@@ -328,7 +328,10 @@
 		switch s.tryGang(j) {
 		case gangBlocked:
 			tries++
+			s.keepGate(j)
 			s.reserveFor(j, nil)
+		case gangLimited:
+			s.keepGate(j)
 		case gangStarted:
 			tries++
 		}
@@ -350,6 +353,39 @@
 	}
 }
 
+// keepGate keeps room within the limits of the gang's team and entry, if no
+// older gang has a gate there.
+func (s *Scheduler) keepGate(j *job) {
+	t, e := j.team, j.profile.entry
+	if s.options.Off.Reservation || j.stopping > 0 {
+		return
+	}
+	g := gate{j, s.size(j).Times(int64(len(j.ready))), int64(len(j.ready))}
+	if (t.tasks > 0 || t.limit != (work.Resources{})) && (t.gate.owner == nil || t.gate.owner == j) && t.gate != g {
+		t.gate = g
+		s.refreshTeam(t)
+	}
+	if e.tasks > 0 && (e.gate.owner == nil || e.gate.owner == j) {
+		e.gate = g
+	}
+}
+
+// openGate gives the room back that was kept for a gang.
+func (s *Scheduler) openGate(j *job) {
+	t, e := j.team, j.profile.entry
+	if t.gate.owner == j {
+		t.gate = gate{}
+		for _, p := range t.active {
+			s.startWalk(p)
+		}
+		s.refreshTeam(t)
+	}
+	if e.gate.owner == j {
+		e.gate = gate{}
+		s.reopen(e)
+	}
+}
+
 type gangResult uint8
 
 const (
--- a/internal/version/placement/options.go
+++ b/internal/version/placement/options.go
@@ -17,8 +17,9 @@
 	// Replan is how long a reservation that was not met is kept before it is
 	// computed anew, and how often blocked gangs without one are tried.
 	Replan time.Duration
-	// Reservations is the number of blocked gangs that hold a reservation. One
-	// reservation cannot deadlock; more are granted in order of age.
+	// Reservations is the number of the oldest blocked gangs that hold a
+	// reservation. Their workers are disjoint and every reservation is for a
+	// whole gang, so that none waits for another.
 	Reservations int
 	// Throttle and Stop are the delays after the request for a checkpoint at
 	// which a preempted task is throttled and then stopped.
@@ -32,8 +33,11 @@
 	// a quantile of what earlier runs used at most, and a margin on top.
 	SizeQuantile  float64
 	MarginPercent int64
-	// TimeQuantile is the quantile of run times that backfill counts on.
-	TimeQuantile float64
+	// TimeQuantile is the quantile of run times that backfilled work must keep
+	// to. EndQuantile is the one that the ends of running tasks are expected
+	// by: with a high quantile there, a reservation seems to begin later than
+	// it could, and backfill then delays it.
+	TimeQuantile, EndQuantile float64
 	// GrowPercent is the growth of the size of a run that was too small.
 	GrowPercent int64
 	// AsideAfter is the number of different jobs that must fail on a worker,
@@ -78,14 +82,15 @@
 	defaultAgeing          = 30 * time.Minute
 	defaultPatience        = 10 * time.Minute
 	defaultReplan          = 10 * time.Second
-	defaultReservations    = 1
+	defaultReservations    = 4
 	defaultThrottle        = 1500 * time.Millisecond
 	defaultStop            = 3 * time.Second
 	defaultThrottlePercent = 25
 	defaultSamples         = 8
 	defaultSizeQuantile    = 0.95
 	defaultMarginPercent   = 15
-	defaultTimeQuantile    = 0.9
+	defaultTimeQuantile    = 0.95
+	defaultEndQuantile     = 0.5
 	defaultGrowPercent     = 60
 	defaultAsideAfter      = 3
 	defaultTrial           = time.Minute
@@ -115,6 +120,7 @@
 	preset(&o.SizeQuantile, defaultSizeQuantile)
 	preset(&o.MarginPercent, defaultMarginPercent)
 	preset(&o.TimeQuantile, defaultTimeQuantile)
+	preset(&o.EndQuantile, defaultEndQuantile)
 	preset(&o.GrowPercent, defaultGrowPercent)
 	preset(&o.AsideAfter, defaultAsideAfter)
 	preset(&o.Trial, defaultTrial)
@@ -151,6 +157,7 @@
 	check(o.Samples >= 1, "placement: Samples must be at least 1")
 	check(o.SizeQuantile > 0 && o.SizeQuantile <= 1, "placement: SizeQuantile must be above 0 and at most 1")
 	check(o.TimeQuantile > 0 && o.TimeQuantile <= 1, "placement: TimeQuantile must be above 0 and at most 1")
+	check(o.EndQuantile > 0 && o.EndQuantile <= 1, "placement: EndQuantile must be above 0 and at most 1")
 	check(o.MarginPercent >= 0, "placement: MarginPercent must not be negative")
 	check(o.GrowPercent > 0, "placement: GrowPercent must be positive")
 	check(o.AsideAfter >= 1, "placement: AsideAfter must be at least 1")
--- a/internal/version/placement/part_test.go
+++ b/internal/version/placement/part_test.go
@@ -118,6 +118,17 @@
 		c.pass(time.Hour, 10*time.Second, func(j *work.Job) time.Duration { return time.Duration(3+j.ID%3) * time.Minute })
 		return c.Jobs[id].State == work.JobSucceeded
 	}},
+	{"gate", "a gang that small work of its own team starves at the team's limit", placement.Off{Reservation: true}, func(c *cluster) bool {
+		c.Team(work.Team{Name: "a", Weight: 1, Limit: size(12, 0, 0)})
+		c.workers("w", 4, size(8, 8, 0))
+		for range 600 {
+			c.submit("a", work.Batch, size(1, 1, 0), 1, 5*time.Minute)
+		}
+		c.settle()
+		id := c.submit("a", work.Gang, size(5, 5, 0), 2, time.Minute)
+		c.pass(time.Hour, 10*time.Second, func(j *work.Job) time.Duration { return time.Duration(3+j.ID%3) * time.Minute })
+		return c.Jobs[id].State == work.JobSucceeded && c.Running["a"] == 12
+	}},
 	{"backfill", "reserved capacity that stays idle, or a gang delayed by long work", placement.Off{Backfill: true}, func(c *cluster) bool {
 		c.workers("w", 2, size(8, 8, 0))
 		c.submit("a", work.Batch, size(8, 8, 0), 1, time.Hour)
--- a/internal/version/placement/queue.go
+++ b/internal/version/placement/queue.go
@@ -43,6 +43,7 @@
 func (s *Scheduler) dequeue(j *job) {
 	s.waiting.drop(j.slot)
 	s.fresh.drop(j.slot)
+	s.openGate(j)
 	p := j.profile
 	if p.active && p.waiting == none {
 		p.active = false
--- a/internal/version/placement/scheduler.go
+++ b/internal/version/placement/scheduler.go
@@ -351,7 +351,7 @@
 	switch {
 	case t.state == proposed && t.worker.name == e.Worker && t.reserved == e.Reserved:
 		t.token, t.start = e.Token, e.Started
-		t.end = e.Started.Add(s.runTime(j))
+		t.end = e.Started.Add(s.runTime(j, s.options.EndQuantile))
 		t.resumed = e.Checkpoint
 		s.setState(t, started)
 		s.refresh(t.worker)
@@ -371,7 +371,7 @@
 func (s *Scheduler) begin(t *task, e *work.Task) {
 	t.token, t.start, t.resumed = e.Token, e.Started, e.Checkpoint
 	s.occupy(t, s.worker(e.Worker), e.Reserved, started)
-	t.end = e.Started.Add(s.runTime(t.job))
+	t.end = e.Started.Add(s.runTime(t.job, s.options.EndQuantile))
 	if e.State == work.TaskStopping {
 		s.setState(t, stopping)
 	}
