--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 	"time"
@@ -173,3 +174,28 @@
 		}
 	})
 }
+
+// Guards against fields that docs/settings.md leaves out.
+func TestDocumentation(t *testing.T) {
+	is := is.New(t)
+	page, err := os.ReadFile("../../../docs/settings.md")
+	is.NoErr(err)
+	var visit func(prefix string, s reflect.Type)
+	visit = func(prefix string, s reflect.Type) {
+		for i := range s.NumField() {
+			f := s.Field(i)
+			path := prefix + f.Tag.Get("json")
+			switch inner := f.Type; {
+			case inner.Kind() == reflect.Slice && inner.Elem().Kind() == reflect.Struct:
+				visit(path+"[].", inner.Elem())
+			case inner.Kind() == reflect.Struct && inner != reflect.TypeFor[Address]():
+				visit(path+".", inner)
+			default:
+				if !bytes.Contains(page, []byte("| `"+path+"` |")) {
+					t.Errorf("docs/settings.md has no line for %s", path)
+				}
+			}
+		}
+	}
+	visit("", reflect.TypeFor[Settings]())
+}
