--- a/internal/connection/control/link_test.go
+++ b/internal/connection/control/link_test.go
@@ -30,7 +30,7 @@
 	sent     []time.Time
 	renewals []Renewal
 	commits  int
-	lose     int // answers to proposals that are lost after the commit
+	lose     int           // answers to proposals that are lost after the commit
 	delay    time.Duration // of each call
 }
 
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -302,15 +302,21 @@
 	uncertain             // it may have run; it may be repeated only if idempotent
 )
 
-// attempt tries runners until there is an answer or an error to return.
+// attempt tries runners until there is an answer or an error to return. An
+// attempt that finds no slot leaves the error of the one before in place.
 func (r *Router) attempt(f *flight) (*upstream.Answer, *api.Error) {
+	var before *api.Error
 	for {
 		res := r.once(f)
 		f.attempts++
 		f.maybe = f.maybe || res.next == uncertain
+		if before != nil && res.fail != nil && res.fail.Code == api.Overloaded {
+			res.fail = before
+		}
 		if res.next == done || !r.again(f, res) {
 			return res.answer, f.final(res.fail)
 		}
+		before = res.fail
 		if f.astray {
 			r.release(f)
 			f.astray = false
