--- a/internal/connection/control/client.go
+++ b/internal/connection/control/client.go
@@ -85,7 +85,13 @@
 func notLeader(err error) (hint string, refused bool) {
 	var remote *peer.Remote
 	if errors.As(err, &remote) {
-		return remote.Message, remote.Code == CodeNotLeader
+		switch remote.Code {
+		case CodeNotLeader:
+			return remote.Message, true
+		case peer.CodeMethod: // a process that does not serve the method yet
+			return "", true
+		}
+		return "", false
 	}
 	return "", errors.Is(err, peer.ErrNotSent)
 }
--- a/internal/connection/upstream/pool.go
+++ b/internal/connection/upstream/pool.go
@@ -44,8 +44,9 @@
 	// timeouts of common HTTP servers, so that a runner rarely closes a
 	// connection just as a request is sent on it.
 	IdleTime = 4 * time.Second
-	// AnswerBytes is the largest answer of a runner, in bytes.
-	AnswerBytes = 16 << 20
+	// AnswerBytes is the largest answer of a runner, in bytes. With its headers
+	// it has to fit the 16 MiB of a call between entry VMs.
+	AnswerBytes = 8 << 20
 
 	// avoidFirst and avoidMaximum bound the time for which a failing runner
 	// gets nothing. It doubles with each failure in a row.
--- a/internal/request/caller/job.go
+++ b/internal/request/caller/job.go
@@ -102,7 +102,7 @@
 	for i := range job.Tasks {
 		job.Tasks[i] = work.Task{ID: work.TaskID{Job: job.ID, Index: uint32(i)}, State: work.TaskQueued}
 	}
-	web.JSON(ctx, fasthttp.StatusCreated, describe(&job))
+	web.JSON(ctx, fasthttp.StatusCreated, web.Job(&job))
 }
 
 func missing(err error, entry string) *api.Error {
@@ -128,7 +128,7 @@
 	if fail := web.Decode(body, &s.Submission); fail != nil {
 		return nil, fail
 	}
-	size := resources(s.Size)
+	size := web.Resources(s.Size)
 	switch {
 	case s.Entry == "":
 		return nil, web.Refuse(api.Malformed, "field \"entry\" is missing")
@@ -145,7 +145,7 @@
 
 func (s *submission) command(team, identity string, now time.Time) state.Command {
 	job := work.Job{
-		Entry: s.Entry, Team: team, Urgent: s.Urgent, Size: resources(s.Size), Command: []byte(s.Command), Submitted: now,
+		Entry: s.Entry, Team: team, Urgent: s.Urgent, Size: web.Resources(s.Size), Command: []byte(s.Command), Submitted: now,
 	}
 	if s.Seconds > 0 {
 		job.Finish = now.Add(time.Duration(s.Seconds) * time.Second)
@@ -172,16 +172,22 @@
 	return web.Refuse(api.Internal, "the submission to %q was answered with %q: %s", entry, r.Code, r.Message)
 }
 
-// list serves GET /v1/jobs.
+// list serves GET /v1/jobs with ?entry= and ?state=.
 func (a *Adapter) list(ctx *fasthttp.RequestCtx, call context.Context, key work.Key) {
-	answer, err := a.options.Leader.Query(call, control.Query{Kind: control.QueryJobs, Team: key.Team})
+	arguments := ctx.QueryArgs()
+	state := string(arguments.Peek("state"))
+	answer, err := a.options.Leader.Query(call, control.Query{
+		Kind: control.QueryJobs, Name: string(arguments.Peek("entry")), Team: key.Team,
+	})
 	if err != nil {
 		a.fail(ctx, web.Control(err))
 		return
 	}
-	jobs := make([]api.Job, len(answer.Jobs))
+	jobs := []api.Job{}
 	for i := range answer.Jobs {
-		jobs[i] = describe(&answer.Jobs[i])
+		if j := &answer.Jobs[i]; j.Team == key.Team && (state == "" || state == string(j.State)) {
+			jobs = append(jobs, web.Job(j))
+		}
 	}
 	web.JSON(ctx, fasthttp.StatusOK, jobs)
 }
@@ -199,7 +205,7 @@
 		fail.Ran = ran
 		a.fail(ctx, fail)
 	default:
-		web.JSON(ctx, fasthttp.StatusOK, describe(&answer.Jobs[0]))
+		web.JSON(ctx, fasthttp.StatusOK, web.Job(&answer.Jobs[0]))
 	}
 }
 
@@ -221,25 +227,3 @@
 	a.options.Log.Emit(event.RequestJob, zap.String("action", "cancel"), zap.Uint64("job", uint64(id)), zap.String("team", key.Team))
 	a.show(ctx, call, key, id, api.RanYes)
 }
-
-func resources(s api.Size) work.Resources {
-	return work.Resources{Processors: s.CPU, Memory: s.Memory, Accelerators: s.Accelerators}
-}
-
-// describe returns the JSON form of a job.
-func describe(j *work.Job) api.Job {
-	d := api.Job{
-		ID: uint64(j.ID), Entry: j.Entry, Team: j.Team, Class: string(j.Class), Urgent: j.Urgent,
-		State: string(j.State), Reason: j.Reason, Submitted: j.Submitted, Ended: j.Ended,
-		Size:  api.Size{CPU: j.Size.Processors, Memory: j.Size.Memory, Accelerators: j.Size.Accelerators},
-		Tasks: make([]api.Task, len(j.Tasks)),
-	}
-	for i := range j.Tasks {
-		t := &j.Tasks[i]
-		d.Tasks[i] = api.Task{
-			Index: t.ID.Index, State: string(t.State), Worker: t.Worker, Token: uint64(t.Token),
-			Outcome: string(t.Outcome), Attempts: t.Attempts, Started: t.Started,
-		}
-	}
-	return d
-}
--- a/internal/request/route/forward.go
+++ b/internal/request/route/forward.go
@@ -176,7 +176,8 @@
 // lost handles a call without an answer.
 func (r *Router) lost(f *flight, owner string, err error) (result, bool) {
 	var remote *peer.Remote
-	if errors.Is(err, peer.ErrNotSent) || errors.As(err, &remote) && remote.Code == codeRefused {
+	if errors.Is(err, peer.ErrNotSent) ||
+		errors.As(err, &remote) && (remote.Code == codeRefused || remote.Code == peer.CodeMethod) {
 		r.full.Set(owned{owner, f.entry}, hint{until: r.options.Now().Add(downTime)})
 		return result{}, true
 	}
--- a/internal/request/worker/worker.go
+++ b/internal/request/worker/worker.go
@@ -130,7 +130,7 @@
 	if fail := web.Decode(body, &b); fail != nil {
 		return none, fail
 	}
-	capacity := resources(b.Capacity)
+	capacity := web.Resources(b.Capacity)
 	switch {
 	case b.Boot == 0:
 		return none, web.Refuse(api.Malformed, "field \"boot\" must be a random number other than 0")
@@ -161,7 +161,7 @@
 		}
 		r.Running = append(r.Running, work.Usage{
 			Task: work.TaskID{Job: work.JobID(t.Job), Index: t.Index}, Token: work.Token(t.Token),
-			Used: resources(t.Used), At: t.At,
+			Used: web.Resources(t.Used), At: t.At,
 		})
 	}
 	for _, t := range b.Ended {
@@ -206,16 +206,20 @@
 	}
 	a.options.Log.Emit(id, zap.String("worker", report.Worker.Name), zap.Uint64("sequence", report.Sequence),
 		zap.Int("starts", len(p.answer.Starts)), zap.Int("stops", len(p.answer.Stops)))
+	if report.Leaving {
+		web.JSON(ctx, fasthttp.StatusOK, api.Accepted{})
+		return
+	}
 	web.JSON(ctx, fasthttp.StatusOK, orders(&p.report, p.answer))
 }
 
 // enter makes p the worker's waiting poll, unless a later one of the same boot
-// is waiting.
+// is waiting. A resend of the same poll takes the place of the first copy.
 func (a *Adapter) enter(p *poll) bool {
 	entered := true
 	a.polls.With(p.report.Worker.Name, func(m map[string]*poll) {
 		if old := m[p.report.Worker.Name]; old != nil {
-			if old.report.Worker.Boot == p.report.Worker.Boot && old.report.Sequence >= p.report.Sequence {
+			if old.report.Worker.Boot == p.report.Worker.Boot && old.report.Sequence > p.report.Sequence {
 				entered = false
 				return
 			}
@@ -267,14 +271,14 @@
 	for _, s := range o.Starts {
 		a.Starts = append(a.Starts, api.Start{
 			Job: uint64(s.Task.Job), Index: s.Task.Index, Token: uint64(s.Token), Entry: s.Entry, Team: s.Team,
-			Size: size(s.Size), Resume: s.Resume, Command: string(s.Command),
+			Size: web.Size(s.Size), Resume: s.Resume, Command: string(s.Command),
 		})
 	}
 	for _, s := range o.Stops {
 		a.Stops = append(a.Stops, api.Stop{Job: uint64(s.Task.Job), Index: s.Task.Index, Token: uint64(s.Token), Mode: string(s.Mode)})
 	}
 	for _, t := range o.Throttles {
-		a.Throttle = append(a.Throttle, api.Running{Job: uint64(t.Task.Job), Index: t.Task.Index, Token: uint64(t.Token), Used: size(t.Size)})
+		a.Throttle = append(a.Throttle, api.Running{Job: uint64(t.Task.Job), Index: t.Task.Index, Token: uint64(t.Token), Used: web.Size(t.Size)})
 	}
 	for _, e := range o.Ended {
 		a.Ended = append(a.Ended, api.Ended{Job: uint64(e.Task.Job), Index: e.Task.Index, Token: uint64(e.Token), Outcome: string(e.Outcome)})
@@ -282,12 +286,4 @@
 	return a
 }
 
-func resources(s api.Size) work.Resources {
-	return work.Resources{Processors: s.CPU, Memory: s.Memory, Accelerators: s.Accelerators}
-}
-
-func size(r work.Resources) api.Size {
-	return api.Size{CPU: r.Processors, Memory: r.Memory, Accelerators: r.Accelerators}
-}
-
 var _ control.Workers = (*Adapter)(nil)
