--- /dev/null
+++ b/internal/request/worker/worker_test.go
@@ -0,0 +1,183 @@
+package worker
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/control"
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+	"github.com/rosemaryloft/rosemaryloft/pkg/api"
+)
+
+// fake is the directory and link of an Adapter under test.
+type fake struct {
+	control.Directory
+	kicks atomic.Int64
+}
+
+func (f *fake) Key(secret string) (work.Key, error) {
+	switch secret {
+	case "pool":
+		return work.Key{Role: work.WorkerRole}, nil
+	case "team":
+		return work.Key{Team: "t", Role: work.WorkerRole}, nil
+	case "caller":
+		return work.Key{Team: "t", Role: work.CallerRole}, nil
+	}
+	return work.Key{}, control.ErrNotFound
+}
+
+func (f *fake) Kick() { f.kicks.Add(1) }
+
+const poll1 = `{"boot":7,"sequence":1,"address":"10.0.0.1:1","zone":"z","rack":"r","capacity":{"cpu":1000,"memory":5},
+"running":[{"job":3,"index":1,"token":9,"used":{"cpu":1,"memory":2},"at":"2030-01-01T00:00:00Z"}],
+"ended":[{"job":4,"index":0,"token":8,"outcome":"failed"}]}`
+
+func start() (*Adapter, *fake) {
+	a, f := New(Options{Polls: 2}), &fake{}
+	a.Start(f, f)
+	return a, f
+}
+
+func call(a *Adapter, path, body, secret string) (status int, answer []byte) {
+	var ctx fasthttp.RequestCtx
+	ctx.Request.Header.SetMethod("POST")
+	ctx.Request.SetRequestURI(path)
+	ctx.Request.Header.Set("Authorization", "Bearer "+secret)
+	ctx.Request.SetBodyString(body)
+	a.Handler(&ctx)
+	return ctx.Response.StatusCode(), ctx.Response.Body()
+}
+
+// Guards against polls that are not a worker's, or malformed, reaching the leader.
+func TestRefusals(t *testing.T) {
+	change := func(old, new string) string { return strings.Replace(poll1, old, new, 1) }
+	for name, c := range map[string]struct {
+		path, body, secret string
+		code               api.Code
+	}{
+		"no key":   {"/v1/workers/w/poll", poll1, "", api.Unauthorized},
+		"role":     {"/v1/workers/w/poll", poll1, "caller", api.Forbidden},
+		"route":    {"/v1/workers/w/drain", poll1, "pool", api.UnknownRoute},
+		"name":     {"/v1/workers/W/poll", poll1, "pool", api.Malformed},
+		"boot":     {"/v1/workers/w/poll", change(`"boot":7`, `"boot":0`), "pool", api.Malformed},
+		"sequence": {"/v1/workers/w/poll", change(`"sequence":1`, `"sequence":0`), "pool", api.Malformed},
+		"capacity": {"/v1/workers/w/poll", change(`"cpu":1000`, `"cpu":-1`), "pool", api.Malformed},
+		"used":     {"/v1/workers/w/poll", change(`"cpu":1,`, `"cpu":-1,`), "pool", api.Malformed},
+		"outcome":  {"/v1/workers/w/poll", change("failed", "lost"), "pool", api.Malformed},
+		"field":    {"/v1/workers/w/poll", change("rack", "rak"), "pool", api.Malformed},
+		"large":    {"/v1/workers/w/poll", strings.Repeat(" ", bodyBytes+1), "pool", api.TooLarge},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			a, f := start()
+			_, body := call(a, c.path, c.body, c.secret)
+			var e api.Error
+			is.NoErr(json.Unmarshal(body, &e))
+			is.Equal(e.Code, c.code)
+			is.Equal(f.kicks.Load(), int64(0))
+		})
+	}
+}
+
+// Guards against a poll whose lease is renewed without the leader's
+// acknowledgement, or that gets another boot's orders.
+func TestPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, f := start()
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			reports := a.Reports(nil)
+			is.Equal(len(reports), 1)
+			is.Equal(reports[0].Worker.Team, "t")
+			is.Equal(reports[0].Ended[0], work.End{Task: work.TaskID{Job: 4}, Token: 8, Outcome: work.OutcomeFailed})
+			a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: 6, Acknowledged: 9}, {Worker: "x", Boot: 7}, {Worker: "w", Boot: 7}})
+			time.Sleep(time.Second)
+			a.Deliver([]control.WorkerOrders{{
+				Worker: "w", Boot: 7, Acknowledged: 1, Starts: []control.StartOrder{{Task: work.TaskID{Job: 5}, Token: 11, Command: []byte("c")}},
+				Stops: []work.Stop{{Task: work.TaskID{Job: 3, Index: 1}, Token: 9, Mode: work.StopKill}},
+				Ended: []work.End{{Task: work.TaskID{Job: 4}, Token: 8, Outcome: work.OutcomeFailed}},
+			}})
+		}()
+		begin := time.Now()
+		status, body := call(a, "/v1/workers/w/poll", poll1, "team")
+		is.Equal(time.Since(begin), 1010*time.Millisecond) // what came before was not for it
+		is.Equal(status, 200)
+		var o api.Orders
+		is.NoErr(json.Unmarshal(body, &o))
+		is.Equal(o.Lease, int64(15000))
+		is.Equal(o.Starts[0].Token, uint64(11))
+		is.Equal(o.Stops[0].Mode, "stop")
+		is.Equal(o.Ended[0].Job, uint64(4))
+		is.Equal(f.kicks.Load(), int64(1))
+		is.Equal(len(a.Reports(nil)), 0)
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: 7, Stops: []work.Stop{{Token: 9}}}})
+		}()
+		_, body = call(a, "/v1/workers/w/poll", poll1, "team")
+		o = api.Orders{}
+		is.NoErr(json.Unmarshal(body, &o))
+		is.Equal(o.Lease, int64(0)) // orders, but no acknowledgement
+	})
+}
+
+// Guards against a poll that is held too long, or by an earlier poll of the
+// same worker, and against more held polls than the adapter takes.
+func TestHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, _ := start()
+		begin := time.Now()
+		done := make(chan time.Duration, 2)
+		go func() {
+			status, _ := call(a, "/v1/workers/w/poll", poll1, "pool")
+			is.Equal(status, 503)
+			done <- time.Since(begin)
+		}()
+		time.Sleep(time.Second)
+		go func() {
+			status, body := call(a, "/v1/workers/w/poll", strings.Replace(poll1, `"sequence":1`, `"sequence":2`, 1), "pool")
+			is.Equal(status, 503)
+			var e api.Error
+			is.NoErr(json.Unmarshal(body, &e))
+			is.Equal(e.Ran, api.RanUnknown)
+			done <- time.Since(begin)
+		}()
+		is.Equal(<-done, time.Second) // replaced
+		time.Sleep(time.Millisecond)
+		status, _ := call(a, "/v1/workers/w/poll", poll1, "pool")
+		is.Equal(status, 409) // an earlier one
+		is.Equal(<-done, time.Second+HoldTime)
+		is.Equal(len(a.Reports(nil)), 0)
+		for i := range 2 {
+			go call(a, fmt.Sprint("/v1/workers/w", i, "/poll"), poll1, "pool")
+		}
+		time.Sleep(time.Millisecond)
+		status, _ = call(a, "/v1/workers/w9/poll", poll1, "pool")
+		is.Equal(status, 503)
+		time.Sleep(HoldTime)
+	})
+}
+
+// FuzzPoll guards against a body that crashes the adapter or passes values
+// outside the bounds.
+func FuzzPoll(f *testing.F) {
+	f.Add([]byte(poll1))
+	f.Add([]byte(`{"boot":1,"sequence":1,"running":null}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		r, fail := read("w", work.Key{}, body)
+		if fail == nil && (r.Worker.Boot == 0 || r.Sequence == 0 || !r.Worker.Capacity.Valid()) {
+			t.Fatalf("%+v", r)
+		}
+	})
+}
