--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -46,6 +46,7 @@
 	Folder   string // working folder; must exist
 	Control  int    // daemons with the role control
 	Entries  int    // daemons with the role entry; the first ones are the control VMs
+	Relays   bool   // put a relay between any two daemons, for Cut
 }
 
 // Cell is a set of processes on loopback.
@@ -54,8 +55,12 @@
 	secret    string // operator key
 	Nodes     []Node
 	Processes map[string]*Process
+	relays    map[link]*Relay
 }
 
+// link is the way from one daemon to another.
+type link struct{ from, to string }
+
 // Node is one daemon.
 type Node struct {
 	Name    string
@@ -68,7 +73,7 @@
 
 // New writes settings and certificates of all daemons.
 func New(options Options) (*Cell, error) {
-	c := &Cell{options: options, secret: rand.Text(), Processes: make(map[string]*Process)}
+	c := &Cell{options: options, secret: rand.Text(), Processes: make(map[string]*Process), relays: make(map[link]*Relay)}
 	for i := range max(options.Control, options.Entries) {
 		n := Node{Name: fmt.Sprintf("vm-%d", i+1), Zone: Zones[i%len(Zones)], Control: i < options.Control}
 		n.Folder = filepath.Join(options.Folder, n.Name)
@@ -129,7 +134,11 @@
 		s.Roles = append(s.Roles, settings.RoleControl)
 	}
 	for _, o := range c.Nodes {
-		s.Peers = append(s.Peers, settings.Peer{Name: o.Name, Address: settings.Address{AddrPort: o.Peers}, Control: o.Control})
+		address, err := c.address(n, o)
+		if err != nil {
+			return err
+		}
+		s.Peers = append(s.Peers, settings.Peer{Name: o.Name, Address: settings.Address{AddrPort: address}, Control: o.Control})
 	}
 	s.Certificates = settings.Certificates{Authority: files.Authority, Certificate: files.Certificate, Key: files.Key}
 	s.Operators = []settings.Digest{sha256.Sum256([]byte(c.secret))}
@@ -140,6 +149,28 @@
 	return os.WriteFile(n.settings(), content, 0o600)
 }
 
+// address returns where one daemon reaches another.
+func (c *Cell) address(from, to Node) (netip.AddrPort, error) {
+	if !c.options.Relays || from.Name == to.Name {
+		return to.Peers, nil
+	}
+	r, err := NewRelay(to.Peers)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	c.relays[link{from.Name, to.Name}] = r
+	return r.Address(), nil
+}
+
+// Cut cuts a daemon off from all others without a sign, or ends that.
+func (c *Cell) Cut(name string, cut bool) {
+	for l, r := range c.relays {
+		if l.from == name || l.to == name {
+			r.Cut(cut)
+		}
+	}
+}
+
 func (n Node) settings() string { return filepath.Join(n.Folder, "settings.json") }
 
 // Data returns the data folder of a daemon.
--- /dev/null
+++ b/internal/cell/cell_test.go
@@ -0,0 +1,436 @@
+package cell
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"github.com/valyala/fasthttp"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/standin"
+	"github.com/rosemaryloft/rosemaryloft/pkg/api"
+	"github.com/rosemaryloft/rosemaryloft/pkg/client"
+)
+
+// patience bounds a test that hangs. No test depends on how long a step takes.
+const patience = 3 * time.Minute
+
+var binaries string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		folder, err := os.MkdirTemp("", "rosemaryloft-cell-")
+		if err != nil {
+			panic(err)
+		}
+		defer func() { _ = os.RemoveAll(folder) }()
+		for _, program := range []string{"rosemaryloftd", "standin"} {
+			build := exec.Command("go", "build", "-o", filepath.Join(folder, program), "../../cmd/"+program)
+			if out, err := build.CombinedOutput(); err != nil {
+				fmt.Fprintf(os.Stderr, "build %s: %v\n%s", program, err, out)
+				return 1
+			}
+		}
+		binaries = folder
+		return m.Run()
+	}())
+}
+
+// harness is a running cell with a filled catalogue.
+type harness struct {
+	*Cell
+	*is.I
+	t    *testing.T
+	ctx  context.Context
+	keys Keys
+}
+
+func newHarness(t *testing.T, entries int) *harness {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	t.Cleanup(cancel)
+	is := is.New(t)
+	c, err := New(Options{Binaries: binaries, Folder: t.TempDir(), Control: 3, Entries: entries, Relays: true})
+	is.NoErr(err)
+	t.Cleanup(func() {
+		for _, p := range c.Processes {
+			if !p.Ended() {
+				_ = p.Kill()
+			}
+		}
+		if t.Failed() {
+			for name, p := range c.Processes {
+				t.Logf("end of the log of %s:\n%s", name, p.Tail())
+			}
+		}
+		_ = c.Close()
+	})
+	is.NoErr(c.Start(ctx))
+	keys, err := c.Fill(ctx)
+	is.NoErr(err)
+	return &harness{Cell: c, I: is, t: t, ctx: ctx, keys: keys}
+}
+
+func (h *harness) until(what string, condition func() bool) {
+	h.t.Helper()
+	if err := Until(h.ctx, condition); err != nil {
+		h.t.Fatalf("%s: %v", what, err)
+	}
+}
+
+func (h *harness) leader() string {
+	h.t.Helper()
+	var name string
+	h.until("wait for a leader", func() bool {
+		s, err := h.Operator().Status(h.ctx)
+		name = s.Leader
+		return err == nil && name != ""
+	})
+	return name
+}
+
+// runner starts a runner and waits until it has an owner. The result counts
+// what it has run.
+func (h *harness) runner(name, entry string, flags ...string) func() standin.Count {
+	h.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	h.NoErr(err)
+	address := l.Addr().String()
+	h.NoErr(l.Close())
+	h.NoErr(h.Runner(name, entry, h.keys.Upstream, append(flags, "--listen", address)...))
+	h.until("wait for the runner "+name, func() bool {
+		all, err := h.Operator().Upstreams(h.ctx)
+		if err != nil {
+			return false
+		}
+		for _, r := range all {
+			if r.Name == name && r.Owner != "" {
+				return true
+			}
+		}
+		return false
+	})
+	return func() standin.Count {
+		_, body, err := fasthttp.Get(nil, "http://"+address+"/count")
+		h.NoErr(err)
+		var c standin.Count
+		h.NoErr(json.Unmarshal(body, &c))
+		return c
+	}
+}
+
+func (h *harness) workers(count int) {
+	h.t.Helper()
+	h.NoErr(h.Workers("worker", h.keys.Worker, count))
+	h.until("wait for workers", func() bool {
+		all, err := h.Operator().Workers(h.ctx)
+		return err == nil && len(all) == count
+	})
+}
+
+func code(err error) api.Code {
+	var e *api.Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+func ran(err error) api.Ran {
+	var e *api.Error
+	if errors.As(err, &e) {
+		return e.Ran
+	}
+	return ""
+}
+
+// Guards against lost or repeated tasks when the leader is killed, and again
+// when the next leader is killed too.
+func TestLeaderKilledTwice(t *testing.T) {
+	h := newHarness(t, 3)
+	h.workers(3)
+	caller := h.Client(h.keys.Caller)
+	j, err := caller.Submit(h.ctx, api.Submission{
+		Entry: Batch, Tasks: 12, Size: api.Size{CPU: 8000, Memory: 1 << 30}, Command: "sleep 9s",
+	})
+	h.NoErr(err)
+	h.until("wait for the tasks to start", func() bool {
+		j, err = caller.Job(h.ctx, j.ID)
+		return err == nil && j.State == "running"
+	})
+	for range 2 {
+		name := h.leader()
+		h.NoErr(h.Processes[name].Kill())
+		h.until("wait for another leader", func() bool {
+			s, err := h.Operator().Status(h.ctx)
+			return err == nil && s.Leader != "" && s.Leader != name
+		})
+		h.NoErr(h.StartNode(name))
+		h.NoErr(h.Ready(h.ctx))
+	}
+	j, err = caller.Wait(h.ctx, j.ID)
+	h.NoErr(err)
+	h.Equal(j.State, "succeeded")
+	for _, x := range j.Tasks {
+		h.Equal(x.Attempts, uint32(1)) // a killed leader is no reason to run a task again
+	}
+}
+
+// Guards against a replica with an empty disk that votes, and against loss of
+// accepted changes when a second VM is lost right after the repair.
+func TestSecondVMLostAfterRepair(t *testing.T) {
+	h := newHarness(t, 3)
+	disk := func(name string) uint64 {
+		all, err := h.Operator().Members(h.ctx)
+		if err != nil {
+			return 0
+		}
+		for _, m := range all {
+			if m.Name == name && m.Voter {
+				return m.Disk
+			}
+		}
+		return 0
+	}
+	leader := h.leader()
+	lost, second := "vm-1", "vm-2"
+	if leader == lost {
+		lost, second = "vm-2", "vm-1"
+	}
+	old := disk(lost)
+	h.NoErr(h.Processes[lost].Kill())
+	n, _ := h.Node(lost)
+	h.NoErr(os.RemoveAll(n.Data()))
+	changed, err := h.Operator().PutTeam(h.ctx, api.Team{Name: "after-loss", Weight: 1})
+	h.NoErr(err)
+	h.NoErr(h.StartNode(lost))
+	h.until("wait for the new replica to be a voter", func() bool {
+		d := disk(lost)
+		return d != 0 && d != old
+	})
+	h.NoErr(h.Processes[second].Kill())
+	var all api.Catalogue
+	h.until("wait for the catalogue", func() bool {
+		all, err = h.Operator().Catalogue(h.ctx)
+		return err == nil
+	})
+	h.True(all.Version >= changed.Version)
+	h.until("change the catalogue with two replicas", func() bool {
+		_, err := h.Operator().PutTeam(h.ctx, api.Team{Name: "after-both", Weight: 1})
+		return err == nil || code(err) == api.Conflict
+	})
+}
+
+// Guards against a paused leader, and a control VM that is cut off without a
+// sign, that go on accepting a withdrawn key.
+func TestWithdrawnKeyOnCutOffVM(t *testing.T) {
+	for _, fault := range []string{"pause", "cut"} {
+		t.Run(fault, func(t *testing.T) {
+			h := newHarness(t, 3)
+			h.runner("a", Service)
+			name := h.leader()
+			at := h.At(name, h.keys.Caller)
+			h.until("a request is answered", func() bool {
+				_, err := at.Request(h.ctx, Service, "x", nil, true)
+				return err == nil
+			})
+			if fault == "pause" {
+				h.NoErr(h.Processes[name].Signal(syscall.SIGSTOP))
+			} else {
+				h.Cut(name, true)
+			}
+			others := func() *client.Client {
+				for _, n := range h.Nodes {
+					if n.Name != name {
+						return h.At(n.Name, h.Secret())
+					}
+				}
+				return nil
+			}()
+			h.until("withdraw the key elsewhere", func() bool {
+				all, err := others.Keys(h.ctx)
+				if err != nil {
+					return false
+				}
+				for _, k := range all {
+					if k.Name == "clerk" && !k.Withdrawn {
+						k.Withdrawn = true
+						_, err = others.PutKey(h.ctx, k)
+						return err == nil
+					}
+				}
+				return true
+			})
+			if fault == "pause" {
+				h.NoErr(h.Processes[name].Signal(syscall.SIGCONT))
+			} else {
+				// The view that the VM held before the cut has a deadline.
+				h.until("the view of the cut-off VM expires", func() bool {
+					_, err := at.Request(h.ctx, Service, "x", nil, true)
+					return err != nil
+				})
+			}
+			// Not one request under the key may be served from here on.
+			for range 20 {
+				_, err := at.Request(h.ctx, Service, "x", nil, true)
+				h.True(err != nil)
+				h.True(code(err) == api.Unauthorized || code(err) == api.Stale || code(err) == client.Unreachable)
+				h.True(ran(err) == api.RanNo || code(err) == client.Unreachable)
+			}
+			h.Cut(name, false)
+			h.until("the VM learns of the withdrawal", func() bool {
+				_, err := at.Request(h.ctx, Service, "x", nil, true)
+				return code(err) == api.Unauthorized
+			})
+		})
+	}
+}
+
+// Guards against a second run of an order that is sent again through other
+// entry VMs, after the one that sent it first died with it in flight.
+func TestOrderResentAfterEntryDied(t *testing.T) {
+	h := newHarness(t, 4)
+	a := h.runner("a", Orders, "--delay", "1s")
+	b := h.runner("b", Orders, "--delay", "1s")
+	h.until("every entry VM serves orders", func() bool {
+		for _, n := range h.Nodes {
+			if _, err := h.At(n.Name, h.keys.Caller).Request(h.ctx, Orders, "warm", nil, false); err != nil {
+				return false
+			}
+		}
+		return true
+	})
+	before := a().Total + b().Total
+	for i := range 5 {
+		ctx := client.WithIdentity(h.ctx, fmt.Sprintf("order-%d", i))
+		first := make(chan error, 1)
+		go func() {
+			_, err := h.At("vm-4", h.keys.Caller).Request(ctx, Orders, "order", []byte("one lorry"), false)
+			first <- err
+		}()
+		h.until("the order is being run", func() bool { return a().Total+b().Total > before })
+		before++
+		h.NoErr(h.Processes["vm-4"].Kill())
+		<-first
+		for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
+			_, err := h.At(name, h.keys.Caller).Request(ctx, Orders, "order", []byte("one lorry"), false)
+			if err != nil {
+				h.True(ran(err) != api.RanNo) // it did run
+			}
+		}
+		h.Equal(a().Total+b().Total, before)
+		h.NoErr(h.StartNode("vm-4"))
+		h.NoErr(h.Ready(h.ctx))
+		h.until("the entry VM serves orders again", func() bool {
+			n := a().Total + b().Total
+			_, err := h.At("vm-4", h.keys.Caller).Request(h.ctx, Orders, "warm", nil, false)
+			before += a().Total + b().Total - n
+			return err == nil
+		})
+	}
+}
+
+// Guards against a graceful shutdown that cuts requests in flight, or exits
+// with a failure.
+func TestDrain(t *testing.T) {
+	h := newHarness(t, 4)
+	h.runner("a", Service, "--delay", "4s")
+	h.runner("b", Service, "--delay", "4s")
+	h.until("the entry VM serves", func() bool {
+		_, err := h.At("vm-4", h.keys.Caller).Request(h.ctx, Service, "x", nil, true)
+		return err == nil
+	})
+	var wait sync.WaitGroup
+	results := make([]error, 12)
+	for i := range results {
+		wait.Go(func() { _, results[i] = h.At("vm-4", h.keys.Caller).Request(h.ctx, Service, "x", nil, true) })
+	}
+	time.Sleep(time.Second) // the requests are in flight; a late one is refused as draining
+	h.NoErr(h.Processes["vm-4"].Stop())
+	wait.Wait()
+	for _, err := range results {
+		if err != nil {
+			h.Equal(ran(err), api.RanNo)
+			h.Equal(code(err), api.Draining)
+		}
+	}
+}
+
+// Guards against two winners of a race with equal versions, and against a
+// second effect of a resend.
+func TestRacingOperators(t *testing.T) {
+	h := newHarness(t, 3)
+	for round := range 10 {
+		all, err := h.Operator().Catalogue(h.ctx)
+		h.NoErr(err)
+		var base api.Team
+		for _, x := range all.Teams {
+			if x.Name == Other {
+				base = x
+			}
+		}
+		var wait sync.WaitGroup
+		results := make([]error, len(h.Nodes))
+		for i, n := range h.Nodes {
+			wait.Go(func() {
+				mine := base
+				mine.Weight = int64(100*round + i + 1)
+				ctx := client.WithIdentity(h.ctx, fmt.Sprintf("race-%d-%d", round, i))
+				first, err := h.At(n.Name, h.Secret()).PutTeam(ctx, mine)
+				again, errAgain := h.At(n.Name, h.Secret()).PutTeam(ctx, mine)
+				results[i] = err
+				if (err == nil) != (errAgain == nil) || first.Version != again.Version {
+					results[i] = errors.Newf("a resend got another result: %v, %v", err, errAgain)
+				}
+			})
+		}
+		wait.Wait()
+		won := 0
+		for _, err := range results {
+			if err == nil {
+				won++
+				continue
+			}
+			h.Equal(code(err), api.Conflict)
+		}
+		h.Equal(won, 1)
+	}
+}
+
+// Guards against a process that comes back with an old catalogue after
+// hundreds of changes passed it by.
+func TestMissedChanges(t *testing.T) {
+	h := newHarness(t, 4)
+	h.NoErr(h.Processes["vm-4"].Kill())
+	behind := "vm-1"
+	if h.leader() == behind {
+		behind = "vm-2"
+	}
+	h.NoErr(h.Processes[behind].Kill())
+	for i := range 400 {
+		_, err := h.Operator().PutTeam(h.ctx, api.Team{Name: fmt.Sprintf("team-%d", i), Weight: 1})
+		h.NoErr(err)
+	}
+	all, err := h.Operator().Catalogue(h.ctx)
+	h.NoErr(err)
+	h.NoErr(h.StartNode(behind))
+	h.NoErr(h.StartNode("vm-4"))
+	h.NoErr(h.Ready(h.ctx))
+	s, err := h.Operator().Status(h.ctx)
+	h.NoErr(err)
+	for _, e := range s.Entries {
+		if e.Name == behind || e.Name == "vm-4" {
+			h.True(e.Version >= all.Version) // ready means that the view is current
+		}
+	}
+}
--- a/internal/cell/process.go
+++ b/internal/cell/process.go
@@ -113,7 +113,11 @@
 			others = append(others, p)
 		}
 	}
-	return errors.CombineErrors(stopAll(others), stopAll(daemons))
+	err := errors.CombineErrors(stopAll(others), stopAll(daemons))
+	for _, r := range c.relays {
+		err = errors.CombineErrors(err, r.Close())
+	}
+	return err
 }
 
 func stopAll(processes []*Process) error {
