--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -137,6 +137,8 @@
 		c.memberships = []membershipAt{{s.Index, m}}
 	}
 	c.noteMemberships(c.entries.between(max(s.Index, c.entries.base.Index), c.entries.last()))
+	// The founder persists the membership only when the founding is complete.
+	c.founding.confirmed = c.founder() && c.membership() != nil
 	c.resetElection()
 	return c, c.err
 }
@@ -241,7 +243,7 @@
 // member, it has promised nothing to its group, or it is a non-voter without a
 // leader, which may have been added by a change that was never committed.
 func (c *core) asks() bool {
-	return !c.inside() || c.empty() || !c.membership().voter(c.identity) && c.now.Sub(c.contact) >= electionMax
+	return !c.inside() || c.fresh() || !c.membership().voter(c.identity) && c.now.Sub(c.contact) >= electionMax
 }
 
 // tick lets time pass.
@@ -257,7 +259,7 @@
 	m := c.membership()
 	switch {
 	case !c.inside():
-	case m.voter(c.identity) && (c.single() || !c.now.Before(c.electionDeadline)):
+	case m.voter(c.identity) && !c.empty() && (c.single() || !c.now.Before(c.electionDeadline)):
 		c.campaign()
 	case !c.now.Before(c.electionDeadline):
 		c.resetElection()
--- a/internal/version/raft/election.go
+++ b/internal/version/raft/election.go
@@ -62,6 +62,7 @@
 }
 
 func (c *core) handlePreVote(m Message) {
+	c.founding.confirmed = true
 	if c.promised() {
 		return
 	}
--- a/internal/version/raft/founding.go
+++ b/internal/version/raft/founding.go
@@ -27,15 +27,19 @@
 //
 // The first name in the settings is the founder. It collects reports from all
 // others, and when all disks are empty, it sends the founding membership to
-// them. Each persists it and answers; the founder persists it last. A new round
-// begins when the founder starts or a disk has changed. A nonce binds the
-// membership to the receiver's report in the latest round, so that a delayed
-// membership of an older round is refused and two foundings cannot both be
-// complete. A replica that holds a founding membership but has neither voted
-// nor received an entry has promised nothing, and still reports empty. It
-// follows a leader of any group that has its identity as a member, and takes
-// the membership from a voter that asks for its vote. A voter without entries
-// is one of the founding membership, since others vote only once they caught up.
+// them. Each persists it and answers; the founder persists it last, which
+// completes the founding. A new round begins when the founder starts or a disk
+// has changed. A nonce binds the membership to the receiver's report in the
+// latest round, so that a delayed membership of an older round is refused and
+// two foundings cannot both be complete.
+//
+// The founder is the first to campaign. Its pre-vote confirms to the others
+// that the founding is complete, and only then they campaign themselves. A
+// replica that has neither voted nor received an entry has promised nothing. It
+// reports an empty disk until the founding is confirmed, follows a leader of
+// any group that has its identity as a member, and takes the membership from a
+// voter that asks for its vote. A voter without entries is one of the founding
+// membership, since others vote only once they have caught up.
 type founding struct {
 	round    uint64            // founder: drawn for each round
 	reports  map[string]report // founder: reports of this round by name
@@ -44,13 +48,18 @@
 
 	asked uint64 // round of the latest report
 	nonce uint64
+
+	confirmed bool // the founding is known to be complete
 }
 
-// empty tells whether this replica has promised nothing to any group.
-func (c *core) empty() bool {
+// fresh tells whether this replica has promised nothing to any group.
+func (c *core) fresh() bool {
 	return c.term <= foundingTerm && c.vote == 0 && c.entries.last() <= foundingIndex
 }
 
+// empty tells whether this replica may accept a founding membership.
+func (c *core) empty() bool { return c.fresh() && !c.founding.confirmed }
+
 func (c *core) founder() bool { return len(c.settings) > 0 && c.settings[0] == c.name }
 
 // tickOutside founds a group or asks to join one.
@@ -64,7 +73,7 @@
 	}
 	if c.founder() && c.membership() == nil && c.empty() {
 		if len(c.settings) == 1 {
-			c.found(&Membership{Group: c.draw(), Members: []Member{{Name: c.name, Identity: c.identity, Voter: true}}})
+			c.found(&Membership{Group: c.draw(), Members: []Member{{Name: c.name, Identity: c.identity, Voter: true}}}, true)
 			return
 		}
 		if c.founding.round == 0 {
@@ -94,8 +103,8 @@
 }
 
 // found persists a founding membership.
-func (c *core) found(m *Membership) {
-	c.term, c.vote = foundingTerm, 0
+func (c *core) found(m *Membership, confirmed bool) {
+	c.term, c.vote, c.founding.confirmed = foundingTerm, 0, confirmed
 	c.contact = c.now
 	c.resetElection()
 	c.replace(disk.Snapshot{Index: foundingIndex, Term: foundingTerm, Membership: m.encode()})
@@ -190,7 +199,7 @@
 		if f := &c.founding; !c.empty() || f.nonce != m.Nonce {
 			return
 		}
-		c.found(s)
+		c.found(s, false)
 	}
 	// Only the message's group tells which founding was accepted.
 	c.answer(m, Message{Type: FoundAnswer})
@@ -207,7 +216,7 @@
 			return
 		}
 	}
-	c.found(f.proposed)
+	c.found(f.proposed, true)
 }
 
 // stepOutside handles a message of a group that this replica does not belong
@@ -215,14 +224,14 @@
 // that knows its identity. It keeps its term until then, so that it still
 // reports an empty disk.
 func (c *core) stepOutside(m Message) {
-	if !c.empty() {
+	if !c.fresh() {
 		return
 	}
 	switch m.Type {
 	case PreVote:
 		s, err := decodeMembership(m.Membership)
 		if err == nil && s.Group == m.Group && s.voter(c.identity) {
-			c.found(s)
+			c.found(s, true)
 		}
 	case Append:
 		c.answer(m, Message{Type: AppendAnswer, Index: m.Index, Reject: true, Term: m.Term})
