Tell entry VMs at once which runners they have lost

An entry VM whose session ended under a former leader could come back to a new leader that had no complete list yet and go on with runners of another owner. It now gets the list, and of two claims the one on the later list counts.

--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -107,6 +107,8 @@
 	guardRelease                    // a runner is released before it gets another owner
 	guardOrder                      // renewals in the order of their sequences
 	guardBoot                       // the session of one boot ends before another one begins
+	guardListed                     // an entry VM that may own a runner wrongly gets the list at once
+	guardClaim                      // of two claims to a runner the one on the later list counts
 	guardRival                      // a boot joins beside another one's lease only if it is newer
 	guardFence                      // commands of a former term are refused
 )
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -162,6 +162,23 @@
 			time.Sleep(600 * time.Millisecond)
 			return early != g.b.name && g.b.owner(0, control.Renewal{}) == g.b.name
 		}},
+		"list for late sessions": {guardListed, func(g *group) bool {
+			g.part(0, 1)
+			for range 30 { // the list is not complete, as r is never announced
+				_, _ = g.b.renew(1, control.Renewal{Term: 1, Routes: 5, Owned: []control.OwnedRunner{{Runner: testRunner}}}, 0, 0)
+				time.Sleep(200 * time.Millisecond)
+			}
+			first, err := g.a.renew(1, control.Renewal{}, 0, 0)
+			return err == nil && first.Full
+		}},
+		"claims to a runner": {guardClaim, func(g *group) bool {
+			g.part(0, 1)
+			owned := []control.OwnedRunner{{Runner: testRunner}}
+			g.b.owner(1, control.Renewal{Term: 1, Routes: 6, Owned: owned})
+			g.a.owner(1, control.Renewal{Term: 1, Routes: 5, Owned: owned}) // missed the change
+			time.Sleep(time.Second)
+			return g.b.owner(1, control.Renewal{}) != g.a.name && g.a.owner(1, control.Renewal{}) == g.b.name
+		}},
 		"order of renewals": {guardOrder, func(g *group) bool {
 			g.a.sequence = 5
 			_, _ = g.a.renew(0, control.Renewal{}, 0, 0)
--- a/internal/process/leader/runner.go
+++ b/internal/process/leader/runner.go
@@ -44,12 +44,22 @@
 	announced bool      // address and slots are known in this term
 	deadline  time.Time // the announcement ends then; for a runner that is gone, the list forgets it
 	version   uint64    // of the list at the runner's last change
+	claim     claim     // list on which its owner's claim rests, at the beginning of a term
 	releasing string    // owner that was asked to give the runner up; empty if none
 	used      int64     // slots taken by the owner, as it reported last
 	reported  int64     // busy requests by the runner's own count
 	cleared   time.Time // requests of former owners are over by then
 }
 
+// claim names a list of runners: the term of the leader that sent it and its
+// version. Of two entry VMs that claim a runner from a new leader, the one with
+// the later list owns it; the other one missed that it lost the runner.
+type claim struct{ term, version uint64 }
+
+func (c claim) later(than claim) bool {
+	return cmp.Or(cmp.Compare(c.term, than.term), cmp.Compare(c.version, than.version)) > 0
+}
+
 func (r *runners) init() {
 	r.byID = make(map[control.RunnerID]*runner)
 	r.version = 1
@@ -153,9 +163,8 @@
 		if n == nil || n.route.Gone {
 			continue
 		}
-		if n.route.Owner == "" && n.releasing == "" && !s.settled {
-			n.route.Owner = e.name
-			s.runners.touch(n)
+		if !s.settled && n.releasing == "" && n.route.Owner != e.name {
+			s.claimed(n, e)
 		}
 		if n.route.Owner == e.name || n.releasing == e.name {
 			n.used = max(0, o.Used)
@@ -168,6 +177,22 @@
 	}
 }
 
+// claimed gives a runner to an entry VM that reports to own it to a new leader,
+// unless another one has the better claim. The loser gets the list, so that it
+// learns of it.
+func (s *sessions) claimed(n *runner, e *session) {
+	other := s.entries[n.route.Owner]
+	if other != nil && !e.claim.later(n.claim) && s.term.leader.on(guardClaim) {
+		e.listed = true
+		return
+	}
+	if other != nil {
+		other.listed = true
+	}
+	n.route.Owner, n.claim = e.name, e.claim
+	s.runners.touch(n)
+}
+
 // orphan takes the runners of an ended session away from it.
 func (s *sessions) orphan(entry string) {
 	for _, id := range s.runners.ids() {
@@ -354,9 +379,9 @@
 
 // routes returns what an entry VM lacks of the list of runners. A new leader
 // gives out no list until it is complete, because one without a runner would
-// make its owner drop it.
+// make its owner drop it, except to entry VMs that may own a runner wrongly.
 func (s *sessions) routes(e *session, now time.Time) (routes []control.Route, full bool, version uint64) {
-	if !s.runners.complete {
+	if !s.runners.complete && (!e.listed || !s.term.leader.on(guardListed)) {
 		return nil, false, 0
 	}
 	full = e.routes == 0 || e.routes < s.runners.forgotten || e.routes > s.runners.version
--- a/internal/process/leader/session.go
+++ b/internal/process/leader/session.go
@@ -51,6 +51,8 @@
 	recorded bool   // the log has the session
 	version  uint64 // of the catalogue held
 	routes   uint64 // version of the list of runners held; zero if it is not this term's
+	claim    claim  // list that its claims to runners rest on
+	listed   bool   // gets the list of runners even while it is not complete
 	deadline time.Time
 }
 
@@ -104,7 +106,9 @@
 		return false, false
 	}
 	if e == nil {
-		e = &session{name: r.Entry, boot: r.Boot}
+		// A session that begins late, or whose entry VM has no list any more, may
+		// follow one that ended. It must learn at once which runners it has lost.
+		e = &session{name: r.Entry, boot: r.Boot, listed: s.settled || r.Term == 0}
 		s.entries[r.Entry] = e
 		s.accept(e, r, received)
 	} else {
@@ -112,7 +116,7 @@
 	}
 	e.sequence, e.zone, e.version = r.Sequence, r.Zone, r.Version
 	e.deadline = received.Add(sessionTime + sessionMargin)
-	e.routes = 0
+	e.routes, e.claim = 0, claim{r.Term, r.Routes}
 	if r.Term == s.term.number {
 		e.routes = r.Routes
 	}
--- a/internal/process/leader/session_test.go
+++ b/internal/process/leader/session_test.go
@@ -98,14 +98,13 @@
 	g.sequence++
 	if !g.valid() {
 		g.granted, g.term, g.routes = 0, 0, 0
-		clear(g.owners)
 	}
 	r := control.Renewal{
 		Entry: g.name, Boot: g.boot, Sequence: g.sequence, Zone: g.zone, Draining: g.draining, Term: g.term, Routes: g.routes,
 		Teams: []control.TeamUse{{Team: "a", Held: max(g.granted, g.used), Used: g.used, Wanted: g.want}},
 	}
 	for id, owner := range g.owners {
-		if owner == g.name {
+		if owner == g.name && g.valid() {
 			r.Owned = append(r.Owned, control.OwnedRunner{Runner: id, Used: 1})
 		}
 	}
