--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -261,7 +261,7 @@
 
 // take counts the next attempt against the team's allotment.
 func (r *Router) take(f *flight) *api.Error {
-	err := r.options.Allotments.Take(f.team, f.limit)
+	err := r.options.Allotments.TakeFirst(f.team, f.limit, f.deadline)
 	switch {
 	case errors.Is(err, upstream.ErrLimited):
 		return r.refuse(api.Limited, "team %q has as many requests in flight as it may have here", f.team)
@@ -302,15 +302,21 @@
 	uncertain             // it may have run; it may be repeated only if idempotent
 )
 
-// attempt tries runners until there is an answer or an error to return.
+// attempt tries runners until there is an answer or an error to return. An
+// attempt that finds no slot leaves the error of the one before in place.
 func (r *Router) attempt(f *flight) (*upstream.Answer, *api.Error) {
+	var before *api.Error
 	for {
 		res := r.once(f)
 		f.attempts++
 		f.maybe = f.maybe || res.next == uncertain
+		if before != nil && res.fail != nil && res.fail.Code == api.Overloaded {
+			res.fail = before
+		}
 		if res.next == done || !r.again(f, res) {
 			return res.answer, f.final(res.fail)
 		}
+		before = res.fail
 		if f.astray {
 			r.release(f)
 			f.astray = false
