Commit the ends of a poll that also brings a new shape

They were acknowledged without being committed, so that the task stayed started for ever. Workers whose shape is invalid are refused without a log entry.

--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -262,6 +262,25 @@
 	})
 }
 
+// Guards against an end that is acknowledged but not committed because the same
+// poll brings a new shape of the worker.
+func TestEndBesideANewShape(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGroup(t, 0)
+		defer g.close()
+		g.a.poll(0, report(1, 1))
+		id, token := g.submit()
+		r := report(1, 2)
+		r.Worker.Capacity = size(6)
+		r.Ended = []work.End{{Task: id, Token: token, Outcome: work.OutcomeSucceeded}}
+		is.Equal(g.a.poll(0, r).Ended, r.Ended)
+		j, _ := g.replicas[0].state.Job(id.Job)
+		is.Equal(j.State, work.JobSucceeded)
+		is.Equal(g.member().Capacity, size(6))
+	})
+}
+
 // Guards against a worker that leaves idle and whose tasks wait for its lease.
 func TestIdleWorkerLeavesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/leader/lease.go
+++ b/internal/process/leader/lease.go
@@ -22,9 +22,6 @@
 	// leaseMargin covers the drift of the worker's clock and pauses between
 	// its check of the lease and the end of its tasks.
 	leaseMargin = 3 * time.Second
-	// commitWait bounds how long a renewal waits for what its polls report.
-	// An entry VM gives a renewal up after 500 ms.
-	commitWait = 300 * time.Millisecond
 	// runsPerPoll is the number of runs for which a poll reserves memory. Fleets
 	// run about four tasks on each worker.
 	runsPerPoll = 4
@@ -100,15 +97,13 @@
 			out = append(out, control.WorkerOrders{Worker: p.report.Worker.Name, Boot: p.report.Worker.Boot, Rejoin: true, Challenge: p.rival})
 			continue
 		}
+		// Orders that come after this are queued again.
+		t.orders.polled(p.report.Worker.Name, entry)
 		if o, ok := t.serve(p, received, &withdrawn); ok {
-			t.orders.polled(p.report.Worker.Name, entry)
 			out = append(out, o)
 		}
 	}
 	for _, name := range t.orders.take(entry) {
-		if slices.ContainsFunc(reports, func(r control.WorkerReport) bool { return r.Worker.Name == name }) {
-			continue
-		}
 		if o, ok := t.remind(name); ok {
 			out = append(out, o)
 		}
@@ -207,11 +202,8 @@
 // they are rare, and all ends in one command. What is not committed in time is
 // not acknowledged, so that the workers report it again.
 func (t *term) commit(ctx context.Context, polls []poll, received time.Time) {
-	ctx, cancel := context.WithTimeout(ctx, commitWait)
-	defer cancel()
 	var group errgroup.Group
 	group.SetLimit(proposals)
-	var ends []work.End
 	for i := range polls {
 		p := &polls[i]
 		switch {
@@ -226,10 +218,15 @@
 			p.done = true
 		default:
 			p.done = true
-			ends = append(ends, p.fresh...)
 		}
 	}
 	_ = group.Wait()
+	var ends []work.End
+	for i := range polls {
+		if polls[i].done {
+			ends = append(ends, polls[i].fresh...)
+		}
+	}
 	if len(ends) > 0 && !t.commitEnds(ctx, ends) {
 		for i := range polls {
 			polls[i].done = polls[i].done && len(polls[i].fresh) == 0
@@ -256,6 +253,10 @@
 // join commits a worker's shape and begins its lease.
 func (t *term) join(ctx context.Context, p *poll, received time.Time) bool {
 	w := p.report.Worker
+	if r := t.state().CheckWorker(w); r.Code != state.OK {
+		t.emit(event.WorkerRefused, zap.String("worker", w.Name), zap.String("reason", r.Message))
+		return false
+	}
 	r, err := t.propose(ctx, state.Command{Join: &state.Join{Worker: w, Newer: p.newer || !t.leader.on(guardRival)}})
 	if err != nil {
 		return false
@@ -451,8 +452,6 @@
 	if len(ends) == 0 {
 		return
 	}
-	ctx, cancel := context.WithTimeout(ctx, commitWait/2)
-	defer cancel()
 	if t.commitEnds(ctx, ends) {
 		t.emit(event.TaskUnassigned, zap.Int("tasks", len(ends)))
 	}
--- a/internal/process/leader/orders.go
+++ b/internal/process/leader/orders.go
@@ -59,11 +59,12 @@
 	q[worker] = struct{}{}
 }
 
-// polled records that a worker polled through an entry VM and was answered.
+// polled records that a worker polled through an entry VM and that its orders
+// are about to be read.
 func (o *orders) polled(worker, entry string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if former, ok := o.via[worker]; ok && former != entry {
+	if former, ok := o.via[worker]; ok {
 		delete(o.queue[former], worker)
 	}
 	o.via[worker] = entry
--- a/internal/process/leader/session.go
+++ b/internal/process/leader/session.go
@@ -23,6 +23,9 @@
 	sessionMargin = time.Second
 	// requestTime is the longest deadline of a request.
 	requestTime = 30 * time.Second
+	// commitWait bounds how long a renewal waits for commands to be committed.
+	// An entry VM gives a renewal up after 500 ms.
+	commitWait = 350 * time.Millisecond
 	// deltaLimit is the largest number of catalogue changes sent as changes; an
 	// entry VM that is further behind gets the whole catalogue.
 	deltaLimit = 2000
@@ -77,6 +80,8 @@
 	if !ok {
 		return nil, &peer.Remote{Code: CodeStale, Message: "a later renewal was served, or another process has the session"}
 	}
+	ctx, cancel := context.WithTimeout(ctx, commitWait)
+	defer cancel()
 	if fresh && !t.record(ctx, r) {
 		return nil, &peer.Remote{Code: CodeUnknown, Message: "the session could not be recorded"}
 	}
@@ -134,8 +139,6 @@
 // record commits that an entry VM has a session. Nothing is granted before, so
 // that a later leader knows of every entry VM that may hold something.
 func (t *term) record(ctx context.Context, r *control.Renewal) bool {
-	ctx, cancel := context.WithTimeout(ctx, commitWait)
-	defer cancel()
 	recorded := func(v state.SessionView) bool { return v.Entry == r.Entry && v.Boot == r.Boot && v.Ended.IsZero() }
 	if !slices.ContainsFunc(t.state().Sessions(), recorded) {
 		v, err := t.propose(ctx, state.Command{Session: &state.Session{Entry: r.Entry, Boot: r.Boot}})
--- a/internal/version/state/worker.go
+++ b/internal/version/state/worker.go
@@ -61,13 +61,10 @@
 // capacity cannot shrink below what is reserved.
 func (s *State) join(c *Join) Result {
 	n := c.Worker
-	w := s.workers[n.Name]
-	if !validName(n.Name) || !validSize(n.Capacity) || len(n.Zone) > maximumName || len(n.Rack) > maximumName || len(n.Accelerator) > maximumName {
-		return invalid("the worker's name or shape is not valid")
-	}
-	if n.Team != "" && s.teams[n.Team] == nil {
-		return Result{Code: NotFound, Message: "there is no team " + n.Team}
+	if r := s.checkWorker(&n); r.Code != OK {
+		return r
 	}
+	w := s.workers[n.Name]
 	n.Gone = false
 	if w == nil {
 		n.Drained = false
@@ -101,6 +98,27 @@
 	return Result{Code: OK}
 }
 
+// checkWorker checks what a worker says of itself.
+func (s *State) checkWorker(w *work.Worker) Result {
+	switch {
+	case !validName(w.Name) || !validSize(w.Capacity):
+		return invalid("the worker's name or capacity is not valid")
+	case len(w.Zone) > maximumName || len(w.Rack) > maximumName || len(w.Accelerator) > maximumName:
+		return invalid("the worker's zone, rack or accelerator is too long")
+	case w.Team != "" && s.teams[w.Team] == nil:
+		return Result{Code: NotFound, Message: "there is no team " + w.Team}
+	}
+	return Result{Code: OK}
+}
+
+// CheckWorker returns the refusal that a Join would get for what the worker
+// says of itself, so that it needs no log entry.
+func (s *State) CheckWorker(w work.Worker) Result {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.checkWorker(&w)
+}
+
 func (s *State) drop(h shape) {
 	if s.shapes[h]--; s.shapes[h] == 0 {
 		delete(s.shapes, h)
