--- a/internal/version/state/query.go
+++ b/internal/version/state/query.go
@@ -90,8 +90,8 @@
 	return WorkerState{Worker: w.Worker, Reserved: w.reserved, Tasks: len(w.runs), Joined: w.joined}
 }
 
-// Runs appends the runs on a worker to into, in the order of their tokens. It
-// returns false if the worker is not known.
+// Runs appends the runs on a worker to into, in the order of their tokens, then
+// of their tasks. It returns false if the worker is not known.
 func (s *State) Runs(name string, into []Run) (WorkerState, []Run, bool) {
 	s.mu.RLock()
 	defer s.mu.RUnlock()
