--- a/internal/process/leader/cluster_test.go
+++ b/internal/process/leader/cluster_test.go
@@ -26,6 +26,7 @@
 	index    uint64
 	term     uint64
 	replicas []*replica
+	preempt  int  // see firstFit
 	stuck    bool // commands are neither committed nor refused
 	stop     func()
 	done     sync.WaitGroup
@@ -52,7 +53,7 @@
 	c := &cluster{t: t, stop: cancel}
 	for i := range n {
 		r := &replica{c: c, name: fmt.Sprint("control-", i), state: state.New(), methods: map[string]peer.Handler{}, changed: make(chan struct{})}
-		l, err := New(Options{Name: r.name, State: r.state, Log: r, Now: r.now, Scheduler: func() Scheduler { return newFirstFit() }})
+		l, err := New(Options{Name: r.name, State: r.state, Log: r, Now: r.now, Scheduler: c.scheduler})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -68,6 +69,12 @@
 	return c
 }
 
+func (c *cluster) scheduler() Scheduler {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return newFirstFit(c.preempt)
+}
+
 func (c *cluster) close() {
 	c.stop()
 	c.done.Wait()
@@ -252,16 +259,20 @@
 }
 
 // firstFit is a scheduler that starts queued tasks on the first worker with
-// room, gangs as a whole.
+// room, gangs as a whole. Now and then it preempts a task without need.
 type firstFit struct {
+	rounds  int
+	preempt int // rounds from one preemption to the next; zero means none
+	started map[work.TaskID]work.Token
 	workers map[string]*work.Worker
 	free    map[string]work.Resources
 	jobs    map[work.JobID]*work.Job
 	queued  map[work.JobID]map[uint32]bool
 }
 
-func newFirstFit() *firstFit {
+func newFirstFit(preempt int) *firstFit {
 	return &firstFit{
+		preempt: preempt, started: map[work.TaskID]work.Token{},
 		workers: map[string]*work.Worker{}, free: map[string]work.Resources{},
 		jobs: map[work.JobID]*work.Job{}, queued: map[work.JobID]map[uint32]bool{},
 	}
@@ -283,8 +294,12 @@
 		}
 	case work.StartEvent:
 		delete(f.queued[e.Job.ID], e.Task.ID.Index)
+		f.started[e.Task.ID] = e.Task.Token
 		f.free[e.Task.Worker] = f.free[e.Task.Worker].Sub(e.Task.Reserved)
+	case work.StopEvent:
+		delete(f.started, e.Task.ID)
 	case work.EndEvent:
+		delete(f.started, e.Task.ID)
 		f.free[e.Worker] = f.free[e.Worker].Add(e.Reserved)
 		if e.Requeued {
 			f.queued[e.Job.ID][e.Task.ID.Index] = true
@@ -303,6 +318,12 @@
 		names = append(names, n)
 	}
 	slices.Sort(names)
+	if f.rounds++; f.preempt > 0 && f.rounds%f.preempt == 0 {
+		for id, token := range f.started {
+			mode := []work.StopMode{work.StopCheckpoint, work.StopKill}[f.rounds/f.preempt%2]
+			return []work.Decision{{Stops: []work.Stop{{Task: id, Token: token, Mode: mode}}}}
+		}
+	}
 	for id, j := range f.jobs {
 		var starts []work.Start
 		for i := range f.queued[id] {
--- a/internal/process/leader/lease.go
+++ b/internal/process/leader/lease.go
@@ -20,9 +20,6 @@
 	// leaseMargin covers the drift of the worker's clock and pauses between
 	// its check of the lease and the end of its tasks.
 	leaseMargin = 3 * time.Second
-	// runsPerPoll is the number of runs for which a poll reserves memory. Fleets
-	// run about four tasks on each worker.
-	runsPerPoll = 4
 )
 
 // lease is what the leader knows of a worker that polls.
--- a/internal/process/leader/lease_test.go
+++ b/internal/process/leader/lease_test.go
@@ -200,7 +200,11 @@
 		m.start(s.Task, s.Token)
 	}
 	for _, s := range o.Stops {
-		m.finish(s.Task, s.Token, work.OutcomeStopped)
+		o := work.OutcomeStopped
+		if s.Mode == work.StopCheckpoint {
+			o = work.OutcomeCheckpointed
+		}
+		m.finish(s.Task, s.Token, o)
 	}
 }
 
@@ -273,6 +277,9 @@
 			synctest.Test(t, func(t *testing.T) {
 				c := newCluster(t, 3)
 				defer c.close()
+				c.mu.Lock()
+				c.preempt = 20 // from the second term on
+				c.mu.Unlock()
 				f := newFleet(c, seed, 6)
 				defer close(f.stop)
 				for range 3000 { // 300 s
--- a/internal/process/leader/poll.go
+++ b/internal/process/leader/poll.go
@@ -14,6 +14,10 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
+// runsPerPoll is the number of runs for which a poll reserves memory. Fleets run
+// about four tasks on each worker.
+const runsPerPoll = 4
+
 // poll is a worker's report on its way through a renewal.
 type poll struct {
 	report *control.WorkerReport
