--- a/internal/version/state/expire.go
+++ b/internal/version/state/expire.go
@@ -1,7 +1,6 @@
 package state
 
 import (
-	"container/heap"
 	"slices"
 	"time"
 )
@@ -34,7 +33,7 @@
 func (s *State) expireOne(now time.Time) bool {
 	switch {
 	case len(s.deadlines) > 0 && !now.Before(s.deadlines[0].Intent.Deadline):
-		delete(s.intents, heap.Pop(&s.deadlines).(*intent).id())
+		s.forgetIntent(s.deadlines[0])
 	case s.operators.due(now):
 		s.operators.drop()
 	case s.callers.due(now):
--- a/internal/version/state/intent.go
+++ b/internal/version/state/intent.go
@@ -8,6 +8,10 @@
 const (
 	// maximumBody is the largest answer that is kept with an outcome, in bytes.
 	maximumBody = 64 << 10
+	// maximumBodies bounds the answers kept of all intents, in bytes. Beyond it
+	// outcomes are kept without the answer, as the state is in memory and is
+	// written whole with each snapshot.
+	maximumBodies = 256 << 20
 	// maximumHeader is the largest number of header fields kept with it.
 	maximumHeader = 64
 )
@@ -78,7 +82,7 @@
 		case !again && s.on(guardIntent):
 			return Result{Code: Duplicate, Known: known.record()}
 		}
-		heap.Remove(&s.deadlines, known.place)
+		s.forgetIntent(known)
 	}
 	r := &intent{Record: Record{Intent: n}, request: request, attempt: s.index}
 	s.intents[id] = r
@@ -86,6 +90,15 @@
 	return Result{Code: OK, Attempt: r.attempt}
 }
 
+// forgetIntent drops what is recorded of a request.
+func (s *State) forgetIntent(n *intent) {
+	heap.Remove(&s.deadlines, n.place)
+	delete(s.intents, n.id())
+	if n.Settle != nil {
+		s.bodies -= len(n.Settle.Body)
+	}
+}
+
 func (n *intent) record() *Record {
 	r := n.Record
 	return &r
@@ -107,10 +120,11 @@
 		return invalid("the outcome is not known")
 	}
 	kept := *c
-	if len(kept.Body) > maximumBody || len(kept.Header) > maximumHeader {
+	if len(kept.Body) > maximumBody || len(kept.Header) > maximumHeader || s.bodies+len(kept.Body) > maximumBodies {
 		kept.Body, kept.Header, kept.Whole = nil, nil, false
 	}
 	n.Settle = &kept
+	s.bodies += len(kept.Body)
 	return Result{Code: OK}
 }
 
--- a/internal/version/state/snapshot.go
+++ b/internal/version/state/snapshot.go
@@ -116,7 +116,8 @@
 	s.index, s.now, s.term, s.version = n.index, n.now, n.term, n.version
 	s.teams, s.entries, s.keys, s.digests, s.changes = n.teams, n.entries, n.keys, n.digests, n.changes
 	s.jobs, s.ended, s.workers, s.gone, s.shapes, s.sessions = n.jobs, n.ended, n.workers, n.gone, n.shapes, n.sessions
-	s.intents, s.deadlines, s.operators, s.callers = n.intents, n.deadlines, n.operators, n.callers
+	s.intents, s.deadlines, s.bodies = n.intents, n.deadlines, n.bodies
+	s.operators, s.callers = n.operators, n.callers
 	return nil
 }
 
@@ -261,6 +262,9 @@
 		}
 		s.intents[n.id()] = n
 		heap.Push(&s.deadlines, n)
+		if n.Settle != nil {
+			s.bodies += len(n.Settle.Body)
+		}
 	}
 	return nil
 }
--- a/internal/version/state/state.go
+++ b/internal/version/state/state.go
@@ -55,6 +55,7 @@
 
 	intents   map[intentID]*intent
 	deadlines intentHeap
+	bodies    int    // bytes of the answers kept of intents
 	operators ledger // results of operators' requests
 	callers   ledger // results of submissions
 
--- a/internal/version/state/state_test.go
+++ b/internal/version/state/state_test.go
@@ -411,6 +411,28 @@
 	is.Equal(len(f.jobs)+len(f.intents), 0)
 }
 
+// Guards against answers that fill the memory, and against a count of them that
+// drifts when records expire.
+func TestAnswersOfIntentsAreBounded(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	settle := func(id string, n int) *Settle {
+		f.do(Command{Intent: &Intent{Team: "a", Entry: "service", Identity: id, Holder: "e", Deadline: f.now.Add(time.Hour)}})
+		f.do(Command{Settle: &Settle{Team: "a", Entry: "service", Identity: id, Holder: "e", Ran: RanYes, Body: make([]byte, n), Whole: true}})
+		r, _ := f.Intent("a", "service", id)
+		return r.Settle
+	}
+	is.True(settle("fits", maximumBody).Whole)
+	is.True(!settle("large", maximumBody+1).Whole)
+	f.bodies += maximumBodies - 2*maximumBody
+	is.True(settle("last", maximumBody).Whole)
+	is.True(!settle("full", 1).Whole)
+	f.bodies -= maximumBodies - 2*maximumBody
+	f.now = f.now.Add(time.Hour)
+	is.Equal(f.do(Command{Expire: &Expire{}}).Count, 4)
+	is.Equal(f.bodies, 0)
+}
+
 // Guards against jobs that can never run being accepted, and others refused.
 func TestSubmissionsThatCanNeverRun(t *testing.T) {
 	is := is.New(t)
