Reserve the 80% quantile of use, forget departed workers

Cause looked for: teams with a backlog wait while half of the reserved capacity is not used.

Workers that were gone for an hour are forgotten, as replaced VMs come with new names; the comparison with a rebuilt scheduler therefore covers present workers only. An urgent task that finds no victims searches again after Retry.

--- a/internal/version/placement/bench_test.go
+++ b/internal/version/placement/bench_test.go
@@ -236,6 +236,44 @@
 	})
 }
 
+// BenchmarkFairPick measures the choice of the next job for a worker with room
+// among all teams, with a queue of 50,000 jobs.
+func BenchmarkFairPick(b *testing.B) {
+	scales(b, func(b *testing.B, f *fleet, teams int) {
+		f.fill(teams, 50000)
+		j := f.jobs[f.running[0].Job]
+		worker := j.Tasks[0].Worker
+		for len(f.jobs) > 0 && f.scheduler.Pick(worker) == 0 { // make room there
+			for i, id := range f.running {
+				if f.jobs[id.Job].Tasks[id.Index].Worker == worker {
+					f.end(i)
+					break
+				}
+			}
+		}
+		for b.Loop() {
+			f.scheduler.Pick(worker)
+		}
+	})
+}
+
+// BenchmarkEnd measures the events of the end of a task and its job.
+func BenchmarkEnd(b *testing.B) {
+	scales(b, func(b *testing.B, f *fleet, teams int) {
+		f.fill(teams, 0)
+		i := 0
+		for b.Loop() {
+			if len(f.running) < 500 {
+				b.StopTimer()
+				f.fill(teams, 0)
+				b.StartTimer()
+			}
+			f.end(i * 7919 % len(f.running))
+			i++
+		}
+	})
+}
+
 // BenchmarkCancellation measures a wave per cancelled job, half of them running.
 func BenchmarkCancellation(b *testing.B) {
 	scales(b, func(b *testing.B, f *fleet, teams int) {
--- a/internal/version/placement/decide.go
+++ b/internal/version/placement/decide.go
@@ -38,6 +38,7 @@
 	s.rebase()
 	s.resume(s.now)
 	s.unpark()
+	s.forgetDeparted()
 	s.check()
 	s.escalate()
 	s.placeUrgent()
--- a/internal/version/placement/model.go
+++ b/internal/version/placement/model.go
@@ -98,7 +98,8 @@
 	epoch      uint64 // of that check
 	failedOn   []*worker
 	hold       *hold
-	prev, next *job // all jobs in the order in which they became known
+	claims     time.Time // when the next search for victims may come
+	prev, next *job      // all jobs in the order in which they became known
 }
 
 func (j *job) key() key { return key{j.submitted.UnixNano(), uint64(j.id)} }
--- a/internal/version/placement/options.go
+++ b/internal/version/placement/options.go
@@ -87,7 +87,7 @@
 	defaultStop            = 3 * time.Second
 	defaultThrottlePercent = 25
 	defaultSamples         = 8
-	defaultSizeQuantile    = 0.95
+	defaultSizeQuantile    = 0.8
 	defaultMarginPercent   = 15
 	defaultTimeQuantile    = 0.95
 	defaultEndQuantile     = 0.5
--- a/internal/version/placement/scheduler.go
+++ b/internal/version/placement/scheduler.go
@@ -71,6 +71,8 @@
 	probe          job
 	walked         bool // a walk came to its end
 	trials         timers[*worker]
+	departed       timers[*worker]
+	numbers        []int32 // of forgotten workers
 	retries        timers[work.JobID]
 	condemned      []refusal
 	epoch          uint64 // of the feasibility checks
@@ -220,6 +222,9 @@
 	s.count(w, !e.Gone)
 	s.refresh(w)
 	s.release(w)
+	if w.gone {
+		s.departed.add(s.now.Add(s.options.ShapeMemory), w)
+	}
 	if w.hold != nil {
 		w.hold.changed = true
 	}
@@ -237,11 +242,39 @@
 	if w == nil {
 		w = &worker{number: int32(len(s.workerList)), hash: digest(name), name: name, zone: s.zone(""), rack: s.rack("", "")}
 		s.workers[name] = w
-		s.workerList = append(s.workerList, w)
+		if k := len(s.numbers); k > 0 {
+			w.number, s.numbers = s.numbers[k-1], s.numbers[:k-1]
+			s.workerList[w.number] = w
+		} else {
+			s.workerList = append(s.workerList, w)
+		}
 	}
 	return w
 }
 
+// forgetDeparted drops workers that have been gone for long. Replaced VMs come
+// with new names, so that their records would pile up.
+func (s *Scheduler) forgetDeparted() {
+	for {
+		w, ok := s.departed.due(s.now)
+		if !ok {
+			return
+		}
+		switch {
+		case !w.gone || s.workers[w.name] != w:
+		case len(w.placed) > 0 || w.hold != nil:
+			s.departed.add(s.now.Add(s.options.ShapeMemory), w)
+		default:
+			if w.health.aside {
+				s.stats.Aside--
+			}
+			delete(s.workers, w.name)
+			s.workerList[w.number] = nil
+			s.numbers = append(s.numbers, w.number)
+		}
+	}
+}
+
 func (s *Scheduler) zone(name string) int32 {
 	n, ok := s.zones[name]
 	if !ok {
--- a/internal/version/placement/urgent.go
+++ b/internal/version/placement/urgent.go
@@ -204,6 +204,7 @@
 			}
 		}
 		if len(j.ready) > 0 && s.permits(j, size, 1) {
+			// Tasks whose slots wait for their victims need no further claim.
 			s.claim(j, size, len(j.ready))
 		}
 	}
@@ -284,7 +285,7 @@
 // claim sets workers apart for up to n tasks of an urgent job and asks the
 // victims there to checkpoint. A gang claims room for all tasks or none.
 func (s *Scheduler) claim(j *job, size work.Resources, n int) {
-	if s.options.Off.Preemption {
+	if s.options.Off.Preemption || s.now.Before(j.claims) || j.hold != nil && len(j.hold.slots) >= min(n, claimMost) {
 		return
 	}
 	h, fresh := j.hold, false
@@ -300,6 +301,8 @@
 			p.worker = v.worker
 			p.victims = s.whole(v.victims)
 		} else {
+			// A search in vain is not repeated at once, as it looks at many workers.
+			j.claims = s.now.Add(s.options.Retry)
 			break
 		}
 		for _, t := range p.victims {
