--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -12,9 +12,7 @@
 package caller
 
 import (
-	"bytes"
 	"crypto/rand"
-	"io"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -103,12 +101,9 @@
 	return web.RefuseUntil(a.options.Now().Add(busyRetry), api.Overloaded, "%s", message)
 }
 
-// fail answers with an error. A body that was not read would have to be skipped
-// before the next request of the connection, which is closed instead.
+// fail answers with an error, without the body having been read.
 func (a *Adapter) fail(ctx *fasthttp.RequestCtx, e *api.Error) {
-	if ctx.Request.IsBodyStream() {
-		ctx.SetConnectionClose()
-	}
+	web.Abandon(ctx)
 	web.Fail(ctx, e)
 }
 
@@ -221,23 +216,8 @@
 	if a.bytes.Add(held) > a.options.Bytes {
 		return nil, held, a.busy("as many bytes are held as this entry VM takes")
 	}
-	if !ctx.Request.IsBodyStream() {
-		// A call to another entry VM that is given up may read the body after
-		// the server has reused its buffer.
-		return bytes.Clone(ctx.PostBody()), held, nil
-	}
-	var b bytes.Buffer
-	if length > 0 {
-		b.Grow(int(length) + bytes.MinRead)
-	}
-	n, err := b.ReadFrom(io.LimitReader(ctx.RequestBodyStream(), limit+1))
-	switch {
-	case err != nil || length >= 0 && n != length:
-		return nil, held, web.Refuse(api.Malformed, "the body broke off after %d bytes", n)
-	case n > limit:
-		return nil, held, web.Refuse(api.TooLarge, "the body has more than the %d bytes that are allowed", limit)
-	}
-	return b.Bytes(), held, nil
+	body, fail = web.Body(ctx, limit)
+	return body, held, fail
 }
 
 // write answers with a runner's answer.
--- a/internal/request/upstream/upstream.go
+++ b/internal/request/upstream/upstream.go
@@ -71,6 +71,7 @@
 func (a *Adapter) Handler(ctx *fasthttp.RequestCtx) {
 	key, fail := web.Authorize(ctx, a.options.Directory, work.UpstreamRole)
 	if fail != nil {
+		web.Abandon(ctx)
 		web.Fail(ctx, fail)
 		return
 	}
@@ -83,16 +84,17 @@
 		web.Fail(ctx, fail)
 		return
 	}
-	if len(ctx.PostBody()) > bodyBytes {
-		web.Fail(ctx, web.Refuse(api.TooLarge, "the body has more than %d bytes", bodyBytes))
+	body, fail := web.Body(ctx, bodyBytes)
+	if fail != nil {
+		web.Fail(ctx, fail)
 		return
 	}
 	var report control.RunnerReport
 	switch s[3] {
 	case "announce":
-		report, fail = a.announcement(ctx.PostBody())
+		report, fail = a.announcement(body)
 	case "leave":
-		report, fail = leave(ctx.PostBody())
+		report, fail = leave(body)
 	default:
 		fail = web.Refuse(api.UnknownRoute, "there is no route %s", ctx.Path())
 	}
--- a/internal/request/worker/worker.go
+++ b/internal/request/worker/worker.go
@@ -95,6 +95,7 @@
 func (a *Adapter) Handler(ctx *fasthttp.RequestCtx) {
 	key, fail := web.Authorize(ctx, a.directory, work.WorkerRole)
 	if fail != nil {
+		web.Abandon(ctx)
 		web.Fail(ctx, fail)
 		return
 	}
@@ -103,7 +104,12 @@
 		web.Fail(ctx, web.Refuse(api.UnknownRoute, "%s is not possible on %s", ctx.Method(), ctx.Path()))
 		return
 	}
-	report, fail := read(s[2], key, ctx.PostBody())
+	body, fail := web.Body(ctx, bodyBytes)
+	if fail != nil {
+		web.Fail(ctx, fail)
+		return
+	}
+	report, fail := read(s[2], key, body)
 	if fail != nil {
 		web.Fail(ctx, fail)
 		return
@@ -124,9 +130,6 @@
 	if fail := web.Name(name); fail != nil {
 		return none, fail
 	}
-	if len(body) > bodyBytes {
-		return none, web.Refuse(api.TooLarge, "the body has more than %d bytes", bodyBytes)
-	}
 	if fail := web.Decode(body, &b); fail != nil {
 		return none, fail
 	}
