Wait a moment for a team's first allotment at an entry VM

A team that sends few requests was refused each time, since its allotment had been given up in between. The stand-in for a runner now serves on for a second after its leave, as docs/api.md says. go test -race -count=3 of upstream and route passes.

--- a/internal/connection/upstream/allotment.go
+++ b/internal/connection/upstream/allotment.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,11 +20,24 @@
 	ErrExpired = errors.New("the session has ended")
 )
 
+const (
+	// firstWait is how long a request waits for the allotment of a team that
+	// holds none here: time for a renewal to be spaced, sent and answered.
+	firstWait = 150 * time.Millisecond
+	// firstPause is how long such requests are refused at once after a wait in
+	// vain, so that a team at its limit does not keep requests waiting.
+	firstPause = time.Second
+)
+
 // wantedDecay is the part of the wanted amount that is kept from one renewal to
 // the next without demand: an eighth is given up, so that an allotment outlives
 // a short pause and is returned within a few seconds.
 const wantedDecay = 8
 
+// wantedSpare is the part of the demand that is wanted on top of it, so that
+// growing demand is not refused until the next renewal.
+const wantedSpare = 8
+
 // Allotments counts requests in flight per team against what the leader
 // granted to this entry VM. It implements control.Teams.
 type Allotments struct {
@@ -32,6 +46,9 @@
 	start    time.Time
 	deadline atomic.Int64 // of the session, in nanoseconds after start
 	refused  func()       // called when an allotment was too small
+
+	mu   sync.Mutex
+	next chan struct{} // closed by the next grant
 }
 
 // allotment is guarded by its shard's lock.
@@ -41,7 +58,8 @@
 	peak    int64 // largest use since the last renewal
 	refused int64 // requests refused since the last renewal
 	wanted  int64
-	limited bool // the team had a limit when last seen
+	limited bool      // the team had a limit when last seen
+	empty   time.Time // a wait in vain ended; no other begins before then
 }
 
 // NewAllotments returns Allotments without any grant. The function refused, if
@@ -53,7 +71,7 @@
 	if refused == nil {
 		refused = func() {}
 	}
-	return &Allotments{teams: shard.New[string, *allotment](), now: now, start: now(), refused: refused}
+	return &Allotments{teams: shard.New[string, *allotment](), now: now, start: now(), refused: refused, next: make(chan struct{})}
 }
 
 // Take counts one more request in flight. Limit is the team's fleet-wide limit;
@@ -69,14 +87,10 @@
 			t = &allotment{}
 			m[team] = t
 		}
-		t.limited = limit > 0
-		if t.limited && t.used >= min(t.granted, limit) {
+		if !t.take(limit) {
 			t.refused++
 			err = ErrLimited
-			return
 		}
-		t.used++
-		t.peak = max(t.peak, t.used)
 	})
 	if err != nil {
 		a.refused()
@@ -84,6 +98,74 @@
 	return err
 }
 
+// take counts one more request in flight if the grant allows it.
+func (t *allotment) take(limit int64) bool {
+	t.limited = limit > 0
+	if t.limited && t.used >= min(t.granted, limit) {
+		return false
+	}
+	t.used++
+	t.peak = max(t.peak, t.used)
+	return true
+}
+
+// TakeFirst is Take, but waits a moment for the grant if the team holds nothing
+// here, at most until the given time. Without that, each request of a team that
+// sends few would be refused.
+func (a *Allotments) TakeFirst(team string, limit int64, until time.Time) error {
+	next := a.following()
+	err := a.Take(team, limit)
+	if !errors.Is(err, ErrLimited) || !a.first(team) {
+		return err
+	}
+	timer := time.NewTimer(min(firstWait, until.Sub(a.now())))
+	defer timer.Stop()
+	for {
+		select {
+		case <-next:
+		case <-timer.C:
+			a.teams.With(team, func(m map[string]*allotment) {
+				if t := m[team]; t != nil {
+					t.empty = a.now().Add(firstPause)
+				}
+			})
+			return err
+		}
+		next = a.following()
+		taken := false
+		expired := int64(a.now().Sub(a.start)) >= a.deadline.Load()
+		a.teams.With(team, func(m map[string]*allotment) {
+			if t := m[team]; t != nil && !expired {
+				taken = t.take(limit)
+			}
+		})
+		if taken {
+			return nil
+		}
+		if !a.first(team) {
+			return err // others took what was granted
+		}
+	}
+}
+
+// first reports whether nothing is granted to the team and nothing is in use.
+func (a *Allotments) first(team string) bool {
+	first := false
+	now := a.now()
+	a.teams.With(team, func(m map[string]*allotment) {
+		t := m[team]
+		first = t != nil && t.granted == 0 && t.used == 0 && !now.Before(t.empty)
+	})
+	return first
+}
+
+// following returns a channel that the next grant closes.
+func (a *Allotments) following() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.next
+}
+
 // Release ends what Take began.
 func (a *Allotments) Release(team string) {
 	a.teams.With(team, func(m map[string]*allotment) {
@@ -128,6 +210,9 @@
 // use returns the team's part of a renewal and starts the next period.
 func (t *allotment) use() control.TeamUse {
 	demand := t.peak + t.refused
+	if demand > 0 {
+		demand += 1 + demand/wantedSpare
+	}
 	t.wanted = max(demand, t.wanted-(t.wanted+wantedDecay-1)/wantedDecay)
 	t.peak, t.refused = t.used, 0
 	if !t.limited {
@@ -156,6 +241,10 @@
 		})
 	}
 	a.deadline.Store(int64(deadline.Sub(a.start)))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	close(a.next)
+	a.next = make(chan struct{})
 }
 
 // InFlight returns the number of requests of a team that are in flight here.
--- a/internal/connection/upstream/allotment_test.go
+++ b/internal/connection/upstream/allotment_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -36,7 +37,7 @@
 	is.NoErr(a.Take("t", 10))
 	is.Equal(a.Take("t", 10), ErrLimited)
 	is.Equal(*refused, 1)
-	is.Equal(a.Uses(nil), []control.TeamUse{{Team: "t", Held: 2, Used: 2, Wanted: 3}})
+	is.Equal(a.Uses(nil), []control.TeamUse{{Team: "t", Held: 2, Used: 2, Wanted: 4}})
 	grant(a, c, "t", 1)
 	is.Equal(a.Uses(nil)[0].Held, int64(2)) // what is in use is held until it ends
 	a.Release("t")
@@ -55,6 +56,37 @@
 	is.Equal(a.Take("t", 10), ErrLimited) // until granted anew
 }
 
+// Guards against a team that sends few requests being refused each time, and
+// against requests that wait although the team's limit is in use elsewhere.
+func TestTakeFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := NewAllotments(nil, nil)
+		give := func(n int64) {
+			a.Grant([]control.TeamGrant{{Team: "t", Granted: n}}, time.Now().Add(3*time.Second))
+		}
+		give(0)
+		begin := time.Now()
+		time.AfterFunc(20*time.Millisecond, func() { give(0) }) // answers an earlier renewal
+		time.AfterFunc(50*time.Millisecond, func() { give(1) })
+		is.NoErr(a.TakeFirst("t", 5, begin.Add(time.Minute)))
+		is.Equal(time.Since(begin), 50*time.Millisecond)
+		is.Equal(a.TakeFirst("t", 5, begin.Add(time.Minute)), ErrLimited)
+		is.Equal(time.Since(begin), 50*time.Millisecond) // at once: the team holds something here
+		a.Release("t")
+		give(0)
+		is.Equal(a.TakeFirst("t", 5, begin.Add(time.Minute)), ErrLimited)
+		is.Equal(time.Since(begin), 50*time.Millisecond+firstWait)
+		is.Equal(a.TakeFirst("t", 5, begin.Add(time.Minute)), ErrLimited)
+		is.Equal(time.Since(begin), 50*time.Millisecond+firstWait) // at once after a wait in vain
+		time.Sleep(firstPause)
+		begin = time.Now()
+		is.Equal(a.TakeFirst("t", 5, begin.Add(10*time.Millisecond)), ErrLimited)
+		is.Equal(time.Since(begin), 10*time.Millisecond) // the caller's deadline
+		is.Equal(a.InFlight("t"), int64(0))
+	})
+}
+
 // Guards against an allotment that is kept for ever without demand, or given up
 // in a short pause.
 func TestWanted(t *testing.T) {
@@ -64,7 +96,7 @@
 	for range 80 {
 		is.NoErr(a.Take("t", 1000))
 	}
-	is.Equal(a.Uses(nil)[0].Wanted, int64(80))
+	is.Equal(a.Uses(nil)[0].Wanted, int64(91)) // with an eighth and one to spare
 	for range 80 {
 		a.Release("t")
 	}
--- a/internal/request/route/forward.go
+++ b/internal/request/route/forward.go
@@ -98,6 +98,9 @@
 	}
 	owners := r.options.Pool.Owners(f.entry, nil)
 	for range forwardTries {
+		if fail := r.fresh(); fail != nil {
+			return result{fail: fail}
+		}
 		i := r.pick(f.entry, owners)
 		if i < 0 {
 			break
@@ -108,9 +111,6 @@
 		if res, refused := r.call(f, owner); !refused {
 			return res
 		}
-		if fail := r.fresh(); fail != nil {
-			return result{fail: fail}
-		}
 	}
 	return overloaded
 }
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -261,7 +261,7 @@
 
 // take counts the next attempt against the team's allotment.
 func (r *Router) take(f *flight) *api.Error {
-	err := r.options.Allotments.Take(f.team, f.limit)
+	err := r.options.Allotments.TakeFirst(f.team, f.limit, f.deadline)
 	switch {
 	case errors.Is(err, upstream.ErrLimited):
 		return r.refuse(api.Limited, "team %q has as many requests in flight as it may have here", f.team)
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -20,6 +20,8 @@
 	announceInterval = 2 * time.Second
 	announceRetry    = 200 * time.Millisecond
 	postTimeout      = 3 * time.Second
+	// leaveTime is how long requests may still come after a leave.
+	leaveTime = time.Second
 	// drainTime bounds the wait for requests in flight after a leave.
 	drainTime = 35 * time.Second
 )
@@ -108,6 +110,7 @@
 	go func() { served <- r.server.Serve(r.options.Listener) }()
 	r.announce(ctx)
 	r.leave()
+	time.Sleep(leaveTime)
 	stop, cancel := context.WithTimeout(context.Background(), drainTime)
 	defer cancel()
 	if err := r.server.ShutdownWithContext(stop); err != nil {
