--- a/internal/connection/control/options.go
+++ b/internal/connection/control/options.go
@@ -41,7 +41,7 @@
 	// attemptTimeout bounds one attempt of a call that may be sent again, so
 	// that a silent leader does not use up the whole time of the request.
 	attemptTimeout = time.Second
-	// callTimeout bounds a call whose context has no deadline.
+	// callTimeout bounds a call, whatever its context allows.
 	callTimeout = 10 * time.Second
 	// retryPause and retryPauseMaximum bound the pause between two attempts to
 	// reach a leader.
--- a/internal/connection/upstream/allotment.go
+++ b/internal/connection/upstream/allotment.go
@@ -21,11 +21,13 @@
 )
 
 const (
-	// firstWait is how long a request waits for the allotment of a team that
-	// holds none here: time for a renewal to be spaced, sent and answered.
-	firstWait = 150 * time.Millisecond
-	// firstPause is how long such requests are refused at once after a wait in
-	// vain, so that a team at its limit does not keep requests waiting.
+	// firstWait bounds how long a request waits for the allotment of a team that
+	// holds none here: a renewal in flight, its spacing and one more round trip
+	// are well below it.
+	firstWait = 500 * time.Millisecond
+	// firstPause is how long such requests are refused at once after a grant
+	// said no or did not come, so that a team at its limit does not keep
+	// requests waiting.
 	firstPause = time.Second
 )
 
@@ -59,7 +61,8 @@
 	refused int64 // requests refused since the last renewal
 	wanted  int64
 	limited bool      // the team had a limit when last seen
-	empty   time.Time // a wait in vain ended; no other begins before then
+	asked   bool      // a refusal was reported and no grant has answered it
+	empty   time.Time // no request waits for a first allotment before then
 }
 
 // NewAllotments returns Allotments without any grant. The function refused, if
@@ -214,6 +217,7 @@
 		demand += 1 + demand/wantedSpare
 	}
 	t.wanted = max(demand, t.wanted-(t.wanted+wantedDecay-1)/wantedDecay)
+	t.asked = t.asked || t.refused > 0
 	t.peak, t.refused = t.used, 0
 	if !t.limited {
 		// What is not reported as held may be granted to others.
@@ -225,6 +229,7 @@
 // Grant sets the allotments of the teams named. All allotments are valid until
 // deadline, by the clock of this entry VM.
 func (a *Allotments) Grant(grants []control.TeamGrant, deadline time.Time) {
+	now := a.now()
 	for i := range grants {
 		g := &grants[i]
 		a.teams.With(g.Team, func(m map[string]*allotment) {
@@ -238,6 +243,10 @@
 			}
 			t.granted = g.Granted
 			t.limited = t.limited || g.Granted > 0
+			if t.asked && g.Granted == 0 {
+				t.empty = now.Add(firstPause)
+			}
+			t.asked = false
 		})
 	}
 	a.deadline.Store(int64(deadline.Sub(a.start)))
--- a/internal/connection/upstream/allotment_test.go
+++ b/internal/connection/upstream/allotment_test.go
@@ -75,14 +75,20 @@
 		is.Equal(time.Since(begin), 50*time.Millisecond) // at once: the team holds something here
 		a.Release("t")
 		give(0)
+		time.AfterFunc(20*time.Millisecond, func() { a.Uses(nil) })
+		time.AfterFunc(30*time.Millisecond, func() { give(0) })
 		is.Equal(a.TakeFirst("t", 5, begin.Add(time.Minute)), ErrLimited)
-		is.Equal(time.Since(begin), 50*time.Millisecond+firstWait)
+		is.Equal(time.Since(begin), 80*time.Millisecond) // the leader said no
 		is.Equal(a.TakeFirst("t", 5, begin.Add(time.Minute)), ErrLimited)
-		is.Equal(time.Since(begin), 50*time.Millisecond+firstWait) // at once after a wait in vain
+		is.Equal(time.Since(begin), 80*time.Millisecond) // at once after that
 		time.Sleep(firstPause)
 		begin = time.Now()
 		is.Equal(a.TakeFirst("t", 5, begin.Add(10*time.Millisecond)), ErrLimited)
 		is.Equal(time.Since(begin), 10*time.Millisecond) // the caller's deadline
+		time.Sleep(firstPause)
+		begin = time.Now()
+		is.Equal(a.TakeFirst("t", 5, begin.Add(time.Minute)), ErrLimited)
+		is.Equal(time.Since(begin), firstWait) // no grant came
 		is.Equal(a.InFlight("t"), int64(0))
 	})
 }
@@ -202,3 +208,22 @@
 		}
 	})
 }
+
+// Guards against refusing the first request of a team at an entry VM while the
+// team is far from its limit, and against waiting once a grant has said no.
+func TestFirstAllotment(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a := NewAllotments(nil, nil)
+		later := time.Now().Add(time.Minute)
+		a.Grant(nil, later)
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			a.Grant([]control.TeamGrant{{Team: "t", Granted: 1}}, later)
+		}()
+		is.NoErr(a.TakeFirst("t", 10, later))
+		start := time.Now()
+		is.Equal(a.TakeFirst("t", 10, later), ErrLimited)
+		is.Equal(time.Since(start), time.Duration(0))
+	})
+}
--- /dev/null
+++ b/internal/process/daemon/entry.go
@@ -0,0 +1,85 @@
+package daemon
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
+
+	link "github.com/rosemaryloft/rosemaryloft/internal/connection/control"
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/upstream"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/settings"
+	"github.com/rosemaryloft/rosemaryloft/internal/request/caller"
+	"github.com/rosemaryloft/rosemaryloft/internal/request/operator"
+	"github.com/rosemaryloft/rosemaryloft/internal/request/route"
+	announce "github.com/rosemaryloft/rosemaryloft/internal/request/upstream"
+	"github.com/rosemaryloft/rosemaryloft/internal/request/worker"
+)
+
+// entry is the entry role: everything that callers, upstreams, workers and
+// operators talk to.
+type entry struct {
+	link     *link.Link
+	router   *route.Router
+	adapters map[settings.Surface]adapter
+	draining atomic.Bool
+	log      event.Log
+}
+
+func newEntry(d *Daemon) (*entry, error) {
+	s := &d.settings
+	boot := randomBoot()
+	e := &entry{log: d.log}
+	workers := worker.New(worker.Options{Log: d.log})
+	pool := upstream.New(upstream.Options{Name: s.Name, Zone: s.Zone, Log: d.log})
+	allotments := upstream.NewAllotments(nil, func() { e.link.Kick() })
+	var err error
+	if e.link, err = link.New(link.Options{
+		Name: s.Name, Zone: s.Zone, Boot: boot, Address: d.peer.Address(), Peer: d.peer,
+		Candidates: s.Control(), Teams: allotments, Runners: pool, Workers: workers, Log: d.log,
+	}); err != nil {
+		return nil, err
+	}
+	workers.Start(e.link, e.link)
+	if e.router, err = route.New(route.Options{
+		Name: s.Name, Boot: boot, Directory: e.link, Leader: e.link, Peer: d.peer,
+		Pool: pool, Allotments: allotments, Log: d.log,
+	}); err != nil {
+		return nil, err
+	}
+	d.peer.Handle(link.MethodForward, e.router.Forwarded)
+	callers := caller.New(caller.Options{Router: e.router, Directory: e.link, Leader: e.link, Log: d.log})
+	upstreams := announce.New(announce.Options{Directory: e.link, Link: e.link, Pool: pool, Log: d.log})
+	e.adapters = map[settings.Surface]adapter{
+		settings.Callers: prefixed{callers.Handler, []string{"/v1/services/", "/v1/jobs"}},
+		settings.Upstreams: split{
+			prefixed{upstreams.Handler, []string{"/v1/runners/"}},
+			prefixed{workers.Handler, []string{"/v1/workers/"}},
+		},
+		settings.Operators: operator.New(operator.Options{
+			Leader: e.link, Directory: e.link, Members: members{d.peer, s.Control()}, Digests: s.Operators, Log: d.log,
+		}),
+	}
+	return e, nil
+}
+
+func (e *entry) start(ctx context.Context, group *errgroup.Group) {
+	group.Go(func() error { return e.link.Run(ctx) })
+}
+
+// drain hands the runners over and answers what is in flight, after the
+// balancer has had time to see the health check turn.
+func (e *entry) drain(ctx context.Context) {
+	e.draining.Store(true)
+	select {
+	case <-time.After(balancerDelay):
+	case <-ctx.Done():
+	}
+	e.link.Drain()
+	if err := e.router.Drain(ctx); err != nil {
+		e.log.Emit(event.ProcessCut, zap.Error(err))
+	}
+}
--- a/internal/request/worker/worker.go
+++ b/internal/request/worker/worker.go
@@ -151,7 +151,7 @@
 			Name: name, Address: b.Address, Zone: b.Zone, Rack: b.Rack, Team: key.Team, Boot: b.Boot,
 			Capacity: capacity, Accelerator: b.Accelerator,
 		},
-		Sequence: b.Sequence,
+		Sequence: b.Sequence, Echo: b.Echo,
 	}
 	return r, fill(&r, &b)
 }
@@ -251,7 +251,8 @@
 }
 
 // Deliver answers the polls that the orders are for. Orders without an
-// acknowledgement of the waiting poll are delivered, but renew no lease.
+// acknowledgement of the waiting poll are delivered, but renew no lease; so is a
+// request to rejoin, which the worker answers with its next poll.
 func (a *Adapter) Deliver(list []control.WorkerOrders) {
 	for i := range list {
 		o := &list[i]
@@ -259,7 +260,7 @@
 		if !ok || p.report.Worker.Boot != o.Boot {
 			continue
 		}
-		if o.Acknowledged >= p.report.Sequence || len(o.Starts)+len(o.Stops)+len(o.Throttles)+len(o.Ended) > 0 {
+		if o.Acknowledged >= p.report.Sequence || o.Rejoin || len(o.Starts)+len(o.Stops)+len(o.Throttles)+len(o.Ended) > 0 {
 			p.finish(o)
 		}
 	}
@@ -267,7 +268,7 @@
 
 // orders returns the JSON form of the answer to a poll.
 func orders(r *control.WorkerReport, o *control.WorkerOrders) api.Orders {
-	a := api.Orders{Sequence: r.Sequence}
+	a := api.Orders{Sequence: r.Sequence, Challenge: o.Challenge}
 	if o.Acknowledged >= r.Sequence {
 		a.Lease = maximumMillis
 	}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -53,6 +53,7 @@
 
 	mu       sync.Mutex
 	sequence uint64
+	echo     uint64 // latest challenge
 	lease    time.Time
 	expiry   *time.Timer
 	tasks    map[taskID]*run
@@ -135,7 +136,7 @@
 	defer w.mu.Unlock()
 	w.sequence++
 	p := api.Poll{
-		Boot: w.boot, Sequence: w.sequence, Zone: w.options.Zone, Rack: w.options.Rack,
+		Boot: w.boot, Sequence: w.sequence, Echo: w.echo, Zone: w.options.Zone, Rack: w.options.Rack,
 		Capacity: w.options.Capacity, Accelerator: w.options.Accelerator,
 		Running: []api.Running{}, Ended: []api.Ended{},
 	}
@@ -158,6 +159,9 @@
 	if o.Sequence != w.sequence {
 		return
 	}
+	if o.Challenge != 0 {
+		w.echo = o.Challenge
+	}
 	if o.Lease > 0 {
 		w.renew(sent.Add(time.Duration(o.Lease) * time.Millisecond))
 	}
--- a/internal/version/state/worker.go
+++ b/internal/version/state/worker.go
@@ -8,21 +8,16 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
-const (
-	// goneRetention is how long a worker that is gone is remembered with its
-	// former boots. It is far longer than any poll can be under way.
-	goneRetention = time.Hour
-	// formerBoots bounds the boot numbers that are remembered of a worker.
-	formerBoots = 16
-)
+// goneRetention is how long a worker that is gone is remembered.
+const goneRetention = time.Hour
 
 // worker is a worker with what runs on it.
 type worker struct {
 	work.Worker
-	former   []uint64 // earlier boot numbers, oldest first
 	reserved work.Resources
-	runs     []run // in the order of tokens, then tasks
-	since    time.Time
+	runs     []run     // in the order of tokens, then tasks
+	joined   uint64    // log index at which the current membership began
+	since    time.Time // when it ended
 }
 
 // run refers to a task that is started or stopping on a worker.
@@ -62,9 +57,8 @@
 	}
 }
 
-// join adds a worker or takes over its new boot or shape. A boot number that
-// was replaced is refused, because a late poll of it would end the tasks of the
-// current boot. Within a boot the capacity cannot shrink below what is reserved.
+// join adds a worker or takes over its new boot or shape. Within a boot the
+// capacity cannot shrink below what is reserved.
 func (s *State) join(c *Join) Result {
 	n := c.Worker
 	w := s.workers[n.Name]
@@ -77,7 +71,7 @@
 	n.Gone = false
 	if w == nil {
 		n.Drained = false
-		w = &worker{Worker: n}
+		w = &worker{Worker: n, joined: s.index}
 		s.workers[n.Name] = w
 		s.shapes[w.shape()]++
 		s.emit(work.WorkerEvent{Worker: &w.Worker})
@@ -85,12 +79,10 @@
 	}
 	n.Drained = w.Drained
 	if n.Boot != w.Boot {
-		if slices.Contains(w.former, n.Boot) && s.on(guardFormerBoot) {
-			return invalid("the worker has booted anew since")
+		if !w.Gone && !c.Newer && s.on(guardNewer) {
+			return Result{Code: Conflict, Message: "another boot of the worker has a lease"}
 		}
 		s.lose(w)
-		w.former = append(w.former, w.Boot)
-		w.former = w.former[max(0, len(w.former)-formerBoots):]
 	} else if !w.reserved.Fits(n.Capacity) {
 		return invalid("the capacity is less than what is reserved")
 	} else if n.Team != w.Team && len(w.runs) > 0 {
@@ -99,6 +91,9 @@
 	if n == w.Worker {
 		return Result{Code: OK}
 	}
+	if w.Gone || n.Boot != w.Boot {
+		w.joined = s.index
+	}
 	s.drop(w.shape())
 	w.Worker = n
 	s.shapes[w.shape()]++
@@ -127,6 +122,8 @@
 		return Result{Code: NotFound, Message: "there is no worker " + c.Worker}
 	case w.Boot != c.Boot:
 		return invalid("the worker has booted anew since")
+	case c.Joined != 0 && c.Joined != w.joined && s.on(guardJoined):
+		return invalid("the worker has joined again since")
 	case w.Gone:
 		return Result{Code: OK}
 	}
