Let the stand-in for a runner accept more connections than it announces

With exactly as many, a new connection could be refused while an ended one was still being closed, which made TestBehaviour fail now and then under load. 480 runs with -race, eight at a time, pass.

--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -22,6 +22,9 @@
 	postTimeout      = 3 * time.Second
 	// leaveTime is how long requests may still come after a leave.
 	leaveTime = time.Second
+	// spareConnections are accepted beyond those announced: for GET /count, and
+	// because a connection that its client has closed is served a little longer.
+	spareConnections = 64
 	// drainTime bounds the wait for requests in flight after a leave.
 	drainTime = 35 * time.Second
 )
@@ -99,7 +102,7 @@
 		options: options, behaviour: options.Behaviour, client: NewClient(options.Entries, options.Key, options.Dial),
 		count: Count{Boot: boot(), Requests: make(map[string]int)},
 	}
-	r.server = fasthttp.Server{Handler: r.handle, Name: "standin", Concurrency: int(max(options.Connections, 1))}
+	r.server = fasthttp.Server{Handler: r.handle, Name: "standin", Concurrency: int(options.Connections) + spareConnections}
 	return r, nil
 }
 
