--- a/internal/connection/control/link_test.go
+++ b/internal/connection/control/link_test.go
@@ -292,12 +292,18 @@
 	term, routes = step(2, 2, true)
 	is.Equal([]uint64{term, routes}, []uint64{2, 2})
 	is.Equal(r.full, []bool{true, false, true})
+	next, _ := l.build()
+	is.Equal(len(next.Owned), 1)
+	l.deadline.Store(0) // the view has expired: others may own the runners
+	next, _ = l.build()
+	is.Equal(len(next.Owned), 0)
+	is.Equal(next.Routes, uint64(0))
 }
 
 // runners records lists of runners.
 type runners struct{ full []bool }
 
-func (r *runners) Owned(into []OwnedRunner) []OwnedRunner { return into }
+func (r *runners) Owned(into []OwnedRunner) []OwnedRunner { return append(into, OwnedRunner{}) }
 func (r *runners) Routes(_ []Route, full bool)            { r.full = append(r.full, full) }
 
 // Guards against an announcement that is lost with an unanswered renewal, or
--- a/internal/connection/control/renew.go
+++ b/internal/connection/control/renew.go
@@ -171,6 +171,10 @@
 // build returns the next renewal and the reports that it carries.
 func (l *Link) build() (*Renewal, []report) {
 	l.sequence++
+	expired := l.fresh() != nil
+	if expired {
+		l.routes = listed{} // the runners may have other owners by now
+	}
 	r := &l.renewal
 	*r = Renewal{
 		Entry: l.options.Name, Boot: l.options.Boot, Sequence: l.sequence,
@@ -181,7 +185,7 @@
 	if l.options.Teams != nil {
 		r.Teams = l.options.Teams.Uses(r.Teams)
 	}
-	if l.options.Runners != nil {
+	if l.options.Runners != nil && !expired {
 		r.Owned = l.options.Runners.Owned(r.Owned)
 	}
 	if l.options.Workers != nil {
--- a/internal/connection/upstream/allotment.go
+++ b/internal/connection/upstream/allotment.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,16 +20,25 @@
 	ErrExpired = errors.New("the session has ended")
 )
 
+const (
+	// firstWait bounds how long a request waits for the allotment of a team that
+	// holds none here: a renewal in flight, its spacing and one more round trip
+	// are well below it.
+	firstWait = 500 * time.Millisecond
+	// firstPause is how long such requests are refused at once after a grant
+	// said no or did not come, so that a team at its limit does not keep
+	// requests waiting.
+	firstPause = time.Second
+)
+
 // wantedDecay is the part of the wanted amount that is kept from one renewal to
 // the next without demand: an eighth is given up, so that an allotment outlives
 // a short pause and is returned within a few seconds.
 const wantedDecay = 8
 
-// firstGrantTime bounds how long the first requests of a team at an entry VM
-// wait for its first allotment there: a renewal in flight, its spacing and one
-// more round trip are well below it. Without the wait a team far from its limit
-// would be refused wherever it has not been seen for a few seconds.
-const firstGrantTime = 500 * time.Millisecond
+// wantedSpare is the part of the demand that is wanted on top of it, so that
+// growing demand is not refused until the next renewal.
+const wantedSpare = 8
 
 // Allotments counts requests in flight per team against what the leader
 // granted to this entry VM. It implements control.Teams.
@@ -38,6 +48,9 @@
 	start    time.Time
 	deadline atomic.Int64 // of the session, in nanoseconds after start
 	refused  func()       // called when an allotment was too small
+
+	mu   sync.Mutex
+	next chan struct{} // closed by the next grant
 }
 
 // allotment is guarded by its shard's lock.
@@ -47,9 +60,9 @@
 	peak    int64 // largest use since the last renewal
 	refused int64 // requests refused since the last renewal
 	wanted  int64
-	limited bool          // the team had a limit when last seen
-	known   bool          // a grant has named the team, so that a refusal is final
-	first   chan struct{} // closed by the first grant that names the team; nil if nobody waits
+	limited bool      // the team had a limit when last seen
+	asked   bool      // a refusal was reported and no grant has answered it
+	empty   time.Time // no request waits for a first allotment before then
 }
 
 // NewAllotments returns Allotments without any grant. The function refused, if
@@ -61,7 +74,7 @@
 	if refused == nil {
 		refused = func() {}
 	}
-	return &Allotments{teams: shard.New[string, *allotment](), now: now, start: now(), refused: refused}
+	return &Allotments{teams: shard.New[string, *allotment](), now: now, start: now(), refused: refused, next: make(chan struct{})}
 }
 
 // Take counts one more request in flight. Limit is the team's fleet-wide limit;
@@ -77,14 +90,10 @@
 			t = &allotment{}
 			m[team] = t
 		}
-		t.limited = limit > 0
-		if t.limited && t.used >= min(t.granted, limit) {
+		if !t.take(limit) {
 			t.refused++
 			err = ErrLimited
-			return
 		}
-		t.used++
-		t.peak = max(t.peak, t.used)
 	})
 	if err != nil {
 		a.refused()
@@ -92,42 +101,72 @@
 	return err
 }
 
-// TakeFirst is Take, except that it waits for the first allotment of a team
-// that has none here yet, at most until deadline.
-func (a *Allotments) TakeFirst(team string, limit int64, deadline time.Time) error {
-	err := a.Take(team, limit)
-	if !errors.Is(err, ErrLimited) {
-		return err
+// take counts one more request in flight if the grant allows it.
+func (t *allotment) take(limit int64) bool {
+	t.limited = limit > 0
+	if t.limited && t.used >= min(t.granted, limit) {
+		return false
 	}
-	first := a.first(team)
-	if first == nil {
+	t.used++
+	t.peak = max(t.peak, t.used)
+	return true
+}
+
+// TakeFirst is Take, but waits a moment for the grant if the team holds nothing
+// here, at most until the given time. Without that, each request of a team that
+// sends few would be refused.
+func (a *Allotments) TakeFirst(team string, limit int64, until time.Time) error {
+	next := a.following()
+	err := a.Take(team, limit)
+	if !errors.Is(err, ErrLimited) || !a.first(team) {
 		return err
 	}
-	timer := time.NewTimer(min(firstGrantTime, deadline.Sub(a.now())))
+	timer := time.NewTimer(min(firstWait, until.Sub(a.now())))
 	defer timer.Stop()
-	select {
-	case <-first:
-		return a.Take(team, limit)
-	case <-timer.C:
-		return err
+	for {
+		select {
+		case <-next:
+		case <-timer.C:
+			a.teams.With(team, func(m map[string]*allotment) {
+				if t := m[team]; t != nil {
+					t.empty = a.now().Add(firstPause)
+				}
+			})
+			return err
+		}
+		next = a.following()
+		taken := false
+		expired := int64(a.now().Sub(a.start)) >= a.deadline.Load()
+		a.teams.With(team, func(m map[string]*allotment) {
+			if t := m[team]; t != nil && !expired {
+				taken = t.take(limit)
+			}
+		})
+		if taken {
+			return nil
+		}
+		if !a.first(team) {
+			return err // others took what was granted
+		}
 	}
 }
 
-// first returns a channel that the first grant of a team closes, or nil if
-// there was one.
-func (a *Allotments) first(team string) chan struct{} {
-	var c chan struct{}
+// first reports whether nothing is granted to the team and nothing is in use.
+func (a *Allotments) first(team string) bool {
+	first := false
+	now := a.now()
 	a.teams.With(team, func(m map[string]*allotment) {
 		t := m[team]
-		if t == nil || t.known {
-			return
-		}
-		if t.first == nil {
-			t.first = make(chan struct{})
-		}
-		c = t.first
+		first = t != nil && t.granted == 0 && t.used == 0 && !now.Before(t.empty)
 	})
-	return c
+	return first
+}
+
+// following returns a channel that the next grant closes.
+func (a *Allotments) following() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.next
 }
 
 // Release ends what Take began.
@@ -168,13 +207,17 @@
 
 // idle reports whether nothing is held, in use or wanted.
 func (t *allotment) idle() bool {
-	return t.granted == 0 && t.peak == 0 && t.refused == 0 && t.wanted == 0 && t.first == nil
+	return t.granted == 0 && t.peak == 0 && t.refused == 0 && t.wanted == 0
 }
 
 // use returns the team's part of a renewal and starts the next period.
 func (t *allotment) use() control.TeamUse {
 	demand := t.peak + t.refused
+	if demand > 0 {
+		demand += 1 + demand/wantedSpare
+	}
 	t.wanted = max(demand, t.wanted-(t.wanted+wantedDecay-1)/wantedDecay)
+	t.asked = t.asked || t.refused > 0
 	t.peak, t.refused = t.used, 0
 	if !t.limited {
 		// What is not reported as held may be granted to others.
@@ -186,6 +229,7 @@
 // Grant sets the allotments of the teams named. All allotments are valid until
 // deadline, by the clock of this entry VM.
 func (a *Allotments) Grant(grants []control.TeamGrant, deadline time.Time) {
+	now := a.now()
 	for i := range grants {
 		g := &grants[i]
 		a.teams.With(g.Team, func(m map[string]*allotment) {
@@ -199,14 +243,17 @@
 			}
 			t.granted = g.Granted
 			t.limited = t.limited || g.Granted > 0
-			t.known = true
-			if t.first != nil {
-				close(t.first)
-				t.first = nil
+			if t.asked && g.Granted == 0 {
+				t.empty = now.Add(firstPause)
 			}
+			t.asked = false
 		})
 	}
 	a.deadline.Store(int64(deadline.Sub(a.start)))
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	close(a.next)
+	a.next = make(chan struct{})
 }
 
 // InFlight returns the number of requests of a team that are in flight here.
--- a/internal/request/worker/worker.go
+++ b/internal/request/worker/worker.go
@@ -95,6 +95,7 @@
 func (a *Adapter) Handler(ctx *fasthttp.RequestCtx) {
 	key, fail := web.Authorize(ctx, a.directory, work.WorkerRole)
 	if fail != nil {
+		web.Abandon(ctx)
 		web.Fail(ctx, fail)
 		return
 	}
@@ -103,7 +104,12 @@
 		web.Fail(ctx, web.Refuse(api.UnknownRoute, "%s is not possible on %s", ctx.Method(), ctx.Path()))
 		return
 	}
-	report, fail := read(s[2], key, ctx.PostBody())
+	body, fail := web.Body(ctx, bodyBytes)
+	if fail != nil {
+		web.Fail(ctx, fail)
+		return
+	}
+	report, fail := read(s[2], key, body)
 	if fail != nil {
 		web.Fail(ctx, fail)
 		return
@@ -124,9 +130,6 @@
 	if fail := web.Name(name); fail != nil {
 		return none, fail
 	}
-	if len(body) > bodyBytes {
-		return none, web.Refuse(api.TooLarge, "the body has more than %d bytes", bodyBytes)
-	}
 	if fail := web.Decode(body, &b); fail != nil {
 		return none, fail
 	}
@@ -148,7 +151,7 @@
 			Name: name, Address: b.Address, Zone: b.Zone, Rack: b.Rack, Team: key.Team, Boot: b.Boot,
 			Capacity: capacity, Accelerator: b.Accelerator,
 		},
-		Sequence: b.Sequence,
+		Sequence: b.Sequence, Echo: b.Echo,
 	}
 	return r, fill(&r, &b)
 }
@@ -248,7 +251,8 @@
 }
 
 // Deliver answers the polls that the orders are for. Orders without an
-// acknowledgement of the waiting poll are delivered, but renew no lease.
+// acknowledgement of the waiting poll are delivered, but renew no lease; so is a
+// request to rejoin, which the worker answers with its next poll.
 func (a *Adapter) Deliver(list []control.WorkerOrders) {
 	for i := range list {
 		o := &list[i]
@@ -256,7 +260,7 @@
 		if !ok || p.report.Worker.Boot != o.Boot {
 			continue
 		}
-		if o.Acknowledged >= p.report.Sequence || len(o.Starts)+len(o.Stops)+len(o.Throttles)+len(o.Ended) > 0 {
+		if o.Acknowledged >= p.report.Sequence || o.Rejoin || len(o.Starts)+len(o.Stops)+len(o.Throttles)+len(o.Ended) > 0 {
 			p.finish(o)
 		}
 	}
@@ -264,7 +268,7 @@
 
 // orders returns the JSON form of the answer to a poll.
 func orders(r *control.WorkerReport, o *control.WorkerOrders) api.Orders {
-	a := api.Orders{Sequence: r.Sequence}
+	a := api.Orders{Sequence: r.Sequence, Challenge: o.Challenge}
 	if o.Acknowledged >= r.Sequence {
 		a.Lease = maximumMillis
 	}
--- a/internal/request/worker/worker_test.go
+++ b/internal/request/worker/worker_test.go
@@ -128,6 +128,15 @@
 		o = api.Orders{}
 		is.NoErr(json.Unmarshal(body, &o))
 		is.Equal(o.Lease, int64(0)) // orders, but no acknowledgement
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			is.Equal(a.Reports(nil)[0].Echo, uint64(4))
+			a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: 7, Rejoin: true, Challenge: 5}})
+		}()
+		_, body = call(a, "/v1/workers/w/poll", strings.Replace(poll1, `"boot":7`, `"boot":7,"echo":4`, 1), "team")
+		o = api.Orders{}
+		is.NoErr(json.Unmarshal(body, &o))
+		is.Equal(o, api.Orders{Sequence: 1, Challenge: 5})
 	})
 }
 
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -20,6 +20,11 @@
 	announceInterval = 2 * time.Second
 	announceRetry    = 200 * time.Millisecond
 	postTimeout      = 3 * time.Second
+	// leaveTime is how long requests may still come after a leave.
+	leaveTime = time.Second
+	// spareConnections are accepted beyond those announced: for GET /count, and
+	// because a connection that its client has closed is served a little longer.
+	spareConnections = 64
 	// drainTime bounds the wait for requests in flight after a leave.
 	drainTime = 35 * time.Second
 )
@@ -97,7 +102,7 @@
 		options: options, behaviour: options.Behaviour, client: NewClient(options.Entries, options.Key, options.Dial),
 		count: Count{Boot: boot(), Requests: make(map[string]int)},
 	}
-	r.server = fasthttp.Server{Handler: r.handle, Name: "standin", Concurrency: int(max(options.Connections, 1))}
+	r.server = fasthttp.Server{Handler: r.handle, Name: "standin", Concurrency: int(options.Connections) + spareConnections}
 	return r, nil
 }
 
@@ -108,6 +113,7 @@
 	go func() { served <- r.server.Serve(r.options.Listener) }()
 	r.announce(ctx)
 	r.leave()
+	time.Sleep(leaveTime)
 	stop, cancel := context.WithTimeout(context.Background(), drainTime)
 	defer cancel()
 	if err := r.server.ShutdownWithContext(stop); err != nil {
--- a/pkg/api/api.go
+++ b/pkg/api/api.go
@@ -112,6 +112,7 @@
 	Rack        string         `json:"rack"`
 	Capacity    Size           `json:"capacity"`
 	Accelerator string         `json:"accelerator,omitempty"` // model
+	Echo        uint64         `json:"echo,omitempty"`        // latest Orders.Challenge of this boot
 	Running     []Running      `json:"running"`
 	Ended       []Ended        `json:"ended"` // repeated until an answer lists them
 }
@@ -135,12 +136,15 @@
 
 // Orders answers a Poll.
 type Orders struct {
-	Sequence uint64    `json:"sequence"` // of the poll answered
-	Lease    int64     `json:"lease"`    // milliseconds from when that poll was sent
-	Starts   []Start   `json:"starts,omitempty"`
-	Stops    []Stop    `json:"stops,omitempty"`
-	Throttle []Running `json:"throttle,omitempty"` // Used holds the new cap
-	Ended    []Ended   `json:"ended,omitempty"`    // recorded; need not be repeated
+	Sequence uint64 `json:"sequence"` // of the poll answered
+	Lease    int64  `json:"lease"`    // milliseconds from when that poll was sent; 0 renews nothing
+	// Challenge comes while another boot of the worker has the lease. The next
+	// poll echoes it, which proves that its boot is the newer one.
+	Challenge uint64    `json:"challenge,omitempty"`
+	Starts    []Start   `json:"starts,omitempty"`
+	Stops     []Stop    `json:"stops,omitempty"`
+	Throttle  []Running `json:"throttle,omitempty"` // Used holds the new cap
+	Ended     []Ended   `json:"ended,omitempty"`    // recorded; need not be repeated
 }
 
 // Start tells a worker to start a task. A start whose token is not greater
