--- a/internal/version/raft/core_test.go
+++ b/internal/version/raft/core_test.go
@@ -12,8 +12,8 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/version/disk"
 )
 
-// Guards against any loss of safety under crashes, lost disks, partitions and
-// duplicated, delayed and reordered messages, and against a group that does
+// Guards against any loss of safety under crashes, pauses, lost disks, partitions
+// and duplicated, delayed and reordered messages, and against a group that does
 // not recover once the faults are over.
 func TestCoreUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -34,6 +34,7 @@
 					s.replaceDisk(n)
 				}
 			},
+			"pause":   func(t *rapid.T) { s.nodes[name.Draw(t, "name")].paused = rapid.Bool().Draw(t, "paused") },
 			"isolate": func(t *rapid.T) { s.isolate(name.Draw(t, "name"), true) },
 			"block":   func(t *rapid.T) { s.block(name.Draw(t, "one"), name.Draw(t, "other"), true) },
 			"heal":    func(*rapid.T) { clear(s.blocked) },
@@ -57,6 +58,9 @@
 		s.drops, s.copies, s.late = 0, 0, 0
 		clear(s.blocked)
 		s.startAll()
+		for _, n := range s.nodes {
+			n.paused = false
+		}
 		s.run(45 * time.Second)
 		l := s.elect()
 		if s.violation == "" {
--- a/internal/version/raft/replica.go
+++ b/internal/version/raft/replica.go
@@ -267,6 +267,8 @@
 	if err != nil {
 		return err
 	}
+	// Before the applier can announce that the lease is ready.
+	r.publish()
 	if w.restore != nil || len(w.entries) > 0 {
 		n := 0
 		if len(w.entries) > 0 {
@@ -281,7 +283,6 @@
 	if r.core.role != leader {
 		r.abandon()
 	}
-	r.publish()
 	return nil
 }
 
--- a/internal/version/raft/replica_test.go
+++ b/internal/version/raft/replica_test.go
@@ -208,6 +208,32 @@
 	})
 }
 
+// Guards against a replica that does not come back from its data directory.
+func TestReplicaOnDisk(t *testing.T) {
+	is := is.New(t)
+	directory := t.TempDir()
+	for run := range uint64(3) {
+		m := &sum{}
+		r, err := New(Options{Name: "a", Members: []string{"a"}, Directory: directory, Machine: m, SnapshotEntries: 4})
+		is.NoErr(err)
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		changed := r.Changed()
+		go func() { done <- r.Run(ctx) }()
+		for r.Lease().IsZero() {
+			<-changed
+			changed = r.Changed()
+		}
+		for i := range uint64(5) {
+			v, err := r.Propose(ctx, number(1))
+			is.NoErr(err)
+			is.Equal(v, run*5+i+1)
+		}
+		cancel()
+		is.NoErr(<-done)
+	}
+}
+
 // Guards against a result or a lease that survives the loss of leadership, and
 // against a change of leadership that nobody is told of.
 func TestLostLeadership(t *testing.T) {
@@ -411,6 +437,23 @@
 	})
 }
 
+// Guards against a message that the transport refuses.
+func TestMessagesStayBelowLimit(t *testing.T) {
+	is := is.New(t)
+	l := entryLog{}
+	for i := range uint64(3000) {
+		l.append([]disk.Entry{{Index: i + 1, Term: 1 << 40, Data: make([]byte, i%200)}})
+	}
+	l.append([]disk.Entry{{Index: 3001, Term: 1 << 40, Data: make([]byte, MaxCommand)}})
+	for from := uint64(1); from <= l.last(); {
+		entries := l.slice(from, appendBytes)
+		b, err := EncodeMessage(Message{Type: Append, FromName: "a", Entries: entries})
+		is.NoErr(err)
+		is.True(len(b) < 1<<20)
+		from += uint64(len(entries))
+	}
+}
+
 // Guards against a decoder that panics, and against fields that are lost.
 func FuzzDecodeMessage(f *testing.F) {
 	for _, m := range []Message{
--- a/internal/version/raft/simulation_test.go
+++ b/internal/version/raft/simulation_test.go
@@ -69,6 +69,7 @@
 	state   uint64
 	applied uint64
 	led     uint64 // latest term checked for completeness
+	paused  bool
 }
 
 var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -119,7 +120,7 @@
 func (s *simulation) crash(name string) {
 	n := s.nodes[name]
 	delete(s.checked, n.core)
-	n.core = nil
+	n.core, n.paused = nil, false
 	n.store.Crash()
 }
 
@@ -128,7 +129,7 @@
 	n := s.nodes[name]
 	s.ids++
 	n.store = disk.NewMemory(s.ids)
-	n.core = nil
+	n.core, n.paused = nil, false
 	s.start(name)
 }
 
@@ -180,7 +181,7 @@
 			}
 		}
 		for _, name := range s.names {
-			if n := s.nodes[name]; n.core != nil {
+			if n := s.nodes[name]; n.core != nil && !n.paused {
 				if t := max(s.now, s.global(n, n.core.next())); t < at {
 					at, next, who = t, -1, name
 				}
@@ -196,7 +197,10 @@
 			p := s.packets[next]
 			s.packets = slices.Delete(s.packets, next, next+1)
 			n := s.nodes[p.to]
-			if n != nil && n.core != nil && !s.blocked[[2]string{p.m.FromName, p.to}] {
+			if n.paused {
+				p.at += 10 * time.Millisecond
+				s.packets = append(s.packets, p)
+			} else if n.core != nil && !s.blocked[[2]string{p.m.FromName, p.to}] {
 				n.core.step(s.local(n), p.m)
 				s.flush(n)
 			}
