--- a/internal/version/raft/core_test.go
+++ b/internal/version/raft/core_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
@@ -41,6 +42,7 @@
 			"network": func(t *rapid.T) {
 				share := rapid.SampledFrom([]float64{0, 0.05, 0.3})
 				s.drops, s.copies, s.late = share.Draw(t, "drops"), share.Draw(t, "copies"), share.Draw(t, "late")
+				s.collide = rapid.Bool().Draw(t, "collide")
 			},
 			"propose": func(t *rapid.T) {
 				for range rapid.IntRange(1, 15).Draw(t, "count") {
@@ -55,7 +57,7 @@
 				}
 			},
 		})
-		s.drops, s.copies, s.late = 0, 0, 0
+		s.drops, s.copies, s.late, s.collide = 0, 0, 0, false
 		clear(s.blocked)
 		s.startAll()
 		for _, n := range s.nodes {
@@ -250,3 +252,56 @@
 		is.True(n.core.membership() == nil || n.core.membership().Group == group)
 	}
 }
+
+// Guards against two membership changes at a time, against one before an entry
+// of the own term is committed, and against a change that stays in force after
+// its entry was replaced.
+func TestOneChangeAtATime(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(8, Options{}, "a", "b", "c")
+	l := s.elect()
+	b, c := others(s, l)
+	s.isolate(l.name, true)
+	_, err := l.core.retire(s.local(l), c.name)
+	is.NoErr(err)
+	s.flush(l)
+	is.Equal(len(l.core.membership().Members), 2)
+	_, err = l.core.retire(s.local(l), b.name)
+	is.True(errors.Is(err, ErrChanging))
+	s.run(5 * time.Second)
+	clear(s.blocked)
+	s.run(5 * time.Second)
+	is.Equal(len(l.core.membership().Members), 3)
+
+	s.drop = func(m Message) bool { return m.Type == AppendAnswer }
+	for i := 0; i < 1000 && (s.leader() != nil || l.core.role != leader); i++ {
+		s.run(10 * time.Millisecond)
+	}
+	is.True(l.core.commit < l.core.own) // elected again, with nothing committed yet
+	_, err = l.core.retire(s.local(l), b.name)
+	is.True(errors.Is(err, ErrChanging))
+	is.Equal(s.violation, "")
+}
+
+// Guards against a snapshot put together from the parts of two leaders, which
+// may encode the same state differently.
+func TestChunksOfTwoLeaders(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(9, Options{}, "a", "b", "c")
+	l := s.elect()
+	b, c := others(s, l)
+	s.crash(l.name)
+	s.crash(c.name)
+	m := Message{Type: Chunk, To: b.store.Identity(), Group: b.core.membership().Group, Index: 50, LogTerm: 2, Size: 16,
+		Data: make([]byte, 8), Membership: b.core.membership().encode()}
+	deliver := func(from *node, term, offset uint64) {
+		m.From, m.FromName, m.Term, m.Offset = from.store.Identity(), from.name, term, offset
+		b.core.step(s.local(b), m)
+	}
+	deliver(l, 20, 0)
+	deliver(c, 21, 8)
+	is.True(b.core.install == nil)
+	deliver(c, 21, 0)
+	deliver(c, 21, 8)
+	is.True(b.core.install != nil)
+}
--- a/internal/version/raft/simulation_test.go
+++ b/internal/version/raft/simulation_test.go
@@ -43,6 +43,7 @@
 	drops   float64 // share of packets dropped
 	copies  float64 // share of packets duplicated
 	late    float64 // share of packets delayed by up to 3 s
+	collide bool    // election timeouts end together
 	ids     uint64
 
 	violation string
@@ -234,6 +235,10 @@
 		}
 	}
 	s.inspect(n)
+	if c := n.core; s.collide {
+		t := (s.global(n, c.electionDeadline) + 499*time.Millisecond).Truncate(500 * time.Millisecond)
+		c.electionDeadline = epoch.Add(time.Duration(float64(t) * n.rate))
+	}
 	if n.applied >= n.core.snapshot.Index+20 {
 		s.compact(n)
 	}
