--- a/internal/version/raft/core_test.go
+++ b/internal/version/raft/core_test.go
@@ -6,14 +6,15 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/version/disk"
 )
 
-// Guards against any loss of safety under crashes, lost disks, partitions and
-// duplicated, delayed and reordered messages, and against a group that does
+// Guards against any loss of safety under crashes, pauses, lost disks, partitions
+// and duplicated, delayed and reordered messages, and against a group that does
 // not recover once the faults are over.
 func TestCoreUnderFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -34,12 +35,14 @@
 					s.replaceDisk(n)
 				}
 			},
+			"pause":   func(t *rapid.T) { s.nodes[name.Draw(t, "name")].paused = rapid.Bool().Draw(t, "paused") },
 			"isolate": func(t *rapid.T) { s.isolate(name.Draw(t, "name"), true) },
 			"block":   func(t *rapid.T) { s.block(name.Draw(t, "one"), name.Draw(t, "other"), true) },
 			"heal":    func(*rapid.T) { clear(s.blocked) },
 			"network": func(t *rapid.T) {
 				share := rapid.SampledFrom([]float64{0, 0.05, 0.3})
 				s.drops, s.copies, s.late = share.Draw(t, "drops"), share.Draw(t, "copies"), share.Draw(t, "late")
+				s.collide = rapid.Bool().Draw(t, "collide")
 			},
 			"propose": func(t *rapid.T) {
 				for range rapid.IntRange(1, 15).Draw(t, "count") {
@@ -54,9 +57,12 @@
 				}
 			},
 		})
-		s.drops, s.copies, s.late = 0, 0, 0
+		s.drops, s.copies, s.late, s.collide = 0, 0, 0, false
 		clear(s.blocked)
 		s.startAll()
+		for _, n := range s.nodes {
+			n.paused = false
+		}
 		s.run(45 * time.Second)
 		l := s.elect()
 		if s.violation == "" {
@@ -73,6 +79,33 @@
 	})
 }
 
+// Guards against a delayed founding membership of an older round that replaces
+// the one this replica has accepted since.
+func TestDelayedFoundingIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(7, Options{}, "a", "b", "c")
+	b := s.nodes["b"]
+	var old []Message
+	s.drop = func(m Message) bool {
+		if m.Type == Found && m.To == b.store.Identity() {
+			old = append(old, m)
+		}
+		return m.Type == Found
+	}
+	s.run(time.Second)
+	is.True(len(old) > 0)
+	s.crash("a")
+	s.start("a")
+	s.drop = nil
+	for i := 0; i < 1000 && b.core.membership() == nil; i++ {
+		s.run(time.Millisecond)
+	}
+	group := b.core.membership().Group
+	is.True(b.core.empty())
+	b.core.step(s.local(b), old[0])
+	is.Equal(b.core.membership().Group, group)
+}
+
 // guard runs a scenario with a safety guard on and off. With the guard it must
 // hold, without it the named check must fail.
 func guard(t *testing.T, off hooks, check string, scenario func(s *simulation)) {
@@ -246,3 +279,56 @@
 		is.True(n.core.membership() == nil || n.core.membership().Group == group)
 	}
 }
+
+// Guards against two membership changes at a time, against one before an entry
+// of the own term is committed, and against a change that stays in force after
+// its entry was replaced.
+func TestOneChangeAtATime(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(8, Options{}, "a", "b", "c")
+	l := s.elect()
+	b, c := others(s, l)
+	s.isolate(l.name, true)
+	_, err := l.core.retire(s.local(l), c.name)
+	is.NoErr(err)
+	s.flush(l)
+	is.Equal(len(l.core.membership().Members), 2)
+	_, err = l.core.retire(s.local(l), b.name)
+	is.True(errors.Is(err, ErrChanging))
+	s.run(5 * time.Second)
+	clear(s.blocked)
+	s.run(5 * time.Second)
+	is.Equal(len(l.core.membership().Members), 3)
+
+	s.drop = func(m Message) bool { return m.Type == AppendAnswer }
+	for i := 0; i < 1000 && (s.leader() != nil || l.core.role != leader); i++ {
+		s.run(10 * time.Millisecond)
+	}
+	is.True(l.core.commit < l.core.own) // elected again, with nothing committed yet
+	_, err = l.core.retire(s.local(l), b.name)
+	is.True(errors.Is(err, ErrChanging))
+	is.Equal(s.violation, "")
+}
+
+// Guards against a snapshot put together from the parts of two leaders, which
+// may encode the same state differently.
+func TestChunksOfTwoLeaders(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(9, Options{}, "a", "b", "c")
+	l := s.elect()
+	b, c := others(s, l)
+	s.crash(l.name)
+	s.crash(c.name)
+	m := Message{Type: Chunk, To: b.store.Identity(), Group: b.core.membership().Group, Index: 50, LogTerm: 2, Size: 16,
+		Data: make([]byte, 8), Membership: b.core.membership().encode()}
+	deliver := func(from *node, term, offset uint64) {
+		m.From, m.FromName, m.Term, m.Offset = from.store.Identity(), from.name, term, offset
+		b.core.step(s.local(b), m)
+	}
+	deliver(l, 20, 0)
+	deliver(c, 21, 8)
+	is.True(b.core.install == nil)
+	deliver(c, 21, 0)
+	deliver(c, 21, 8)
+	is.True(b.core.install != nil)
+}
