--- a/internal/version/placement/estimate.go
+++ b/internal/version/placement/estimate.go
@@ -73,7 +73,8 @@
 }
 
 // learnSize takes in the greatest use of a run. It reports whether a scale changed.
-func (s *Scheduler) learnSize(u *usage, declared, peak work.Resources) bool {
+func (s *Scheduler) learnSize(p *profile, declared, peak work.Resources) bool {
+	u := &p.usage
 	if declared.Processors > 0 {
 		u.processors.add(float64(peak.Processors)/float64(declared.Processors), ratioLow)
 	}
@@ -147,10 +148,14 @@
 
 // size returns what the next start of a task of j reserves: the declared size
 // corrected by what earlier runs used. A correction that no worker or limit
-// could hold is dropped.
+// could hold is dropped. Urgent tasks get no less than declared, as a run that
+// turns out too small delays them.
 func (s *Scheduler) size(j *job) work.Resources {
 	u := &j.profile.usage
 	r := u.scaled(j.base)
+	if j.urgent {
+		r.Processors, r.Memory = max(r.Processors, j.base.Processors), max(r.Memory, j.base.Memory)
+	}
 	if u.scale[0] > scaleOne || u.scale[1] > scaleOne {
 		if !r.Within(j.profile.entry.maximum) || !r.Within(j.team.limit) || !s.shapes.fits(j, r) {
 			return j.base
@@ -187,7 +192,7 @@
 const serviceReports = 16
 
 func (s *Scheduler) learn(t *task) {
-	if t.reports > 0 && s.learnSize(&t.job.profile.usage, t.job.declared, t.peak) {
+	if t.reports > 0 && s.learnSize(t.job.profile, t.job.declared, t.peak) {
 		s.startWalk(t.job.profile)
 		s.refreshTeam(t.job.team)
 	}
--- a/internal/version/placement/feasible.go
+++ b/internal/version/placement/feasible.go
@@ -177,7 +177,7 @@
 	j, u := t.job, &t.job.profile.usage
 	peak := t.peak
 	peak.Memory = max(peak.Memory, t.reserved.Memory)
-	if s.learnSize(u, j.declared, peak) {
+	if s.learnSize(j.profile, j.declared, peak) {
 		s.startWalk(j.profile)
 		s.refreshTeam(j.team)
 	}
--- a/internal/version/placement/health.go
+++ b/internal/version/placement/health.go
@@ -187,7 +187,10 @@
 		if !w.health.aside || w.health.trying || w.gone {
 			continue
 		}
-		j := s.pickTrial(w)
+		var j *job
+		if !w.drained && w.hold == nil {
+			j = s.pickFor(w)
+		}
 		if j == nil {
 			s.trials.add(s.now.Add(trialPoll), w)
 			continue
@@ -196,16 +199,3 @@
 		s.start(j, w, s.size(j), ReasonTrial)
 	}
 }
-
-// pickTrial returns a batch job for a trial. One that has failed elsewhere
-// would tell nothing.
-func (s *Scheduler) pickTrial(w *worker) *job {
-	if w.drained || w.hold != nil {
-		return nil
-	}
-	j := s.pickFor(w)
-	if j == nil || j.class != work.Batch || len(j.failedOn) > 0 {
-		return nil
-	}
-	return j
-}
--- a/internal/version/placement/queue.go
+++ b/internal/version/placement/queue.go
@@ -320,8 +320,11 @@
 
 // takes reports whether the worker may start a task of j now.
 func (s *Scheduler) takes(w *worker, j *job, size work.Resources) bool {
-	if w.hold != nil {
+	switch {
+	case w.hold != nil:
 		return s.lends(w, j, size, s.now)
+	case w.health.aside: // a trial; a job that failed elsewhere would tell nothing
+		return j.class == work.Batch && len(j.failedOn) == 0
 	}
 	return w.suits(j)
 }
