Notice the loss of an accepted connection while a dial is under way

The loss was seen only when the dial ended, up to 2 s later. Dropped one-way messages are also reported with their count at intervals, rather than at each change between sent and dropped.

--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -80,7 +80,6 @@
 		l.close(closeDropped, "not a peer")
 		return
 	}
-	defer p.untrack(l)
 	str, err := c.OpenUniStream()
 	if err == nil {
 		var frame []byte
@@ -90,12 +89,13 @@
 		}
 	}
 	if err != nil {
+		p.untrack(l)
 		l.close(closeProtocol, "no greeting")
 		return
 	}
 	l.since = time.Now()
 	p.install(s, l)
-	p.serveLink(ctx, l)
+	p.serveLink(ctx, s, l)
 }
 
 // dial connects to a process and waits for its greeting. Without that wait the
@@ -128,9 +128,15 @@
 	return l, nil
 }
 
-// serveLink serves calls and messages until the connection has ended. Handlers
-// may outlast it; Run waits for them.
-func (p *Peer) serveLink(ctx context.Context, l *link) {
+// serveLink serves calls and messages until the connection has ended, and then
+// takes it out of use. Handlers may outlast it; Run waits for them.
+func (p *Peer) serveLink(ctx context.Context, s *side, l *link) {
+	defer func() {
+		p.untrack(l)
+		if s.clear(l) {
+			p.lost(l)
+		}
+	}()
 	ended := l.conn.Context()
 	p.work.Go(func() {
 		for {
--- a/internal/connection/peer/options.go
+++ b/internal/connection/peer/options.go
@@ -60,6 +60,8 @@
 
 	// refusalInterval is how often the same refused name is reported.
 	refusalInterval = time.Minute
+	// dropInterval is how often dropped messages to a process are reported.
+	dropInterval = 10 * time.Second
 )
 
 // Certificates gives the certificate that new connections use.
--- a/internal/connection/peer/side.go
+++ b/internal/connection/peer/side.go
@@ -20,7 +20,8 @@
 	name   string
 	queue  chan message // one-way messages to it
 	queued atomic.Int64 // bytes of their bodies
-	drops  atomic.Bool  // the last message was dropped; guards against a log line for each
+	drops  atomic.Int64 // messages dropped since the last report
+	report atomic.Int64 // Unix time in nanoseconds of the next report of drops
 
 	mu      sync.Mutex
 	address netip.AddrPort
@@ -81,6 +82,12 @@
 	return was
 }
 
+func (s *side) disconnected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.link == nil
+}
+
 // usable returns the link in use. While the first dial after a loss is under
 // way it waits for its outcome; after a failed dial it fails at once.
 func (s *side) usable(ctx context.Context) (*link, error) {
@@ -118,18 +125,13 @@
 			return
 		case l != nil:
 			select {
-			case <-l.conn.Context().Done():
 			case <-changed:
-				continue
 			case <-ctx.Done():
 				return
 			}
-			if s.clear(l) {
-				p.lost(l)
-			}
 			if time.Since(l.since) >= settled {
 				wait = firstBackoff
-			} else if !p.pause(ctx, s, &wait) {
+			} else if s.disconnected() && !p.pause(ctx, s, &wait) {
 				return
 			}
 		case !address.IsValid():
@@ -157,11 +159,8 @@
 		p.unreachable(ctx, s, address, err)
 		return false
 	}
-	p.work.Go(func() {
-		defer p.untrack(l)
-		p.serveLink(ctx, l)
-	})
 	p.install(s, l)
+	p.work.Go(func() { p.serveLink(ctx, s, l) })
 	return true
 }
 
@@ -201,8 +200,9 @@
 
 // Send queues a one-way message. It never blocks; the message is dropped if
 // the process is not known, the queue is full, or the process cannot be
-// reached. Messages that arrive do so in order and reach the method's handler
-// one at a time.
+// reached. Messages on one connection arrive in order and reach the method's
+// handler one at a time. When the connection is replaced, late messages of the
+// former one may come after the first of the new one.
 func (p *Peer) Send(to, method string, body any) {
 	s := p.own
 	if to != p.options.Name {
@@ -227,11 +227,14 @@
 	p.dropping(s, err)
 }
 
-// dropping reports the first of a row of dropped messages.
+// dropping counts a dropped message and reports the count from time to time.
 func (p *Peer) dropping(s *side, err error) {
-	if !s.drops.Swap(true) {
-		p.options.Log.Emit(event.PeerDropping, zap.String("peer", s.name), zap.Error(err))
+	s.drops.Add(1)
+	now, next := time.Now(), s.report.Load()
+	if now.UnixNano() < next || !s.report.CompareAndSwap(next, now.Add(dropInterval).UnixNano()) {
+		return
 	}
+	p.options.Log.Emit(event.PeerDropping, zap.String("peer", s.name), zap.Int64("dropped", s.drops.Swap(0)), zap.String("cause", err.Error()))
 }
 
 // deliver sends the queued messages of a side until ctx ends.
@@ -253,8 +256,6 @@
 			}
 			if err != nil && ctx.Err() == nil {
 				p.dropping(s, err)
-			} else {
-				s.drops.Store(false)
 			}
 		}
 	}
