--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -26,11 +27,12 @@
 // cut is silent: neither side gets an error.
 type relay struct {
 	simnet.PerfectRouter
-	cut atomic.Bool
+	cut  atomic.Bool
+	lose func() bool // whether a packet is lost; nil means never
 }
 
 func (r *relay) SendPacket(p simnet.Packet) error {
-	if r.cut.Load() {
+	if r.cut.Load() || r.lose != nil && r.lose() {
 		return nil
 	}
 	_ = r.PerfectRouter.SendPacket(p) // a process that is not there is a loss
@@ -491,3 +493,108 @@
 		is.Equal(got[len(got)-1], "aend")
 	})
 }
+
+// Guards against a call that fails as "not sent" although its handler ran, an
+// answer of another call, and a handler that runs twice, while packets are
+// lost, links are cut, callers give up and a process restarts.
+func TestOutcomesUnderFaults(t *testing.T) {
+	for seed := range uint64(5) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newCell(t, "a", "b")
+			var mu sync.Mutex
+			random := rand.New(rand.NewPCG(seed, 1))
+			draw := func(n int) int {
+				mu.Lock()
+				defer mu.Unlock()
+				return random.IntN(n)
+			}
+			c.relay.lose = func() bool { return draw(10) == 0 }
+			runs := map[string]int{}
+			serve := func() *process {
+				b := c.start("b", "b")
+				b.Handle("count", func(ctx context.Context, name string, decode Decode) (any, error) {
+					var q question
+					if err := decode(&q); err != nil {
+						return nil, err
+					}
+					mu.Lock()
+					runs[q.Text[:4]]++
+					mu.Unlock()
+					return echo(ctx, name, func(into any) error { *into.(*question) = q; return nil })
+				})
+				return b
+			}
+			a, b := c.start("a", "a"), serve()
+			defer a.stop()
+			outcomes := map[string]error{}
+			var group sync.WaitGroup
+			for i := range 300 {
+				switch {
+				case i%60 == 30:
+					c.relay.cut.Store(true)
+				case i%60 == 45:
+					c.relay.cut.Store(false)
+				case i == 200:
+					b.stop()
+					b = serve()
+				}
+				time.Sleep(time.Duration(draw(400)) * time.Millisecond)
+				text := fmt.Sprintf("%04d%s", i, make([]byte, draw(2)*draw(200_000)))
+				patience := time.Duration(1+draw(5000)) * time.Millisecond
+				wait := time.Duration(draw(300)) * time.Millisecond
+				group.Go(func() {
+					ctx, cancel := within(patience)
+					defer cancel()
+					var r reply
+					err := a.Call(ctx, "b", "count", question{Text: text, Wait: wait}, &r)
+					mu.Lock()
+					defer mu.Unlock()
+					outcomes[text[:4]] = err
+					if err == nil && r.Text != text {
+						t.Errorf("call %s got the answer of %.4s", text[:4], r.Text)
+					}
+				})
+			}
+			group.Wait()
+			c.relay.cut.Store(false)
+			time.Sleep(time.Minute) // until handlers of lost calls have ended too
+			b.stop()
+			count := map[string]int{}
+			for text, err := range outcomes {
+				n := runs[text]
+				switch {
+				case err == nil:
+					count["answered"]++
+					is.Equal(n, 1)
+				case errors.Is(err, ErrNotSent):
+					count["not sent"]++
+					is.Equal(n, 0)
+				default:
+					count["unknown"]++
+					is.True(errors.Is(err, ErrUnknown))
+					is.True(n <= 1)
+				}
+			}
+			is.Equal(len(outcomes), 300)
+			for _, kind := range []string{"answered", "not sent", "unknown"} {
+				is.True(count[kind] > 0) // the faults reach each outcome
+			}
+
+		})
+	}
+}
+
+// Guards against a large request that was cut in the middle and counts as
+// "may have run".
+func TestCutWithinRequest(t *testing.T) {
+	run(t, func(is *is.I, c *cell, a, b *process) {
+		ctx, cancel := within(time.Hour)
+		defer cancel()
+		is.NoErr(a.Call(ctx, "b", "echo", question{}, nil))
+		var packets atomic.Int64
+		c.relay.lose = func() bool { return packets.Add(1) > 100 } // of about 3,000
+		err := a.Call(ctx, "b", "echo", question{Text: string(make([]byte, 4<<20))}, nil)
+		is.True(errors.Is(err, ErrNotSent))
+	})
+}
