--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -28,11 +28,11 @@
 type relay struct {
 	simnet.PerfectRouter
 	cut  atomic.Bool
-	lose func() bool // whether a packet is lost; nil means never
+	lose atomic.Pointer[func() bool] // whether a packet is lost; nil means never
 }
 
 func (r *relay) SendPacket(p simnet.Packet) error {
-	if r.cut.Load() || r.lose != nil && r.lose() {
+	if lose := r.lose.Load(); r.cut.Load() || lose != nil && (*lose)() {
 		return nil
 	}
 	_ = r.PerfectRouter.SendPacket(p) // a process that is not there is a loss
@@ -509,7 +509,8 @@
 				defer mu.Unlock()
 				return random.IntN(n)
 			}
-			c.relay.lose = func() bool { return draw(10) == 0 }
+			lose := func() bool { return draw(10) == 0 }
+			c.relay.lose.Store(&lose)
 			runs := map[string]int{}
 			serve := func() *process {
 				b := c.start("b", "b")
@@ -593,7 +594,8 @@
 		defer cancel()
 		is.NoErr(a.Call(ctx, "b", "echo", question{}, nil))
 		var packets atomic.Int64
-		c.relay.lose = func() bool { return packets.Add(1) > 100 } // of about 3,000
+		lose := func() bool { return packets.Add(1) > 100 } // of about 3,000
+		c.relay.lose.Store(&lose)
 		err := a.Call(ctx, "b", "echo", question{Text: string(make([]byte, 4<<20))}, nil)
 		is.True(errors.Is(err, ErrNotSent))
 	})
