--- a/internal/connection/peer/call.go
+++ b/internal/connection/peer/call.go
@@ -240,9 +240,11 @@
 // answer of the handler's: the caller must take the outcome as unknown.
 func (p *Peer) handle(ctx context.Context, name, method string, body []byte) ([]byte, error) {
 	var value any
-	var err error = noMethod(method)
+	var err error
 	if handler := p.handler(method); handler != nil {
 		value, err = handler(ctx, name, decoder(body))
+	} else {
+		err = noMethod(method)
 	}
 	if err == nil {
 		var b []byte
--- a/internal/connection/peer/peer_test.go
+++ b/internal/connection/peer/peer_test.go
@@ -310,7 +310,9 @@
 			is.True(errors.Is(a.Call(ctx, "b", "echo", question{}, nil), ErrNotSent))
 
 			time.Sleep(time.Minute)
-			is.Equal(b.events(event.PeerLost), 1) // b had nothing to send and noticed too
+			noticed := b.log.FilterField(zap.Int("event", int(event.PeerLost))).All()
+			is.Equal(len(noticed), 1) // b had nothing to send and noticed too
+			is.True(noticed[0].Time.Sub(begun) <= 3*time.Second)
 			c.relay.cut.Store(false)
 			time.Sleep(dialTimeout + lastBackoff)
 			is.NoErr(a.Call(ctx, "b", "echo", question{}, nil))
--- a/internal/request/operator/operator_test.go
+++ b/internal/request/operator/operator_test.go
@@ -303,6 +303,54 @@
 	is.True(!e.Retry.IsZero())
 }
 
+// members knows one replica.
+type members struct{ removed []string }
+
+func (m *members) RemoveMember(_ context.Context, name string) error {
+	if name != "control-3" {
+		return control.ErrNotFound
+	}
+	m.removed = append(m.removed, name)
+	return nil
+}
+
+// Guards against a removal that is answered without being made.
+func TestRemoveMember(t *testing.T) {
+	is := is.New(t)
+	m := &members{}
+	a := adapter(newLeader())
+	a.options.Members = m
+	_, e := send[api.Changed](t, a, secret, "", "DELETE /v1/members/control-9", "")
+	is.Equal(e.Code, api.UnknownObject)
+	_, e = send[api.Changed](t, a, secret, "", "DELETE /v1/members/control-3", "")
+	is.True(e == nil)
+	is.Equal(m.removed, []string{"control-3"})
+}
+
+// Guards against a shared server that hands callers' requests to the
+// operators' adapter, or the reverse.
+func TestMatches(t *testing.T) {
+	is := is.New(t)
+	a := adapter(newLeader())
+	for _, c := range []struct {
+		method, path, key string
+		want              bool
+	}{
+		{"GET", "/v1/status", "guess", true}, // refused there
+		{"GET", "/v1/jobs/7", secret, true},
+		{"GET", "/v1/jobs/7", "a caller's", false},
+		{"POST", "/v1/jobs", secret, false},
+		{"POST", "/v1/workers/w/poll", secret, false},
+		{"GET", "/health", secret, false},
+	} {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.Header.SetMethod(c.method)
+		ctx.Request.SetRequestURI(c.path)
+		ctx.Request.Header.Set("Authorization", "Bearer "+c.key)
+		is.Equal(a.Matches(&ctx), c.want)
+	}
+}
+
 // Guards against bodies that make a handler panic or reach the leader without
 // a valid name, role or class.
 func FuzzBodies(f *testing.F) {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -57,6 +57,8 @@
 	dialTimeout = 2 * time.Second
 	// maximumAnswer bounds an answer, in bytes.
 	maximumAnswer = 64 << 20
+	// longestWait is the longest Request-Timeout that an entry VM accepts.
+	longestWait = time.Hour
 	// pollInterval is how often Wait asks for the job.
 	pollInterval = 500 * time.Millisecond
 )
@@ -257,7 +259,7 @@
 	request.Header.SetMethod(q.method)
 	request.SetRequestURI(base + q.path)
 	request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+c.options.Key)
-	if left := time.Until(deadline).Seconds(); left > 0 {
+	if left := min(time.Until(deadline), longestWait).Seconds(); left > 0 {
 		request.Header.Set(api.TimeoutHeader, strconv.FormatFloat(math.Ceil(left*1000)/1000, 'f', -1, 64))
 	}
 	if q.identity != "" {
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -17,7 +17,7 @@
 )
 
 // seen is a request that a stand-in got.
-type seen struct{ address, line, identity, key string }
+type seen struct{ address, line, identity, key, wait string }
 
 // cell is a set of entry VMs that answer from scripts, one script per address.
 // An address without a script does not accept connections.
@@ -47,6 +47,7 @@
 	c.seen = append(c.seen, seen{
 		address, string(ctx.Method()) + " " + string(ctx.Path()),
 		string(ctx.Request.Header.Peek(api.IdempotencyHeader)), string(ctx.Request.Header.Peek("Authorization")),
+		string(ctx.Request.Header.Peek(api.TimeoutHeader)),
 	})
 	script := c.scripts[address]
 	if len(script) == 0 {
@@ -183,14 +184,18 @@
 	}
 }
 
-// Guards against an address that stays in use after it failed.
+// Guards against an address that stays in use after it failed, and against
+// deadlines that entry VMs refuse.
 func TestGoodAddressIsKept(t *testing.T) {
 	is := is.New(t)
 	c := newCell(t, map[string][]any{"b:1": {api.Status{}, api.Status{}}, "c:1": nil})
 	k := c.client("a:1", "b:1", "c:1")
+	ctx, cancel := context.WithTimeout(context.Background(), 1000*time.Hour)
+	defer cancel()
 	for range 2 {
-		_, err := k.Status(context.Background())
+		_, err := k.Status(ctx)
 		is.NoErr(err)
 	}
 	is.Equal(len(c.seen), 2)
+	is.Equal(c.seen[0].wait, "3600") // entry VMs refuse a longer one
 }
