--- a/internal/connection/peer/call.go
+++ b/internal/connection/peer/call.go
@@ -54,6 +54,18 @@
 	if to == p.options.Name {
 		return p.callSelf(ctx, method, body, response)
 	}
+	metricCalls.Add(1)
+	err = p.callOther(ctx, to, method, body, response)
+	switch {
+	case errors.Is(err, ErrNotSent):
+		metricUnsent.Add(1)
+	case errors.Is(err, ErrUnknown):
+		metricDoubt.Add(1)
+	}
+	return err
+}
+
+func (p *Peer) callOther(ctx context.Context, to, method string, body []byte, response any) error {
 	s := p.side(to)
 	if s == nil {
 		return notSent(errors.Newf("%q is not among the peers", to))
@@ -175,6 +187,7 @@
 // serve reads one call, runs its handler and sends the answer.
 func (p *Peer) serve(ctx context.Context, l *link, str *quic.Stream) {
 	if !p.active.enter() {
+		metricRefuse.Add(1)
 		str.CancelRead(resetRefused)
 		str.CancelWrite(resetRefused)
 		return
@@ -186,6 +199,7 @@
 	begun := time.Now()
 	h, body, err := p.readRequest(str, begun)
 	if err != nil {
+		metricRefuse.Add(1)
 		str.CancelRead(resetRefused)
 		str.CancelWrite(resetRefused)
 		return
@@ -203,6 +217,7 @@
 		run, cancel = context.WithDeadline(run, begun.Add(left))
 		defer cancel()
 	}
+	metricServed.Add(1)
 	frame, err := p.handle(run, l.name, h.Method, body)
 	if err != nil {
 		str.CancelWrite(resetDeadline)
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -223,6 +223,7 @@
 		former.close(closeSuperfluous, "replaced")
 	}
 	if used {
+		metricLinks.Add(1)
 		p.options.Log.Emit(event.PeerConnected, l.fields()...)
 	}
 }
--- a/internal/connection/peer/side.go
+++ b/internal/connection/peer/side.go
@@ -230,6 +230,7 @@
 // dropping counts a dropped message and reports the count from time to time.
 func (p *Peer) dropping(s *side, err error) {
 	s.drops.Add(1)
+	metricDrops.Add(1)
 	now, next := time.Now(), s.report.Load()
 	if now.UnixNano() < next || !s.report.CompareAndSwap(next, now.Add(dropInterval).UnixNano()) {
 		return
@@ -291,7 +292,9 @@
 		return err
 	}
 	stop := context.AfterFunc(ctx, func() { o.str.CancelWrite(resetBroken) })
-	_, err = o.str.Write(o.buf)
+	if _, err = o.str.Write(o.buf); err == nil {
+		metricSent.Add(1)
+	}
 	if !stop() || err != nil {
 		o.str.CancelWrite(resetBroken)
 		o.str = nil
--- a/internal/process/settings/settings_test.go
+++ b/internal/process/settings/settings_test.go
@@ -98,6 +98,7 @@
 		"duplicate name":    {[]string{`"control-3"`, `"control-2"`}, []string{`peers[2].name: "control-2" is also peers[1]`, "peers: 2 processes"}},
 		"duplicate address": {[]string{`10.0.0.3`, `10.0.0.2`}, []string{"peers[2].address: 10.0.0.2:7400 is also"}},
 		"own address":       {[]string{`10.0.0.4`, `10.0.0.1`}, []string{"peers[3].address: 10.0.0.1:7400 is"}},
+		"IP version":        {[]string{`"10.0.0.4:7400"`, `"[fd00::4]:7400"`}, []string{"peers[3].address: [fd00::4]:7400 cannot be reached"}},
 		"even control":      {[]string{`"10.0.0.4:7400"`, `"10.0.0.4:7400", "control": true`}, []string{"peers: 4 processes have the role"}},
 		"no control":        {[]string{`, "control": true`, ``, `["entry", "control"]`, `["entry"]`}, []string{"peers: no process has"}},
 		"contradiction":     {[]string{`["entry", "control"]`, `["entry"]`}, []string{"peers[0].control: contradicts"}},
@@ -126,6 +127,11 @@
 	}
 	is := is.New(t)
 	var out bytes.Buffer
+	open := file(t)
+	is.NoErr(os.Chmod(filepath.Join(filepath.Dir(open), "control-1.key"), 0o644))
+	is.Equal(Check(open, now, &out), CheckFindings)
+	is.True(strings.Contains(out.String(), "certificates.key: other users may read"))
+	out.Reset()
 	is.Equal(Check(filepath.Join(t.TempDir(), "none"), now, &out), CheckFindings)
 	is.True(strings.Contains(out.String(), "no such file"))
 	out.Reset()
--- a/internal/process/settings/validate.go
+++ b/internal/process/settings/validate.go
@@ -186,6 +186,8 @@
 			v.find(path+".address", "%s is also that of peers[%d]", a, j)
 		case p.Name != v.Name && a == v.Listen.Peers:
 			v.find(path+".address", "%s is this process's own", a)
+		case !reaches(v.Listen.Peers, a):
+			v.find(path+".address", "%s cannot be reached from listen.peers, which has another IP version", a)
 		}
 		addresses[a.AddrPort] = i
 		if p.Name == v.Name && p.Control != v.Has(RoleControl) {
@@ -194,6 +196,12 @@
 	}
 }
 
+// reaches reports whether packets can go from an own address to another one.
+func reaches(own, other Address) bool {
+	dual := own.Addr().Is6() && own.Addr().IsUnspecified()
+	return !own.IsValid() || dual || own.Addr().Is4() == other.Addr().Is4()
+}
+
 func (v *validation) control() {
 	switch n := len(v.Control()); {
 	case n == 0:
