--- a/internal/request/route/forward.go
+++ b/internal/request/route/forward.go
@@ -160,6 +160,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), f.deadline)
 	defer cancel()
 	f.owner = owner
+	metricForwarded.Add(1)
 	var reply Forwarded
 	if err := r.options.Peer.Call(ctx, owner, control.MethodForward, &m, &reply); err != nil {
 		return r.lost(f, owner, err)
--- a/internal/request/route/gate.go
+++ b/internal/request/route/gate.go
@@ -17,6 +17,7 @@
 // before the check, so that close cannot miss a request that got in.
 func (g *gate) enter() bool {
 	g.flight.Add(1)
+	metricFlight.Add(1)
 	if g.closed.Load() {
 		g.leave()
 		return false
@@ -25,6 +26,7 @@
 }
 
 func (g *gate) leave() {
+	metricFlight.Add(-1)
 	if g.flight.Add(-1) == 0 && g.closed.Load() {
 		g.once.Do(func() { close(g.empty) })
 	}
--- a/internal/request/route/intent.go
+++ b/internal/request/route/intent.go
@@ -181,6 +181,7 @@
 		}
 		time.Sleep(pause)
 	}
+	metricUnsettled.Add(1)
 	r.options.Log.Emit(event.RequestUnsettled, zap.String("entry", s.Entry), zap.String("team", s.Team),
 		zap.String("holder", s.Holder), zap.Error(last))
 }
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -18,6 +18,8 @@
 //	answer, fail := router.Do(admission, &route.Request{...})
 //	router.Drain(ctx) // on shutdown
 //
+// Counters are published with expvar under "requests".
+//
 // The Ran field of each *api.Error is "no" only if no byte of the request can
 // have reached a runner, in any attempt on any entry VM.
 package route
@@ -353,6 +355,7 @@
 	if !r.options.Now().Add(pause).Before(f.deadline) || !r.budget.spend() {
 		return false
 	}
+	metricRetries.Add(1)
 	time.Sleep(pause)
 	return true
 }
@@ -449,9 +452,11 @@
 		zap.String("runner", f.runner), zap.String("owner", f.owner), zap.Int("attempts", f.attempts),
 	}
 	if fail != nil {
+		metricRefused.Add(string(fail.Code), 1)
 		r.options.Log.Emit(event.RequestRefused, append(fields, zap.String("code", string(fail.Code)), zap.String("ran", string(fail.Ran)))...)
 		return
 	}
+	metricAnswered.Add(1)
 	r.options.Log.Emit(event.RequestRouted, append(fields, zap.Int("status", answer.Status))...)
 }
 
--- a/internal/request/route/route_test.go
+++ b/internal/request/route/route_test.go
@@ -307,6 +307,7 @@
 		capacity := int(seconds * time.Second / service * 3 * 4) // 3 VMs with 4 slots each
 		var mu sync.Mutex
 		answered, refused := 0, 0
+		before := metricAnswered.Value()
 		var slowest time.Duration
 		var group sync.WaitGroup
 		for i := range 3 * capacity {
@@ -330,6 +331,8 @@
 		group.Wait()
 		t.Logf("%d of %d possible answered, %d refused, the slowest refusal after %v", answered, capacity, refused, slowest)
 		is.Equal(answered+refused, 3*capacity)
+		is.Equal(int(metricAnswered.Value()-before), answered)
+		is.Equal(metricFlight.Value(), int64(0))
 		is.Equal(slowest, time.Duration(0)) // at once
 		is.True(answered > capacity*95/100)
 		is.Equal(c.peak, int64(12)) // all slots, and no more
