--- a/internal/request/route/cell_test.go
+++ b/internal/request/route/cell_test.go
@@ -263,7 +263,7 @@
 
 func (v *vm) Entry(name string) (work.Entry, error) {
 	e, ok := v.cell.state.Entry(name)
-	if !time.Now().Before(v.deadline) {
+	if !time.Now().Before(v.Deadline()) {
 		return e, control.ErrStale
 	}
 	if !ok {
@@ -277,7 +277,11 @@
 	return t, nil
 }
 
-func (v *vm) Deadline() time.Time { return v.deadline }
+func (v *vm) Deadline() time.Time {
+	v.cell.mu.Lock()
+	defer v.cell.mu.Unlock()
+	return v.deadline
+}
 
 func (c *cell) dial(address string, _ time.Duration) (net.Conn, error) {
 	c.mu.Lock()
@@ -365,6 +369,9 @@
 	if c.limit > 0 && c.flight > c.limit {
 		c.faults = append(c.faults, fmt.Sprintf("%d requests run at a limit of %d", c.flight, c.limit))
 	}
+	if !time.Now().Before(v.deadline) {
+		c.faults = append(c.faults, "a request was sent past the deadline of the view")
+	}
 	if v.gone {
 		c.faults = append(c.faults, "a runner that left got a request")
 	}
--- a/internal/request/route/route_test.go
+++ b/internal/request/route/route_test.go
@@ -204,10 +204,14 @@
 			virtual(t, 1, 1, 0, func(is *is.I, c *cell) {
 				v := c.vms[0]
 				v.router.hooks.ignoreView = off
-				v.deadline = time.Now().Add(time.Millisecond) // passes while the intent is committed
+				c.set(func() { v.deadline = time.Now().Add(time.Millisecond) }) // passes while the intent is committed
 				_, fail := v.do(send{entry: once, id: "s", identity: "k"})
 				runs, _ := c.ran("s", "")
 				is.Equal(runs == 1, off)
+				c.set(func() {
+					is.Equal(len(c.faults) == 1, off) // the runner notices
+					c.faults = nil
+				})
 				if !off {
 					is.Equal(fail.Code, api.Stale)
 					is.Equal(fail.Ran, api.RanNo)
@@ -366,6 +370,7 @@
 	drain   int // VM that drains half-way, -1 for none
 	leave   int // VM whose runner leaves half-way
 	down    int // VM whose runner refuses connections for a while
+	cut     int // VM whose view expires half-way
 }
 
 type planned struct {
@@ -384,6 +389,7 @@
 	p := plan{
 		intents: commits.Draw(t, "intents"), settles: commits.Draw(t, "settles"),
 		drain: some.Draw(t, "drain"), leave: some.Draw(t, "leave"), down: some.Draw(t, "down"),
+		cut: some.Draw(t, "cut"),
 	}
 	for i := range rapid.IntRange(1, 25).Draw(t, "sends") {
 		s := planned{vm: rapid.IntRange(0, vms-1).Draw(t, "vm"), at: time.Duration(rapid.Int64Range(0, int64(scenario)).Draw(t, "at"))}
@@ -474,6 +480,9 @@
 		c.set(func() { c.vms[p.down].down = true })
 	}
 	time.Sleep(scenario / 4)
+	if p.cut >= 0 {
+		c.set(func() { c.vms[p.cut].deadline = time.Now() })
+	}
 	if p.leave >= 0 {
 		v := c.vms[p.leave]
 		for _, w := range c.vms {
@@ -524,7 +533,7 @@
 // Shows that the scenarios find a router without one of its guards.
 func TestScenariosFindFaults(t *testing.T) {
 	plans := rapid.Custom(func(t *rapid.T) plan { return draw(t, 2) })
-	for name, off := range map[string]hooks{"intent": {lateIntent: true}, "retry": {ignoreRetry: true}} {
+	for name, off := range map[string]hooks{"intent": {lateIntent: true}, "retry": {ignoreRetry: true}, "view": {ignoreView: true}} {
 		found := false
 		for i := 0; i < 200 && !found; i++ {
 			p := plans.Example(i)
