--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -18,6 +18,8 @@
 //	answer, fail := router.Do(admission, &route.Request{...})
 //	router.Drain(ctx) // on shutdown
 //
+// Counters are published with expvar under "requests".
+//
 // The Ran field of each *api.Error is "no" only if no byte of the request can
 // have reached a runner, in any attempt on any entry VM.
 package route
@@ -353,6 +355,7 @@
 	if !r.options.Now().Add(pause).Before(f.deadline) || !r.budget.spend() {
 		return false
 	}
+	metricRetries.Add(1)
 	time.Sleep(pause)
 	return true
 }
@@ -410,9 +413,14 @@
 		return result{fail: r.refuse(api.NoUpstream, "the runner is leaving"), next: elsewhere}
 	}
 	q := f.request
-	answer, err := slot.Send(&upstream.Request{
+	u := &upstream.Request{
 		ID: f.name(), Method: q.Method, Path: q.Path, Query: q.Query, Header: q.Header, Body: q.Body, Deadline: f.deadline,
-	})
+	}
+	late := r.settleLate(f, u)
+	answer, err := slot.Send(u)
+	if errors.Is(err, upstream.ErrLate) {
+		late()
+	}
 	return r.conclude(f, answer, err)
 }
 
@@ -434,7 +442,6 @@
 	case errors.Is(err, upstream.ErrNotSent):
 		return result{fail: r.refuse(api.NoUpstream, "no runner could be reached"), next: elsewhere}
 	case errors.Is(err, upstream.ErrLate):
-		r.settle(f, ranUnknown, nil)
 		return result{fail: web.Unknown(api.Timeout, "the answer did not come before the deadline"), next: uncertain}
 	}
 	f.astray = errors.Is(err, upstream.ErrMismatch)
@@ -449,9 +456,11 @@
 		zap.String("runner", f.runner), zap.String("owner", f.owner), zap.Int("attempts", f.attempts),
 	}
 	if fail != nil {
+		metricRefused.Add(string(fail.Code), 1)
 		r.options.Log.Emit(event.RequestRefused, append(fields, zap.String("code", string(fail.Code)), zap.String("ran", string(fail.Ran)))...)
 		return
 	}
+	metricAnswered.Add(1)
 	r.options.Log.Emit(event.RequestRouted, append(fields, zap.Int("status", answer.Status))...)
 }
 
