--- a/internal/connection/peer/call.go
+++ b/internal/connection/peer/call.go
@@ -144,9 +144,9 @@
 	// Ending the stream confirms the answer; it fails only if the connection
 	// has ended, which the answer has outrun.
 	_ = str.Close()
-	if err := finish(str); err != nil {
-		str.CancelRead(resetCancelled)
-	}
+	// The answer is whole. Its stream's end may come in a later packet, which
+	// is not worth waiting for.
+	str.CancelRead(resetCancelled)
 	if h.Code != "" {
 		return &Remote{Code: h.Code, Message: h.Message}
 	}
