--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: run test build lint model measure bench soak
+.PHONY: run test build lint model soak
 
 # GOFLAGS apply to every target; -trimpath keeps local paths out of the binaries.
 GO := go
@@ -16,3 +16,19 @@
 
 test: lint build
 	$(GO) test ./...
+	@if command -v spin >/dev/null && command -v gcc >/dev/null || [ -n "$$CI" ]; then model/run.sh; \
+	else echo "model checks not run: spin and gcc are needed"; fi
+
+# model checks the protocol specifications, with and without each guard.
+model:
+	model/run.sh
+
+# soak runs the stateful property tests for longer, with a seed of choice:
+# make soak SEED=7 STEPS=5000
+SEED := 1
+STEPS := 2000
+soak:
+	$(GO) test ./internal/version/raft ./internal/version/state ./internal/version/placement ./internal/request/route \
+	  -count=1 -timeout 60m -args -rapid.seed=$(SEED) -rapid.checks=$(STEPS)
+
+include measure.mk
