Measure what workers and tasks cost the daemons

make capacity starts three control VMs and one entry VM, adds workers and tasks, and prints processor time, memory and bytes of each role from the running daemons. Peers count the bytes of their frames, the HTTP servers those of their connections.

--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,8 @@
 	  -count=1 -timeout 60m -args -rapid.seed=$(SEED) -rapid.checks=$(STEPS)
 
 include measure.mk
+
+# capacity measures what workers and tasks cost the daemons, on this machine.
+.PHONY: capacity
+capacity:
+	$(GO) test ./internal/cell -run 'TestCapacity$$' -count=1 -v -args -capacity
--- /dev/null
+++ b/internal/cell/capacity_test.go
@@ -0,0 +1,128 @@
+package cell
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"github.com/rosemaryloft/rosemaryloft/pkg/api"
+)
+
+// capacity asks for the measurement of docs/CAPACITY.md, which takes minutes
+// and depends on the machine, so that it is no part of the tests.
+var capacity = flag.Bool("capacity", false, "measure what workers, tasks and requests cost the daemons")
+
+const (
+	// ticksPerSecond is the unit of processor times in /proc on Linux.
+	ticksPerSecond = 100
+	// sampleTime is how long each load is measured.
+	sampleTime = 10 * time.Second
+)
+
+// usage is what a daemon has used since its start.
+type usage struct {
+	processor time.Duration
+	memory    int64 // resident bytes
+	peers     int64 // bytes sent to other daemons
+	http      int64 // bytes received and sent over HTTP
+}
+
+func (h *harness) usage(name string) usage {
+	h.t.Helper()
+	var u usage
+	pid := h.Processes[name].command.Process.Pid
+	stat, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	h.NoErr(err)
+	fields := strings.Fields(string(stat[strings.LastIndexByte(string(stat), ')')+1:]))
+	for _, f := range fields[11:13] { // utime and stime
+		ticks, err := strconv.ParseInt(f, 10, 64)
+		h.NoErr(err)
+		u.processor += time.Duration(ticks) * time.Second / ticksPerSecond
+	}
+	pages, err := strconv.ParseInt(fields[21], 10, 64)
+	h.NoErr(err)
+	u.memory = pages * int64(os.Getpagesize())
+	n, _ := h.Node(name)
+	_, body, err := fasthttp.Get(nil, "http://"+n.HTTP.String()+"/debug/vars")
+	h.NoErr(err)
+	var vars struct {
+		Peer struct {
+			Sent int64 `json:"sent_bytes"`
+		} `json:"peer"`
+		HTTP struct {
+			Received int64 `json:"received_bytes"`
+			Sent     int64 `json:"sent_bytes"`
+		} `json:"http"`
+	}
+	h.NoErr(json.Unmarshal(body, &vars))
+	u.peers, u.http = vars.Peer.Sent, vars.HTTP.Received+vars.HTTP.Sent
+	return u
+}
+
+// measure prints what the leader and the busiest other daemon use under the
+// present load.
+func (h *harness) measure(what string) {
+	h.t.Helper()
+	time.Sleep(2 * time.Second) // the load has settled
+	leader := h.leader()
+	before := make(map[string]usage)
+	for _, n := range h.Nodes {
+		before[n.Name] = h.usage(n.Name)
+	}
+	time.Sleep(sampleTime)
+	for _, n := range h.Nodes {
+		role := "replica+entry"
+		switch {
+		case n.Name == leader:
+			role = "leader+entry"
+		case !n.Control:
+			role = "entry"
+		}
+		a, b := before[n.Name], h.usage(n.Name)
+		h.t.Logf("%-28s %-14s %6.2f%% of a core %6.1f MB %7.1f KB/s to peers %7.1f KB/s HTTP", what, role,
+			100*(b.processor-a.processor).Seconds()/sampleTime.Seconds(), float64(b.memory)/1e6,
+			float64(b.peers-a.peers)/1e3/sampleTime.Seconds(), float64(b.http-a.http)/1e3/sampleTime.Seconds())
+	}
+}
+
+// TestCapacity prints the slopes that docs/CAPACITY.md works with.
+func TestCapacity(t *testing.T) {
+	if !*capacity {
+		t.Skip("run by make capacity")
+	}
+	h := newHarness(t, 4)
+	h.measure("idle")
+	total := 0
+	for _, count := range []int{48, 352, 800} {
+		total += count
+		h.NoErr(h.Workers(fmt.Sprintf("pool-%d", total), h.keys.Worker, count))
+		h.until("wait for workers", func() bool {
+			all, err := h.Operator().Workers(h.ctx)
+			return err == nil && len(all) == total
+		})
+		h.measure(fmt.Sprintf("%d workers", total))
+	}
+	caller := h.Client(h.keys.Caller)
+	for range 12 {
+		_, err := caller.Submit(h.ctx, api.Submission{
+			Entry: Batch, Tasks: 1000, Size: api.Size{CPU: 100, Memory: 1 << 20}, Command: "sleep 300s",
+		})
+		h.NoErr(err)
+	}
+	h.until("wait for the tasks", func() bool {
+		q, err := h.Operator().Queues(h.ctx)
+		running := 0
+		for _, x := range q {
+			running += x.Running
+		}
+		return err == nil && running == 12000
+	})
+	h.measure(fmt.Sprintf("%d workers, 12000 running", total))
+}
--- a/internal/connection/peer/call.go
+++ b/internal/connection/peer/call.go
@@ -122,6 +122,7 @@
 	}
 	stop := context.AfterFunc(ctx, cancel)
 	defer stop()
+	metricBytes.Add(int64(len(frame)))
 	if _, err := str.Write(frame); err != nil {
 		// Write fails only while part of the frame is still unsent. The reset
 		// keeps it so, and a handler needs the whole frame.
@@ -225,6 +226,7 @@
 		return
 	}
 	_ = str.SetWriteDeadline(time.Now().Add(receiveTimeout))
+	metricBytes.Add(int64(len(frame)))
 	if _, err := str.Write(frame); err != nil {
 		str.CancelWrite(resetBroken)
 		str.CancelRead(resetBroken)
--- a/internal/connection/peer/link.go
+++ b/internal/connection/peer/link.go
@@ -84,6 +84,7 @@
 	if err == nil {
 		var frame []byte
 		if frame, err = appendFrame(nil, greeting{Version: version}, nil); err == nil {
+			metricBytes.Add(int64(len(frame)))
 			_, err = str.Write(frame)
 			err = errors.CombineErrors(err, str.Close())
 		}
--- a/internal/connection/peer/side.go
+++ b/internal/connection/peer/side.go
@@ -292,6 +292,7 @@
 		return err
 	}
 	stop := context.AfterFunc(ctx, func() { o.str.CancelWrite(resetBroken) })
+	metricBytes.Add(int64(len(o.buf)))
 	if _, err = o.str.Write(o.buf); err == nil {
 		metricSent.Add(1)
 	}
--- a/internal/process/daemon/server.go
+++ b/internal/process/daemon/server.go
@@ -84,7 +84,7 @@
 			}
 			return nil, errors.Wrapf(err, "listen on %s", s.Address)
 		}
-		out = append(out, &server{http: newServer(serves), listener: l})
+		out = append(out, &server{http: newServer(serves), listener: countedListener{l}})
 	}
 	return out, nil
 }
