--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -49,13 +49,27 @@
 }
 
 // Log writes events. The zero Log drops them.
-type Log struct{ zap *zap.Logger }
+type Log struct {
+	zap     *zap.Logger
+	observe func(ID, []zap.Field)
+}
 
 // New returns a Log that writes to logger.
 func New(logger *zap.Logger) Log { return Log{zap: logger} }
 
+// Observed returns a Log that also calls observe with every event, including
+// those below the log level. Observe must be safe for concurrent use, must not
+// block, and must not keep the fields.
+func (l Log) Observed(observe func(ID, []zap.Field)) Log {
+	l.observe = observe
+	return l
+}
+
 // Emit writes one event.
 func (l Log) Emit(id ID, fields ...zap.Field) {
+	if l.observe != nil {
+		l.observe(id, fields)
+	}
 	if l.zap == nil {
 		return
 	}
