--- /dev/null
+++ b/internal/connection/peer/connected.go
@@ -0,0 +1,20 @@
+package peer
+
+// Connected returns the number of other processes with an open connection.
+func (p *Peer) Connected() int {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	n := 0
+	for _, s := range p.sides {
+		if s.connected() {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *side) connected() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.link != nil && !s.link.ended()
+}
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -22,6 +22,7 @@
 type control struct {
 	replica *raft.Replica
 	leader  *leader.Leader
+	state   *state.State
 }
 
 // logTransport sends the replica's messages over the links between processes.
@@ -32,6 +33,7 @@
 
 func newControl(d *Daemon) (*control, error) {
 	machine := state.New()
+	machine.Subscribe(d.metrics.Task)
 	replica, err := raft.New(raft.Options{
 		Name:      d.settings.Name,
 		Members:   d.settings.Control(),
@@ -43,7 +45,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &control{replica: replica}
+	c := &control{replica: replica, state: machine}
 	c.leader, err = leader.New(leader.Options{
 		Name:      d.settings.Name,
 		State:     machine,
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -18,7 +18,6 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -29,6 +28,7 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/certificate"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/metric"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/settings"
 	"github.com/rosemaryloft/rosemaryloft/internal/request/platform"
 )
@@ -52,6 +52,7 @@
 type Daemon struct {
 	settings settings.Settings
 	log      event.Log
+	metrics  *metric.Set
 	store    *certificate.Store
 	peer     *peer.Peer
 	control  *control // nil without the control role
@@ -61,7 +62,8 @@
 
 // New opens the certificates, the data folder and the sockets.
 func New(options Options) (*Daemon, error) {
-	d := &Daemon{settings: options.Settings, log: options.Log}
+	metrics := metric.New()
+	d := &Daemon{settings: options.Settings, log: options.Log.Observed(metrics.Observe), metrics: metrics}
 	s := &d.settings
 	var err error
 	if d.store, err = certificate.Load(certificate.Options{Name: s.Name, Files: s.Certificates.Files(), Log: d.log}); err != nil {
@@ -82,6 +84,8 @@
 			return nil, errors.Wrap(err, "entry role")
 		}
 	}
+	d.gauges()
+	metrics.Publish()
 	d.servers, err = listen(s.Listen.Servers(), d.adapters())
 	return d, err
 }
@@ -93,7 +97,9 @@
 	adapters := make(map[settings.Surface]adapter)
 	if d.entry != nil {
 		p = platform.Options{Directory: d.entry.link, Draining: d.entry.draining.Load}
-		maps.Copy(adapters, d.entry.adapters)
+		for surface, a := range d.entry.adapters {
+			adapters[surface] = counted{a, string(surface), d.metrics}
+		}
 	}
 	adapters[settings.Platform] = platform.New(p)
 	return adapters
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -24,6 +24,7 @@
 type entry struct {
 	link     *link.Link
 	router   *route.Router
+	pool     *upstream.Pool
 	adapters map[settings.Surface]adapter
 	draining atomic.Bool
 	log      event.Log
@@ -32,20 +33,21 @@
 func newEntry(d *Daemon) (*entry, error) {
 	s := &d.settings
 	boot := randomBoot()
-	e := &entry{log: d.log}
 	workers := worker.New(worker.Options{Log: d.log})
 	pool := upstream.New(upstream.Options{Name: s.Name, Zone: s.Zone, Log: d.log})
+	calls := d.metrics.Caller(d.peer)
+	e := &entry{log: d.log, pool: pool}
 	allotments := upstream.NewAllotments(nil, func() { e.link.Kick() })
 	var err error
 	if e.link, err = link.New(link.Options{
-		Name: s.Name, Zone: s.Zone, Boot: boot, Address: d.peer.Address(), Peer: d.peer,
+		Name: s.Name, Zone: s.Zone, Boot: boot, Address: d.peer.Address(), Peer: calls,
 		Candidates: s.Control(), Teams: allotments, Runners: pool, Workers: workers, Log: d.log,
 	}); err != nil {
 		return nil, err
 	}
 	workers.Start(e.link, e.link)
 	if e.router, err = route.New(route.Options{
-		Name: s.Name, Boot: boot, Directory: e.link, Leader: e.link, Peer: d.peer,
+		Name: s.Name, Boot: boot, Directory: e.link, Leader: e.link, Peer: calls,
 		Pool: pool, Allotments: allotments, Log: d.log,
 	}); err != nil {
 		return nil, err
--- /dev/null
+++ b/internal/process/metric/metric_test.go
@@ -0,0 +1,101 @@
+package metric
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+	"github.com/rosemaryloft/rosemaryloft/pkg/api"
+)
+
+// read returns the published value of a Set.
+func read(t *testing.T, s *Set) (v struct {
+	Events, Requests, Refusals, Calls, Tasks map[string]int
+	Catalogue                                int `json:"catalogue_version"`
+	Answer                                   int
+}) {
+	t.Helper()
+	s.Publish()
+	if err := json.Unmarshal([]byte(expvar.Get(Name).String()), &v); err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// Guards against a second Set that panics or hides behind the first.
+func TestPublish(t *testing.T) {
+	is := is.New(t)
+	a, b := New(), New()
+	a.Observe(event.LinkLost, nil)
+	b.Gauge("answer", func() any { return 42 })
+	is.Equal(read(t, a).Events["501"], 1)
+	v := read(t, b)
+	is.Equal(v.Answer, 42)
+	is.Equal(len(v.Events), 0)
+}
+
+// Guards against a catalogue version that follows no change, and against an
+// event of the same name without a version.
+func TestObserve(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	log := event.Log{}.Observed(s.Observe)
+	log.Emit(event.LinkCatalogue, zap.Uint64("version", 7))
+	log.Emit(event.LinkCatalogue, zap.String("version", "8"))
+	v := read(t, s)
+	is.Equal(v.Catalogue, 7)
+	is.Equal(v.Events["504"], 2)
+}
+
+// Guards against changes of the log that followers, or a restart, count again.
+func TestTaskOnlyWhileLeading(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	start, lost := work.StartEvent{}, work.EndEvent{Outcome: work.OutcomeLost}
+	s.Task(start)
+	s.Observe(event.LeaderElected, nil)
+	is.True(s.Leading())
+	s.Task(start)
+	s.Task(work.StopEvent{})
+	s.Task(lost)
+	s.Observe(event.LeaderDeposed, nil)
+	s.Task(lost)
+	is.Equal(read(t, s).Tasks, map[string]int{"started": 1, "stopped": 1, "ended.lost": 1})
+}
+
+// Guards against refusals that are mixed up with answers of runners.
+func TestRequests(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	s.Answered("callers", 200)
+	s.Answered("callers", 503)
+	s.Failed("callers", api.Overloaded, api.RanNo)
+	s.Failed("callers", api.Timeout, api.RanUnknown)
+	v := read(t, s)
+	is.Equal(v.Requests, map[string]int{"callers.2xx": 1, "callers.5xx": 1, "callers.ran_no": 1, "callers.ran_unknown": 1})
+	is.Equal(v.Refusals, map[string]int{"callers.overloaded": 1, "callers.timeout": 1})
+}
+
+// fails is a peer.Caller whose calls end with an error.
+type fails struct{ err error }
+
+func (f fails) Call(context.Context, string, string, any, any) error { return f.err }
+
+// Guards against lost renewals that count as made, and against an error that
+// the wrapper changes.
+func TestCaller(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	for _, err := range []error{nil, errors.Wrap(peer.ErrNotSent, "dial"), &peer.Remote{Code: "x"}, peer.ErrUnknown} {
+		is.Equal(s.Caller(fails{err}).Call(context.Background(), "vm-1", "renew", nil, nil), err)
+	}
+	is.Equal(read(t, s).Calls, map[string]int{"renew.ok": 1, "renew.not_sent": 1, "renew.refused": 1, "renew.unknown": 1})
+}
