Look up a refused request before saying that it did not run

Cause: a request with an idempotency key that had run through one entry VM, and was sent again through another one without a free slot, was refused with ran: no. That was true of the attempt but not of the request, and a caller could have sent the order anew under another key. Refusals that invite a resend are now checked against what the leader has recorded under the key; if the leader cannot be asked, the refusal says unknown. Ruled out: taking the intent before the slot, which would cost a log entry for every refused order under overload. Test: guard 'refusal looked up', which fails with the look-up off. Left open: an attempt that is still on its way to its own commit through another entry VM at that moment.

--- a/internal/connection/control/message.go
+++ b/internal/connection/control/message.go
@@ -169,6 +169,8 @@
 	Name string // of the object asked for; empty for all
 	Job  work.JobID
 	Team string // restricts the answer to a team; empty for operators
+	// Identity is the idempotency key of a request to the service Name.
+	Identity string
 }
 
 // Kinds of Query.
@@ -178,6 +180,7 @@
 	QueryUpstreams = "upstreams"
 	QueryQueues    = "queues"
 	QueryStatus    = "status"
+	QueryIntent    = "intent"
 	QueryJob       = "job"
 	QueryJobs      = "jobs"
 	QueryExplain   = "explain"
@@ -193,6 +196,7 @@
 	Status    *StatusView
 	Jobs      []work.Job
 	Text      string
+	Known     *state.Record // of an intent
 }
 
 // WorkerView is a worker as operators see it.
--- a/internal/process/leader/query.go
+++ b/internal/process/leader/query.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/control"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/state"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
@@ -37,6 +38,11 @@
 		a.Found = q.Name == "" || len(a.Queues) > 0
 	case control.QueryStatus:
 		a.Status = t.status()
+	case control.QueryIntent:
+		var known state.Record
+		if known, a.Found = t.state().Intent(q.Team, q.Name, q.Identity); a.Found {
+			a.Known = &known
+		}
 	case control.QueryJob:
 		a.Jobs, a.Found = t.job(q)
 	case control.QueryJobs:
--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -102,7 +102,13 @@
 }
 
 // fail answers with an error, without the body having been read.
+//
+// A request with an idempotency key that may come back has not been looked up:
+// an earlier attempt through another entry VM may have run it.
 func (a *Adapter) fail(ctx *fasthttp.RequestCtx, e *api.Error) {
+	if !e.Retry.IsZero() && e.Ran == api.RanNo && len(ctx.Request.Header.Peek(api.IdempotencyHeader)) > 0 {
+		e.Ran = api.RanUnknown
+	}
 	web.Abandon(ctx)
 	web.Fail(ctx, e)
 }
--- a/internal/request/route/cell_test.go
+++ b/internal/request/route/cell_test.go
@@ -47,20 +47,21 @@
 // cell is several entry VMs with one runner each, the replicated state, and a
 // peer network, all in one process. Its fates decide what fails.
 type cell struct {
-	mu       sync.Mutex
-	state    *state.State
-	index    uint64
-	intents  []string // fates of the next intents: "", none, lost, dropped
-	settles  []string // fates of the next settlements
-	vms      []*vm
-	limit    int64
-	runs     map[string]int // by the identity of a send
-	keys     map[string]int // by Idempotency-Key
-	forwards map[string]int // by the identity of a send
-	flight   int64          // running at all runners
-	peak     int64
-	faults   []string // broken invariants
-	random   *rand.Rand
+	mu         sync.Mutex
+	state      *state.State
+	index      uint64
+	intents    []string // fates of the next intents: "", none, lost, dropped
+	settles    []string // fates of the next settlements
+	vms        []*vm
+	limit      int64
+	runs       map[string]int // by the identity of a send
+	keys       map[string]int // by Idempotency-Key
+	forwards   map[string]int // by the identity of a send
+	flight     int64          // running at all runners
+	peak       int64
+	faults     []string // broken invariants
+	leaderless bool     // queries fail
+	random     *rand.Rand
 }
 
 // vm is an entry VM and the runner that it owns.
@@ -183,8 +184,15 @@
 	return c.do(command), nil
 }
 
-func (c *cell) Query(context.Context, control.Query) (control.Answer, error) {
-	return control.Answer{}, control.ErrNoLeader
+// Query implements control.Leader.
+func (c *cell) Query(_ context.Context, q control.Query) (control.Answer, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leaderless {
+		return control.Answer{}, control.ErrNoLeader
+	}
+	known, found := c.state.Intent(q.Team, q.Name, q.Identity)
+	return control.Answer{Found: found, Known: &known}, nil
 }
 
 // Call implements peer.Caller. The fate of a forward stands in its header.
--- a/internal/request/route/forward.go
+++ b/internal/request/route/forward.go
@@ -267,7 +267,9 @@
 		deadline: r.options.Now().Add(m.Remaining),
 	}
 	if m.Intent {
-		f.intent = &intent{digest: m.Digest, holder: r.options.Name + "/" + r.identity()}
+		// The identity of the forward tells the sender its own record; a second
+		// copy of the forward must not pass for the first one.
+		f.intent = &intent{digest: m.Digest, holder: r.options.Name + "/" + m.ID + "/" + r.identity()}
 	}
 	return f
 }
--- a/internal/request/route/intent.go
+++ b/internal/request/route/intent.go
@@ -48,6 +48,7 @@
 	attempt   uint64    // result of the commit; zero if not known
 	expires   time.Time // of the record
 	committed bool
+	answered  bool // the log has taken or refused the intent
 	doubtful  bool // the commit is uncertain
 	settled   bool
 }
@@ -97,12 +98,13 @@
 
 // intended reads the result of an intent.
 func (r *Router) intended(f *flight, s *state.Result) (result, bool) {
+	f.intent.answered = true
 	switch s.Code {
 	case state.OK:
 		f.intent.committed, f.intent.attempt = true, s.Attempt
 		return result{}, true
 	case state.Mismatch:
-		return result{fail: web.Refuse(api.Mismatch, "%s %q came with another request before", api.IdempotencyHeader, f.request.Identity)}, false
+		return result{fail: r.mismatch(f)}, false
 	case state.Duplicate:
 		if s.Known == nil {
 			break
@@ -118,6 +120,10 @@
 	return result{fail: web.Refuse(api.Internal, "the intent was answered with %q: %s", s.Code, s.Message)}, false
 }
 
+func (r *Router) mismatch(f *flight) *api.Error {
+	return web.Refuse(api.Mismatch, "%s %q came with another request before", api.IdempotencyHeader, f.request.Identity)
+}
+
 // recorded answers a resend from what is recorded of the request.
 func (r *Router) recorded(known *state.Record) result {
 	s := known.Settle
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -90,10 +90,11 @@
 
 // hooks switch guards off in tests.
 type hooks struct {
-	ignoreView  bool // a view that expired during a wait is used
-	lateIntent  bool // the first byte is sent before the intent is committed
-	lateSlot    bool // the intent is committed before a slot is taken
-	ignoreRetry bool // any failed request is sent again
+	ignoreView   bool // a view that expired during a wait is used
+	lateIntent   bool // the first byte is sent before the intent is committed
+	lateSlot     bool // the intent is committed before a slot is taken
+	ignoreRetry  bool // any failed request is sent again
+	trustRefusal bool // a refusal is not checked against what is recorded
 }
 
 // Admission is the right of a key's team to use a catalogue entry.
@@ -220,12 +221,15 @@
 // none. It returns at the latest at the request's deadline, which is at most
 // upstream.RequestTime ahead.
 func (r *Router) Do(a *Admission, q *Request) (*upstream.Answer, *api.Error) {
+	f := r.flight(a, q)
 	if !r.gate.enter() {
-		return nil, r.refuse(api.Draining, "this entry VM is shutting down; use another one")
+		return r.verify(f, r.refuse(api.Draining, "this entry VM is shutting down; use another one"))
 	}
 	defer r.gate.leave()
-	f := r.flight(a, q)
 	answer, fail := r.admitted(a, f)
+	if fail != nil {
+		answer, fail = r.verify(f, fail)
+	}
 	r.log(f, answer, fail)
 	return answer, fail
 }
--- a/internal/request/route/route_test.go
+++ b/internal/request/route/route_test.go
@@ -221,6 +221,27 @@
 			})
 		}
 	})
+	t.Run("refusal looked up", func(t *testing.T) {
+		for _, off := range []bool{false, true} {
+			virtual(t, 2, 1, 0, func(is *is.I, c *cell) {
+				c.vms[1].router.hooks.trustRefusal = off
+				c.vms[0].do(send{entry: once, id: "s1", identity: "k"})
+				time.Sleep(time.Second) // for the settlement
+				for _, v := range c.vms {
+					slot, err := v.pool.Acquire(once)
+					is.NoErr(err)
+					defer slot.Release()
+				}
+				again := send{entry: once, id: "s2", identity: "k"}
+				_, fail := c.vms[1].do(again)
+				is.Equal(fail != nil && fail.Ran == api.RanNo, off) // "not run" of an order that ran, without the guard
+				c.set(func() { c.leaderless = true })
+				_, fail = c.vms[1].do(again)
+				is.Equal(fail.Code, api.Overloaded)
+				is.Equal(fail.Ran == api.RanNo, off) // nobody can be asked
+			})
+		}
+	})
 	t.Run("retry rule", func(t *testing.T) {
 		for _, off := range []bool{false, true} {
 			virtual(t, 2, 1, 0, func(is *is.I, c *cell) {
