--- a/internal/process/daemon/metric.go
+++ b/internal/process/daemon/metric.go
@@ -25,17 +25,18 @@
 
 // entryGauges are the gauges of the role entry.
 type entryGauges struct {
-	ViewSeconds  float64 `json:"view_seconds"` // until the view's deadline; negative past it
-	Draining     bool    `json:"draining"`
-	RunnersOwned int     `json:"runners_owned"`
-	SlotsUsed    int64   `json:"slots_used"` // of the owned runners
+	ViewSeconds  *float64 `json:"view_seconds"` // until the view's deadline, negative past it; nil before the first view
+	Draining     bool     `json:"draining"`
+	RunnersOwned int      `json:"runners_owned"`
+	SlotsUsed    int64    `json:"slots_used"` // of the owned runners
 }
 
 func (e *entry) gauges(now time.Time) entryGauges {
 	g := entryGauges{Draining: e.draining.Load()}
-	// The first deadline is set by the first grant; until then it is the start
-	// of the process.
-	g.ViewSeconds = e.link.Deadline().Sub(now).Seconds()
+	if d := e.link.Deadline(); !d.IsZero() {
+		left := d.Sub(now).Seconds()
+		g.ViewSeconds = &left
+	}
 	for _, r := range e.pool.Owned(nil) {
 		g.RunnersOwned++
 		g.SlotsUsed += r.Used
