--- a/internal/request/route/forward.go
+++ b/internal/request/route/forward.go
@@ -160,6 +160,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), f.deadline)
 	defer cancel()
 	f.owner = owner
+	metricForwarded.Add(1)
 	var reply Forwarded
 	if err := r.options.Peer.Call(ctx, owner, control.MethodForward, &m, &reply); err != nil {
 		return r.lost(f, owner, err)
@@ -266,7 +267,9 @@
 		deadline: r.options.Now().Add(m.Remaining),
 	}
 	if m.Intent {
-		f.intent = &intent{digest: m.Digest, holder: r.options.Name + "/" + r.identity()}
+		// The identity of the forward tells the sender its own record; a second
+		// copy of the forward must not pass for the first one.
+		f.intent = &intent{digest: m.Digest, holder: r.options.Name + "/" + m.ID + "/" + r.identity()}
 	}
 	return f
 }
--- a/internal/request/route/intent.go
+++ b/internal/request/route/intent.go
@@ -48,6 +48,7 @@
 	attempt   uint64    // result of the commit; zero if not known
 	expires   time.Time // of the record
 	committed bool
+	answered  bool // the log has taken or refused the intent
 	doubtful  bool // the commit is uncertain
 	settled   bool
 }
@@ -97,12 +98,13 @@
 
 // intended reads the result of an intent.
 func (r *Router) intended(f *flight, s *state.Result) (result, bool) {
+	f.intent.answered = true
 	switch s.Code {
 	case state.OK:
 		f.intent.committed, f.intent.attempt = true, s.Attempt
 		return result{}, true
 	case state.Mismatch:
-		return result{fail: web.Refuse(api.Mismatch, "%s %q came with another request before", api.IdempotencyHeader, f.request.Identity)}, false
+		return result{fail: r.mismatch(f)}, false
 	case state.Duplicate:
 		if s.Known == nil {
 			break
@@ -118,6 +120,10 @@
 	return result{fail: web.Refuse(api.Internal, "the intent was answered with %q: %s", s.Code, s.Message)}, false
 }
 
+func (r *Router) mismatch(f *flight) *api.Error {
+	return web.Refuse(api.Mismatch, "%s %q came with another request before", api.IdempotencyHeader, f.request.Identity)
+}
+
 // recorded answers a resend from what is recorded of the request.
 func (r *Router) recorded(known *state.Record) result {
 	s := known.Settle
@@ -145,6 +151,12 @@
 		return
 	}
 	f.intent.settled = true
+	s, command := f.settlement(ran, answer), f.command()
+	r.settling.Go(func() { r.record(s, command) })
+}
+
+// settlement returns the outcome of a request as it is recorded.
+func (f *flight) settlement(ran state.Ran, answer *upstream.Answer) *state.Settle {
 	s := &state.Settle{
 		Team: f.team, Entry: f.entry, Identity: f.request.Identity, Holder: f.intent.holder, Ran: ran,
 		Attempt: f.intent.attempt,
@@ -155,8 +167,31 @@
 			s.Header, s.Body = answer.Header, answer.Body
 		}
 	}
-	intent := f.command()
-	r.settling.Go(func() { r.record(s, intent) })
+	return s
+}
+
+// settleLate prepares a request for an answer that comes after its deadline, so
+// that a resend gets it. The returned function is to be called if it is late.
+func (r *Router) settleLate(f *flight, u *upstream.Request) (late func()) {
+	if f.intent == nil || !f.intent.committed {
+		return func() {}
+	}
+	done := make(chan *state.Settle, 1)
+	u.Late = func(answer *upstream.Answer, err error) {
+		switch {
+		case err == nil:
+			done <- f.settlement(ranYes, answer)
+		case errors.Is(err, upstream.ErrNotSent):
+			done <- f.settlement(ranNo, nil)
+		default:
+			done <- f.settlement(ranUnknown, nil)
+		}
+	}
+	return func() {
+		f.intent.settled = true
+		command := f.command()
+		r.settling.Go(func() { r.record(<-done, command) })
+	}
 }
 
 // keepable reports whether an answer is small enough to be recorded.
@@ -181,6 +216,7 @@
 		}
 		time.Sleep(pause)
 	}
+	metricUnsettled.Add(1)
 	r.options.Log.Emit(event.RequestUnsettled, zap.String("entry", s.Entry), zap.String("team", s.Team),
 		zap.String("holder", s.Holder), zap.Error(last))
 }
