--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -6,8 +6,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/netip"
+	"os"
 	"os/signal"
 	"strconv"
 	"syscall"
@@ -31,6 +33,15 @@
 	Key     string   `required:"" env:"ROSEMARYLOFT_KEY" help:"Secret of an upstream or worker key."`
 	Name    string   `required:"" help:"Name of the runner or worker."`
 	Zone    string   `default:"nord" help:"Availability zone."`
+	Log     bool     `help:"Write what runs to standard output."`
+}
+
+// log returns where runs are logged, nil if they are not.
+func (s *shared) log() io.Writer {
+	if s.Log {
+		return os.Stdout
+	}
+	return nil
 }
 
 type runner struct {
@@ -59,6 +70,7 @@
 	Accelerator  string        `help:"Model of the accelerators."`
 	Interval     time.Duration `default:"1s" help:"Time between two polls."`
 	Lag          time.Duration `default:"5s" help:"Age of the reported usage."`
+	Fail         bool          `help:"Fail every task."`
 }
 
 func main() {
@@ -78,7 +90,7 @@
 	}
 	o := standin.RunnerOptions{
 		Name: r.Name, Entry: r.Entry, Zone: r.Zone, Key: r.Key, Entries: r.Entries, Listener: listener,
-		Slots: r.Slots, Connections: r.Connections, Interval: r.Interval,
+		Slots: r.Slots, Connections: r.Connections, Interval: r.Interval, Log: r.log(),
 		Behaviour: standin.Behaviour{Delay: r.Delay, Status: r.Status, Break: r.Break, Refuse: r.Refuse, Wrong: r.Wrong, Bytes: r.Bytes},
 	}
 	if r.Announce != "" {
@@ -105,7 +117,7 @@
 		s := standin.NewWorker(standin.WorkerOptions{
 			Name: name, Zone: w.Zone, Rack: w.Rack, Client: client, Interval: w.Interval, Lag: w.Lag,
 			Capacity:    api.Size{CPU: w.CPU, Memory: w.Memory, Accelerators: w.Accelerators},
-			Accelerator: w.Accelerator,
+			Accelerator: w.Accelerator, Fail: w.Fail, Log: w.log(),
 		})
 		group.Go(func() error { return s.Run(ctx) })
 	}
--- a/internal/standin/runner.go
+++ b/internal/standin/runner.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"io"
 	"maps"
 	"net"
 	"net/netip"
@@ -69,8 +71,13 @@
 	Interval    time.Duration // between two announcements; zero means 2 s
 	Behaviour   Behaviour
 	Dial        fasthttp.DialFunc // to entry VMs; may be nil
+	Log         io.Writer         // gets a line with RunPrefix for each request run; may be nil
 }
 
+// RunPrefix begins a line of RunnerOptions.Log. The key under which
+// Count.Requests counts the run follows.
+const RunPrefix = "run "
+
 // Runner is a stand-in for one runner of a service. GET /count tells what it
 // has run; PUT /behaviour changes its Behaviour.
 type Runner struct {
@@ -250,6 +257,9 @@
 	r.count.Peak = max(r.count.Peak, r.count.Busy)
 	r.count.Total++
 	r.count.Requests[identity]++
+	if r.options.Log != nil {
+		_, _ = fmt.Fprintf(r.options.Log, "%s%s\n", RunPrefix, identity)
+	}
 	return r.behaviour, true
 }
 
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -35,6 +37,19 @@
 	Lag         time.Duration // age of the usage that is reported
 	Client      *Client       // shared by several workers; by default its own
 	Dial        fasthttp.DialFunc
+	Fail        bool      // every task fails at once
+	Log         io.Writer // gets a Record as a line of JSON for each begin and end of a run; may be nil
+}
+
+// Record is a line of WorkerOptions.Log.
+type Record struct {
+	Worker  string    `json:"worker"`
+	Job     uint64    `json:"job"`
+	Index   uint32    `json:"index"`
+	Token   uint64    `json:"token"`
+	Outcome string    `json:"outcome"` // empty when the run begins
+	Expired bool      `json:"expired"` // the run ends because the lease did
+	At      time.Time `json:"at"`
 }
 
 // Worker is a stand-in for a worker VM. It runs tasks as timers by their
@@ -77,9 +92,10 @@
 
 // run is a task that runs.
 type run struct {
-	start api.Start
-	limit api.Size
-	timer *time.Timer
+	start   api.Start
+	limit   api.Size
+	timer   *time.Timer
+	expired bool // the lease has ended
 }
 
 // NewWorker returns a Worker. Run makes it poll.
@@ -209,6 +225,7 @@
 	}
 	w.stats.Expired += len(w.tasks)
 	for id, r := range w.tasks {
+		r.expired = true
 		w.end(id, r.start.Token, "stopped")
 	}
 }
@@ -244,12 +261,17 @@
 	r := &run{start: s, limit: s.Size}
 	w.tasks[id] = r
 	w.stats.Peak = max(w.stats.Peak, len(w.tasks))
-	if after, outcome, ends := plan(s); ends {
+	w.log(r, "")
+	after, outcome, ends := plan(s)
+	if w.options.Fail {
+		after, outcome, ends = failTime, "failed", true
+	}
+	if ends {
 		r.timer = time.AfterFunc(after, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if !time.Now().Before(w.lease) {
-				outcome = "stopped" // the process was paused past its lease
+				outcome, r.expired = "stopped", true // the process was paused past its lease
 			}
 			w.end(id, s.Token, outcome)
 		})
@@ -266,9 +288,24 @@
 		r.timer.Stop()
 	}
 	delete(w.tasks, id)
+	w.log(r, outcome)
 	w.ended[id] = api.Ended{Job: id.job, Index: id.index, Token: token, Outcome: outcome}
 }
 
+// log writes the begin of a run, or its end with an outcome.
+func (w *Worker) log(r *run, outcome string) {
+	if w.options.Log == nil {
+		return
+	}
+	b, err := json.Marshal(Record{
+		Worker: w.options.Name, Job: r.start.Job, Index: r.start.Index, Token: r.start.Token,
+		Outcome: outcome, Expired: r.expired, At: time.Now(),
+	})
+	if err == nil {
+		_, _ = w.options.Log.Write(append(b, '\n'))
+	}
+}
+
 // plan returns after what time a task ends and how. Without an end it runs
 // until it is stopped.
 func plan(s api.Start) (after time.Duration, outcome string, ends bool) {
