--- a/internal/cell/tasks_test.go
+++ b/internal/cell/tasks_test.go
@@ -97,6 +97,23 @@
 	}
 }
 
+// kept checks that a task ran again only if its worker had lost its lease or
+// was killed.
+func (h *harness) kept(all map[task][]*run, killed ...string) {
+	h.t.Helper()
+	for id, runs := range all {
+		for _, r := range runs[:len(runs)-1] {
+			if !r.Expired && !slices.Contains(killed, r.Worker) {
+				h.t.Errorf("task %d of job %d ran again after its run on %s under %d, which ended as %q with a lease",
+					id.index, id.job, r.Worker, r.Token, r.Outcome)
+			}
+		}
+	}
+}
+
+// halt returns that a worker's process was killed just now.
+func halt(name string) map[string]time.Time { return map[string]time.Time{name: time.Now()} }
+
 // submit submits a job and waits until each of its tasks has started.
 func (h *harness) submit(s api.Submission) api.Job {
 	h.t.Helper()
@@ -128,7 +145,7 @@
 	h.Equal(len(moved), 8) // the tasks fill all three workers
 	h.until("the tasks have begun", func() bool { return len(h.history(names, nil)) == len(tokens) })
 	h.NoErr(h.Processes["killed"].Kill())
-	halted := map[string]time.Time{"killed": time.Now()}
+	halted := halt("killed")
 	h.NoErr(h.Processes["paused"].Signal(syscall.SIGSTOP))
 	halted["paused"] = time.Now()
 	h.until("tasks of the paused worker run elsewhere", func() bool {
