Hold a worker's poll until there are orders

Cause: a poll was answered as soon as its lease was renewed, so a start waited for the worker's next poll, up to a second later, and every worker polled every second. Ruled out: a faster poll, which costs the leader in proportion. Now an acknowledged poll is held on for up to 4 s and ends with the orders that the leader's reminders bring; a run that ends is reported by a poll that takes the place of the held one.

--- a/internal/request/worker/worker.go
+++ b/internal/request/worker/worker.go
@@ -30,8 +30,11 @@
 )
 
 const (
-	// HoldTime is how long a poll waits for the leader.
-	HoldTime = 2 * time.Second
+	// HoldTime is how long a poll waits for orders. A start reaches a worker
+	// with the next renewal while its poll is held, and a worker without orders
+	// polls once in this time. It is well below LeaseTime, so that a worker that
+	// gets no answer can try two other entry VMs before its lease ends.
+	HoldTime = 4 * time.Second
 	// LeaseTime is a worker's lease, from when it sent the poll.
 	LeaseTime = 15 * time.Second
 
@@ -66,6 +69,8 @@
 	once   sync.Once
 	done   chan struct{}
 	answer *control.WorkerOrders // nil if a later poll of the worker came
+	// acknowledged is the leader's answer without orders. The poll is held on.
+	acknowledged atomic.Pointer[control.WorkerOrders]
 }
 
 func (p *poll) finish(answer *control.WorkerOrders) {
@@ -195,7 +200,7 @@
 	select {
 	case <-p.done:
 	case <-timer.C:
-		p.finish(nil)
+		p.finish(p.acknowledged.Load())
 	}
 	if p.answer == nil {
 		fail := web.Unknown(api.NoLeader, "the leader did not answer the poll, or a later one came")
@@ -226,7 +231,7 @@
 				entered = false
 				return
 			}
-			old.finish(nil)
+			old.finish(old.acknowledged.Load())
 		}
 		m[p.report.Worker.Name] = p
 	})
@@ -241,18 +246,21 @@
 	})
 }
 
-// Reports appends the waiting polls.
+// Reports appends the polls that the leader has not acknowledged.
 func (a *Adapter) Reports(into []control.WorkerReport) []control.WorkerReport {
 	a.polls.Range(func(_ string, p *poll) bool {
-		into = append(into, p.report)
+		if p.acknowledged.Load() == nil {
+			into = append(into, p.report)
+		}
 		return true
 	})
 	return into
 }
 
-// Deliver answers the polls that the orders are for. Orders without an
-// acknowledgement of the waiting poll are delivered, but renew no lease; so is a
-// request to rejoin, which the worker answers with its next poll.
+// Deliver answers the polls that the orders are for. A poll that is
+// acknowledged without orders is held on. Orders without an acknowledgement of
+// the waiting poll are delivered, but renew no lease; so is a request to rejoin,
+// which the worker answers with its next poll.
 func (a *Adapter) Deliver(list []control.WorkerOrders) {
 	for i := range list {
 		o := &list[i]
@@ -260,8 +268,16 @@
 		if !ok || p.report.Worker.Boot != o.Boot {
 			continue
 		}
-		if o.Acknowledged >= p.report.Sequence || o.Rejoin || len(o.Starts)+len(o.Stops)+len(o.Throttles)+len(o.Ended) > 0 {
+		acknowledged := o.Acknowledged >= p.report.Sequence
+		switch {
+		case o.Rejoin || len(o.Starts)+len(o.Stops)+len(o.Throttles)+len(o.Ended) > 0 || acknowledged && p.report.Leaving:
+			if before := p.acknowledged.Load(); before != nil {
+				o.Acknowledged = max(o.Acknowledged, before.Acknowledged)
+			}
 			p.finish(o)
+		case acknowledged:
+			kept := *o // o would keep the whole grant in memory
+			p.acknowledged.Store(&kept)
 		}
 	}
 }
--- a/internal/request/worker/worker_test.go
+++ b/internal/request/worker/worker_test.go
@@ -178,6 +178,46 @@
 	})
 }
 
+// Guards against a start that waits for a worker's next poll, against a lease
+// that is lost because its acknowledgement came before the orders, and against
+// polls that are reported again with every renewal.
+func TestHeldAfterAcknowledgement(t *testing.T) {
+	for name, ordered := range map[string]bool{"start": true, "no orders": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				a, _ := start()
+				begin := time.Now()
+				done := make(chan api.Orders, 1)
+				go func() {
+					status, body := call(a, "/v1/workers/w/poll", poll1, "pool")
+					is.Equal(status, 200)
+					var o api.Orders
+					is.NoErr(json.Unmarshal(body, &o))
+					done <- o
+				}()
+				synctest.Wait()
+				is.Equal(len(a.Reports(nil)), 1)
+				boot := a.Reports(nil)[0].Worker.Boot
+				a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: boot, Acknowledged: 1}})
+				is.Equal(len(a.Reports(nil)), 0)
+				time.Sleep(time.Second)
+				if ordered {
+					a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: boot, Starts: []control.StartOrder{{Token: 7}}}})
+				}
+				o := <-done
+				is.True(o.Lease > 0)
+				is.Equal(len(o.Starts) == 1, ordered)
+				if ordered {
+					is.Equal(time.Since(begin), time.Second)
+				} else {
+					is.Equal(time.Since(begin), HoldTime)
+				}
+			})
+		})
+	}
+}
+
 // FuzzPoll guards against a body that crashes the adapter or passes values
 // outside the bounds.
 func FuzzPoll(f *testing.F) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -20,6 +20,11 @@
 const (
 	pollInterval = time.Second
 	pollRetry    = 200 * time.Millisecond
+	// pollAgain is the pause before the poll that follows orders or the end of
+	// a run.
+	pollAgain = 20 * time.Millisecond
+	// pollTimeout is above the 4 s for which an entry VM holds a poll.
+	pollTimeout = 6 * time.Second
 	// failTime is how long a task that fails runs.
 	failTime = 10 * time.Millisecond
 )
@@ -66,6 +71,8 @@
 	client  *Client
 	boot    uint64
 
+	changed chan struct{} // a run has ended
+
 	mu       sync.Mutex
 	sequence uint64
 	echo     uint64 // latest challenge
@@ -108,42 +115,72 @@
 	}
 	return &Worker{
 		options: options, client: options.Client, boot: boot(),
-		tasks: make(map[taskID]*run), tokens: make(map[taskID]uint64), ended: make(map[taskID]api.Ended),
+		changed: make(chan struct{}, 1),
+		tasks:   make(map[taskID]*run), tokens: make(map[taskID]uint64), ended: make(map[taskID]api.Ended),
 	}
 }
 
 // Run polls until ctx ends, then stops the tasks and leaves.
 func (w *Worker) Run(ctx context.Context) error {
 	// Workers that start together do not poll together.
-	wait(ctx, rand.N(w.options.Interval))
+	pause(ctx, rand.N(w.options.Interval), nil)
 	for ctx.Err() == nil {
-		pause := w.options.Interval
-		if err := w.poll("poll"); err != nil {
-			pause = pollRetry
-		}
-		wait(ctx, pause)
+		w.cycle(ctx)
 	}
 	w.stopAll("stopped")
-	return w.poll("leave")
+	_, err := w.poll("leave")
+	return err
+}
+
+// cycle sends one poll and waits until the next one is due. A run that ends is
+// reported at once, by a poll that takes the place of the one being held.
+func (w *Worker) cycle(ctx context.Context) {
+	type result struct {
+		ordered bool
+		err     error
+	}
+	begin := time.Now()
+	done := make(chan result, 1)
+	go func() {
+		ordered, err := w.poll("poll")
+		done <- result{ordered, err}
+	}()
+	select {
+	case r := <-done:
+		next := begin.Add(w.options.Interval)
+		switch {
+		case r.err != nil:
+			next = time.Now().Add(pollRetry)
+		case r.ordered:
+			next = time.Now().Add(pollAgain)
+		}
+		pause(ctx, time.Until(next), w.changed)
+	case <-w.changed:
+		pause(ctx, pollAgain, nil) // runs that end together are reported together
+	case <-ctx.Done():
+	}
 }
 
-func wait(ctx context.Context, d time.Duration) {
+// pause waits for a time, or until something changed.
+func pause(ctx context.Context, d time.Duration, changed <-chan struct{}) {
 	select {
 	case <-ctx.Done():
+	case <-changed:
 	case <-time.After(d):
 	}
 }
 
-// poll sends one poll and carries out the orders.
-func (w *Worker) poll(kind string) error {
+// poll sends one poll and carries out the orders. It reports whether there were
+// any.
+func (w *Worker) poll(kind string) (bool, error) {
 	sent := time.Now()
 	body := w.report(sent)
 	var orders api.Orders
-	if err := w.client.Post("/v1/workers/"+w.options.Name+"/"+kind, body, &orders, postTimeout); err != nil {
-		return err
+	if err := w.client.Post("/v1/workers/"+w.options.Name+"/"+kind, body, &orders, pollTimeout); err != nil {
+		return false, err
 	}
 	w.obey(&orders, sent)
-	return nil
+	return len(orders.Starts)+len(orders.Stops)+len(orders.Throttle)+len(orders.Ended) > 0, nil
 }
 
 // report returns the next poll.
@@ -290,6 +327,10 @@
 	delete(w.tasks, id)
 	w.log(r, outcome)
 	w.ended[id] = api.Ended{Job: id.job, Index: id.index, Token: token, Outcome: outcome}
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
 }
 
 // log writes the begin of a run, or its end with an outcome.
