--- a/Makefile
+++ b/Makefile
@@ -36,4 +36,4 @@
 # capacity measures what workers and tasks cost the daemons, on this machine.
 .PHONY: capacity
 capacity:
-	$(GO) test ./internal/cell -run 'TestCapacity$$' -count=1 -v -args -capacity
+	$(GO) test ./internal/cell -run 'TestCapacity' -count=1 -v -args -capacity
--- a/internal/cell/capacity_test.go
+++ b/internal/cell/capacity_test.go
@@ -7,6 +7,8 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -126,3 +128,93 @@
 	})
 	h.measure(fmt.Sprintf("%d workers, 12000 running", total))
 }
+
+const (
+	loadRunners = 8
+	loadSlots   = 8
+	loadDelay   = 20 * time.Millisecond
+)
+
+// TestCapacityRequests prints what service requests cost the daemons, and how
+// much of the slots' full rate is answered under overload.
+func TestCapacityRequests(t *testing.T) {
+	if !*capacity {
+		t.Skip("run by make capacity")
+	}
+	h := newHarness(t, 4)
+	o := h.Operator()
+	_, err := o.PutTeam(h.ctx, api.Team{Name: "crowd", Weight: 1})
+	h.NoErr(err)
+	for _, e := range []api.Entry{
+		{Name: "lane", Owner: "crowd", Class: "service", Idempotent: true},
+		{Name: "till", Owner: "crowd", Class: "service"},
+	} {
+		_, err = o.PutEntry(h.ctx, e)
+		h.NoErr(err)
+	}
+	caller, err := o.PutKey(h.ctx, api.Key{Name: "crowd-caller", Team: "crowd", Role: "caller"})
+	h.NoErr(err)
+	upstream, err := o.PutKey(h.ctx, api.Key{Name: "crowd-upstream", Team: "crowd", Role: "upstream"})
+	h.NoErr(err)
+	h.keys.Upstream = upstream.Secret
+	for i := range loadRunners {
+		for _, entry := range []string{"lane", "till"} {
+			h.runner(fmt.Sprintf("%s-%d", entry, i), entry, "--slots", strconv.Itoa(loadSlots), "--delay", loadDelay.String())
+		}
+	}
+	full := float64(loadRunners*loadSlots) / loadDelay.Seconds()
+	for _, x := range []struct {
+		entry   string
+		keyed   bool
+		senders int
+	}{{"lane", false, 32}, {"lane", false, 192}, {"till", true, 32}, {"till", true, 192}} {
+		stop := h.load(x.entry, caller.Secret, x.keyed, x.senders)
+		h.measure(fmt.Sprintf("%s, %d senders", x.entry, x.senders))
+		answered, refused, other, elapsed := stop()
+		t.Logf("%-28s %6.0f answered/s of %.0f, %6.0f refused/s, %d others", fmt.Sprintf("%s, %d senders", x.entry, x.senders),
+			float64(answered)/elapsed.Seconds(), full, float64(refused)/elapsed.Seconds(), other)
+	}
+}
+
+// load sends requests through all entry VMs until the returned function ends
+// it. A sender that is refused waits as long as the answer asks for.
+func (h *harness) load(entry, key string, keyed bool, senders int) (stop func() (answered, refused, other int64, elapsed time.Duration)) {
+	var a, r, o atomic.Int64
+	var ended atomic.Bool
+	var wait sync.WaitGroup
+	begin := time.Now()
+	client := &fasthttp.Client{MaxConnsPerHost: senders}
+	for i := range senders {
+		node := h.Nodes[i%len(h.Nodes)]
+		wait.Go(func() {
+			request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			for n := 0; !ended.Load(); n++ {
+				request.SetRequestURI("http://" + node.HTTP.String() + "/v1/services/" + entry + "/x")
+				request.Header.SetMethod(fasthttp.MethodPost)
+				request.Header.Set(fasthttp.HeaderAuthorization, "Bearer "+key)
+				if keyed {
+					request.Header.Set(api.IdempotencyHeader, fmt.Sprintf("%d-%d-%d", begin.UnixNano(), i, n))
+				}
+				request.SetBodyString("one lorry")
+				err := client.Do(request, response)
+				switch {
+				case err == nil && response.StatusCode() == fasthttp.StatusOK:
+					a.Add(1)
+				case err == nil && response.StatusCode() == fasthttp.StatusServiceUnavailable:
+					r.Add(1)
+					var e api.Error
+					if json.Unmarshal(response.Body(), &e) == nil {
+						time.Sleep(time.Until(e.Retry))
+					}
+				default:
+					o.Add(1)
+				}
+			}
+		})
+	}
+	return func() (int64, int64, int64, time.Duration) {
+		ended.Store(true)
+		wait.Wait()
+		return a.Load(), r.Load(), o.Load(), time.Since(begin)
+	}
+}
