Make the paused worker's test see short overlaps

The test took runs as ended at the pause whatever ended them, so a leader that counted a lease of 2 s went unnoticed: its stop orders reached the paused worker soon after it resumed. A run now counts as ended at the pause only if the end of its lease ended it, and a worker with free room lets tasks be placed again at once. A stand-in that polls after its lease ended stops its tasks before it takes the new lease.

--- a/internal/cell/tasks_test.go
+++ b/internal/cell/tasks_test.go
@@ -39,8 +39,9 @@
 }
 
 // history returns the runs of all tasks on workers in the order of their
-// tokens. Halted holds when a worker's process was killed or paused: no run
-// that had begun there went on after that, unless it succeeded.
+// tokens. Halted holds when a worker's process was killed or paused. A run that
+// had begun there ended then if the process was killed, or if the end of its
+// lease was the first that the run saw after the pause.
 func (h *harness) history(workers []string, halted map[string]time.Time) map[task][]*run {
 	h.t.Helper()
 	all := make(map[task][]*run)
@@ -63,7 +64,7 @@
 	for _, runs := range all {
 		for _, r := range runs {
 			at := halted[r.Worker]
-			if !at.IsZero() && r.begin.Before(at) && (r.end.IsZero() || r.end.After(at) && r.Outcome != "succeeded") {
+			if !at.IsZero() && r.begin.Before(at) && (r.end.IsZero() || r.end.After(at) && r.Expired) {
 				r.end = at
 			}
 		}
@@ -144,6 +145,8 @@
 	}
 	h.Equal(len(moved), 8) // the tasks fill all three workers
 	h.until("the tasks have begun", func() bool { return len(h.history(names, nil)) == len(tokens) })
+	names = append(names, "spare") // has room for all that is placed again
+	h.singles([]string{"spare"}, "--cpu", "16000")
 	h.NoErr(h.Processes["killed"].Kill())
 	halted := halt("killed")
 	h.NoErr(h.Processes["paused"].Signal(syscall.SIGSTOP))
@@ -151,7 +154,7 @@
 	h.until("tasks of the paused worker run elsewhere", func() bool {
 		for id, runs := range h.history(names, halted) {
 			last := runs[len(runs)-1]
-			if last.Worker == "healthy" && moved[id.index] != 0 && j.Tasks[id.index].Worker == "paused" {
+			if last.Worker != "paused" && j.Tasks[id.index].Worker == "paused" {
 				return true
 			}
 		}
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -204,8 +204,10 @@
 	}
 }
 
-// renew sets the end of the lease, at which every task is stopped.
+// renew sets the end of the lease, at which every task is stopped. Tasks whose
+// lease has ended are not saved by a new one.
 func (w *Worker) renew(lease time.Time) {
+	w.lapse()
 	if !lease.After(w.lease) {
 		return
 	}
@@ -216,10 +218,14 @@
 	w.expiry = time.AfterFunc(time.Until(lease), w.expire)
 }
 
-// expire stops every task if the lease has ended.
 func (w *Worker) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.lapse()
+}
+
+// lapse stops every task if the lease has ended.
+func (w *Worker) lapse() {
 	if time.Now().Before(w.lease) {
 		return
 	}
