--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"slices"
 	"strconv"
@@ -18,6 +20,11 @@
 const (
 	pollInterval = time.Second
 	pollRetry    = 200 * time.Millisecond
+	// pollAgain is the pause before the poll that follows orders or the end of
+	// a run.
+	pollAgain = 20 * time.Millisecond
+	// pollTimeout is above the 4 s for which an entry VM holds a poll.
+	pollTimeout = 6 * time.Second
 	// failTime is how long a task that fails runs.
 	failTime = 10 * time.Millisecond
 )
@@ -35,6 +42,19 @@
 	Lag         time.Duration // age of the usage that is reported
 	Client      *Client       // shared by several workers; by default its own
 	Dial        fasthttp.DialFunc
+	Fail        bool      // every task fails at once
+	Log         io.Writer // gets a Record as a line of JSON for each begin and end of a run; may be nil
+}
+
+// Record is a line of WorkerOptions.Log.
+type Record struct {
+	Worker  string    `json:"worker"`
+	Job     uint64    `json:"job"`
+	Index   uint32    `json:"index"`
+	Token   uint64    `json:"token"`
+	Outcome string    `json:"outcome"` // empty when the run begins
+	Expired bool      `json:"expired"` // the run ends because the lease did
+	At      time.Time `json:"at"`
 }
 
 // Worker is a stand-in for a worker VM. It runs tasks as timers by their
@@ -51,6 +71,8 @@
 	client  *Client
 	boot    uint64
 
+	changed chan struct{} // a run has ended
+
 	mu       sync.Mutex
 	sequence uint64
 	echo     uint64 // latest challenge
@@ -77,9 +99,10 @@
 
 // run is a task that runs.
 type run struct {
-	start api.Start
-	limit api.Size
-	timer *time.Timer
+	start   api.Start
+	limit   api.Size
+	timer   *time.Timer
+	expired bool // the lease has ended
 }
 
 // NewWorker returns a Worker. Run makes it poll.
@@ -92,42 +115,72 @@
 	}
 	return &Worker{
 		options: options, client: options.Client, boot: boot(),
-		tasks: make(map[taskID]*run), tokens: make(map[taskID]uint64), ended: make(map[taskID]api.Ended),
+		changed: make(chan struct{}, 1),
+		tasks:   make(map[taskID]*run), tokens: make(map[taskID]uint64), ended: make(map[taskID]api.Ended),
 	}
 }
 
 // Run polls until ctx ends, then stops the tasks and leaves.
 func (w *Worker) Run(ctx context.Context) error {
 	// Workers that start together do not poll together.
-	wait(ctx, rand.N(w.options.Interval))
+	pause(ctx, rand.N(w.options.Interval), nil)
 	for ctx.Err() == nil {
-		pause := w.options.Interval
-		if err := w.poll("poll"); err != nil {
-			pause = pollRetry
-		}
-		wait(ctx, pause)
+		w.cycle(ctx)
 	}
 	w.stopAll("stopped")
-	return w.poll("leave")
+	_, err := w.poll("leave")
+	return err
 }
 
-func wait(ctx context.Context, d time.Duration) {
+// cycle sends one poll and waits until the next one is due. A run that ends is
+// reported at once, by a poll that takes the place of the one being held.
+func (w *Worker) cycle(ctx context.Context) {
+	type result struct {
+		ordered bool
+		err     error
+	}
+	begin := time.Now()
+	done := make(chan result, 1)
+	go func() {
+		ordered, err := w.poll("poll")
+		done <- result{ordered, err}
+	}()
 	select {
+	case r := <-done:
+		next := begin.Add(w.options.Interval)
+		switch {
+		case r.err != nil:
+			next = time.Now().Add(pollRetry)
+		case r.ordered:
+			next = time.Now().Add(pollAgain)
+		}
+		pause(ctx, time.Until(next), w.changed)
+	case <-w.changed:
+		pause(ctx, pollAgain, nil) // runs that end together are reported together
 	case <-ctx.Done():
+	}
+}
+
+// pause waits for a time, or until something changed.
+func pause(ctx context.Context, d time.Duration, changed <-chan struct{}) {
+	select {
+	case <-ctx.Done():
+	case <-changed:
 	case <-time.After(d):
 	}
 }
 
-// poll sends one poll and carries out the orders.
-func (w *Worker) poll(kind string) error {
+// poll sends one poll and carries out the orders. It reports whether there were
+// any.
+func (w *Worker) poll(kind string) (bool, error) {
 	sent := time.Now()
 	body := w.report(sent)
 	var orders api.Orders
-	if err := w.client.Post("/v1/workers/"+w.options.Name+"/"+kind, body, &orders, postTimeout); err != nil {
-		return err
+	if err := w.client.Post("/v1/workers/"+w.options.Name+"/"+kind, body, &orders, pollTimeout); err != nil {
+		return false, err
 	}
 	w.obey(&orders, sent)
-	return nil
+	return len(orders.Starts)+len(orders.Stops)+len(orders.Throttle)+len(orders.Ended) > 0, nil
 }
 
 // report returns the next poll.
@@ -209,6 +262,7 @@
 	}
 	w.stats.Expired += len(w.tasks)
 	for id, r := range w.tasks {
+		r.expired = true
 		w.end(id, r.start.Token, "stopped")
 	}
 }
@@ -244,12 +298,17 @@
 	r := &run{start: s, limit: s.Size}
 	w.tasks[id] = r
 	w.stats.Peak = max(w.stats.Peak, len(w.tasks))
-	if after, outcome, ends := plan(s); ends {
+	w.log(r, "")
+	after, outcome, ends := plan(s)
+	if w.options.Fail {
+		after, outcome, ends = failTime, "failed", true
+	}
+	if ends {
 		r.timer = time.AfterFunc(after, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
 			if !time.Now().Before(w.lease) {
-				outcome = "stopped" // the process was paused past its lease
+				outcome, r.expired = "stopped", true // the process was paused past its lease
 			}
 			w.end(id, s.Token, outcome)
 		})
@@ -266,7 +325,26 @@
 		r.timer.Stop()
 	}
 	delete(w.tasks, id)
+	w.log(r, outcome)
 	w.ended[id] = api.Ended{Job: id.job, Index: id.index, Token: token, Outcome: outcome}
+	select {
+	case w.changed <- struct{}{}:
+	default:
+	}
+}
+
+// log writes the begin of a run, or its end with an outcome.
+func (w *Worker) log(r *run, outcome string) {
+	if w.options.Log == nil {
+		return
+	}
+	b, err := json.Marshal(Record{
+		Worker: w.options.Name, Job: r.start.Job, Index: r.start.Index, Token: r.start.Token,
+		Outcome: outcome, Expired: r.expired, At: time.Now(),
+	})
+	if err == nil {
+		_, _ = w.options.Log.Write(append(b, '\n'))
+	}
 }
 
 // plan returns after what time a task ends and how. Without an end it runs
