--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -37,6 +37,10 @@
 	// balancerDelay is the time between the turn of the health check and the
 	// refusal of new requests, for the balancer to see it.
 	balancerDelay = 2 * time.Second
+	// handOverTime bounds the wait for other owners of this VM's runners, which
+	// takes a few renewals; handOverPoll is the time between two looks.
+	handOverTime = 3 * time.Second
+	handOverPoll = 50 * time.Millisecond
 	// drainTime bounds a graceful shutdown. It is above the longest request
 	// deadline of 30 s.
 	drainTime = 40 * time.Second
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -37,6 +37,7 @@
 	pool := upstream.New(upstream.Options{Name: s.Name, Zone: s.Zone, Log: d.log})
 	calls := d.metrics.Caller(d.peer)
 	e := &entry{log: d.log, pool: pool}
+	e.pool = pool
 	allotments := upstream.NewAllotments(nil, func() { e.link.Kick() })
 	var err error
 	if e.link, err = link.New(link.Options{
@@ -81,7 +82,23 @@
 	case <-ctx.Done():
 	}
 	e.link.Drain()
+	e.handOver(ctx)
 	if err := e.router.Drain(ctx); err != nil {
 		e.log.Emit(event.ProcessCut, zap.Error(err))
 	}
 }
+
+// handOver waits until other entry VMs own the runners. A process that leads
+// would otherwise step down first, and the runners would have no owner until
+// the next leader learns of them.
+func (e *entry) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTime)
+	defer cancel()
+	for len(e.pool.Owned(nil)) > 0 {
+		select {
+		case <-time.After(handOverPoll):
+		case <-ctx.Done():
+			return // the last entry VM keeps them
+		}
+	}
+}
--- a/internal/process/event/placement.go
+++ b/internal/process/event/placement.go
@@ -18,8 +18,6 @@
 	JobFaulty        = define(411, zapcore.WarnLevel, "job refused: it fails on healthy workers", "The job failed on workers that are fine with other jobs; its owner has to look at it.")
 	JobOversized     = define(412, zapcore.WarnLevel, "job refused: it needs more than any worker or limit allows", "Runs of the job needed more than the largest size it can get; its owner has to split it.")
 	DecisionRejected = define(420, zapcore.WarnLevel, "placement decision rejected", "The state refused a proposed decision; a few are normal around a change of a worker or limit.")
-	WorkerAside      = define(421, zapcore.WarnLevel, "worker set aside", "A worker failed several different jobs and gets only trial tasks; look at the worker.")
-	WorkerRestored   = define(422, zapcore.InfoLevel, "worker restored", "A trial task succeeded on a worker that was set aside; nothing to do.")
 )
 
 // Placement returns the event for the Reason of a placement decision.
--- a/internal/process/leader/schedule.go
+++ b/internal/process/leader/schedule.go
@@ -146,12 +146,12 @@
 	if starts > 0 {
 		s := &d.Starts[0]
 		t.emit(event.DecisionStart, zap.Uint64("job", uint64(s.Task.Job)), zap.Uint32("task", s.Task.Index),
-			zap.Int("tasks", starts), zap.String("worker", s.Worker), zap.String("reason", d.Reason))
+			zap.Int("tasks", starts), zap.String("worker", s.Worker), zap.String("reason", d.Reason), rule(d))
 	}
 	if stops > 0 {
 		s := &d.Stops[0]
 		t.emit(event.DecisionStop, zap.Uint64("job", uint64(s.Task.Job)), zap.Uint32("task", s.Task.Index),
-			zap.Int("tasks", stops), zap.String("mode", string(s.Mode)), zap.String("reason", d.Reason))
+			zap.Int("tasks", stops), zap.String("mode", string(s.Mode)), zap.String("reason", d.Reason), rule(d))
 	}
 	if refusals > 0 {
 		t.emit(event.DecisionRefuse, zap.Uint64("job", uint64(d.Refuse[0].Job)), zap.String("reason", d.Refuse[0].Reason))
@@ -159,6 +159,15 @@
 	return starts+stops+refusals > 0
 }
 
+// rule returns the number of the placement rule behind a decision, for the log.
+func rule(d *work.Decision) zap.Field {
+	id, ok := event.Placement(d.Reason)
+	if !ok {
+		return zap.Skip()
+	}
+	return zap.Int("rule", int(id))
+}
+
 // rejected returns the part of a decision that was rejected with a task: all
 // starts of an atomic decision, else what concerns the task.
 func rejected(d *work.Decision, id work.TaskID) work.Decision {
--- a/internal/request/route/intent.go
+++ b/internal/request/route/intent.go
@@ -139,7 +139,7 @@
 		fail.Ran = api.RanYes
 		return result{fail: fail}
 	case s.Ran == ranNo:
-		return result{fail: r.refuse(api.InProgress, "the same request was given up before it ran; send it with another %s", api.IdempotencyHeader)}
+		return result{fail: r.refuse(api.InProgress, "the same request was given up before it ran; send it again")}
 	}
 	return result{fail: web.Unknown(api.InProgress, "the request may have run; its outcome was lost")}
 }
--- a/internal/request/route/verify.go
+++ b/internal/request/route/verify.go
@@ -34,6 +34,9 @@
 	if !answer.Found || answer.Known == nil || f.holds(answer.Known.Intent.Holder) {
 		return nil, fail
 	}
+	if s := answer.Known.Settle; s != nil && s.Ran == ranNo {
+		return nil, fail // given up before it ran
+	}
 	if answer.Known.Intent.Digest != f.intent.digest {
 		return nil, r.mismatch(f)
 	}
