Log refusals before routing; name the last answer when time is up

A refusal at admission (stale view, wrong key, unknown entry) had no log line. A client whose time ran out reported unreachable although an entry VM had answered no_leader. The list of jobs showed 0 tasks for every job; it has none to show.

--- a/cmd/rosemaryctl/cell.go
+++ b/cmd/rosemaryctl/cell.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/rosemaryloft/rosemaryloft/pkg/api"
@@ -170,7 +171,11 @@
 func (s *session) printJobs(value any, list []api.Job) error {
 	rows := make([][]any, len(list))
 	for i, j := range list {
-		rows[i] = []any{j.ID, j.Entry, j.Team, j.Class, j.State, len(j.Tasks), j.Size, j.Submitted, j.Ended, j.Reason}
+		tasks := "-" // the list of all jobs has none
+		if len(j.Tasks) > 0 {
+			tasks = strconv.Itoa(len(j.Tasks))
+		}
+		rows[i] = []any{j.ID, j.Entry, j.Team, j.Class, j.State, tasks, j.Size, j.Submitted, j.Ended, j.Reason}
 	}
 	return s.print(value, "JOB ENTRY TEAM CLASS STATE TASKS SIZE SUBMITTED ENDED REASON", rows)
 }
--- a/internal/request/caller/caller.go
+++ b/internal/request/caller/caller.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/control"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/upstream"
@@ -113,33 +114,41 @@
 	web.Fail(ctx, e)
 }
 
+// refuse answers a service request that is refused before it is routed, and
+// writes its log line; the router writes those of all others.
+func (a *Adapter) refuse(ctx *fasthttp.RequestCtx, e *api.Error) {
+	a.fail(ctx, e)
+	a.options.Log.Emit(event.RequestRefused, zap.ByteString("path", ctx.Path()), zap.Stringer("from", ctx.RemoteAddr()),
+		zap.String("code", string(e.Code)), zap.String("ran", string(e.Ran)))
+}
+
 // service serves a request to a service.
 func (a *Adapter) service(ctx *fasthttp.RequestCtx, path string) {
 	now := a.options.Now()
 	key, fail := web.Authorize(ctx, a.options.Directory, work.CallerRole)
 	if fail != nil {
-		a.fail(ctx, fail)
+		a.refuse(ctx, fail)
 		return
 	}
 	entry, rest, fail := split(path, string(ctx.Path()))
 	if fail != nil {
-		a.fail(ctx, fail)
+		a.refuse(ctx, fail)
 		return
 	}
 	admission, fail := a.options.Router.Admit(key, entry)
 	if fail != nil {
-		a.fail(ctx, fail)
+		a.refuse(ctx, fail)
 		return
 	}
 	request, fail := request(ctx, rest, now)
 	if fail != nil {
-		a.fail(ctx, fail)
+		a.refuse(ctx, fail)
 		return
 	}
 	body, held, fail := a.body(ctx, admission.Limit())
 	defer a.bytes.Add(-held)
 	if fail != nil {
-		a.fail(ctx, fail)
+		a.refuse(ctx, fail)
 		return
 	}
 	request.Body = body
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -169,6 +169,7 @@
 	start := c.good.Load()
 	backoff := firstBackoff
 	doubt := false // an earlier send may have run
+	var answered *api.Error
 	for n := 1; ; n++ {
 		at := (start + uint64(n-1)) % uint64(len(c.bases))
 		a, e := c.send(ctx, c.bases[at], q)
@@ -177,12 +178,18 @@
 			return a, nil
 		}
 		doubt = doubt || e.Ran == api.RanUnknown
+		if e.Code != Unreachable {
+			answered = e
+		}
 		var wait time.Duration
 		if n%len(c.bases) == 0 { // every address was tried
 			wait = time.Duration(c.options.Random() * float64(backoff))
 			backoff = min(2*backoff, lastBackoff)
 		}
 		if !resendable(e, q.safe) || n >= c.options.Attempts || !sleep(ctx, wait) {
+			if ctx.Err() != nil && answered != nil {
+				e = answered // says more than that the time is up
+			}
 			if doubt && e.Ran == api.RanNo && refusesAtEntry(e) {
 				e.Ran = api.RanUnknown
 			}
--- a/pkg/client/client_test.go
+++ b/pkg/client/client_test.go
@@ -59,6 +59,10 @@
 	if e, ok := body.(*api.Error); ok {
 		status = e.Status
 	}
+	if f, ok := body.(func()); ok {
+		f()
+		body = "cut"
+	}
 	if body == "cut" {
 		ctx.HijackSetNoResponse(true)
 		ctx.Hijack(func(conn net.Conn) { _ = conn.Close() })
@@ -184,6 +188,18 @@
 	}
 }
 
+// Guards against a caller that learns only that its time is up, when an entry
+// VM had told it that there is no leader.
+func TestLastAnswerGoesBeforeTheDeadline(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	c := newCell(t, map[string][]any{"a:1": {fail(503, api.NoLeader, api.RanNo), func() { cancel() }}})
+	_, err := c.client("a:1").Status(ctx)
+	var e *api.Error
+	is.True(errors.As(err, &e))
+	is.Equal(e.Code, api.NoLeader)
+}
+
 // Guards against an address that stays in use after it failed, and against
 // deadlines that entry VMs refuse.
 func TestGoodAddressIsKept(t *testing.T) {
