Wait on shutdown until the runners have other owners

Cause: the earlier wait ended when this VM had released its runners, which is before another VM gets them; a leader then stepped down and the runners had no owner until the next leader had settled. Now it waits until every runner has another owner, and two renewals more.

--- a/cmd/trial/main.go
+++ b/cmd/trial/main.go
@@ -141,8 +141,9 @@
 	return send(ctx, caller, cell.Service, "request", true)
 }
 
+// order sends a request that must run at most once, under an idempotency key.
 func order(ctx context.Context, caller *client.Client) error {
-	return send(ctx, caller, cell.Orders, "order", false)
+	return send(client.WithIdentity(ctx, "order-17"), caller, cell.Orders, "order", false)
 }
 
 func send(ctx context.Context, caller *client.Client, entry, what string, idempotent bool) error {
--- a/internal/connection/upstream/pool.go
+++ b/internal/connection/upstream/pool.go
@@ -279,6 +279,22 @@
 	return into
 }
 
+// HandedOver reports whether every runner has an owner other than this VM.
+func (p *Pool) HandedOver() bool {
+	over := true
+	p.services.Range(func(_ string, s *service) bool {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for _, r := range s.runners {
+			if !r.route.Gone && (r.route.Owner == "" || r.route.Owner == p.options.Name) {
+				over = false
+			}
+		}
+		return over
+	})
+	return over
+}
+
 // Announced takes over the runner's own count of requests from an announcement
 // that reached this entry VM.
 func (p *Pool) Announced(report control.RunnerReport) {
--- a/internal/connection/upstream/pool_test.go
+++ b/internal/connection/upstream/pool_test.go
@@ -251,3 +251,19 @@
 		}
 	})
 }
+
+// Guards against a shutdown that goes on while a runner has no other owner yet.
+func TestHandedOver(t *testing.T) {
+	is := is.New(t)
+	p := New(Options{Name: "vm-1"})
+	is.True(p.HandedOver()) // there are none
+	route := control.Route{Runner: control.RunnerID{Entry: "e", Name: "r"}, Owner: "vm-1", Slots: 1, Connections: 1}
+	for owner, over := range map[string]bool{"vm-1": false, "": false, "vm-2": true} {
+		route.Owner = owner
+		p.Routes([]control.Route{route}, true)
+		is.Equal(p.HandedOver(), over)
+	}
+	route.Owner, route.Gone = "vm-1", true
+	p.Routes([]control.Route{route}, true)
+	is.True(p.HandedOver())
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -38,9 +38,11 @@
 	// refusal of new requests, for the balancer to see it.
 	balancerDelay = 2 * time.Second
 	// handOverTime bounds the wait for other owners of this VM's runners, which
-	// takes a few renewals; handOverPoll is the time between two looks.
-	handOverTime = 3 * time.Second
-	handOverPoll = 50 * time.Millisecond
+	// takes a few renewals; handOverPoll is the time between two looks, and
+	// handOverSpread two renewals in which the others learn of the new owners.
+	handOverTime   = 3 * time.Second
+	handOverPoll   = 50 * time.Millisecond
+	handOverSpread = 400 * time.Millisecond
 	// drainTime bounds a graceful shutdown. It is above the longest request
 	// deadline of 30 s.
 	drainTime = 40 * time.Second
--- a/internal/process/daemon/entry.go
+++ b/internal/process/daemon/entry.go
@@ -77,10 +77,7 @@
 // balancer has had time to see the health check turn.
 func (e *entry) drain(ctx context.Context) {
 	e.draining.Store(true)
-	select {
-	case <-time.After(balancerDelay):
-	case <-ctx.Done():
-	}
+	pause(ctx, balancerDelay)
 	e.link.Drain()
 	e.handOver(ctx)
 	if err := e.router.Drain(ctx); err != nil {
@@ -88,17 +85,21 @@
 	}
 }
 
-// handOver waits until other entry VMs own the runners. A process that leads
-// would otherwise step down first, and the runners would have no owner until
-// the next leader learns of them.
+// handOver waits until the runners have other owners and these have had time to
+// learn of it. A process that leads would otherwise step down first, and the
+// runners would have no owner until the next leader has settled.
 func (e *entry) handOver(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, handOverTime)
 	defer cancel()
-	for len(e.pool.Owned(nil)) > 0 {
-		select {
-		case <-time.After(handOverPoll):
-		case <-ctx.Done():
-			return // the last entry VM keeps them
-		}
+	for !e.pool.HandedOver() && ctx.Err() == nil {
+		pause(ctx, handOverPoll)
+	}
+	pause(ctx, handOverSpread)
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
 	}
 }
