Take test ports that outgoing connections do not use

Cause: with daemons built with -race, TestWorkerFailsEveryTask hung until its bound: vm-3 ended with 'bind: address already in use'. The harness asked the system for a free port and closed it, and another cell running beside it got the port for a connection before the daemon bound it. Ruled out: a fault of the daemon; its log ends with that line. Ports now come from below the range of outgoing connections, each once in a process.

--- a/internal/cell/cell.go
+++ b/internal/cell/cell.go
@@ -25,6 +25,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,16 @@
 // pollInterval is the time between two looks at a condition that is waited for.
 const pollInterval = 50 * time.Millisecond
 
+// Ports that FreeAddress returns. The stride keeps processes with neighbouring
+// ids apart.
+const (
+	firstPort  = 20000
+	lastPort   = 32000
+	portStride = 97
+)
+
+var nextPort atomic.Uint32
+
 // Zones of the daemons and stand-ins, in turn.
 var Zones = []string{"nord", "centre", "sud"}
 
@@ -78,9 +89,10 @@
 		n := Node{Name: fmt.Sprintf("vm-%d", i+1), Zone: Zones[i%len(Zones)], Control: i < options.Control}
 		n.Folder = filepath.Join(options.Folder, n.Name)
 		var err error
-		if n.HTTP, n.Peers, err = freeAddresses(); err != nil {
+		if n.HTTP, err = FreeAddress(); err != nil {
 			return nil, err
 		}
+		n.Peers = n.HTTP // one is TCP, the other UDP
 		c.Nodes = append(c.Nodes, n)
 	}
 	authority, err := certificate.Create(time.Now())
@@ -102,19 +114,32 @@
 	return c, nil
 }
 
-// freeAddresses returns a TCP and a UDP address on loopback that are free now.
-func freeAddresses() (tcp, udp netip.AddrPort, err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+// FreeAddress returns a loopback address whose TCP and UDP port are free. The
+// port is below the range from which Linux takes the ports of outgoing
+// connections, and no other call in this process returns it, so that it is
+// still free when a program that is started later binds it.
+func FreeAddress() (netip.AddrPort, error) {
+	for range lastPort - firstPort {
+		n := (uint32(os.Getpid())*portStride + nextPort.Add(1)) % (lastPort - firstPort)
+		address := netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(firstPort+n))
+		if free(address) {
+			return address, nil
+		}
+	}
+	return netip.AddrPort{}, errors.New("no port is free")
+}
+
+func free(address netip.AddrPort) bool {
+	l, err := net.Listen("tcp", address.String())
 	if err != nil {
-		return tcp, udp, err
+		return false
 	}
 	defer func() { _ = l.Close() }()
-	p, err := net.ListenPacket("udp", "127.0.0.1:0")
+	p, err := net.ListenPacket("udp", address.String())
 	if err != nil {
-		return tcp, udp, err
+		return false
 	}
-	defer func() { _ = p.Close() }()
-	return l.Addr().(*net.TCPAddr).AddrPort(), p.LocalAddr().(*net.UDPAddr).AddrPort(), nil
+	return p.Close() == nil
 }
 
 func (c *Cell) writeSettings(n Node, files certificate.Files) error {
--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -107,10 +106,9 @@
 // what it has run.
 func (h *harness) runner(name, entry string, flags ...string) func() standin.Count {
 	h.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	free, err := FreeAddress()
 	h.NoErr(err)
-	address := l.Addr().String()
-	h.NoErr(l.Close())
+	address := free.String()
 	h.NoErr(h.Runner(name, entry, h.keys.Upstream, append(flags, "--listen", address)...))
 	h.until("wait for the runner "+name, func() bool {
 		all, err := h.Operator().Upstreams(h.ctx)
