--- a/internal/request/route/route_test.go
+++ b/internal/request/route/route_test.go
@@ -254,7 +254,7 @@
 	})
 }
 
-// Guards against checks in another order than the page's, of which callers see
+// Guards against checks in another order than the documented one, of which callers see
 // the first that fails.
 func TestAdmission(t *testing.T) {
 	virtual(t, 1, 1, 2, func(is *is.I, c *cell) {
@@ -510,7 +510,7 @@
 			w.pool.Left(control.RunnerID{Entry: once, Name: once + "-of-" + v.name})
 			w.pool.Left(control.RunnerID{Entry: idem, Name: idem + "-of-" + v.name})
 		}
-		time.Sleep(time.Second) // the page allows a second
+		time.Sleep(time.Second) // the documented bound is a second
 		c.set(func() { v.gone = true })
 		c.route()
 	}
