Run a cell on the users' platform: jobs of steps, leases, and the adapter

Adds the replicated state of jobs made of steps (internal/version/job), pure placement decisions (internal/version/fit), the leader's work (internal/process/dispatch), links over plain TCP with discovery from seeds (internal/connection/plain, cell), raft groups that admit unknown names, and the adapter in platform/.

--- /dev/null
+++ b/internal/connection/cell/link.go
@@ -0,0 +1,313 @@
+// Package cell links every process of a cell with its leader.
+//
+// # Usage
+//
+//	link := cell.New(cell.Options{Name: "10.0.0.1", Seeds: seeds, Peer: node, Log: log})
+//	go link.Run(ctx)
+//	verdict, err := link.Call(ctx, cell.Call{Verb: cell.Status, Host: host, Path: path})
+//
+// A process is told the addresses of a few control processes, of which some may
+// be gone. It asks all that it knows for the leader until one answers, and
+// learns the others from the leader.
+//
+// # Outcomes
+//
+// A call fails with ErrNoLeader if no process can have carried it out, and with
+// ErrUnknown if one may have. A call without a leader fails at once: whoever
+// waits for it is better served by a time to come back.
+package cell
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+)
+
+const (
+	// pingInterval is how often a process tells the leader that it is there.
+	pingInterval = 300 * time.Millisecond
+	// searchInterval is the time between two rounds of questions for the leader.
+	searchInterval = 60 * time.Millisecond
+	// askTimeout bounds one such question, and a ping.
+	askTimeout = 400 * time.Millisecond
+	// attemptTimeout bounds one attempt of a call; a commit takes some
+	// milliseconds, so a leader that is silent for longer is given up.
+	attemptTimeout = 700 * time.Millisecond
+	// patience is how long a call that was not sent waits for a leader. A caller
+	// is told to come back rather than kept waiting.
+	patience = 40 * time.Millisecond
+	// readyTime is how long after a ping was answered a process counts as linked.
+	readyTime = 1500 * time.Millisecond
+)
+
+// Errors of calls to the leader.
+var (
+	// ErrNoLeader tells that the call was certainly not carried out.
+	ErrNoLeader = errors.New("no leader answers")
+	// ErrUnknown tells that the call may have been carried out.
+	ErrUnknown = errors.New("the outcome of the call is not known")
+)
+
+// Options configures a Link.
+type Options struct {
+	Name  string
+	Zone  string
+	Seeds []string // names of control processes
+	Peer  peer.Caller
+	Log   event.Log
+}
+
+// Link is a process's link to the leader.
+type Link struct {
+	options  Options
+	leader   atomic.Pointer[string]
+	answered atomic.Int64 // Unix nanoseconds of the last answered ping; zero if none
+	wake     chan struct{}
+
+	mu      sync.Mutex
+	seeds   []string
+	members []string
+	changed chan struct{} // closed when a leader is found
+}
+
+// New returns a Link.
+func New(options Options) *Link {
+	return &Link{options: options, seeds: options.Seeds, wake: make(chan struct{}, 1), changed: make(chan struct{})}
+}
+
+// SetSeeds replaces the control processes that the settings name.
+func (l *Link) SetSeeds(seeds []string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.seeds = seeds
+}
+
+// Linked reports whether a leader answered recently.
+func (l *Link) Linked() bool {
+	return l.leader.Load() != nil && time.Since(time.Unix(0, l.answered.Load())) < readyTime
+}
+
+// Leader returns the leader's name, empty if none is known.
+func (l *Link) Leader() string {
+	if n := l.leader.Load(); n != nil {
+		return *n
+	}
+	return ""
+}
+
+// Run looks for the leader and pings it until ctx ends.
+func (l *Link) Run(ctx context.Context) error {
+	for ctx.Err() == nil {
+		if l.leader.Load() == nil {
+			l.search(ctx)
+			continue
+		}
+		l.ping(ctx)
+		wait(ctx, pingInterval, l.wake)
+	}
+	return nil
+}
+
+func wait(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-wake:
+	case <-ctx.Done():
+	}
+}
+
+// ping tells the leader that this process is there.
+func (l *Link) ping(ctx context.Context) {
+	name := l.Leader()
+	if name == "" {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var a Leader
+	if err := l.options.Peer.Call(ctx, name, MethodPing, Ping{Zone: l.options.Zone}, &a); err != nil {
+		l.lose(name, err)
+		return
+	}
+	l.answered.Store(time.Now().UnixNano())
+	l.learn(a.Members)
+}
+
+// learn keeps the members that a leader named.
+func (l *Link) learn(members []string) {
+	if len(members) == 0 {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.members = members
+}
+
+// lose forgets a leader that did not answer or does not lead.
+func (l *Link) lose(name string, err error) {
+	current := l.leader.Load()
+	if current == nil || *current != name || !l.leader.CompareAndSwap(current, nil) {
+		return
+	}
+	l.options.Log.Emit(event.LeaderUnreached, zap.String("leader", name), zap.Error(err))
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	var r *peer.Remote
+	if errors.As(err, &r) && r.Code == CodeNotLeader && r.Message != "" && r.Message != name {
+		l.found(r.Message)
+	}
+}
+
+func (l *Link) found(name string) {
+	if !l.leader.CompareAndSwap(nil, &name) {
+		return
+	}
+	l.options.Log.Emit(event.LeaderReached, zap.String("leader", name))
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// candidates returns the control processes that this process knows of.
+func (l *Link) candidates() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c := slices.Concat(l.members, l.seeds)
+	slices.Sort(c)
+	return slices.Compact(c)
+}
+
+// search asks all candidates at once. Only a process that says that it leads
+// itself is taken; hints of others may be old.
+func (l *Link) search(ctx context.Context) {
+	for _, name := range l.candidates() {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, askTimeout)
+			defer cancel()
+			var a Leader
+			if l.options.Peer.Call(ctx, name, MethodWho, Who{}, &a) == nil && a.Name == name {
+				l.learn(a.Members)
+				l.found(name)
+			}
+		}()
+	}
+	l.mu.Lock()
+	changed := l.changed
+	l.mu.Unlock()
+	if l.leader.Load() != nil {
+		return
+	}
+	wait(ctx, searchInterval, changed)
+}
+
+// Call has the leader carry out a caller's call.
+func (l *Link) Call(ctx context.Context, call Call) (Verdict, error) {
+	var v Verdict
+	err := l.do(ctx, MethodCall, call, &v)
+	return v, err
+}
+
+// Apply has the leader put a catalogue in force.
+func (l *Link) Apply(ctx context.Context, c job.Catalogue) (Verdict, error) {
+	var v Verdict
+	err := l.do(ctx, MethodApply, c, &v)
+	return v, err
+}
+
+// Read returns the catalogue in force.
+func (l *Link) Read(ctx context.Context) (Document, error) {
+	var d Document
+	err := l.do(ctx, MethodRead, Who{}, &d)
+	return d, err
+}
+
+// Report hands a worker's report to the leader.
+func (l *Link) Report(ctx context.Context, r Report) (Receipt, error) {
+	var a Receipt
+	err := l.do(ctx, MethodReport, r, &a)
+	return a, err
+}
+
+// Leave tells the leader that a worker ends.
+func (l *Link) Leave(ctx context.Context, m Leave) error {
+	return l.do(ctx, MethodLeave, m, nil)
+}
+
+// Upkeep hands a wave to the leader.
+func (l *Link) Upkeep(ctx context.Context, w Wave) (Verdict, error) {
+	var v Verdict
+	err := l.do(ctx, MethodUpkeep, w, &v)
+	return v, err
+}
+
+// Wave asks the leader how far a wave is.
+func (l *Link) Wave(ctx context.Context, number int64) (Verdict, error) {
+	var v Verdict
+	err := l.do(ctx, MethodWave, number, &v)
+	return v, err
+}
+
+// do calls the leader, whoever it is by then, until ctx ends. All methods may
+// be carried out twice.
+func (l *Link) do(ctx context.Context, method string, request, response any) error {
+	started, unclear := time.Now(), false
+	for {
+		l.mu.Lock()
+		changed := l.changed
+		l.mu.Unlock()
+		name := l.Leader()
+		if name == "" {
+			if !unclear && time.Since(started) >= patience {
+				return ErrNoLeader
+			}
+			wait(ctx, patience, changed)
+			if ctx.Err() == nil {
+				continue
+			}
+			return failure(unclear)
+		}
+		err := l.attempt(ctx, name, method, request, response)
+		if err == nil {
+			return nil
+		}
+		var r *peer.Remote
+		switch {
+		case errors.As(err, &r) && r.Code == CodeNotLeader, errors.Is(err, peer.ErrNotSent):
+		case errors.As(err, &r):
+			return err
+		default:
+			unclear = true
+		}
+		if ctx.Err() != nil {
+			return failure(unclear)
+		}
+		l.lose(name, err)
+	}
+}
+
+func failure(unclear bool) error {
+	if unclear {
+		return ErrUnknown
+	}
+	return ErrNoLeader
+}
+
+func (l *Link) attempt(ctx context.Context, name, method string, request, response any) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	return l.options.Peer.Call(ctx, name, method, request, response)
+}
--- /dev/null
+++ b/internal/process/dispatch/list.go
@@ -0,0 +1,194 @@
+package dispatch
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+)
+
+const (
+	// listWait is how long a listing waits for an end. The lease is extended by
+	// each listing, so the wait is well below its length.
+	listWait = 1500 * time.Millisecond
+	// listSlack is added to the wait for the answer to arrive.
+	listSlack = 500 * time.Millisecond
+	// listPause is the shortest time between two listings of a worker with ends;
+	// each look has a price, and ends of one step come close together.
+	listPause = 15 * time.Millisecond
+	// stallTime is the time without progress after which a run is moved to
+	// another worker. A sound run of the longest kind moves by a percent in a
+	// fifth of it.
+	stallTime = 3 * time.Second
+)
+
+// follow has a loop list the runs of a worker while it has any. The caller holds
+// the lock.
+func (t *term) follow(w *worker) {
+	if w.following || t.over {
+		return
+	}
+	w.following = true
+	t.orders.Go(func() { t.list(w) })
+}
+
+// list lists a worker's runs, extends their lease and acknowledges their ends,
+// until it has none.
+func (t *term) list(w *worker) {
+	for {
+		t.mu.Lock()
+		if t.over || t.workers[w.ID] != w || len(w.runs) == 0 && w.cursor >= w.listed {
+			w.following = false
+			t.mu.Unlock()
+			return
+		}
+		o := t.listOrder(w)
+		target := w.Worker
+		t.mu.Unlock()
+		if !t.within() {
+			pause(t.ctx, orderPause)
+			if t.ctx.Err() != nil {
+				return
+			}
+			continue
+		}
+		sent := t.now()
+		listing, a := t.dispatcher.options.Upstream.List(sent.Add(o.Wait+listSlack), &target, o)
+		if settled := t.listing(w, sent, listing, a); settled != nil {
+			t.settled(t.ctx, settled)
+		}
+		if a.Result != Accepted || len(listing.Ended) > 0 {
+			pause(t.ctx, listPause)
+		}
+	}
+}
+
+func (t *term) listOrder(w *worker) ListOrder {
+	o := ListOrder{Lease: w.lease(t.now(), t.leases()), Fence: t.number, Cursor: w.cursor}
+	if len(w.runs) == 0 || w.missed > 0 || w.clock.IsZero() {
+		return o
+	}
+	for _, r := range w.runs {
+		if r.clear.IsZero() || r.stopping {
+			return o // its fate is wanted now
+		}
+	}
+	o.Wait = min(listWait, t.timing().LongestPoll)
+	return o
+}
+
+// listing takes in a listing. It returns a channel to wait for if ends have to
+// be committed before the next listing.
+func (t *term) listing(w *worker, sent time.Time, l Listing, a Answer) <-chan bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.over || t.workers[w.ID] != w {
+		return nil
+	}
+	if t.answered(w, a) {
+		if a.Life != 0 && a.Life != w.Life {
+			t.reborn(w, a.Life)
+		} else {
+			t.finish(w, "no process or another one at its address")
+		}
+		return nil
+	}
+	if a.Result != Accepted {
+		return nil
+	}
+	present := map[job.TaskID]bool{}
+	for _, row := range l.Running {
+		present[row.Task] = true
+		t.row(w, row)
+	}
+	last := w.listed
+	for _, e := range l.Ended {
+		if e.Number > w.listed {
+			last = max(last, e.Number)
+			t.ended(w, e)
+		}
+	}
+	w.listed = last
+	if l.Whole {
+		t.missing(w, sent, present)
+	}
+	if w.listed <= w.cursor {
+		return nil
+	}
+	c := cursor{w, w.listed}
+	return t.enqueue(func(n *inbox) { n.cursors = append(n.cursors, c) })
+}
+
+// row takes in a run that a worker lists. One that is not in force is stopped.
+func (t *term) row(w *worker, row Row) {
+	r := w.runs[row.Task]
+	if r == nil || r.number != row.Run {
+		t.stray(w, row)
+		return
+	}
+	now := t.now()
+	if r.clear.IsZero() {
+		r.clear = now
+	}
+	if row.Saved != "" {
+		r.saved = row.Saved
+	}
+	if row.Percent != r.percent || r.spec.Lasting {
+		r.percent, r.moved = row.Percent, now
+	}
+	r.figure = row.Figure
+}
+
+// stray stops a run that is not in force: its order was carried out late.
+func (t *term) stray(w *worker, row Row) {
+	r := &run{id: row.Task, number: row.Run, worker: w, spec: &job.Step{}}
+	t.emit(event.RunUnclear, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", w.ID),
+		zap.String("reason", "a run that is not in force is listed"))
+	t.stop(r)
+}
+
+// ended takes in an end that a worker lists.
+func (t *term) ended(w *worker, e EndRow) {
+	r := w.runs[e.Task]
+	if r == nil || r.number != e.Run || r.ended {
+		return
+	}
+	r.ended = true
+	t.next.ends = append(t.next.ends, r.end(e.Outcome, e.Saved))
+	switch e.Outcome {
+	case job.Done:
+		w.faults, w.aside = 0, 0
+	case job.Faulted:
+		w.faults++
+		t.remember(r.id.Of()).avoid[w.ID] = true
+		if w.faults >= suspectFaults {
+			t.suspect(w, "runs fail in a row")
+		}
+		t.breakGang(r)
+	case job.Lapsed, job.Alone:
+		t.breakGang(r)
+	}
+	if e.Outcome != job.Done {
+		t.emit(event.RunEnded, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", w.ID),
+			zap.Stringer("outcome", e.Outcome), zap.Int64("number", e.Number))
+	}
+	t.signal()
+}
+
+// missing gives up runs that should be listed and are not: the worker answered
+// their start, or their stop, before the listing was asked for.
+func (t *term) missing(w *worker, sent time.Time, present map[job.TaskID]bool) {
+	for id, r := range w.runs {
+		if r.ended || present[id] {
+			continue
+		}
+		started := !r.clear.IsZero() && r.clear.Before(sent)
+		stopped := !r.stopped.IsZero() && r.stopped.Before(sent)
+		if started || stopped {
+			t.lose(r, "not listed by the worker")
+			t.breakGang(r)
+		}
+	}
+}
--- /dev/null
+++ b/internal/process/event/dispatch.go
@@ -0,0 +1,40 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+// Events of jobs with steps, of the workers that run them, and of what the
+// leader of a cell decides about both.
+var (
+	JobAccepted      = define(900, zapcore.InfoLevel, "job accepted", "The job is stored and will run; the line has its queue, workspace and steps.")
+	JobRefused       = define(901, zapcore.InfoLevel, "job refused", "The job was not stored and never runs; the line has the reason and the time to come back.")
+	JobCancelled     = define(902, zapcore.InfoLevel, "job cancelled", "The job starts nothing more and its runs are stopped.")
+	JobOver          = define(903, zapcore.InfoLevel, "job over", "The job took its final state.")
+	TasksStarted     = define(904, zapcore.InfoLevel, "tasks started", "Starts of one step were committed in one round; the line has their workers and how long the step waited.")
+	RunRefused       = define(905, zapcore.InfoLevel, "start refused by worker", "The worker refused a start for the reason given; the task waits again.")
+	RunUnclear       = define(906, zapcore.WarnLevel, "order without answer", "A worker did not answer an order, which it may carry out later; the same order is sent again.")
+	RunEnded         = define(907, zapcore.InfoLevel, "run ended", "A worker listed the end of a run and the end is committed.")
+	RunLost          = define(908, zapcore.WarnLevel, "run lost", "The run ended with its worker's life, its lease or an order that never arrived; the task waits again.")
+	WorkerKnown      = define(910, zapcore.InfoLevel, "worker known", "A worker reported itself for the first time in this life.")
+	WorkerLeaving    = define(911, zapcore.InfoLevel, "worker leaving", "A worker drains; it gets nothing new from now on.")
+	WorkerOver       = define(912, zapcore.InfoLevel, "worker over", "The worker's life ended, for the reason given.")
+	WorkerSilent     = define(913, zapcore.WarnLevel, "worker silent", "A worker does not answer; it gets nothing new until it does.")
+	WorkerAnswers    = define(914, zapcore.InfoLevel, "worker answers again", "A silent worker answered.")
+	WorkerSuspect    = define(915, zapcore.WarnLevel, "worker avoided", "Runs on the worker fail or stand still while others succeed; it gets new tasks only now and then.")
+	WorkerReport     = define(916, zapcore.WarnLevel, "report ignored", "A report could not be used; the line has the reason.")
+	CatalogueInForce = define(920, zapcore.InfoLevel, "catalogue in force", "The operator's change is committed and in force on every process.")
+	CatalogueRefused = define(921, zapcore.WarnLevel, "catalogue refused", "The operator's change is invalid; the line has every finding.")
+	TermBegun        = define(930, zapcore.InfoLevel, "leader takes over", "This process leads the cell from now on; the line has what it took over.")
+	TermEnded        = define(931, zapcore.WarnLevel, "leader steps down", "This process no longer leads the cell.")
+	RoundDropped     = define(932, zapcore.ErrorLevel, "round not committed", "The log did not commit a round; its decisions are dropped and made again.")
+	AdviceAsked      = define(940, zapcore.InfoLevel, "advice asked", "The advice service was asked about a step through the process given.")
+	AdviceFailed     = define(941, zapcore.WarnLevel, "advice failed", "The advice service gave no usable answer; the step is asked about again.")
+	LeaderReached    = define(950, zapcore.InfoLevel, "leader reached", "This process forwards calls to the leader given.")
+	LeaderUnreached  = define(951, zapcore.WarnLevel, "leader not reached", "No leader answered; calls are refused at once with a time to come back until one does.")
+	CallForwarded    = define(952, zapcore.InfoLevel, "call answered", "A caller's call was answered; the line has its request id, outcome and time.")
+	CallRefused      = define(953, zapcore.WarnLevel, "call not served", "A caller's call was refused or its outcome is not known; the line has the request id and the reason.")
+	SettingsReloaded = define(960, zapcore.InfoLevel, "settings reloaded", "The settings file changed; what can change without a restart is in force.")
+	SettingsRejected = define(961, zapcore.ErrorLevel, "settings rejected", "The settings file changed but cannot be used; the former settings stay in force.")
+	LinesDropped     = define(962, zapcore.WarnLevel, "log lines dropped", "More lines were written than the log's rate allows or its reader takes; the line counts those since the last such line.")
+	UpkeepOrdered    = define(970, zapcore.InfoLevel, "upkeep ordered", "A VM goes down for upkeep as part of a wave.")
+	UpkeepFailed     = define(971, zapcore.WarnLevel, "upkeep not ordered", "The platform did not take an order for upkeep; it is sent again.")
+)
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -9,7 +9,7 @@
 //
 // Numbers are grouped: 1xx process, 2xx replicated log, 3xx leader and
 // sessions, 4xx placement, 5xx entry VM's link and runners, 6xx requests,
-// 7xx workers, 8xx operators. Each group stands in a file of its own.
+// 7xx workers, 8xx operators, 9xx jobs with steps and their cell. Each group stands in a file of its own.
 package event
 
 import (
--- /dev/null
+++ b/internal/version/fit/ask.go
@@ -0,0 +1,69 @@
+package fit
+
+import (
+	"cmp"
+	"math"
+	"slices"
+)
+
+// ask asks about a step ahead of its turn, if nothing is known yet.
+func (p *planner) ask(d *Demand) {
+	if d.Advised && !d.Advice.Asking && len(d.Advice.Answers) == 0 {
+		p.question(d, p.unknown(d, maximumAsk))
+	}
+}
+
+// askFor asks about workers for tasks that found none with a valid ticket.
+// Workers that are known to be good and have room come first; others are asked
+// about once. A step without room anywhere asks nothing.
+func (p *planner) askFor(d *Demand, tasks int) {
+	if !d.Advised || d.Advice.Asking {
+		return
+	}
+	if len(d.Advice.Answers) == 0 {
+		p.question(d, p.unknown(d, maximumAsk))
+		return
+	}
+	wanted := min(maximumAsk, max(3, int(math.Ceil(float64(tasks)*askFactor))))
+	var workers []string
+	for _, w := range p.pools[d.Pool] {
+		a := d.Advice.Answers[w.ID]
+		if len(workers) < wanted && a.Good && !p.now.Before(a.Expiry) && p.open(d, w) {
+			workers = append(workers, w.ID)
+		}
+	}
+	if len(workers) < wanted {
+		workers = append(workers, p.unknown(d, wanted-len(workers))...)
+	}
+	p.question(d, workers)
+}
+
+// unknown returns workers with room that the step was not asked about, the
+// emptiest first. Before the first question, workers without room count too:
+// they may have some when the answer comes.
+func (p *planner) unknown(d *Demand, most int) []string {
+	first := len(d.Advice.Answers) == 0
+	var candidates []*Worker
+	for _, w := range p.pools[d.Pool] {
+		if _, known := d.Advice.Answers[w.ID]; !known && (first && suits(d, w) || p.open(d, w)) {
+			candidates = append(candidates, w)
+		}
+	}
+	slices.SortStableFunc(candidates, func(a, b *Worker) int {
+		return cmp.Compare(b.Free.Dominant(b.Capacity), a.Free.Dominant(a.Capacity))
+	})
+	var workers []string
+	for i, w := range candidates {
+		if i >= most {
+			break
+		}
+		workers = append(workers, w.ID)
+	}
+	return workers
+}
+
+func (p *planner) question(d *Demand, workers []string) {
+	if len(workers) > 0 {
+		p.plan.Asks = append(p.plan.Asks, Ask{d, workers})
+	}
+}
--- /dev/null
+++ b/internal/version/job/state.go
@@ -0,0 +1,520 @@
+package job
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+)
+
+// Task is the state of one task.
+type Task struct {
+	Run        int    `cbor:"1,keyasint,omitempty"` // highest run number given out
+	Worker     string `cbor:"2,keyasint,omitempty"` // that Run occupies; empty if none
+	Life       Life   `cbor:"3,keyasint,omitempty"`
+	Done       bool   `cbor:"4,keyasint,omitempty"`
+	Faults     int    `cbor:"5,keyasint,omitempty"` // runs that failed
+	Checkpoint string `cbor:"6,keyasint,omitempty"`
+}
+
+// Progress is the state of one step of one occurrence.
+type Progress struct {
+	Tasks      []Task `cbor:"1,keyasint"`
+	Left       int    `cbor:"2,keyasint"` // tasks that are not done
+	Faults     int    `cbor:"3,keyasint,omitempty"`
+	FaultedRun int    `cbor:"4,keyasint,omitempty"` // last run of a gang counted in Faults
+	Checkpoint string `cbor:"5,keyasint,omitempty"` // of a gang
+}
+
+// Occurrence is the state of one pass through the steps.
+type Occurrence struct {
+	Steps []Progress `cbor:"1,keyasint"`
+}
+
+// left returns the number of steps that are not done.
+func (o *Occurrence) left() int {
+	n := 0
+	for i := range o.Steps {
+		if o.Steps[i].Left > 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// occupied reports whether a task still has a worker.
+func (o *Occurrence) occupied() bool {
+	for i := range o.Steps {
+		for k := range o.Steps[i].Tasks {
+			if o.Steps[i].Tasks[k].Worker != "" {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Record is a job with its state.
+type Record struct {
+	Job         Job                 `cbor:"1,keyasint"`
+	Queue       Queue               `cbor:"2,keyasint"` // as in the latest catalogue that has it
+	Status      Status              `cbor:"3,keyasint,omitempty"`
+	Accepted    time.Time           `cbor:"4,keyasint"`
+	Over        time.Time           `cbor:"5,keyasint"`           // when Status became final
+	Open        map[int]*Occurrence `cbor:"6,keyasint,omitempty"` // begun and not finished, or still occupying workers
+	Finished    map[int]bool        `cbor:"7,keyasint,omitempty"` // done occurrences at or above Behind
+	Behind      int                 `cbor:"8,keyasint,omitempty"` // all occurrences below are done
+	Unscheduled bool                `cbor:"-"`                    // no task has been started
+	Sequence    uint64              `cbor:"9,keyasint"`           // order of acceptance
+}
+
+// done reports whether an occurrence is done.
+func (r *Record) done(occurrence int) bool {
+	return occurrence < r.Behind || r.Finished[occurrence]
+}
+
+// Occurrence returns the state of an occurrence, nil if it is done or its
+// number is out of range. It makes the state of one that has not begun.
+func (r *Record) Occurrence(number int) *Occurrence {
+	if o := r.Open[number]; o != nil {
+		return o
+	}
+	if number < 0 || number >= r.Job.Occurrences() || r.done(number) || r.Status.Over() {
+		return nil
+	}
+	o := &Occurrence{Steps: make([]Progress, len(r.Job.Steps))}
+	for i := range r.Job.Steps {
+		n := r.Job.Steps[i].Count
+		o.Steps[i] = Progress{Tasks: make([]Task, n), Left: n}
+	}
+	if r.Open == nil {
+		r.Open = map[int]*Occurrence{}
+	}
+	r.Open[number] = o
+	return o
+}
+
+// Numbers returns the occurrences that are open, ascending.
+func (r *Record) Numbers() []int {
+	n := make([]int, 0, len(r.Open))
+	for k := range r.Open {
+		n = append(n, k)
+	}
+	slices.Sort(n)
+	return n
+}
+
+// Ready reports whether all steps are done that a step waits for.
+func (r *Record) Ready(o *Occurrence, step int) bool {
+	for _, a := range r.Job.Steps[step].After {
+		if o.Steps[a].Left > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Attempts returns how many failed runs of a task fail the job. Lasting tasks
+// are restarted however often they fail.
+func (r *Record) Attempts() int {
+	if r.Queue.Attempts <= 0 {
+		return 1
+	}
+	return r.Queue.Attempts
+}
+
+// Occupation is a run that occupies a worker.
+type Occupation struct {
+	Run       int
+	Size      work.Resources // reserved on the worker
+	Workspace string
+}
+
+// View is the state, for reading under State's lock.
+type View struct {
+	Term      uint64
+	Catalogue *Catalogue
+	Jobs      map[ID]*Record
+	Active    map[ID]*Record // not over, or still occupying workers
+	Workers   map[string]Worker
+	Occupied  map[string]map[TaskID]Occupation // by worker
+	Used      map[string]work.Resources        // by workspace, size of all runs
+	Sequence  uint64
+
+	over []ID // ended jobs in the order of their ends
+}
+
+// State is the state machine.
+type State struct {
+	mu   sync.RWMutex
+	view View
+}
+
+// New returns an empty State.
+func New() *State {
+	s := &State{}
+	s.view.init()
+	return s
+}
+
+func (v *View) init() {
+	v.Jobs, v.Active = map[ID]*Record{}, map[ID]*Record{}
+	v.Workers, v.Occupied = map[string]Worker{}, map[string]map[TaskID]Occupation{}
+	v.Used = map[string]work.Resources{}
+}
+
+// View calls read with the current state, which it must not keep or change.
+// Making the state of an occurrence that has not begun is no change.
+func (s *State) View(read func(v *View)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	read(&s.view)
+}
+
+// Apply implements raft.Machine.
+func (s *State) Apply(_ uint64, command []byte) any {
+	r, err := Decode(command)
+	if err != nil {
+		return err // the same on every replica
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.apply(&r)
+}
+
+func (v *View) apply(r *Round) Result {
+	if r.Term < v.Term {
+		return Result{Superseded: true}
+	}
+	v.Term = r.Term
+	var result Result
+	if r.Catalogue != nil {
+		v.replace(r.Catalogue)
+	}
+	for _, w := range r.Workers {
+		v.Workers[w.ID] = w
+	}
+	for _, w := range r.Gone {
+		if v.Workers[w.ID].Life == w.Life {
+			delete(v.Workers, w.ID)
+		}
+	}
+	for i := range r.Ends {
+		v.end(&r.Ends[i], r.Now, &result)
+	}
+	for _, id := range r.Cancels {
+		v.cancel(id, r.Now, &result)
+	}
+	for i := range r.Submits {
+		v.submit(&r.Submits[i], r.Now)
+	}
+	result.Refused = make([]bool, len(r.Starts))
+	for i := range r.Starts {
+		result.Refused[i] = !v.start(&r.Starts[i])
+	}
+	v.forget(r.Forget)
+	return result
+}
+
+// replace puts a catalogue in force if its version is higher.
+func (v *View) replace(c *Catalogue) {
+	if v.Catalogue != nil && c.Version <= v.Catalogue.Version {
+		return
+	}
+	v.Catalogue = c
+	for _, r := range v.Active {
+		if q := c.Queue(r.Job.Host, r.Job.Prefix); q != nil {
+			r.Queue = *q
+		}
+	}
+}
+
+// Queue returns the queue at a place, nil if there is none.
+func (c *Catalogue) Queue(host, prefix string) *Queue {
+	for i := range c.Queues {
+		if c.Queues[i].Host == host && c.Queues[i].Prefix == prefix {
+			return &c.Queues[i]
+		}
+	}
+	return nil
+}
+
+// submit adds a job. A job that is known, or whose queue is gone, changes nothing.
+func (v *View) submit(j *Job, now time.Time) {
+	if v.Jobs[j.ID] != nil || v.Catalogue == nil {
+		return
+	}
+	q := v.Catalogue.Queue(j.Host, j.Prefix)
+	if q == nil {
+		return
+	}
+	v.Sequence++
+	r := &Record{Job: *j, Queue: *q, Accepted: now, Unscheduled: true, Sequence: v.Sequence}
+	v.Jobs[j.ID], v.Active[j.ID] = r, r
+}
+
+// start assigns a task to a worker. It reports whether it did.
+func (v *View) start(s *Start) bool {
+	r := v.Jobs[s.Task.Job]
+	if r == nil || r.Status.Over() || s.Task.Step < 0 || s.Task.Step >= len(r.Job.Steps) {
+		return false
+	}
+	o := r.Occurrence(s.Task.Occurrence)
+	if o == nil || s.Task.Index < 0 || s.Task.Index >= len(o.Steps[s.Task.Step].Tasks) || !r.Ready(o, s.Task.Step) {
+		return false
+	}
+	t := &o.Steps[s.Task.Step].Tasks[s.Task.Index]
+	w, ok := v.Workers[s.Worker]
+	if !ok || w.Life != s.Life || t.Done || t.Worker != "" || s.Run <= t.Run {
+		return false
+	}
+	t.Run, t.Worker, t.Life = s.Run, s.Worker, s.Life
+	r.Unscheduled = false
+	if r.Status == Queued {
+		r.Status = Running
+	}
+	v.occupy(r, s.Task, t)
+	return true
+}
+
+func (v *View) occupy(r *Record, id TaskID, t *Task) {
+	m := v.Occupied[t.Worker]
+	if m == nil {
+		m = map[TaskID]Occupation{}
+		v.Occupied[t.Worker] = m
+	}
+	s := &r.Job.Steps[id.Step]
+	m[id] = Occupation{Run: t.Run, Size: s.Reserves(), Workspace: r.Job.Workspace}
+	v.Used[r.Job.Workspace] = v.Used[r.Job.Workspace].Add(s.Size)
+}
+
+func (v *View) release(r *Record, id TaskID, t *Task) {
+	if m := v.Occupied[t.Worker]; m != nil {
+		delete(m, id)
+		if len(m) == 0 {
+			delete(v.Occupied, t.Worker)
+		}
+	}
+	v.Used[r.Job.Workspace] = v.Used[r.Job.Workspace].Sub(r.Job.Steps[id.Step].Size)
+	if v.Used[r.Job.Workspace] == (work.Resources{}) {
+		delete(v.Used, r.Job.Workspace)
+	}
+	t.Worker, t.Life = "", 0
+}
+
+// Find returns the record and state of a task, nil if it has none.
+func (v *View) Find(id TaskID) (*Record, *Occurrence, *Task) {
+	r := v.Jobs[id.Job]
+	if r == nil {
+		return nil, nil, nil
+	}
+	o := r.Open[id.Occurrence]
+	if o == nil || id.Step < 0 || id.Step >= len(o.Steps) || id.Index < 0 || id.Index >= len(o.Steps[id.Step].Tasks) {
+		return r, nil, nil
+	}
+	return r, o, &o.Steps[id.Step].Tasks[id.Index]
+}
+
+// end takes in the end of a run. One of another run or life changes nothing.
+func (v *View) end(e *End, now time.Time, result *Result) {
+	r, o, t := v.Find(e.Task)
+	if t == nil || t.Worker != e.Worker || t.Life != e.Life || t.Run != e.Run {
+		return
+	}
+	v.release(r, e.Task, t)
+	s, p := &r.Job.Steps[e.Task.Step], &o.Steps[e.Task.Step]
+	if e.Saved != "" && e.Outcome != Done {
+		t.Checkpoint = e.Saved
+		if s.Gang {
+			p.Checkpoint = e.Saved
+		}
+	}
+	switch e.Outcome {
+	case Done:
+		v.finish(s, p, t)
+	case Faulted:
+		v.fault(r, s, p, t, e.Run, now, result)
+	}
+	v.settle(r, e.Task.Occurrence, o, now, result)
+}
+
+// finish notes that a task is done; one end of a gang stands for all its tasks.
+func (v *View) finish(s *Step, p *Progress, t *Task) {
+	if s.Lasting {
+		return
+	}
+	if s.Gang {
+		for i := range p.Tasks {
+			p.Tasks[i].Done = true
+		}
+		p.Left = 0
+		return
+	}
+	if !t.Done {
+		t.Done = true
+		p.Left--
+	}
+}
+
+// fault counts a failed run and fails the job after too many.
+func (v *View) fault(r *Record, s *Step, p *Progress, t *Task, run int, now time.Time, result *Result) {
+	if t.Done || s.Lasting {
+		return
+	}
+	t.Faults++
+	n := t.Faults
+	if s.Gang {
+		if p.FaultedRun != run {
+			p.FaultedRun = run
+			p.Faults++
+		}
+		n = p.Faults
+	}
+	if n >= r.Attempts() {
+		v.conclude(r, Failed, now, result)
+	}
+}
+
+// settle closes what is over after the end of a run.
+func (v *View) settle(r *Record, number int, o *Occurrence, now time.Time, result *Result) {
+	if o.left() == 0 && !r.Status.Over() && !r.done(number) {
+		if r.Finished == nil {
+			r.Finished = map[int]bool{}
+		}
+		r.Finished[number] = true
+		for r.Finished[r.Behind] {
+			delete(r.Finished, r.Behind)
+			r.Behind++
+		}
+		if r.Behind >= r.Job.Occurrences() {
+			v.conclude(r, Completed, now, result)
+		}
+	}
+	if (r.done(number) || r.Status.Over()) && !o.occupied() {
+		delete(r.Open, number)
+	}
+	v.retire(r)
+}
+
+// conclude gives a job its final state.
+func (v *View) conclude(r *Record, s Status, now time.Time, result *Result) {
+	if r.Status.Over() {
+		return
+	}
+	r.Status, r.Over = s, now
+	v.over = append(v.over, r.Job.ID)
+	result.Ended = append(result.Ended, r.Job.ID)
+	for n, o := range r.Open {
+		if !o.occupied() {
+			delete(r.Open, n)
+		}
+	}
+	v.retire(r)
+}
+
+// retire drops what is not needed of a job that is over and occupies nothing.
+func (v *View) retire(r *Record) {
+	if r.Status.Over() && len(r.Open) == 0 {
+		delete(v.Active, r.Job.ID)
+		r.Job.Payload, r.Finished = "", nil
+	}
+}
+
+func (v *View) cancel(id ID, now time.Time, result *Result) {
+	if r := v.Jobs[id]; r != nil {
+		v.conclude(r, Cancelled, now, result)
+	}
+}
+
+// forget drops jobs that ended before a time.
+func (v *View) forget(before time.Time) {
+	n := 0
+	for _, id := range v.over {
+		r := v.Jobs[id]
+		if r != nil && (!r.Over.Before(before) || v.Active[id] != nil) {
+			break
+		}
+		delete(v.Jobs, id)
+		n++
+	}
+	v.over = v.over[n:]
+}
+
+// Pending returns the number of jobs of a queue that wait for their first
+// start. Jobs with due times do not count.
+func (v *View) Pending(host, prefix string) int {
+	n := 0
+	for _, r := range v.Active {
+		if r.Unscheduled && !r.Status.Over() && r.Job.Repeat == 0 && r.Job.Host == host && r.Job.Prefix == prefix {
+			n++
+		}
+	}
+	return n
+}
+
+// snapshot is the encoded form of View.
+type snapshot struct {
+	Term      uint64            `cbor:"1,keyasint"`
+	Catalogue *Catalogue        `cbor:"2,keyasint"`
+	Jobs      []*Record         `cbor:"3,keyasint"`
+	Workers   map[string]Worker `cbor:"4,keyasint"`
+	Sequence  uint64            `cbor:"5,keyasint"`
+	Over      []ID              `cbor:"6,keyasint"`
+}
+
+// Snapshot implements raft.Machine.
+func (s *State) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	v := &s.view
+	d := snapshot{Term: v.Term, Catalogue: v.Catalogue, Workers: v.Workers, Sequence: v.Sequence, Over: v.over}
+	for _, r := range v.Jobs {
+		d.Jobs = append(d.Jobs, r)
+	}
+	slices.SortFunc(d.Jobs, func(a, b *Record) int { return int(int64(a.Sequence) - int64(b.Sequence)) })
+	b, err := encoder.Marshal(d)
+	return b, errors.Wrap(err, "encode snapshot")
+}
+
+// Restore implements raft.Machine.
+func (s *State) Restore(b []byte) error {
+	var d snapshot
+	if err := decoder.Unmarshal(b, &d); err != nil {
+		return errors.Wrap(err, "decode snapshot")
+	}
+	v := View{}
+	v.init()
+	v.Term, v.Catalogue, v.Sequence, v.over = d.Term, d.Catalogue, d.Sequence, d.Over
+	for id, w := range d.Workers {
+		v.Workers[id] = w
+	}
+	for _, r := range d.Jobs {
+		v.Jobs[r.Job.ID] = r
+		if !r.Status.Over() || len(r.Open) > 0 {
+			v.Active[r.Job.ID] = r
+		}
+		r.Unscheduled = r.Status == Queued
+		for _, n := range r.Numbers() {
+			v.adopt(r, n)
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = v
+	return nil
+}
+
+// adopt counts the runs of an occurrence again.
+func (v *View) adopt(r *Record, number int) {
+	o := r.Open[number]
+	for step := range o.Steps {
+		for i := range o.Steps[step].Tasks {
+			if t := &o.Steps[step].Tasks[i]; t.Worker != "" {
+				v.occupy(r, TaskID{Job: r.Job.ID, Occurrence: number, Step: step, Index: i}, t)
+			}
+		}
+	}
+}
--- a/internal/version/raft/change.go
+++ b/internal/version/raft/change.go
@@ -1,6 +1,7 @@
 package raft
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -20,6 +21,10 @@
 	// learnerBehind is the number of entries by which a non-voter may be
 	// behind to become a voter.
 	learnerBehind = 100
+	// silentTimeout is the silence after which a voter of an even group is
+	// dropped. It is above an election and a restart of the process, and below
+	// the 4 s after which users expect a replaced VM to count.
+	silentTimeout = 2500 * time.Millisecond
 )
 
 // Errors of membership changes.
@@ -37,7 +42,7 @@
 	if c.role != leader || m.FromName == c.name || s.member(m.From) != nil || c.ignored(m.From) {
 		return
 	}
-	known := slices.Contains(c.settings, m.FromName) || s.named(m.FromName, true) != nil
+	known := c.open || slices.Contains(c.settings, m.FromName) || s.named(m.FromName, true) != nil
 	if !known || slices.Contains(s.Retired, m.FromName) {
 		c.log.Emit(event.JoinRefused, zap.String("name", m.FromName), zap.Uint64("identity", m.From))
 		return
@@ -66,6 +71,9 @@
 		return
 	}
 	s := c.membership()
+	if c.open && c.dropSilent() {
+		return
+	}
 	for _, p := range s.Members {
 		if !p.Voter && c.maintainLearner(p) {
 			return
@@ -96,9 +104,45 @@
 			names = append(names, p.Name)
 		}
 	}
+	if c.open {
+		for _, name := range slices.Sorted(maps.Keys(c.joins)) {
+			if !slices.Contains(names, name) {
+				names = append(names, name)
+			}
+		}
+	}
 	return names
 }
 
+// dropSilent removes the voter that has been silent for the longest, if the
+// number of voters is even. An even group bears no more losses than one with a
+// voter less, and it is even after a VM was replaced by one with another name.
+// A voter that comes back with its disk may join again, as its promises stand.
+// It reports whether it proposed a change.
+func (c *core) dropSilent() bool {
+	s := c.membership()
+	if s.voters()%2 != 0 || s.voters() < 4 {
+		return false
+	}
+	var silent Member
+	since := c.now.Add(-silentTimeout)
+	for _, p := range s.Members {
+		if g := c.progress[p.Identity]; p.Voter && g != nil && g.acked.Before(since) {
+			silent, since = p, g.acked
+		}
+	}
+	if silent.Identity == 0 {
+		return false
+	}
+	n := s.without(silent.Identity)
+	n.Removed = s.Removed
+	if !c.alive(n) {
+		return false
+	}
+	c.change(n, event.MemberRemoved, silent)
+	return true
+}
+
 // maintainLearner promotes a non-voter that has caught up, after removing the
 // identity that it replaces. It reports whether it proposed a change.
 func (c *core) maintainLearner(p Member) bool {
--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -68,6 +68,7 @@
 	log      event.Log
 	load     func() (disk.Snapshot, error) // reads the stored snapshot
 	trailing uint64
+	open     bool // admits names that are not in the settings
 	hooks    hooks
 
 	term, vote  uint64
@@ -115,7 +116,7 @@
 func newCore(options Options, identity uint64, contents disk.Contents, now time.Time) (*core, error) {
 	c := &core{
 		name: options.Name, identity: identity, settings: options.Members, random: options.Random, log: options.Log,
-		trailing: options.Trailing, hooks: options.hooks, term: max(contents.Hard.Term, contents.Snapshot.Term), vote: contents.Hard.Vote,
+		trailing: options.Trailing, open: options.Open, hooks: options.hooks, term: max(contents.Hard.Term, contents.Snapshot.Term), vote: contents.Hard.Vote,
 		now: now, origin: now, contact: now, joinDue: now, joins: map[string]join{},
 	}
 	s := contents.Snapshot
@@ -289,6 +290,10 @@
 		return
 	}
 	if m.Type == PreVote {
+		if c.open && c.role == leader && s.member(m.From) == nil {
+			// It was dropped while it was silent and does not know.
+			c.joins[m.FromName] = join{m.From, c.now}
+		}
 		c.handlePreVote(m)
 		return
 	}
--- a/internal/version/raft/core_test.go
+++ b/internal/version/raft/core_test.go
@@ -332,3 +332,31 @@
 	deliver(c, 21, 8)
 	is.True(b.core.install != nil)
 }
+
+// Guards against a cell that stays without spare voters after a VM was
+// replaced by one with a name that no settings have, and against one that shuts
+// out a voter that was dropped while it was silent.
+func TestOpenGroupReplacesSilentVoter(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(5, Options{Open: true}, "a", "b", "c")
+	s.startAll()
+	l := s.elect()
+	is.True(l != nil)
+	lost, _ := others(s, l)
+	s.crash(lost.name)
+	s.names = append(s.names, "d")
+	s.nodes["d"] = &node{name: "d", rate: 1}
+	s.replaceDisk("d")
+	s.run(8 * time.Second)
+	l = s.leader()
+	is.True(l != nil)
+	m := l.core.membership()
+	is.Equal(m.voters(), 3)
+	is.True(m.named("d", true) != nil)       // the new VM votes
+	is.True(m.named(lost.name, true) == nil) // the lost one does not count
+
+	s.start(lost.name) // with its disk
+	s.run(8 * time.Second)
+	is.True(s.leader().core.membership().named(lost.name, true) != nil)
+	is.Equal(s.violation, "")
+}
--- a/internal/version/raft/options.go
+++ b/internal/version/raft/options.go
@@ -27,6 +27,9 @@
 	// Members are the names of all control replicas in the settings. The first
 	// one founds the group.
 	Members []string
+	// Open admits replicas whose names are not among the members. A platform
+	// that replaces VMs gives them names that no settings can know.
+	Open bool
 	// Directory is the data directory. It is ignored if Store is set.
 	Directory string
 	// Store replaces the data directory. The replica closes it.
