Shorten elections and ask all workers for their clock when a term begins

Cause: after the loss of all control VMs callers were refused for 1.0 to 1.4 s of election, and workers without runs got nothing until their next report. Errors are logged as one line, without their stacks.

--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -160,7 +160,7 @@
 	if current == nil || *current != name || !l.leader.CompareAndSwap(current, nil) {
 		return
 	}
-	l.options.Log.Emit(event.LeaderUnreached, zap.String("leader", name), zap.Error(err))
+	l.options.Log.Emit(event.LeaderUnreached, zap.String("leader", name), event.Cause(err))
 	select {
 	case l.wake <- struct{}{}:
 	default:
--- a/internal/connection/plain/plain.go
+++ b/internal/connection/plain/plain.go
@@ -47,7 +47,7 @@
 	dialTimeout = 300 * time.Millisecond
 	// sendTimeout bounds a one-way message. It is below half of an election
 	// timeout, so that one silent connection does not cost a leader its followers.
-	sendTimeout = 350 * time.Millisecond
+	sendTimeout = 200 * time.Millisecond
 	// idleTime is how long an unused connection stays open.
 	idleTime = 60 * time.Second
 	// connections bounds the open connections to one process.
@@ -337,7 +337,7 @@
 	}
 	for _, m := range batch {
 		if _, err := n.handle(context.Background(), name, m.Method, bytes.Clone(m.Body)); err != nil {
-			n.options.Log.Emit(event.MessageRefused, zap.String("peer", name), zap.String("method", m.Method), zap.Error(err))
+			n.options.Log.Emit(event.MessageRefused, zap.String("peer", name), zap.String("method", m.Method), event.Cause(err))
 		}
 	}
 }
@@ -351,7 +351,7 @@
 	}
 	b, err := cbor.Marshal(body)
 	if err != nil {
-		n.options.Log.Emit(event.MessageRefused, zap.String("peer", to), zap.String("method", method), zap.Error(err))
+		n.options.Log.Emit(event.MessageRefused, zap.String("peer", to), zap.String("method", method), event.Cause(err))
 		return
 	}
 	select {
@@ -399,7 +399,7 @@
 
 func (n *Node) report(name string, err error) {
 	if err != nil {
-		n.options.Log.Emit(event.PeerLost, zap.String("peer", name), zap.Error(err))
+		n.options.Log.Emit(event.PeerLost, zap.String("peer", name), event.Cause(err))
 		return
 	}
 	n.options.Log.Emit(event.PeerConnected, zap.String("peer", name))
--- a/internal/process/dispatch/advice.go
+++ b/internal/process/dispatch/advice.go
@@ -91,7 +91,7 @@
 	if err != nil {
 		s.retry = now.Add(adviceRetry)
 		l.free = later(l.free, now)
-		t.emit(event.AdviceFailed, zap.Stringer("step", a.Demand.Step), zap.String("through", name), zap.Error(err))
+		t.emit(event.AdviceFailed, zap.Stringer("step", a.Demand.Step), zap.String("through", name), event.Cause(err))
 		t.signal()
 		return
 	}
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
@@ -19,6 +22,9 @@
 	// avoidedWorkers is the number of workers that a step avoids after failed
 	// runs there; with more, the step is more likely at fault than they.
 	avoidedWorkers = 3
+	// notedAfter and notedEvery bound the log lines about steps that wait.
+	notedAfter = 500 * time.Millisecond
+	notedEvery = 2 * time.Second
 )
 
 // decide plans the starts of a round and sends questions to the advice service.
@@ -40,6 +46,9 @@
 	for _, a := range plan.Asks {
 		t.ask(a, now)
 	}
+	for _, b := range plan.Blocks {
+		t.waits(b, now)
+	}
 	if len(plan.Starts) > roundStarts {
 		t.signal()
 		return trim(plan.Starts)
@@ -47,6 +56,17 @@
 	return plan.Starts
 }
 
+// waits writes a line about a step that has waited for a while.
+func (t *term) waits(b fit.Block, now time.Time) {
+	s := t.remember(b.Demand.Step)
+	if now.Sub(s.since) < notedAfter || now.Before(s.noted) {
+		return
+	}
+	s.noted = now.Add(notedEvery)
+	t.emit(event.StepWaits, zap.Stringer("step", b.Demand.Step), zap.String("reason", b.Reason),
+		zap.Int("tasks", len(b.Demand.Tasks)), zap.Int("priority", b.Demand.Priority), zap.Duration("waited", now.Sub(s.since)))
+}
+
 // trim cuts a long plan, but not through a gang.
 func trim(starts []fit.Start) []fit.Start {
 	n := roundStarts
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -118,7 +118,7 @@
 	cancel()
 	t.abandon()
 	if err := group.Wait(); err != nil {
-		t.emit(event.RoundDropped, zap.Error(err))
+		t.emit(event.RoundDropped, event.Cause(err))
 	}
 	t.orders.Wait()
 	t.emit(event.TermEnded, zap.Uint64("term", number))
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -39,7 +39,7 @@
 func (t *term) list(w *worker) {
 	for {
 		t.mu.Lock()
-		if t.over || t.workers[w.ID] != w || len(w.runs) == 0 && w.cursor >= w.listed {
+		if t.over || t.workers[w.ID] != w || len(w.runs) == 0 && w.cursor >= w.listed && (!w.clock.IsZero() || w.missed >= silentAnswers) {
 			w.following = false
 			t.mu.Unlock()
 			return
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -106,7 +106,7 @@
 		return t.refused(r, a, attempt)
 	}
 	t.emit(event.RunUnclear, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", w.ID),
-		zap.Int("attempt", attempt), zap.Error(a.Error))
+		zap.Int("attempt", attempt), event.Cause(a.Error))
 	t.follow(w)
 	if attempt >= startAttempts {
 		t.stop(r)
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -72,6 +72,7 @@
 	avoid  map[string]bool // workers where a run of it failed
 	since  time.Time       // when tasks of it became ready
 	retry  time.Time       // no question before this
+	noted  time.Time       // no line about its wait before this
 }
 
 // lane is a process that asks the advice service.
@@ -135,13 +136,13 @@
 	r.Forget = r.Now.Add(-t.timing().Keep)
 	b, err := job.Encode(r)
 	if err != nil {
-		t.emit(event.RoundDropped, zap.Error(err))
+		t.emit(event.RoundDropped, event.Cause(err))
 		return job.Result{}, false
 	}
 	v, err := t.dispatcher.options.Log.Propose(ctx, b)
 	if err != nil {
 		if ctx.Err() == nil {
-			t.emit(event.RoundDropped, zap.Error(err))
+			t.emit(event.RoundDropped, event.Cause(err))
 		}
 		return job.Result{}, false
 	}
@@ -166,10 +167,9 @@
 		t.emit(event.TermBegun, zap.Uint64("term", t.number), zap.Int("workers", len(v.Workers)),
 			zap.Int("runs", len(t.runs)), zap.Int("jobs", len(v.Active)))
 	})
+	// Workers without runs are asked too: a start needs a reading of their clock.
 	for _, w := range t.workers {
-		if len(w.runs) > 0 {
-			t.follow(w)
-		}
+		t.follow(w)
 	}
 	t.signal()
 }
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -113,7 +113,7 @@
 	default:
 		w.missed++
 		if w.missed == silentAnswers {
-			t.emit(event.WorkerSilent, zap.String("worker", w.ID), zap.Error(a.Error), zap.Time("lapse", w.lapse()))
+			t.emit(event.WorkerSilent, zap.String("worker", w.ID), event.Cause(a.Error), zap.Time("lapse", w.lapse()))
 		}
 	}
 	return false
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -78,3 +78,11 @@
 		c.Write(append(fields, zap.Int("event", int(id)))...)
 	}
 }
+
+// Cause returns the field of an error, as one line without its stack.
+func Cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("error", err.Error())
+}
--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -16,10 +16,12 @@
 	heartbeatInterval = 100 * time.Millisecond
 	// electionMin is also the time for which a replica that heard from a leader
 	// refuses to vote, and after which a leader without a quorum steps down.
-	electionMin = time.Second
-	electionMax = 2 * time.Second
+	// It is several heartbeats, and more than the longest usual sync of a disk;
+	// callers are refused while an election runs.
+	electionMin = 500 * time.Millisecond
+	electionMax = time.Second
 	// leaseLength leaves a quarter of electionMin as margin for clock drift.
-	leaseLength = 750 * time.Millisecond
+	leaseLength = 375 * time.Millisecond
 	// joinInterval is the time between two attempts to found or join a group.
 	joinInterval = 200 * time.Millisecond
 )
