Let gangs, lasting and urgent work claim workers; ask for gangs only when they fit

Lasting work is exempt from the spare room now; runs with checkpoints make way for gangs, lasting and urgent work.

--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -1,6 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
+	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -46,6 +49,12 @@
 	for _, a := range plan.Asks {
 		t.ask(a, now)
 	}
+	for _, id := range plan.Stops {
+		if r := t.runs[id]; r != nil {
+			t.emit(event.RunPreempted, zap.Stringer("task", id), zap.Int("run", r.number), zap.String("worker", r.worker.ID))
+			t.stop(r)
+		}
+	}
 	for _, b := range plan.Blocks {
 		t.waits(b, now)
 	}
@@ -85,14 +94,9 @@
 		}
 		f := &fit.Worker{Worker: w.Worker, Free: w.Capacity, Usable: w.usable(now, t.timing().ReportEvery)}
 		for id, o := range v.Occupied[w.ID] {
-			f.Free = f.Free.Sub(o.Size)
-			s := &v.Jobs[id.Job].Job.Steps[id.Step]
-			if s.Filler {
-				f.Filling++
-			} else if s.Target > 0 {
-				f.Serving++
-			}
+			t.occupied(f, v.Jobs[id.Job], id, o)
 		}
+		slices.SortFunc(f.Runs, compareRuns)
 		room.Workers = append(room.Workers, f)
 	}
 	sortWorkers(room.Workers)
@@ -104,6 +108,37 @@
 	return room
 }
 
+// occupied counts a run on a worker.
+func (t *term) occupied(f *fit.Worker, record *job.Record, id job.TaskID, o job.Occupation) {
+	f.Free = f.Free.Sub(o.Size)
+	s := &record.Job.Steps[id.Step]
+	if s.Filler {
+		f.Filling++
+	} else if s.Target > 0 {
+		f.Serving++
+	}
+	r := t.runs[id]
+	switch {
+	case r == nil:
+	case r.stopping || r.ended:
+		f.Ending = f.Ending.Add(o.Size)
+	case s.Checkpoints && !s.Gang && !s.Lasting && !r.clear.IsZero():
+		f.Runs = append(f.Runs, fit.Run{Task: id, Priority: record.Queue.Priority, Size: o.Size})
+	}
+}
+
+// compareRuns puts the runs that make way first last: those of the lowest
+// priority, and of these the smallest.
+func compareRuns(a, b fit.Run) int {
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(b.Size.Processors, a.Size.Processors); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Task.String(), b.Task.String())
+}
+
 // spare sets the room that is kept free for urgent work.
 func (t *term) spare(v *job.View, room fit.Room, now time.Time) {
 	use := map[string]work.Resources{}
@@ -196,6 +231,9 @@
 		clear(m.avoid)
 	}
 	d.Avoid = m.avoid
+	if !early {
+		d.Waited = now.Sub(m.since)
+	}
 	if r.Queue.Advised != nil {
 		d.Advised, d.Advice = true, &m.advice
 		if m.advice.Answers == nil {
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -106,9 +106,13 @@
 		}
 	}
 	for d, workers := range began {
+		s := t.remember(d.Step)
 		t.emit(event.TasksStarted, zap.String("job", string(d.Step.Job)), zap.Int("occurrence", d.Step.Occurrence),
 			zap.Int("step", d.Step.Step), zap.Strings("workers", workers), zap.Int("waiting", len(d.Tasks)-len(workers)),
-			zap.Duration("waited", t.now().Sub(t.remember(d.Step).since)), zap.Int("priority", d.Priority))
+			zap.Duration("waited", t.now().Sub(s.since)), zap.Int("priority", d.Priority))
+		if len(workers) == len(d.Tasks) {
+			s.since = time.Time{} // a task that waits again waits anew
+		}
 	}
 	for _, id := range result.Ended {
 		t.concluded(id)
--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -25,17 +25,53 @@
 		return
 	}
 	wanted := min(maximumAsk, max(3, int(math.Ceil(float64(tasks)*askFactor))))
-	var workers []string
+	workers, fit := p.renewable(d)
+	if len(workers) > wanted {
+		workers = workers[:wanted]
+	}
+	if d.Spec.Gang && fit < len(d.Tasks) || len(workers) < wanted {
+		workers = append(workers, p.unknown(d, max(wanted-len(workers), 0))...)
+	}
+	if d.Spec.Gang && fit < len(d.Tasks) && !p.news(d, workers) {
+		return // the answer would be old before the gang finds room
+	}
+	p.question(d, workers)
+}
+
+// renewable returns the good workers whose tickets have expired and that have
+// room, counting what is being stopped, and how many tasks fit on good workers.
+func (p *planner) renewable(d *Demand) (workers []string, fit int) {
+	size := d.Spec.Reserves()
 	for _, w := range p.pools[d.Pool] {
 		a := d.Advice.Answers[w.ID]
-		if len(workers) < wanted && a.Good && !p.now.Before(a.Expiry) && p.open(d, w) {
-			workers = append(workers, w.ID)
+		if !a.Good {
+			continue
+		}
+		ending := w.Ending
+		w.Free = w.Free.Add(ending)
+		if p.open(d, w) {
+			n := times(size, w.Free)
+			if d.Spec.Spread > 0 {
+				n = min(n, d.Spec.Spread-d.Placed[w.ID])
+			}
+			fit += n
+			if !p.now.Before(a.Expiry) {
+				workers = append(workers, w.ID)
+			}
 		}
+		w.Free = w.Free.Sub(ending)
 	}
-	if len(workers) < wanted {
-		workers = append(workers, p.unknown(d, wanted-len(workers))...)
+	return workers, fit
+}
+
+// news reports whether a worker is among those that the step was not asked about.
+func (p *planner) news(d *Demand, workers []string) bool {
+	for _, w := range workers {
+		if _, known := d.Advice.Answers[w]; !known {
+			return true
+		}
 	}
-	p.question(d, workers)
+	return false
 }
 
 // unknown returns workers with room that the step was not asked about, the
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -15,8 +15,9 @@
 //
 // Demands are served by the priority of their queue, then those that can still
 // finish before they are late, then by the time at which they would be late.
-// A gang that finds no room holds the workers where it would fit soonest, so
-// that smaller work behind it does not keep it waiting for ever.
+// A gang that finds no room claims the workers where it would fit soonest, so
+// that smaller work behind it does not keep it waiting for ever. After a while,
+// runs of lower priority that have checkpoints make way for it.
 //
 // # Spare room
 //
@@ -41,19 +42,26 @@
 	// askFactor is how many workers are asked about for each waiting task when
 	// it is known which are good; one in three may be full by then.
 	askFactor = 1.5
-	// heldWorkers bounds the workers that one waiting gang holds.
-	heldWorkers = 8
 )
 
 // Worker is a worker as it is placed on.
 type Worker struct {
 	job.Worker
 	Free    work.Resources
-	Usable  bool // takes new tasks
-	Serving int  // tasks with a bound on their response times
-	Filling int  // filler tasks
-	Slow    float64
-	held    *Demand // only this demand and better ones may use the room
+	Usable  bool           // takes new tasks
+	Serving int            // tasks with a bound on their response times
+	Filling int            // filler tasks
+	Ending  work.Resources // part of the capacity that runs hold which are being stopped
+	Runs    []Run          // that may be stopped, and go on later from a checkpoint
+	held    *Demand        // only this demand and better ones may use the room
+}
+
+// Run is a run that may make way for more urgent work.
+type Run struct {
+	Task     job.TaskID
+	Priority int
+	Size     work.Resources // reserved on the worker
+	stopped  bool           // by this plan
 }
 
 // Answer is what the advice service said about a worker for a step.
@@ -85,7 +93,8 @@
 	Avoid    map[string]bool // workers where a run of the step failed
 	Advised  bool
 	Advice   *Advice
-	Early    bool // not ready to start; only advice may be asked for
+	Early    bool          // not ready to start; only advice may be asked for
+	Waited   time.Duration // since tasks of the step became ready
 
 	hopeless bool // late already
 	prepared bool
@@ -178,6 +187,7 @@
 	Starts []Start
 	Asks   []Ask
 	Blocks []Block
+	Stops  []job.TaskID // runs that make way
 }
 
 type planner struct {
@@ -257,6 +267,9 @@
 		w, reason := p.best(d, p.pools[d.Pool])
 		if w == nil {
 			p.block(d, reason)
+			if d.Priority == 0 || d.Spec.Lasting {
+				p.claim(d, len(d.Tasks)-n)
+			}
 			p.askFor(d, len(d.Tasks)-n)
 			return
 		}
@@ -266,8 +279,8 @@
 
 // spares reports whether n tasks leave the room that is kept for urgent work.
 func (p *planner) spares(d *Demand, n int) bool {
-	if d.Priority == 0 {
-		return true
+	if d.Priority == 0 || d.Spec.Lasting {
+		return true // lasting tasks must not be kept from work for long
 	}
 	keep := p.room.Spare[d.Pool]
 	left := p.free[d.Pool].Sub(d.Spec.Reserves().Times(int64(n)))
@@ -347,17 +360,15 @@
 	return best, reason
 }
 
-// remote and slow weigh a worker against the fraction that stays free: work far
-// from its data takes longer by about half, which costs more than a poor fit.
-const (
-	remoteScore = 2.0
-	slowScore   = 4.0
-)
+// remoteScore weighs a worker on another rack against the fraction that stays
+// free: work far from its data takes longer by about half, which costs more
+// than a poor fit.
+const remoteScore = 2.0
 
 // score is lower for a better worker.
 func (p *planner) score(d *Demand, w *Worker) float64 {
 	left := w.Free.Sub(d.Spec.Reserves())
-	s := left.Dominant(w.Capacity) + slowScore*w.Slow
+	s := left.Dominant(w.Capacity)
 	if d.Spec.Rack != "" && d.Spec.Rack != w.Rack {
 		s += remoteScore
 	}
@@ -374,8 +385,8 @@
 	chosen, reason := p.together(d)
 	if chosen == nil {
 		p.block(d, reason)
+		p.claim(d, len(d.Tasks))
 		p.askFor(d, len(d.Tasks))
-		p.hold(d)
 		return
 	}
 	for i, index := range d.Tasks {
@@ -435,27 +446,6 @@
 	return slices.Clone(chosen), ""
 }
 
-// hold keeps the workers for a gang that are the closest to having room for it.
-func (p *planner) hold(d *Demand) {
-	var candidates []*Worker
-	for _, w := range p.pools[d.Pool] {
-		if w.held == nil && suits(d, w) && p.mayBeGood(d, w) {
-			candidates = append(candidates, w)
-		}
-	}
-	slices.SortStableFunc(candidates, func(a, b *Worker) int {
-		return cmp.Compare(b.Free.Dominant(b.Capacity), a.Free.Dominant(a.Capacity))
-	})
-	size, need := d.Spec.Reserves(), len(d.Tasks)
-	for i, w := range candidates {
-		if need <= 0 || i >= heldWorkers {
-			return
-		}
-		w.held = d
-		need -= times(size, w.Capacity)
-	}
-}
-
 // times returns how often a size fits a capacity.
 func times(size, capacity work.Resources) int {
 	n := int64(1 << 30)
