--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -25,6 +25,9 @@
 	// avoidedWorkers is the number of workers that a step avoids after failed
 	// runs there; with more, the step is more likely at fault than they.
 	avoidedWorkers = 3
+	// uselessFactor times the time after which a job is late, nobody waits for it
+	// any more; this is what operators count as late instead of lost.
+	uselessFactor = 3
 	// notedAfter and notedEvery bound the log lines about steps that wait.
 	notedAfter = 500 * time.Millisecond
 	notedEvery = 2 * time.Second
@@ -41,6 +44,7 @@
 		}
 		room := t.room(v, now)
 		demands := t.demands(v, now)
+		t.use(room, demands, now)
 		plan = fit.Decide(now, demands, room)
 		for i := range plan.Starts {
 			plan.Starts[i].Demand.Prepare()
@@ -210,8 +214,9 @@
 	}
 	d := &fit.Demand{
 		Step: id, Spec: s, Pool: r.Queue.Pool, Priority: r.Queue.Priority, Order: r.Sequence, Owner: r.Job.Workspace,
-		Payload: r.Job.Payload, Placed: map[string]int{}, Progress: p, Early: early, Late: t.lateAt(r, number),
+		Payload: r.Job.Payload, Placed: map[string]int{}, Progress: p, Early: early,
 	}
+	d.Late, d.Useless = t.lateAt(r, number)
 	for i := range p.Tasks {
 		switch k := &p.Tasks[i]; {
 		case k.Worker != "":
@@ -271,17 +276,19 @@
 	return true
 }
 
-// lateAt returns when a job, or one of its occurrences, is late.
-func (t *term) lateAt(r *job.Record, occurrence int) time.Time {
+// lateAt returns when a job, or one of its occurrences, is late, and when its
+// result is of no use any more.
+func (t *term) lateAt(r *job.Record, occurrence int) (late, useless time.Time) {
 	d, ok := t.late[r.Job.ID]
 	if !ok {
 		d = r.Queue.Target + time.Duration(r.Queue.Stretch*float64(chain(&r.Job)))
 		t.late[r.Job.ID] = d
 	}
+	start := r.Accepted
 	if r.Job.Repeat > 0 {
-		return r.Job.Due(occurrence).Add(d)
+		start = r.Job.Due(occurrence)
 	}
-	return r.Accepted.Add(d)
+	return start.Add(d), start.Add(uselessFactor * d)
 }
 
 // chain returns the estimated run time of the longest chain of steps.
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -46,6 +46,7 @@
 	peaks   map[string]*peak         // by pool, use by urgent work
 	next    inbox
 	waves   map[int64]*wave
+	noted   time.Time // last lines about the pools
 }
 
 // inbox is what the next round takes in.
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -13,8 +13,10 @@
 //
 // # Order
 //
-// Demands are served by the priority of their queue, then those that can still
-// finish before they are late, then by the time at which they would be late.
+// Demands that are not late come first, then late ones, then those that nobody
+// waits for any more: under overload, work that is late already would otherwise
+// make all that follows late too. Within a rank demands are served by the
+// priority of their queue, then by the time at which they are late.
 // A gang that finds no room claims the workers where it would fit soonest, so
 // that smaller work behind it does not keep it waiting for ever. After a while,
 // runs of lower priority that have checkpoints make way for it.
@@ -84,6 +86,7 @@
 	Pool     string
 	Priority int
 	Late     time.Time // when the job, or the occurrence, is late
+	Useless  time.Time // when its result is of no use any more
 	Order    uint64    // of acceptance
 	Tasks    []int     // indices of the waiting tasks
 	Owner    string    // workspace
@@ -96,7 +99,7 @@
 	Early    bool          // not ready to start; only advice may be asked for
 	Waited   time.Duration // since tasks of the step became ready
 
-	hopeless bool // late already
+	rank     rank
 	prepared bool
 	gangRun  int
 	runs     map[int]int
@@ -208,7 +211,7 @@
 		}
 	}
 	for _, d := range demands {
-		d.hopeless = !d.Late.IsZero() && now.After(d.Late)
+		d.rank = d.ranked(now)
 	}
 	slices.SortFunc(demands, compare)
 	for _, d := range demands {
@@ -217,16 +220,32 @@
 	return p.plan
 }
 
+// rank tells what a demand is still good for.
+type rank uint8
+
+const (
+	timely  rank = iota // can be in time
+	late                // is late, and worth less
+	useless             // nobody waits for it any more
+)
+
+func (d *Demand) ranked(now time.Time) rank {
+	switch {
+	case d.Spec.Lasting || !now.After(d.Late):
+		return timely
+	case !now.After(d.Useless):
+		return late
+	}
+	return useless
+}
+
 // compare puts the demand that is served first before the other.
 func compare(a, b *Demand) int {
-	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+	if c := cmp.Compare(a.rank, b.rank); c != 0 {
 		return c
 	}
-	if a.hopeless != b.hopeless {
-		if b.hopeless {
-			return -1
-		}
-		return 1
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+		return c
 	}
 	if c := a.Late.Compare(b.Late); c != 0 {
 		return c
@@ -267,7 +286,7 @@
 		w, reason := p.best(d, p.pools[d.Pool])
 		if w == nil {
 			p.block(d, reason)
-			if d.Priority == 0 || d.Spec.Lasting {
+			if d.rank == timely && (d.Priority == 0 || d.Spec.Lasting) {
 				p.claim(d, len(d.Tasks)-n)
 			}
 			p.askFor(d, len(d.Tasks)-n)
@@ -385,7 +404,9 @@
 	chosen, reason := p.together(d)
 	if chosen == nil {
 		p.block(d, reason)
-		p.claim(d, len(d.Tasks))
+		if d.rank == timely {
+			p.claim(d, len(d.Tasks))
+		}
 		p.askFor(d, len(d.Tasks))
 		return
 	}
