--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -22,9 +22,6 @@
 	spareFactor = 1.3
 	// ticketMargin is the part of a ticket's life that a commit and a start take.
 	ticketMargin = 80 * time.Millisecond
-	// avoidedWorkers is the number of workers that a step avoids after failed
-	// runs there; with more, the step is more likely at fault than they.
-	avoidedWorkers = 3
 	// uselessFactor times the time after which a job is late, nobody waits for it
 	// any more; this is what operators count as late instead of lost.
 	uselessFactor = 3
@@ -232,10 +229,7 @@
 	if !early && m.since.IsZero() {
 		m.since = now
 	}
-	if len(m.avoid) > avoidedWorkers {
-		clear(m.avoid)
-	}
-	d.Avoid = m.avoid
+	d.Avoid = m.avoided(now)
 	if !early {
 		d.Waited = now.Sub(m.since)
 	}
@@ -304,3 +298,19 @@
 	}
 	return longest
 }
+
+// avoided returns the workers that the step leaves out now.
+func (s *step) avoided(now time.Time) map[string]bool {
+	var names map[string]bool
+	for name, until := range s.avoid {
+		if now.After(until) {
+			delete(s.avoid, name)
+			continue
+		}
+		if names == nil {
+			names = map[string]bool{}
+		}
+		names[name] = true
+	}
+	return names
+}
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -13,11 +13,13 @@
 	// listWait is how long a listing waits for an end. The lease is extended by
 	// each listing, so the wait is well below its length.
 	listWait = 1500 * time.Millisecond
+	// fateWait is the wait while it is not known what became of an order.
+	fateWait = 150 * time.Millisecond
 	// listSlack is added to the wait for the answer to arrive.
 	listSlack = 500 * time.Millisecond
 	// listPause is the shortest time between two listings of a worker with ends;
 	// each look has a price, and ends of one step come close together.
-	listPause = 15 * time.Millisecond
+	listPause = 30 * time.Millisecond
 	// stallTime is the time without progress after which a run is moved to
 	// another worker. A sound run of the longest kind moves by a percent in a
 	// fifth of it.
@@ -70,12 +72,13 @@
 	if len(w.runs) == 0 || w.missed > 0 || w.clock.IsZero() {
 		return o
 	}
+	o.Wait = min(listWait, t.timing().LongestPoll)
 	for _, r := range w.runs {
-		if r.clear.IsZero() || r.stopping {
-			return o // its fate is wanted now
+		if r.clear.IsZero() || !r.stopped.IsZero() {
+			// Its fate is wanted soon; it may be that nothing ends.
+			o.Wait = min(o.Wait, fateWait)
 		}
 	}
-	o.Wait = min(listWait, t.timing().LongestPoll)
 	return o
 }
 
@@ -162,7 +165,7 @@
 		w.faults, w.aside = 0, 0
 	case job.Faulted:
 		w.faults++
-		t.remember(r.id.Of()).avoid[w.ID] = true
+		t.avoid(r, t.now())
 		if w.faults >= suspectFaults {
 			t.suspect(w, "runs fail in a row")
 		}
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -12,6 +12,8 @@
 	goneAfter = 15 * time.Second
 	// drainSlack is left between the stop of a run on a draining worker and the
 	// worker's end, beside the time that a stop may take.
+	// avoidTime is how long a step leaves out a worker where a run of it failed.
+	avoidTime  = 1500 * time.Millisecond
 	drainSlack = 400 * time.Millisecond
 )
 
@@ -52,7 +54,7 @@
 	for _, r := range w.runs {
 		if !r.clear.IsZero() && !r.stopping && !r.ended && w.missed == 0 && t.stalled(r, now) {
 			t.suspect(w, "a run stands still")
-			t.remember(r.id.Of()).avoid[w.ID] = true
+			t.avoid(r, now)
 			t.stop(r)
 			t.breakGang(r)
 		}
@@ -89,11 +91,17 @@
 	}
 }
 
+// avoid leaves the worker of a run out for the run's step for a while. It is not
+// left out for good, because it may be the only one that may run the step.
+func (t *term) avoid(r *run, now time.Time) {
+	t.remember(r.id.Of()).avoid[r.worker.ID] = now.Add(avoidTime)
+}
+
 // remember returns what is remembered of a step.
 func (t *term) remember(id job.StepID) *step {
 	s := t.steps[id]
 	if s == nil {
-		s = &step{avoid: map[string]bool{}}
+		s = &step{avoid: map[string]time.Time{}}
 		t.steps[id] = s
 	}
 	return s
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -70,10 +70,10 @@
 // step is what is remembered of a step that waits.
 type step struct {
 	advice fit.Advice
-	avoid  map[string]bool // workers where a run of it failed
-	since  time.Time       // when tasks of it became ready
-	retry  time.Time       // no question before this
-	noted  time.Time       // no line about its wait before this
+	avoid  map[string]time.Time // workers where a run of it failed, and until when they are left out
+	since  time.Time            // when tasks of it became ready
+	retry  time.Time            // no question before this
+	noted  time.Time            // no line about its wait before this
 }
 
 // lane is a process that asks the advice service.
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -25,7 +25,7 @@
 	// suspectTime is how long a worker is avoided at first; it doubles each time
 	// up to suspectLongest.
 	suspectTime    = 3 * time.Second
-	suspectLongest = 30 * time.Second
+	suspectLongest = 6 * time.Second
 	// leaveTime is how long a worker that said that it ends may still run things.
 	leaveTime = 250 * time.Millisecond
 )
