Renew tickets of slow advice ahead of room, keep room that is asked about

A task asked about a worker when it became free, and 0.57 s later the room was gone. Ruled out: gangs wider than their good workers (starts are single).

--- a/internal/process/dispatch/advice.go
+++ b/internal/process/dispatch/advice.go
@@ -19,6 +19,8 @@
 	// laneBacklog bounds the time that questions wait in one process; the advice
 	// service handles one of a process at a time, and tickets expire.
 	laneBacklog = 400 * time.Millisecond
+	// urgentLanes is the number of processes that ask for urgent work only.
+	urgentLanes = 2
 	// adviceSlack is added to the expected time of an answer.
 	adviceSlack = 1500 * time.Millisecond
 	// adviceRetry is the pause after a question without an answer.
@@ -32,8 +34,8 @@
 	if s.advice.Asking {
 		return
 	}
-	name, l := t.lane(now)
-	if l == nil || l.free.Sub(now) > laneBacklog {
+	name, l := t.lane(now, a.Demand.Priority == 0)
+	if l == nil || l.free.Sub(now) > laneBacklog || a.Ahead && l.free.After(now) {
 		return
 	}
 	q := t.advised(a.Demand.Step)
@@ -47,15 +49,23 @@
 	t.orders.Go(func() { t.question(a, name, l, q, deadline) })
 }
 
-// lane returns the process that answers its questions first.
-func (t *term) lane(now time.Time) (string, *lane) {
-	var name string
-	var best *lane
+// lane returns the process that answers its questions first. Some are kept for
+// urgent work, whose questions are short and would wait behind long ones.
+func (t *term) lane(now time.Time, urgent bool) (string, *lane) {
+	var names []string
 	for n, l := range t.lanes {
-		if now.Sub(l.seen) > laneSeen {
-			continue
+		if now.Sub(l.seen) <= laneSeen {
+			names = append(names, n)
 		}
-		if best == nil || l.free.Before(best.free) || l.free.Equal(best.free) && n < name {
+	}
+	slices.Sort(names)
+	if !urgent && len(names) > 2*urgentLanes {
+		names = names[urgentLanes:]
+	}
+	var name string
+	var best *lane
+	for _, n := range names {
+		if l := t.lanes[n]; best == nil || l.free.Before(best.free) {
 			name, best = n, l
 		}
 	}
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -234,7 +234,7 @@
 		d.Waited = now.Sub(m.since)
 	}
 	if r.Queue.Advised != nil {
-		d.Advised, d.Advice = true, &m.advice
+		d.Advised, d.Advice, d.Slow = true, &m.advice, r.Queue.Advised.Base
 		if m.advice.Answers == nil {
 			m.advice.Answers = map[string]fit.Answer{}
 		}
--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -4,6 +4,17 @@
 	"cmp"
 	"math"
 	"slices"
+	"time"
+)
+
+const (
+	// slowAnswer is the time of an answer from which on it is asked ahead.
+	slowAnswer = 50 * time.Millisecond
+	// renewMargin is how long before the end of its ticket a worker is asked
+	// about again, beside the time of the answer.
+	renewMargin = 200 * time.Millisecond
+	// renewedWorkers bounds the workers that are asked about ahead.
+	renewedWorkers = 8
 )
 
 // ask asks about a step ahead of its turn, if nothing is known yet.
@@ -33,11 +44,53 @@
 		workers = append(workers, p.unknown(d, max(wanted-len(workers), 0))...)
 	}
 	if d.Spec.Gang && fit < len(d.Tasks) && !p.news(d, workers) {
-		return // the answer would be old before the gang finds room
+		workers = nil // there is no room for the gang yet
+	}
+	if len(workers) == 0 {
+		p.renew(d)
+		return
 	}
+	p.keep(d, workers)
 	p.question(d, workers)
 }
 
+// keep keeps the room on workers that are asked about until the answer comes.
+func (p *planner) keep(d *Demand, names []string) {
+	if d.rank != timely {
+		return
+	}
+	for _, w := range p.pools[d.Pool] {
+		if w.held == nil && slices.Contains(names, w.ID) {
+			w.held = d
+		}
+	}
+}
+
+// renew asks ahead of room for a demand whose answers take long: otherwise each
+// worker would idle for that time whenever it becomes free.
+func (p *planner) renew(d *Demand) {
+	if d.Slow < slowAnswer || d.rank != timely {
+		return
+	}
+	var candidates []offer
+	for _, w := range p.pools[d.Pool] {
+		a := d.Advice.Answers[w.ID]
+		if a.Good && p.now.Add(d.Slow+renewMargin).After(a.Expiry) && p.claimable(d, w) {
+			candidates = append(candidates, p.offer(d, w, d.Spec.Reserves()))
+		}
+	}
+	slices.SortStableFunc(candidates, compareOffers)
+	var workers []string
+	for i, o := range candidates {
+		if i < renewedWorkers {
+			workers = append(workers, o.worker.ID)
+		}
+	}
+	if len(workers) > 0 {
+		p.plan.Asks = append(p.plan.Asks, Ask{d, workers, true})
+	}
+}
+
 // renewable returns the good workers whose tickets have expired and that have
 // room, counting what is being stopped, and how many tasks fit on good workers.
 func (p *planner) renewable(d *Demand) (workers []string, fit int) {
@@ -100,6 +153,6 @@
 
 func (p *planner) question(d *Demand, workers []string) {
 	if len(workers) > 0 {
-		p.plan.Asks = append(p.plan.Asks, Ask{d, workers})
+		p.plan.Asks = append(p.plan.Asks, Ask{d, workers, false})
 	}
 }
--- a/internal/version/fit/claim.go
+++ b/internal/version/fit/claim.go
@@ -15,8 +15,24 @@
 	// second of it, and the time of a restart.
 	urgentPatience = 80 * time.Millisecond
 	patience       = 700 * time.Millisecond
+	// wideTask is the fraction of a worker from which on a task seldom finds room
+	// among smaller ones, so that workers are kept for it.
+	wideTask = 0.25
 )
 
+// claims reports whether workers are kept for tasks of the demand.
+func (p *planner) claims(d *Demand) bool {
+	if d.Priority == 0 || d.Spec.Lasting {
+		return true
+	}
+	for _, w := range p.pools[d.Pool] {
+		if suits(d, w) {
+			return d.Spec.Reserves().Dominant(w.Capacity) >= wideTask
+		}
+	}
+	return false
+}
+
 // claim keeps workers for a demand that found no room: those where the fewest
 // runs of lower priority have to make way. After the demand's patience these
 // are stopped. A demand that fits nowhere even so keeps what comes closest.
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -95,6 +95,7 @@
 	Placed   map[string]int  // running tasks of the step by worker
 	Avoid    map[string]bool // workers where a run of the step failed
 	Advised  bool
+	Slow     time.Duration // least time of an answer of the advice service
 	Advice   *Advice
 	Early    bool          // not ready to start; only advice may be asked for
 	Waited   time.Duration // since tasks of the step became ready
@@ -144,6 +145,7 @@
 type Ask struct {
 	Demand  *Demand
 	Workers []string
+	Ahead   bool // the tasks have no room yet; only worth asking if a lane is idle
 }
 
 // Block tells why tasks of a demand wait.
@@ -286,7 +288,7 @@
 		w, reason := p.best(d, p.pools[d.Pool])
 		if w == nil {
 			p.block(d, reason)
-			if d.rank == timely && (d.Priority == 0 || d.Spec.Lasting) {
+			if d.rank == timely && p.claims(d) {
 				p.claim(d, len(d.Tasks)-n)
 			}
 			p.askFor(d, len(d.Tasks)-n)
