--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -124,7 +124,10 @@
 	case r.stopping || r.ended:
 		f.Ending = f.Ending.Add(o.Size)
 	case s.Checkpoints && !s.Gang && !s.Lasting && !r.clear.IsZero():
-		f.Runs = append(f.Runs, fit.Run{Task: id, Priority: record.Queue.Priority, Size: o.Size})
+		late, _ := t.lateAt(record, id.Occurrence)
+		f.Runs = append(f.Runs, fit.Run{
+			Task: id, Priority: record.Queue.Priority, Due: fit.Due(late, record.Queue.Priority), Size: o.Size,
+		})
 	}
 }
 
@@ -134,6 +137,9 @@
 	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
 		return c
 	}
+	if c := a.Due.Compare(b.Due); c != 0 {
+		return c
+	}
 	if c := cmp.Compare(b.Size.Processors, a.Size.Processors); c != 0 {
 		return c
 	}
--- a/internal/version/fit/claim.go
+++ b/internal/version/fit/claim.go
@@ -87,7 +87,7 @@
 	total := room
 	for i := range w.Runs {
 		r := &w.Runs[i]
-		if r.stopped || r.Priority <= d.Priority {
+		if !r.yields(d) {
 			continue
 		}
 		if !size.Fits(total) {
@@ -102,6 +102,11 @@
 	return o
 }
 
+// yields reports whether a run makes way for a demand.
+func (r *Run) yields(d *Demand) bool {
+	return !r.stopped && r.Priority > d.Priority && (d.band() < 2 || d.due().Before(r.Due))
+}
+
 // lack returns the largest fraction of the capacity by which room is too small.
 func lack(size, room, capacity work.Resources) float64 {
 	missing := size.Sub(room)
@@ -130,7 +135,7 @@
 	var chosen []int
 	for i := len(w.Runs) - 1; i >= 0 && !amount.Fits(room); i-- {
 		r := &w.Runs[i]
-		if !r.stopped && r.Priority > d.Priority && useful(r.Size, amount, room) {
+		if r.yields(d) && useful(r.Size, amount, room) {
 			chosen, room = append(chosen, i), room.Add(r.Size)
 		}
 	}
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -16,7 +16,8 @@
 // Demands that are not late come first, then late ones, then those that nobody
 // waits for any more: under overload, work that is late already would otherwise
 // make all that follows late too. Within a rank demands are served by the
-// priority of their queue, then by the time at which they are late.
+// time at which they are late, with a head start for each higher priority; urgent
+// work and lasting tasks come first.
 // A gang that finds no room claims the workers where it would fit soonest, so
 // that smaller work behind it does not keep it waiting for ever. After a while,
 // runs of lower priority that have checkpoints make way for it.
@@ -62,6 +63,7 @@
 type Run struct {
 	Task     job.TaskID
 	Priority int
+	Due      time.Time      // see Due
 	Size     work.Resources // reserved on the worker
 	stopped  bool           // by this plan
 }
@@ -241,15 +243,40 @@
 	return useless
 }
 
+// band separates what always comes before the rest: urgent work, then lasting
+// tasks, which serve users of their own.
+func (d *Demand) band() int {
+	switch {
+	case d.Priority == 0:
+		return 0
+	case d.Spec.Lasting:
+		return 1
+	}
+	return 2
+}
+
+// due orders the demands of one band.
+func (d *Demand) due() time.Time { return Due(d.Late, d.Priority) }
+
+// Due returns the time by which work of a priority is ordered. A higher priority
+// counts as a head start, so that under overload lower ones get their turn too.
+func Due(late time.Time, priority int) time.Time {
+	return late.Add(time.Duration(priority) * headStart)
+}
+
+// headStart is the advantage of each priority over the next. It is below the
+// slack of usual work of low priority, which is some ten seconds.
+const headStart = 4 * time.Second
+
 // compare puts the demand that is served first before the other.
 func compare(a, b *Demand) int {
 	if c := cmp.Compare(a.rank, b.rank); c != 0 {
 		return c
 	}
-	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+	if c := cmp.Compare(a.band(), b.band()); c != 0 {
 		return c
 	}
-	if c := a.Late.Compare(b.Late); c != 0 {
+	if c := a.due().Compare(b.due()); c != 0 {
 		return c
 	}
 	if c := cmp.Compare(a.Order, b.Order); c != 0 {
