--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -78,6 +78,7 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	options.Upstream = timed{options.Upstream, options.Events}
 	return &Dispatcher{options: options}, nil
 }
 
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -140,7 +140,9 @@
 		t.emit(event.RoundDropped, event.Cause(err))
 		return job.Result{}, false
 	}
+	proposed := t.now()
 	v, err := t.dispatcher.options.Log.Propose(ctx, b)
+	t.emit(event.RoundCommitted, zap.Duration("took", t.now().Sub(proposed)))
 	if err != nil {
 		if ctx.Err() == nil {
 			t.emit(event.RoundDropped, event.Cause(err))
--- a/internal/process/dispatch/upstream.go
+++ b/internal/process/dispatch/upstream.go
@@ -3,6 +3,9 @@
 import (
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
@@ -109,3 +112,24 @@
 	// Forget drops the connections to a worker whose life is over.
 	Forget(w *job.Worker)
 }
+
+// timed measures the answers to orders. Listings are left out: they wait.
+type timed struct {
+	Upstream
+	events event.Log
+}
+
+func (m timed) measure(order string, sent time.Time, a Answer) Answer {
+	m.events.Emit(event.OrderAnswered, zap.String("order", order), zap.Duration(order, time.Since(sent)), zap.Uint8("result", uint8(a.Result)))
+	return a
+}
+
+// Start implements Upstream.
+func (m timed) Start(deadline time.Time, w *job.Worker, o StartOrder) Answer {
+	return m.measure("start", time.Now(), m.Upstream.Start(deadline, w, o))
+}
+
+// Stop implements Upstream.
+func (m timed) Stop(deadline time.Time, w *job.Worker, o StopOrder) Answer {
+	return m.measure("stop", time.Now(), m.Upstream.Stop(deadline, w, o))
+}
