Learn the control processes from any of them, not only from the leader

Ruled out: the log (the leader kept its quorum and committed rounds). Shown by TestLeaderIsNoSeed, which fails without the change.

--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -199,8 +199,11 @@
 			ctx, cancel := context.WithTimeout(ctx, askTimeout)
 			defer cancel()
 			var a Leader
-			if l.options.Peer.Call(ctx, name, MethodWho, Who{}, &a) == nil && a.Name == name {
-				l.learn(a.Members)
+			if l.options.Peer.Call(ctx, name, MethodWho, Who{}, &a) != nil {
+				return
+			}
+			l.learn(a.Members) // the leader may be none that was known
+			if a.Name == name {
 				l.found(name)
 			}
 		}()
--- /dev/null
+++ b/internal/connection/cell/link_test.go
@@ -0,0 +1,125 @@
+package cell
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/matryer/is"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+)
+
+// cellOf is a peer.Caller to control processes, one of which may lead.
+type cellOf struct {
+	mu      sync.Mutex
+	leader  string
+	members []string
+	down    map[string]bool
+	mute    map[string]bool // carries calls out without an answer
+	calls   map[string]int
+}
+
+func (c *cellOf) Call(ctx context.Context, to, method string, _, response any) error {
+	time.Sleep(2 * time.Millisecond)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.down[to] {
+		return peer.ErrNotSent
+	}
+	c.calls[method+" "+to]++
+	if c.mute[to] && method == MethodCall {
+		return peer.ErrUnknown
+	}
+	switch method {
+	case MethodWho:
+		*response.(*Leader) = Leader{Name: c.leader, Members: c.members}
+		return nil
+	case MethodPing, MethodCall:
+		if to != c.leader {
+			return &peer.Remote{Code: CodeNotLeader, Message: c.leader}
+		}
+		if v, ok := response.(*Verdict); ok {
+			*v = Verdict{Code: OK}
+		}
+		return nil
+	}
+	return errors.New("unknown method")
+}
+
+func (c *cellOf) lead(name string, down ...string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = name
+	for _, d := range down {
+		c.down[d] = true
+	}
+}
+
+func newLink(t *testing.T, seeds ...string) (*cellOf, *Link) {
+	c := &cellOf{leader: "a", members: []string{"a", "b", "c", "d"}, down: map[string]bool{}, mute: map[string]bool{}, calls: map[string]int{}}
+	l := New(Options{Name: "me", Seeds: seeds, Peer: c})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go func() {
+		if err := l.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	return c, l
+}
+
+// Guards against a cell that finds no leader after a restart because the leader
+// is none of the seeds (trouble-1 of rmpc-thies-grown, two of three plays).
+func TestLeaderIsNoSeed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, l := newLink(t, "a", "b", "c")
+		c.lead("d")
+		time.Sleep(2 * time.Second)
+		is.Equal(l.Leader(), "d")
+		is.True(l.Linked())
+	})
+}
+
+// Guards against a process that stays with a leader that is gone, and against
+// seeds that are all gone once the members are known.
+func TestLeaderChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, l := newLink(t, "a")
+		time.Sleep(time.Second)
+		is.Equal(l.Leader(), "a")
+		c.lead("d", "a")
+		time.Sleep(time.Second)
+		is.Equal(l.Leader(), "d")
+	})
+}
+
+// Guards against callers that are kept waiting while there is no leader, and
+// against calls that count as not carried out although one may have been.
+func TestCallWithoutLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, l := newLink(t, "a", "b")
+		c.lead("")
+		time.Sleep(time.Second)
+		started := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		_, err := l.Call(ctx, Call{Verb: Submit})
+		is.True(errors.Is(err, ErrNoLeader))
+		is.True(time.Since(started) < 4*patience)
+
+		c.lead("b")
+		time.Sleep(time.Second)
+		c.mu.Lock()
+		c.mute["b"] = true
+		c.mu.Unlock()
+		_, err = l.Call(ctx, Call{Verb: Submit})
+		is.True(errors.Is(err, ErrUnknown))
+	})
+}
