End the link and its questions before a test in virtual time ends

A run of the link tests panicked once: the test's function had returned while a question of the link slept, which virtual time counts as a deadlock.

--- a/internal/connection/cell/link_test.go
+++ b/internal/connection/cell/link_test.go
@@ -59,17 +59,24 @@
 	}
 }
 
-func newLink(t *testing.T, seeds ...string) (*cellOf, *Link) {
-	c := &cellOf{leader: "a", members: []string{"a", "b", "c", "d"}, down: map[string]bool{}, mute: map[string]bool{}, calls: map[string]int{}}
-	l := New(Options{Name: "me", Seeds: seeds, Peer: c})
+// newLink starts a link. The returned function ends it and all that it started,
+// which the end of a test in virtual time demands.
+func newLink(t *testing.T, seeds ...string) (c *cellOf, l *Link, stop func()) {
+	c = &cellOf{leader: "a", members: []string{"a", "b", "c", "d"}, down: map[string]bool{}, mute: map[string]bool{}, calls: map[string]int{}}
+	l = New(Options{Name: "me", Seeds: seeds, Peer: c})
 	ctx, cancel := context.WithCancel(context.Background())
-	t.Cleanup(cancel)
+	done := make(chan struct{})
 	go func() {
+		defer close(done)
 		if err := l.Run(ctx); err != nil {
 			t.Error(err)
 		}
 	}()
-	return c, l
+	return c, l, func() {
+		cancel()
+		<-done
+		time.Sleep(time.Second) // questions under way
+	}
 }
 
 // Guards against a cell that finds no leader after a restart because the leader
@@ -77,7 +84,8 @@
 func TestLeaderIsNoSeed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		c, l := newLink(t, "a", "b", "c")
+		c, l, stop := newLink(t, "a", "b", "c")
+		defer stop()
 		c.lead("d")
 		time.Sleep(2 * time.Second)
 		is.Equal(l.Leader(), "d")
@@ -90,7 +98,8 @@
 func TestLeaderChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		c, l := newLink(t, "a")
+		c, l, stop := newLink(t, "a")
+		defer stop()
 		time.Sleep(time.Second)
 		is.Equal(l.Leader(), "a")
 		c.lead("d", "a")
@@ -104,7 +113,8 @@
 func TestCallWithoutLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		c, l := newLink(t, "a", "b")
+		c, l, stop := newLink(t, "a", "b")
+		defer stop()
 		c.lead("")
 		time.Sleep(time.Second)
 		started := time.Now()
