--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -10,6 +10,11 @@
 // be gone. It asks all that it knows for the leader until one answers, and
 // learns the others from the leader.
 //
+// # Relays
+//
+// A process that is cut off from the control processes, but not from the others,
+// passes its calls on through one of those that reached the leader lately.
+//
 // # Outcomes
 //
 // A call fails with ErrNoLeader if no process can have carried it out, and with
@@ -19,12 +24,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
@@ -41,10 +48,12 @@
 	askTimeout = 400 * time.Millisecond
 	// attemptTimeout bounds one attempt of a call; a commit takes some
 	// milliseconds, so a leader that is silent for longer is given up.
-	attemptTimeout = 700 * time.Millisecond
+	attemptTimeout = 500 * time.Millisecond
 	// patience is how long a call that was not sent waits for a leader. A caller
 	// is told to come back rather than kept waiting.
 	patience = 40 * time.Millisecond
+	// maximumRelays bounds the processes that a call is passed on through.
+	maximumRelays = 2
 	// readyTime is how long after a ping was answered a process counts as linked.
 	readyTime = 1500 * time.Millisecond
 )
@@ -76,6 +85,7 @@
 	mu      sync.Mutex
 	seeds   []string
 	members []string
+	linked  []string      // that reached the leader lately
 	changed chan struct{} // closed when a leader is found
 }
 
@@ -141,17 +151,19 @@
 		return
 	}
 	l.answered.Store(time.Now().UnixNano())
-	l.learn(a.Members)
+	l.learn(a)
 }
 
-// learn keeps the members that a leader named.
-func (l *Link) learn(members []string) {
-	if len(members) == 0 {
-		return
-	}
+// learn keeps the processes that a control process named.
+func (l *Link) learn(a Leader) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.members = members
+	if len(a.Members) > 0 {
+		l.members = a.Members
+	}
+	if len(a.Linked) > 0 {
+		l.linked = a.Linked
+	}
 }
 
 // lose forgets a leader that did not answer or does not lead.
@@ -202,7 +214,7 @@
 			if l.options.Peer.Call(ctx, name, MethodWho, Who{}, &a) != nil {
 				return
 			}
-			l.learn(a.Members) // the leader may be none that was known
+			l.learn(a) // the leader may be none that was known
 			if a.Name == name {
 				l.found(name)
 			}
@@ -268,11 +280,22 @@
 // be carried out twice.
 func (l *Link) do(ctx context.Context, method string, request, response any) error {
 	started, unclear := time.Now(), false
+	relays := l.relays()
 	for {
 		l.mu.Lock()
 		changed := l.changed
 		l.mu.Unlock()
 		name := l.Leader()
+		if name == "" && len(relays) > 0 {
+			to := relays[0]
+			relays = relays[1:]
+			err := l.relay(ctx, to, method, request, response)
+			if err == nil || errors.As(err, new(*peer.Remote)) {
+				return err
+			}
+			unclear = unclear || !errors.Is(err, ErrNoLeader)
+			continue
+		}
 		if name == "" {
 			if !unclear && time.Since(started) >= patience {
 				return ErrNoLeader
@@ -314,3 +337,74 @@
 	defer cancel()
 	return l.options.Peer.Call(ctx, name, method, request, response)
 }
+
+// relays returns processes to pass a call on through, in random order.
+func (l *Link) relays() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var names []string
+	for _, i := range rand.Perm(len(l.linked)) {
+		if n := l.linked[i]; n != l.options.Name && !slices.Contains(l.members, n) && len(names) < maximumRelays {
+			names = append(names, n)
+		}
+	}
+	return names
+}
+
+// relay passes a call on through another process. An error other than that of
+// the leader is ErrNoLeader or ErrUnknown.
+func (l *Link) relay(ctx context.Context, to, method string, request, response any) error {
+	body, err := cbor.Marshal(request)
+	if err != nil {
+		return errors.Wrap(err, "encode request")
+	}
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	var answer cbor.RawMessage
+	err = l.options.Peer.Call(ctx, to, MethodRelay, Relay{Method: method, Body: body}, &answer)
+	l.options.Log.Emit(event.CallRelayed, zap.String("method", method), zap.String("through", to), event.Cause(err))
+	var r *peer.Remote
+	switch {
+	case err == nil && response == nil:
+		return nil
+	case err == nil:
+		return errors.Wrap(cbor.Unmarshal(answer, response), "decode answer")
+	case errors.As(err, &r) && r.Code == codeNoLeader, errors.Is(err, peer.ErrNotSent):
+		return ErrNoLeader
+	case errors.As(err, &r) && r.Code != codeUnknown:
+		return err
+	}
+	return ErrUnknown
+}
+
+// Codes of relayed calls that the leader did not answer.
+const (
+	codeNoLeader = "no_leader"
+	codeUnknown  = "unknown"
+)
+
+// Register registers the methods that every process serves.
+func (l *Link) Register(mux peer.Mux) {
+	mux.Handle(MethodRelay, func(ctx context.Context, _ string, decode peer.Decode) (any, error) {
+		var r Relay
+		if err := decode(&r); err != nil {
+			return nil, &peer.Remote{Code: peer.CodeMalformed, Message: err.Error()}
+		}
+		name := l.Leader()
+		if name == "" {
+			return nil, &peer.Remote{Code: codeNoLeader, Message: ErrNoLeader.Error()}
+		}
+		var answer cbor.RawMessage
+		err := l.attempt(ctx, name, r.Method, r.Body, &answer)
+		var remote *peer.Remote
+		switch {
+		case err == nil:
+			return answer, nil
+		case errors.As(err, &remote) && remote.Code == CodeNotLeader, errors.Is(err, peer.ErrNotSent):
+			return nil, &peer.Remote{Code: codeNoLeader, Message: err.Error()}
+		case remote != nil:
+			return nil, remote
+		}
+		return nil, &peer.Remote{Code: codeUnknown, Message: err.Error()}
+	})
+}
--- a/internal/connection/cell/link_test.go
+++ b/internal/connection/cell/link_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
@@ -133,3 +134,86 @@
 		is.True(errors.Is(err, ErrUnknown))
 	})
 }
+
+// network is a peer.Caller of one process in a small cell; it knows who is cut
+// off from whom.
+type network struct {
+	name     string
+	handlers map[string]map[string]peer.Handler // by process and method
+	cut      map[string]bool                    // "from to"
+}
+
+func (n network) Call(ctx context.Context, to, method string, request, response any) error {
+	time.Sleep(time.Millisecond)
+	h := n.handlers[to][method]
+	if n.cut[n.name+" "+to] || h == nil {
+		return peer.ErrNotSent
+	}
+	body, err := cbor.Marshal(request)
+	if err != nil {
+		return err
+	}
+	value, err := h(ctx, n.name, func(into any) error { return cbor.Unmarshal(body, into) })
+	if err != nil || response == nil {
+		return err
+	}
+	if body, err = cbor.Marshal(value); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(body, response)
+}
+
+// handlersOf is a peer.Mux.
+type handlersOf map[string]peer.Handler
+
+func (h handlersOf) Handle(method string, handler peer.Handler) { h[method] = handler }
+
+// Guards against callers that are refused at an entry process that is cut off
+// from the control processes and not from the other entry processes.
+func TestRelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		all, cut := map[string]map[string]peer.Handler{}, map[string]bool{}
+		leader := func(context.Context, string, peer.Decode) (any, error) {
+			return Leader{Name: "core", Members: []string{"core"}, Linked: []string{"one", "two"}}, nil
+		}
+		all["core"] = map[string]peer.Handler{MethodWho: leader, MethodPing: leader,
+			MethodCall: func(_ context.Context, _ string, decode peer.Decode) (any, error) {
+				var c Call
+				if err := decode(&c); err != nil {
+					return nil, err
+				}
+				return Verdict{Code: OK, Message: c.Path}, nil
+			}}
+		ctx, cancel := context.WithCancel(context.Background())
+		var links []*Link
+		var work sync.WaitGroup
+		for _, name := range []string{"one", "two"} {
+			l := New(Options{Name: name, Seeds: []string{"core"}, Peer: network{name, all, cut}})
+			all[name] = map[string]peer.Handler{}
+			l.Register(handlersOf(all[name]))
+			links = append(links, l)
+		}
+		for _, l := range links {
+			work.Go(func() {
+				if err := l.Run(ctx); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		cut["one core"] = true
+		time.Sleep(time.Second)
+		is.Equal(links[0].Leader(), "")
+		v, err := links[0].Call(ctx, Call{Path: "/x"})
+		is.NoErr(err)
+		is.Equal(v.Message, "/x")
+		cut["two core"] = true
+		time.Sleep(time.Second)
+		_, err = links[0].Call(ctx, Call{Path: "/x"})
+		is.True(errors.Is(err, ErrNoLeader))
+		cancel()
+		work.Wait()
+		time.Sleep(time.Second)
+	})
+}
--- a/internal/connection/cell/message.go
+++ b/internal/connection/cell/message.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
@@ -18,6 +20,7 @@
 	MethodUpkeep = "upkeep" // leader: an operator's wave of upkeep
 	MethodWave   = "wave"   // leader: how far a wave is
 	MethodAdvise = "advise" // any process: ask the advice service for the leader
+	MethodRelay  = "relay"  // any process: pass a call on to the leader
 )
 
 // CodeNotLeader is the code of a peer.Remote error of a process that does not
@@ -31,6 +34,13 @@
 type Leader struct {
 	Name    string   `cbor:"1,keyasint,omitempty"` // empty if unknown
 	Members []string `cbor:"2,keyasint,omitempty"` // control processes
+	Linked  []string `cbor:"3,keyasint,omitempty"` // processes that reached the leader lately
+}
+
+// Relay is a call to the leader of a process that cannot reach it.
+type Relay struct {
+	Method string          `cbor:"1,keyasint"`
+	Body   cbor.RawMessage `cbor:"2,keyasint"`
 }
 
 // Ping tells the leader that a process is there and can ask for advice.
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -25,6 +25,9 @@
 	clockRate = 0.98
 	// lapseMargin is added to the time after which a lease has ended for sure.
 	lapseMargin = 100 * time.Millisecond
+	// namedLinked bounds the processes named in the answer to a ping, which goes to
+	// every process several times a second.
+	namedLinked = 8
 )
 
 // term is what the leader remembers while it leads.
@@ -243,7 +246,19 @@
 		t.lanes[name] = l
 	}
 	l.seen = t.now()
-	return cell.Leader{Name: t.dispatcher.options.Name, Members: t.dispatcher.options.Members()}
+	return cell.Leader{Name: t.dispatcher.options.Name, Members: t.dispatcher.options.Members(), Linked: t.linked()}
 }
 
 var _ raft.Machine = (*job.State)(nil)
+
+// linked returns some of the processes that reached this leader lately.
+func (t *term) linked() []string {
+	now := t.now()
+	var names []string
+	for n, l := range t.lanes {
+		if now.Sub(l.seen) <= laneSeen && len(names) < namedLinked {
+			names = append(names, n)
+		}
+	}
+	return names
+}
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -163,6 +163,7 @@
 	NoAdvice = "the advice service has not answered"
 	NotGood  = "the advice service allows no worker with room"
 	KeptFree = "the room is kept for urgent work"
+	NoWorker = "no worker is large enough or has the label"
 )
 
 // Room is what there is to place on.
@@ -383,15 +384,18 @@
 func (p *planner) best(d *Demand, workers []*Worker) (*Worker, string) {
 	var best *Worker
 	var score float64
-	reason := NoRoom
+	reason := NoWorker
 	for _, w := range workers {
 		if !p.open(d, w) {
+			if reason == NoWorker && suits(d, w) {
+				reason = NoRoom
+			}
 			continue
 		}
 		if d.Advised {
 			a, known := d.Advice.Answers[w.ID]
 			if known && !a.Good {
-				if reason == NoRoom {
+				if reason == NoRoom || reason == NoWorker {
 					reason = NotGood
 				}
 				continue
