--- a/internal/process/metric/metric.go
+++ b/internal/process/metric/metric.go
@@ -1,6 +1,6 @@
 // Package metric holds the metrics of the daemon, in the form of package
 // expvar. They are the value "rosemaryloft" of GET /debug/vars.
-// docs/operations.md lists them.
+// docs/OPERATIONS.md lists them.
 //
 // # Usage
 //
--- a/internal/process/settings/page_test.go
+++ b/internal/process/settings/page_test.go
@@ -21,7 +21,7 @@
 
 // Guards against examples on the pages that the daemon refuses.
 func TestExamplesOfPages(t *testing.T) {
-	for page, count := range map[string]int{"operations.md": 2, "settings.md": 1} {
+	for page, count := range map[string]int{"OPERATIONS.md": 2, "settings.md": 1} {
 		t.Run(page, func(t *testing.T) {
 			is := is.New(t)
 			content, err := os.ReadFile(filepath.Join("../../../docs", page))
--- a/internal/version/fit/replay_test.go
+++ b/internal/version/fit/replay_test.go
@@ -45,7 +45,6 @@
 	job    *arrival
 	index  int
 	worker *Worker
-	saved  time.Duration
 }
 
 // replay plays a load in virtual time, steps of 20 ms, and returns the share of
