--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -49,9 +49,13 @@
 	// attemptTimeout bounds one attempt of a call; a commit takes some
 	// milliseconds, so a leader that is silent for longer is given up.
 	attemptTimeout = 500 * time.Millisecond
-	// patience is how long a call that was not sent waits for a leader. A caller
-	// is told to come back rather than kept waiting.
+	// patience is how long a call that was not sent waits for a leader when none
+	// has been known for electionTime. A caller is told to come back rather than
+	// kept waiting for what is not expected soon.
 	patience = 40 * time.Millisecond
+	// electionTime is the time in which a lost leader is usually replaced. Calls
+	// wait within it, because a caller that is told to come back waits a second.
+	electionTime = 1200 * time.Millisecond
 	// maximumRelays bounds the processes that a call is passed on through.
 	maximumRelays = 2
 	// readyTime is how long after a ping was answered a process counts as linked.
@@ -80,6 +84,7 @@
 	options  Options
 	leader   atomic.Pointer[string]
 	answered atomic.Int64 // Unix nanoseconds of the last answered ping; zero if none
+	lost     atomic.Int64 // Unix nanoseconds at which the last known leader was lost
 	wake     chan struct{}
 
 	mu      sync.Mutex
@@ -91,7 +96,9 @@
 
 // New returns a Link.
 func New(options Options) *Link {
-	return &Link{options: options, seeds: options.Seeds, wake: make(chan struct{}, 1), changed: make(chan struct{})}
+	l := &Link{options: options, seeds: options.Seeds, wake: make(chan struct{}, 1), changed: make(chan struct{})}
+	l.lost.Store(time.Now().UnixNano())
+	return l
 }
 
 // SetSeeds replaces the control processes that the settings name.
@@ -172,6 +179,7 @@
 	if current == nil || *current != name || !l.leader.CompareAndSwap(current, nil) {
 		return
 	}
+	l.lost.Store(time.Now().UnixNano())
 	l.options.Log.Emit(event.LeaderUnreached, zap.String("leader", name), event.Cause(err))
 	select {
 	case l.wake <- struct{}{}:
@@ -297,7 +305,7 @@
 			continue
 		}
 		if name == "" {
-			if !unclear && time.Since(started) >= patience {
+			if !unclear && time.Since(started) >= patience && time.Since(time.Unix(0, l.lost.Load())) > electionTime {
 				return ErrNoLeader
 			}
 			wait(ctx, patience, changed)
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -27,6 +27,9 @@
 		case <-ctx.Done():
 			return
 		}
+		if !t.within() {
+			continue // this process may have been paused; nothing was heard meanwhile
+		}
 		t.mu.Lock()
 		now := t.now()
 		for _, w := range t.workers {
--- a/internal/version/raft/core_test.go
+++ b/internal/version/raft/core_test.go
@@ -360,3 +360,20 @@
 	is.True(s.leader().core.membership().named(lost.name, true) != nil)
 	is.Equal(s.violation, "")
 }
+
+// Guards against two replicas that stand for election at the same time, split
+// the votes and leave the group without a leader for another election timeout.
+func TestPreVotePostponesOwnCampaign(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(3, Options{}, "a", "b", "c")
+	l := s.elect()
+	b, c := others(s, l)
+	now := s.local(c)
+	c.core.contact, c.core.electionDeadline = now.Add(-2*electionMin), now.Add(time.Millisecond)
+	term := b.core.term
+	c.core.step(s.local(c), Message{
+		Type: PreVote, From: b.core.identity, FromName: b.name, To: c.core.identity, Group: c.core.membership().Group,
+		Term: term + 1, Index: b.core.entries.last(), LogTerm: b.core.entries.lastTerm(),
+	})
+	is.True(c.core.electionDeadline.Sub(now) >= electionMin)
+}
--- a/internal/version/raft/election.go
+++ b/internal/version/raft/election.go
@@ -70,6 +70,9 @@
 		c.answer(m, Message{Type: PreVoteAnswer, Reject: true})
 		return
 	}
+	// Two replicas that stand at the same time split the votes and cost another
+	// election timeout; the one that asks first goes first.
+	c.resetElection()
 	c.answer(m, Message{Type: PreVoteAnswer, Term: m.Term})
 }
 
