Take a refused connection for a cut, not for the end of a worker

Only a report of another life, a leave, another process at the address or the end of the lease tells of an end now. Leases are 4 s in place of 5 s, as crashes are known later.

--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -132,7 +132,7 @@
 	w := h.all[id]
 	switch {
 	case w == nil || w.refuses:
-		return nil, Answer{Result: NoProcess}, false
+		return nil, Answer{Result: NotSent}, false
 	case w.silent:
 		return nil, Answer{Result: Unclear}, false
 	}
@@ -415,6 +415,27 @@
 	})
 }
 
+// Guards against a refused connection that counts as the end of a worker: a cut
+// may refuse connections while the worker runs on (TWICE on the day
+// servers-reset of bellerive-crates).
+func TestRefusedConnectionsProveNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "a", "b")
+		defer b.close()
+		b.hosts.length = 20 * time.Second
+		b.submit("one", tasks(4))
+		time.Sleep(time.Second)
+		first := "a"
+		if len(b.hosts.all["b"].running) > 0 {
+			first = "b"
+		}
+		b.with(first, func(w *host) { w.refuses = true })
+		time.Sleep(7 * time.Second)
+		b.is.Equal(len(b.hosts.starts), 8)
+		b.is.Equal(b.hosts.twice, "")
+	})
+}
+
 // Guards against a start that is carried out without an answer and starts again
 // elsewhere while it runs.
 func TestStartWithoutAnswer(t *testing.T) {
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -94,7 +94,7 @@
 		if a.Life != 0 && a.Life != w.Life {
 			t.reborn(w, a.Life)
 		} else {
-			t.finish(w, "no process or another one at its address")
+			t.finish(w, "another process answers at its address")
 		}
 		return nil
 	}
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -20,7 +20,7 @@
 	startAttempts = 3
 	// leaseLength is the length of the leases of runs, if the worker allows as
 	// much: a cut or a change of the leader that is shorter costs no work.
-	leaseLength = 5 * time.Second
+	leaseLength = 4 * time.Second
 )
 
 // run is what the leader remembers of a run.
@@ -93,7 +93,7 @@
 		if a.Life != 0 && a.Life != w.Life {
 			t.reborn(w, a.Life)
 		} else {
-			t.finish(w, "no process or another one at its address")
+			t.finish(w, "another process answers at its address")
 		}
 		return true
 	}
@@ -207,7 +207,7 @@
 		if a.Life != 0 && a.Life != w.Life {
 			t.reborn(w, a.Life)
 		} else {
-			t.finish(w, "no process or another one at its address")
+			t.finish(w, "another process answers at its address")
 		}
 		return true
 	}
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -273,7 +273,7 @@
 	if w == nil {
 		return t.joined(r, now)
 	}
-	w.sequence, w.seen, w.refused = r.Sequence, now, 0
+	w.sequence, w.seen = r.Sequence, now
 	w.reading(r.Clock, now)
 	if !r.Worker.Draining || w.Draining {
 		return nil
--- a/internal/process/dispatch/upstream.go
+++ b/internal/process/dispatch/upstream.go
@@ -14,12 +14,11 @@
 
 // Results of an order.
 const (
-	Accepted  Result = iota + 1
-	Refused          // the worker answered and did nothing; Answer.Reason says why
-	Unclear          // no answer; the worker may carry the order out, now or later
-	NotSent          // no connection could be opened
-	NoProcess        // nothing listens at the worker's address
-	Stranger         // another worker answers at the address
+	Accepted Result = iota + 1
+	Refused         // the worker answered and did nothing; Answer.Reason says why
+	Unclear         // no answer; the worker may carry the order out, now or later
+	NotSent         // no connection could be opened, or nothing accepted it; a cut may look like that too
+	Stranger        // another worker answers at the address
 )
 
 // Reason tells why a worker refused an order.
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -16,9 +16,6 @@
 	// silentAnswers is the number of orders in a row without an answer after
 	// which a worker gets nothing new.
 	silentAnswers = 2
-	// refusedConnections is how many times in a row nothing must listen at a
-	// worker's address before its life counts as over.
-	refusedConnections = 2
 	// suspectFaults is the number of failed runs in a row, without one that was
 	// done, after which a worker is avoided.
 	suspectFaults = 3
@@ -44,7 +41,6 @@
 	listed    int64 // highest number of an end that was taken in
 	cursor    int64 // highest number of an end that is committed
 	missed    int   // orders in a row without an answer
-	refused   int   // connections in a row that nothing accepted
 	leaves    time.Time
 	drained   time.Time // a draining worker is gone after this
 	faults    int
@@ -89,7 +85,7 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now time.Time, every time.Duration) bool {
-	return !w.Draining && w.leaves.IsZero() && !w.clock.IsZero() && w.missed < silentAnswers && w.refused == 0 &&
+	return !w.Draining && w.leaves.IsZero() && !w.clock.IsZero() && w.missed < silentAnswers &&
 		now.Sub(w.seen) < silentReports*every && !now.Before(w.avoided)
 }
 
@@ -102,12 +98,9 @@
 		if w.missed >= silentAnswers {
 			t.emit(event.WorkerAnswers, zap.String("worker", w.ID), zap.Int("missed", w.missed))
 		}
-		w.missed, w.refused, w.seen = 0, 0, now
+		w.missed, w.seen = 0, now
 		w.reading(a.Clock, now)
 		return a.Life != 0 && a.Life != w.Life
-	case NoProcess:
-		w.refused++
-		return w.refused >= refusedConnections
 	case Stranger:
 		return true
 	default:
