--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -415,6 +415,23 @@
 	})
 }
 
+// Guards against a worker that stays out of use after a cut in which it lost all
+// its runs: nothing asked it again (LOST on the day servers-reset).
+func TestWorkerIsUsedAgainAfterACut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "a")
+		defer b.close()
+		b.hosts.length = 20 * time.Second
+		b.submit("one", tasks(2))
+		time.Sleep(time.Second)
+		b.with("a", func(w *host) { w.silent = true })
+		time.Sleep(8 * time.Second)
+		b.with("a", func(w *host) { w.silent = false })
+		time.Sleep(3 * time.Second)
+		b.is.Equal(len(b.hosts.starts), 4)
+	})
+}
+
 // Guards against a refused connection that counts as the end of a worker: a cut
 // may refuse connections while the worker runs on (TWICE on the day
 // servers-reset of bellerive-crates).
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -41,11 +41,12 @@
 func (t *term) list(w *worker) {
 	for {
 		t.mu.Lock()
-		if t.over || t.workers[w.ID] != w || len(w.runs) == 0 && w.cursor >= w.listed && (!w.clock.IsZero() || w.missed >= silentAnswers) {
+		if t.over || t.workers[w.ID] != w || len(w.runs) == 0 && w.cursor >= w.listed && !w.probe {
 			w.following = false
 			t.mu.Unlock()
 			return
 		}
+		w.probe = false
 		o := t.listOrder(w)
 		target := w.Worker
 		t.mu.Unlock()
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -275,6 +275,11 @@
 	}
 	w.sequence, w.seen = r.Sequence, now
 	w.reading(r.Clock, now)
+	if w.missed > 0 {
+		// It is there again; a listing tells whether it answers.
+		w.probe = true
+		t.follow(w)
+	}
 	if !r.Worker.Draining || w.Draining {
 		return nil
 	}
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -175,6 +175,7 @@
 	})
 	// Workers without runs are asked too: a start needs a reading of their clock.
 	for _, w := range t.workers {
+		w.probe = true
 		t.follow(w)
 	}
 	t.signal()
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -38,6 +38,7 @@
 	floor     time.Time // an earlier leader's leases may last until then
 	runs      map[job.TaskID]*run
 	following bool  // a loop lists its runs
+	probe     bool  // one listing is wanted even without runs
 	listed    int64 // highest number of an end that was taken in
 	cursor    int64 // highest number of an end that is committed
 	missed    int   // orders in a row without an answer
