Refuse at once what would be of no use by its turn, or fits no worker

A burst of ten times what a pool does is refused with a time to come back (TestFloodIsRefusedAtOnce).

--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -42,6 +42,7 @@
 		room := t.room(v, now)
 		demands := t.demands(v, now)
 		t.use(room, demands, now)
+		t.measure(v, room, demands, now)
 		plan = fit.Decide(now, demands, room)
 		for i := range plan.Starts {
 			plan.Starts[i].Demand.Prepare()
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -48,6 +48,7 @@
 	late    map[job.ID]time.Duration // from the due time until the job is late
 	peaks   map[string]*peak         // by pool, use by urgent work
 	next    inbox
+	loads   map[string]*fit.Load // by pool, as of the last round
 	waves   map[int64]*wave
 	noted   time.Time // last lines about the pools
 }
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -256,6 +256,9 @@
 	return 2
 }
 
+// bands is the number of bands.
+const bands = 3
+
 // due orders the demands of one band.
 func (d *Demand) due() time.Time { return Due(d.Late, d.Priority) }
 
