--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -221,6 +221,7 @@
 		Payload: r.Job.Payload, Placed: map[string]int{}, Progress: p, Early: early,
 	}
 	d.Late, d.Useless = t.lateAt(r, number)
+	d.Length = chainFrom(&r.Job, index)
 	for i := range p.Tasks {
 		switch k := &p.Tasks[i]; {
 		case k.Worker != "":
@@ -306,6 +307,23 @@
 	return longest
 }
 
+// chainFrom returns the estimated run time of the longest chain that begins with
+// a step.
+func chainFrom(j *job.Job, first int) time.Duration {
+	reach := make([]time.Duration, len(j.Steps))
+	reach[first] = j.Steps[first].Estimate
+	longest := reach[first]
+	for i := first + 1; i < len(j.Steps); i++ {
+		for _, a := range j.Steps[i].After {
+			if reach[a] > 0 {
+				reach[i] = max(reach[i], reach[a]+j.Steps[i].Estimate)
+			}
+		}
+		longest = max(longest, reach[i])
+	}
+	return longest
+}
+
 // avoided returns the workers that the step leaves out now.
 func (s *step) avoided(now time.Time) map[string]bool {
 	var names map[string]bool
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -87,12 +87,13 @@
 	Spec     *job.Step
 	Pool     string
 	Priority int
-	Late     time.Time // when the job, or the occurrence, is late
-	Useless  time.Time // when its result is of no use any more
-	Order    uint64    // of acceptance
-	Tasks    []int     // indices of the waiting tasks
-	Owner    string    // workspace
-	Payload  string    // of the job
+	Late     time.Time     // when the job, or the occurrence, is late
+	Useless  time.Time     // when its result is of no use any more
+	Length   time.Duration // estimate of the longest chain of steps from this one on
+	Order    uint64        // of acceptance
+	Tasks    []int         // indices of the waiting tasks
+	Owner    string        // workspace
+	Payload  string        // of the job
 	Progress *job.Progress
 	Placed   map[string]int  // running tasks of the step by worker
 	Avoid    map[string]bool // workers where a run of the step failed
@@ -234,9 +235,13 @@
 	useless             // nobody waits for it any more
 )
 
+// certain is the part of an estimated run time that is needed for sure;
+// estimates are off by up to half.
+const certain = 0.5
+
 func (d *Demand) ranked(now time.Time) rank {
 	switch {
-	case d.Spec.Lasting || !now.After(d.Late):
+	case d.Spec.Lasting || !now.Add(time.Duration(certain*float64(d.Length))).After(d.Late):
 		return timely
 	case !now.After(d.Useless):
 		return late
