--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -127,8 +127,8 @@
 	return false
 }
 
-// unknown returns workers with room that the step was not asked about, the
-// emptiest first. Before the first question, workers without room count too:
+// unknown returns workers with room that the step was not asked about, those
+// first that have room for most of its tasks. Before the first question, workers without room count too:
 // they may have some when the answer comes.
 func (p *planner) unknown(d *Demand, most int) []string {
 	first := len(d.Advice.Answers) == 0
@@ -138,8 +138,9 @@
 			candidates = append(candidates, w)
 		}
 	}
+	size := d.Spec.Reserves()
 	slices.SortStableFunc(candidates, func(a, b *Worker) int {
-		return cmp.Compare(b.Free.Dominant(b.Capacity), a.Free.Dominant(a.Capacity))
+		return cmp.Compare(times(size, b.Free.Add(b.Ending)), times(size, a.Free.Add(a.Ending)))
 	})
 	var workers []string
 	for i, w := range candidates {
--- a/internal/version/fit/fit_test.go
+++ b/internal/version/fit/fit_test.go
@@ -241,3 +241,22 @@
 	is.Equal([]int{d.Number(0), d.Number(1)}, []int{6, 6})
 	is.Equal([]string{d.Checkpoint(0), d.Checkpoint(1)}, []string{"c", "c"})
 }
+
+// Guards against questions about workers without room for the task, chosen
+// because they have much of something else: a large pool is asked about in part.
+func TestAsksAboutWorkersWithRoom(t *testing.T) {
+	is := is.New(t)
+	workers := pool(100, work.Resources{Processors: 32_000, Memory: 64 << 30})
+	for i, w := range workers {
+		w.Free.Processors = 0
+		if i >= 80 {
+			w.Free = work.Resources{Processors: 16_000, Memory: 20 << 30}
+		}
+	}
+	d := advised(demand("a", 0, 10, work.Resources{Processors: 4000, Memory: 1 << 30}), map[string]Answer{})
+	p := Decide(now, []*Demand{d}, Room{Workers: workers})
+	is.Equal(len(p.Asks), 1)
+	for i := range 20 {
+		is.True(slices.Contains(p.Asks[0].Workers, workers[80+i].ID))
+	}
+}
