Send orders again sooner, start copies of runs on silent workers elsewhere

Copies wait no more for the lease of a silent worker; the worker gets nothing new until it lists no run that was given up (TestCopiesStartElsewhereAtOnce). Orders are sent again after 150 ms in place of 400.

--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -223,7 +223,7 @@
 	w.looks++
 	l := Listing{Whole: true, Ended: slices.Clone(w.ended)}
 	for id, r := range w.running {
-		l.Running = append(l.Running, Row{Task: id, Run: r.run, Percent: int(time.Now().UnixMilli() % 100)})
+		l.Running = append(l.Running, Row{Task: id, Run: r.run, Percent: 100 - int(100*time.Until(r.ends)/h.length)})
 	}
 	return l, a, true
 }
@@ -415,6 +415,33 @@
 	})
 }
 
+// Guards against tasks that wait for the lease of a silent worker although copies
+// of them may run, and against a worker that is filled beyond its room by runs
+// that were given up and went on.
+func TestCopiesStartElsewhereAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "a", "b")
+		defer b.close()
+		b.hosts.length = 8 * time.Second
+		s := tasks(4)
+		s.Copies = true
+		b.submit("one", s)
+		time.Sleep(time.Second)
+		first := "a"
+		if len(b.hosts.all["b"].running) > 0 {
+			first = "b"
+		}
+		b.with(first, func(w *host) { w.silent = true })
+		time.Sleep(2600 * time.Millisecond)
+		b.is.Equal(len(b.hosts.starts), 8) // before the lease has ended
+		b.with(first, func(w *host) { w.silent = false })
+		b.submit("two", tasks(8))
+		time.Sleep(20 * time.Second)
+		b.is.Equal(b.status("two"), job.Completed)
+		b.is.True(b.hosts.all[first].peak <= 4)
+	})
+}
+
 // Guards against a worker that stays out of use after a cut in which it lost all
 // its runs: nothing asked it again (LOST on the day servers-reset).
 func TestWorkerIsUsedAgainAfterACut(t *testing.T) {
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -62,7 +62,10 @@
 		if settled := t.listing(w, sent, listing, a); settled != nil {
 			t.settled(t.ctx, settled)
 		}
-		if a.Result != Accepted || len(listing.Ended) > 0 {
+		switch {
+		case o.Wait == 0:
+			pause(t.ctx, fateWait) // asked again for what is not known yet
+		case a.Result != Accepted || len(listing.Ended) > 0:
 			pause(t.ctx, listPause)
 		}
 	}
@@ -103,10 +106,13 @@
 		return nil
 	}
 	present := map[job.TaskID]bool{}
+	strays := false
 	for _, row := range l.Running {
 		present[row.Task] = true
-		t.row(w, row)
+		strays = t.row(w, row) || strays
 	}
+	w.strays = strays
+	w.probe = strays
 	last := w.listed
 	for _, e := range l.Ended {
 		if e.Number > w.listed {
@@ -125,12 +131,16 @@
 	return t.enqueue(func(n *inbox) { n.cursors = append(n.cursors, c) })
 }
 
-// row takes in a run that a worker lists. One that is not in force is stopped.
-func (t *term) row(w *worker, row Row) {
+// row takes in a run that a worker lists. One that is not in force is stopped;
+// row reports whether it is one.
+func (t *term) row(w *worker, row Row) bool {
 	r := w.runs[row.Task]
 	if r == nil || r.number != row.Run {
 		t.stray(w, row)
-		return
+		return true
+	}
+	if r.ended {
+		return true // given up; it is stopped once its end is committed
 	}
 	now := t.now()
 	if r.clear.IsZero() {
@@ -143,6 +153,7 @@
 		r.percent, r.moved = row.Percent, now
 	}
 	r.figure = row.Figure
+	return false
 }
 
 // stray stops a run that is not in force: its order was carried out late.
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -11,8 +11,8 @@
 
 const (
 	// orderTimeout bounds one attempt of an order; a worker answers in a few
-	// milliseconds.
-	orderTimeout = 400 * time.Millisecond
+	// milliseconds, and the same order may be sent again without harm.
+	orderTimeout = 150 * time.Millisecond
 	// orderPause is the pause before an order is sent again.
 	orderPause = 60 * time.Millisecond
 	// startAttempts is how often a start without an answer is sent. Its run is
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -51,6 +51,9 @@
 		t.finish(w, "silent")
 		return
 	}
+	if w.missed >= silentAnswers {
+		t.loseCopies(w)
+	}
 	if w.Draining && !w.drained.IsZero() && now.After(w.drained.Add(-t.timing().StopTime-drainSlack)) {
 		t.empty(w)
 	}
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -15,7 +15,7 @@
 	silentReports = 3
 	// silentAnswers is the number of orders in a row without an answer after
 	// which a worker gets nothing new.
-	silentAnswers = 2
+	silentAnswers = 3
 	// suspectFaults is the number of failed runs in a row, without one that was
 	// done, after which a worker is avoided.
 	suspectFaults = 3
@@ -39,6 +39,7 @@
 	runs      map[job.TaskID]*run
 	following bool  // a loop lists its runs
 	probe     bool  // one listing is wanted even without runs
+	strays    bool  // runs that were given up may go on there; no listing without them yet
 	listed    int64 // highest number of an end that was taken in
 	cursor    int64 // highest number of an end that is committed
 	missed    int   // orders in a row without an answer
@@ -86,7 +87,7 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now time.Time, every time.Duration) bool {
-	return !w.Draining && w.leaves.IsZero() && !w.clock.IsZero() && w.missed < silentAnswers &&
+	return !w.Draining && !w.strays && w.leaves.IsZero() && !w.clock.IsZero() && w.missed < silentAnswers &&
 		now.Sub(w.seen) < silentReports*every && !now.Before(w.avoided)
 }
 
@@ -134,6 +135,18 @@
 	}
 }
 
+// loseCopies gives up the runs on a silent worker of which copies may run
+// elsewhere. They may go on, so the worker gets nothing new before a listing
+// without them.
+func (t *term) loseCopies(w *worker) {
+	for _, r := range w.runs {
+		if r.spec.Copies && !r.ended {
+			w.strays = true
+			t.lose(r, "the worker is silent and a copy may run elsewhere")
+		}
+	}
+}
+
 // lose gives up a run that is not in force and never will be. The caller holds
 // the term's lock.
 func (t *term) lose(r *run, reason string) {
