--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -168,6 +168,9 @@
 func (t *term) ended(w *worker, e EndRow) {
 	r := w.runs[e.Task]
 	if r == nil || r.number != e.Run || r.ended {
+		// The run was given up and went on; the state keeps what counts of it.
+		t.next.ends = append(t.next.ends,
+			job.End{Task: e.Task, Run: e.Run, Worker: w.ID, Life: w.Life, Outcome: e.Outcome, Saved: e.Saved})
 		return
 	}
 	r.ended = true
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -98,6 +98,12 @@
 	for i := range r.Ends {
 		t.dropRun(&r.Ends[i])
 	}
+	for i := range r.Ends {
+		// What another run of the task has done needs no further run.
+		if other := t.runs[r.Ends[i].Task]; other != nil && r.Ends[i].Outcome == job.Done && !other.spec.Lasting && !other.spec.Gang {
+			t.stop(other)
+		}
+	}
 	began := map[*fit.Demand][]string{}
 	for i, s := range starts {
 		if !result.Refused[i] {
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -318,14 +318,19 @@
 	return r, o, &o.Steps[id.Step].Tasks[id.Index]
 }
 
-// end takes in the end of a run. One of another run or life changes nothing.
+// end takes in the end of a run. A run that was given up and went on all the
+// same frees no worker, but what it has done is done, and its failures count.
 func (v *View) end(e *End, now time.Time, result *Result) {
 	r, o, t := v.Find(e.Task)
-	if t == nil || t.Worker != e.Worker || t.Life != e.Life || t.Run != e.Run {
+	if t == nil || e.Run > t.Run {
 		return
 	}
-	v.release(r, e.Task, t)
 	s, p := &r.Job.Steps[e.Task.Step], &o.Steps[e.Task.Step]
+	if t.Worker == e.Worker && t.Life == e.Life && t.Run == e.Run {
+		v.release(r, e.Task, t)
+	} else if e.Outcome != Done && e.Outcome != Faulted {
+		return
+	}
 	if e.Saved != "" && e.Outcome != Done {
 		t.Checkpoint = e.Saved
 		if s.Gang {
