--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -94,12 +94,7 @@
 	if t.over || t.workers[w.ID] != w {
 		return nil
 	}
-	if t.answered(w, a) {
-		if a.Life != 0 && a.Life != w.Life {
-			t.reborn(w, a.Life)
-		} else {
-			t.finish(w, "another process answers at its address")
-		}
+	if !t.hear(w, a) {
 		return nil
 	}
 	if a.Result != Accepted {
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -89,12 +89,7 @@
 		return true
 	}
 	w := r.worker
-	if t.answered(w, a) {
-		if a.Life != 0 && a.Life != w.Life {
-			t.reborn(w, a.Life)
-		} else {
-			t.finish(w, "another process answers at its address")
-		}
+	if !t.hear(w, a) {
 		return true
 	}
 	switch a.Result {
@@ -203,12 +198,7 @@
 		return true
 	}
 	w := r.worker
-	if t.answered(w, a) {
-		if a.Life != 0 && a.Life != w.Life {
-			t.reborn(w, a.Life)
-		} else {
-			t.finish(w, "another process answers at its address")
-		}
+	if !t.hear(w, a) {
 		return true
 	}
 	if a.Result != Accepted && a.Result != Refused {
@@ -220,10 +210,3 @@
 	t.follow(w)
 	return true
 }
-
-// reborn notes that another life answers under a worker's ID. What it holds is
-// learned from its report; the runs of the former life are over. The caller
-// holds the lock.
-func (t *term) reborn(w *worker, life job.Life) {
-	t.finish(w, "another life answers under its id")
-}
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -91,9 +91,10 @@
 		now.Sub(w.seen) < silentReports*every && !now.Before(w.avoided)
 }
 
-// answered notes an answer, or the lack of one. It reports whether the worker's
-// life is over. The caller holds the term's lock.
-func (t *term) answered(w *worker, a Answer) bool {
+// hear notes an answer, or the lack of one. It reports whether the worker's life
+// goes on. What another life under its ID holds is learned from its own report.
+// The caller holds the term's lock.
+func (t *term) hear(w *worker, a Answer) bool {
 	now := t.now()
 	switch a.Result {
 	case Accepted, Refused:
@@ -102,16 +103,20 @@
 		}
 		w.missed, w.seen = 0, now
 		w.reading(a.Clock, now)
-		return a.Life != 0 && a.Life != w.Life
+		if a.Life != 0 && a.Life != w.Life {
+			t.finish(w, "another life answers under its id")
+			return false
+		}
 	case Stranger:
-		return true
+		t.finish(w, "another process answers at its address")
+		return false
 	default:
 		w.missed++
 		if w.missed == silentAnswers {
 			t.emit(event.WorkerSilent, zap.String("worker", w.ID), event.Cause(a.Error), zap.Time("lapse", w.lapse()))
 		}
 	}
-	return false
+	return true
 }
 
 // finish notes that a worker's life is over, with all its runs. The caller holds
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -42,6 +42,4 @@
 	SettingsReloaded = define(960, zapcore.InfoLevel, "settings reloaded", "The settings file changed; what can change without a restart is in force.")
 	SettingsRejected = define(961, zapcore.ErrorLevel, "settings rejected", "The settings file changed but cannot be used; the former settings stay in force.")
 	LinesDropped     = define(962, zapcore.WarnLevel, "log lines dropped", "More lines were written than the log's rate allows or its reader takes; the line counts those since the last such line.")
-	UpkeepOrdered    = define(970, zapcore.InfoLevel, "upkeep ordered", "A VM goes down for upkeep as part of a wave.")
-	UpkeepFailed     = define(971, zapcore.WarnLevel, "upkeep not ordered", "The platform did not take an order for upkeep; it is sent again.")
 )
--- a/internal/version/job/command.go
+++ b/internal/version/job/command.go
@@ -1,11 +1,11 @@
 package job
 
 import (
-	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 )
 
 // Start orders a run of a task on a worker.
@@ -56,34 +56,15 @@
 	Ended      []ID   // jobs that took a final state
 }
 
-// Times are kept to the nanosecond, because replicas compare them.
-var encoder = func() cbor.EncMode {
-	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC, Sort: cbor.SortCoreDeterministic}.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}()
-
-// The library's limit of 131,072 elements is below the tasks of a full cell.
-// The decoder checks that the input is long enough before it allocates.
-var decoder = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}()
-
 // Encode encodes a round for the log.
 func Encode(r Round) ([]byte, error) {
-	b, err := encoder.Marshal(r)
+	b, err := codec.Encode(r)
 	return b, errors.Wrap(err, "encode round")
 }
 
 // Decode decodes a round.
 func Decode(b []byte) (Round, error) {
 	var r Round
-	err := decoder.Unmarshal(b, &r)
+	err := codec.Decode(b, &r)
 	return r, errors.Wrap(err, "decode round")
 }
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
@@ -480,14 +481,14 @@
 		d.Jobs = append(d.Jobs, r)
 	}
 	slices.SortFunc(d.Jobs, func(a, b *Record) int { return int(int64(a.Sequence) - int64(b.Sequence)) })
-	b, err := encoder.Marshal(d)
+	b, err := codec.Encode(d)
 	return b, errors.Wrap(err, "encode snapshot")
 }
 
 // Restore implements raft.Machine.
 func (s *State) Restore(b []byte) error {
 	var d snapshot
-	if err := decoder.Unmarshal(b, &d); err != nil {
+	if err := codec.Decode(b, &d); err != nil {
 		return errors.Wrap(err, "decode snapshot")
 	}
 	v := View{}
--- a/internal/version/state/codec.go
+++ b/internal/version/state/codec.go
@@ -1,34 +1,14 @@
 package state
 
 import (
-	"math"
-
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
-)
-
-// Times are kept to the nanosecond, because replicas compare them.
-var encoder = func() cbor.EncMode {
-	m, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}()
 
-// The library's limit of 131,072 elements is below the intents of a busy day.
-// The decoder checks that the input is long enough before it allocates.
-var decoder = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: math.MaxInt32, MaxMapPairs: math.MaxInt32}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}()
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
+)
 
 // Encode encodes a command for the log.
 func Encode(command Command) ([]byte, error) {
-	b, err := encoder.Marshal(command)
+	b, err := codec.Encode(command)
 	return b, errors.Wrap(err, "encode command")
 }
 
@@ -36,7 +16,7 @@
 // of its pointer fields set.
 func Decode(command []byte) (Command, error) {
 	var c Command
-	if err := decoder.Unmarshal(command, &c); err != nil {
+	if err := codec.Decode(command, &c); err != nil {
 		return Command{}, errors.Wrap(err, "decode command")
 	}
 	if c.kinds() != 1 {
--- a/internal/version/state/result.go
+++ b/internal/version/state/result.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"time"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 )
 
 const (
@@ -73,7 +75,7 @@
 		m.Job.Submitted, m.Job.Finish = time.Time{}, time.Time{}
 		d.Submit = &m
 	}
-	b, err := encoder.Marshal(d)
+	b, err := codec.Encode(d)
 	if err != nil {
 		return [32]byte{}
 	}
--- a/internal/version/state/snapshot.go
+++ b/internal/version/state/snapshot.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
@@ -83,7 +84,7 @@
 		m.Intents = append(m.Intents, intentImage{n.Record, n.request, n.attempt})
 	}
 	slices.SortFunc(m.Intents, func(a, b intentImage) int { return a.id().compare(b.id()) })
-	b, err := encoder.Marshal(m)
+	b, err := codec.Encode(m)
 	return b, errors.Wrap(err, "encode snapshot")
 }
 
@@ -96,7 +97,7 @@
 // are not told; see Subscribe.
 func (s *State) Restore(snapshot []byte) error {
 	var m image
-	if err := decoder.Unmarshal(snapshot, &m); err != nil {
+	if err := codec.Decode(snapshot, &m); err != nil {
 		return errors.Wrap(err, "decode snapshot")
 	}
 	if m.Format != snapshotFormat {
