List workers with urgent runs more often while answers are lost

When the answer to a listing was lost, ends were seen up to two seconds later, and most late quick requests fell into these seconds; room and advice were there (wait lines).

--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -442,6 +442,25 @@
 	})
 }
 
+// Guards against urgent jobs that are late because the answer to one listing was
+// lost: their ends were seen two seconds later (scale-2 of rmpc-thies).
+func TestLostListingCostsLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "a")
+		defer b.close()
+		at := b.term()
+		at.mu.Lock()
+		defer at.mu.Unlock()
+		w := at.workers["a"]
+		w.runs[job.TaskID{Job: "j"}] = &run{worker: w, spec: &job.Step{}, clear: at.now(), urgent: true}
+		b.is.Equal(at.listOrder(w).Wait, listWait)
+		at.hear(w, Answer{Result: Unclear})
+		at.hear(w, Answer{Result: Accepted})
+		b.is.Equal(at.listOrder(w).Wait, lossyWait)
+		delete(w.runs, job.TaskID{Job: "j"})
+	})
+}
+
 // Guards against a worker that stays out of use after a cut in which it lost all
 // its runs: nothing asked it again (LOST on the day servers-reset).
 func TestWorkerIsUsedAgainAfterACut(t *testing.T) {
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -16,7 +16,12 @@
 	// fateWait is the wait while it is not known what became of an order.
 	fateWait = 150 * time.Millisecond
 	// listSlack is added to the wait for the answer to arrive.
-	listSlack = 500 * time.Millisecond
+	listSlack = 200 * time.Millisecond
+	// lossyTime is how long after an order without an answer orders count as lossy.
+	// While they do, listings of workers with urgent runs wait lossyWait at most:
+	// an end is seen only with the next listing if the answer is lost.
+	lossyTime = 4 * time.Second
+	lossyWait = 250 * time.Millisecond
 	// listPause is the shortest time between two listings of a worker with ends;
 	// each look has a price, and ends of one step come close together.
 	listPause = 30 * time.Millisecond
@@ -77,7 +82,11 @@
 		return o
 	}
 	o.Wait = min(listWait, t.timing().LongestPoll)
+	lossy := t.now().Sub(t.unanswered) < lossyTime
 	for _, r := range w.runs {
+		if lossy && r.urgent {
+			o.Wait = min(o.Wait, lossyWait)
+		}
 		if r.clear.IsZero() || !r.stopped.IsZero() {
 			// Its fate is wanted soon; it may be that nothing ends.
 			o.Wait = min(o.Wait, fateWait)
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -39,6 +39,7 @@
 	stopped  time.Time // the worker answered the stop; zero before
 	ended    bool      // an end is queued
 	pace     int       // percent; zero means full speed
+	urgent   bool      // of a queue of the highest priority
 }
 
 func (r *run) end(outcome job.Outcome, saved string) job.End {
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -39,18 +39,19 @@
 	orders     sync.WaitGroup
 	wake       chan struct{}
 
-	mu      sync.Mutex // guards the rest; taken before the state's lock
-	over    bool
-	workers map[string]*worker
-	runs    map[job.TaskID]*run
-	steps   map[job.StepID]*step
-	lanes   map[string]*lane
-	late    map[job.ID]time.Duration // from the due time until the job is late
-	peaks   map[string]*peak         // by pool, use by urgent work
-	next    inbox
-	loads   map[string]*fit.Load // by pool, as of the last round
-	waves   map[int64]*wave
-	noted   time.Time // last lines about the pools
+	mu         sync.Mutex // guards the rest; taken before the state's lock
+	over       bool
+	workers    map[string]*worker
+	runs       map[job.TaskID]*run
+	steps      map[job.StepID]*step
+	lanes      map[string]*lane
+	late       map[job.ID]time.Duration // from the due time until the job is late
+	peaks      map[string]*peak         // by pool, use by urgent work
+	next       inbox
+	loads      map[string]*fit.Load // by pool, as of the last round
+	waves      map[int64]*wave
+	noted      time.Time // last lines about the pools
+	unanswered time.Time // last order without an answer
 }
 
 // inbox is what the next round takes in.
@@ -195,7 +196,8 @@
 			t.next.ends = append(t.next.ends, job.End{Task: id, Run: o.Run, Worker: name, Life: life, Outcome: job.Lost})
 			continue
 		}
-		r := &run{id: id, number: o.Run, worker: w, spec: &record.Job.Steps[id.Step], ordered: now, clear: now, moved: now}
+		r := &run{id: id, number: o.Run, worker: w, spec: &record.Job.Steps[id.Step], ordered: now, clear: now, moved: now,
+			urgent: record.Queue.Priority == 0}
 		w.runs[id], t.runs[id] = r, r
 		if record.Status.Over() || task.Done {
 			t.stop(r)
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -112,6 +112,7 @@
 		return false
 	default:
 		w.missed++
+		t.unanswered = now
 		if w.missed == silentAnswers {
 			t.emit(event.WorkerSilent, zap.String("worker", w.ID), event.Cause(a.Error), zap.Time("lapse", w.lapse()))
 		}
