--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -12,12 +12,13 @@
 const (
 	// orderTimeout bounds one attempt of an order; a worker answers in a few
 	// milliseconds, and the same order may be sent again without harm.
-	orderTimeout = 150 * time.Millisecond
+	orderTimeout = 80 * time.Millisecond
 	// orderPause is the pause before an order is sent again.
-	orderPause = 60 * time.Millisecond
-	// startAttempts is how often a start without an answer is sent. Its run is
-	// stopped afterwards, so that it can start elsewhere.
-	startAttempts = 3
+	orderPause = 20 * time.Millisecond
+	// startTime is how long a start without an answer is sent again, while a
+	// listing may show that it was carried out. Its run is stopped afterwards, so
+	// that it can start elsewhere.
+	startTime = 500 * time.Millisecond
 	// leaseLength is the length of the leases of runs, if the worker allows as
 	// much: a cut or a change of the leader that is shorter costs no work.
 	leaseLength = 4 * time.Second
@@ -63,7 +64,7 @@
 func (t *term) start(r *run, o StartOrder) {
 	for attempt := 1; ; attempt++ {
 		t.mu.Lock()
-		if t.over || r.ended || r.stopping {
+		if t.over || r.ended || r.stopping || !r.clear.IsZero() {
 			t.mu.Unlock()
 			return
 		}
@@ -104,7 +105,7 @@
 	t.emit(event.RunUnclear, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", w.ID),
 		zap.Int("attempt", attempt), event.Cause(a.Error))
 	t.follow(w)
-	if attempt >= startAttempts {
+	if t.now().Sub(r.ordered) >= startTime {
 		t.stop(r)
 		return true
 	}
