Let the store's first check end before the test changes its files

Cause: Run checks the files at its start, and nothing ordered this check before the test's writes. If it comes after the new pair is written and before the old key is put back, it takes over a matching pair. A wait that is only put there passes, as the check is mostly over by then. Nothing that it checks has changed.

--- a/internal/process/certificate/certificate_test.go
+++ b/internal/process/certificate/certificate_test.go
@@ -113,6 +113,7 @@
 		s, err := Load(Options{Name: "a", Files: files, Now: later, Log: event.New(zap.New(core))})
 		is.NoErr(err)
 		go s.Run(t.Context())
+		synctest.Wait() // the check at the start reads the files before they change
 		count := func(id event.ID) int { return log.FilterField(zap.Int("event", int(id))).Len() }
 
 		first := s.Current()
