--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -370,6 +370,14 @@
 	change(b.hosts.all[id])
 }
 
+// busy returns one of the two hosts that runs something.
+func (b *bench) busy() string {
+	if len(b.hosts.all["b"].running) > 0 {
+		return "b"
+	}
+	return "a"
+}
+
 func tasks(n int) job.Step {
 	return job.Step{Count: n, Size: work.Resources{Processors: 1000, Memory: 1 << 30}, Estimate: time.Second}
 }
@@ -402,10 +410,7 @@
 		b.hosts.length = 20 * time.Second
 		b.submit("one", tasks(4))
 		time.Sleep(time.Second)
-		first := "a"
-		if len(b.hosts.all["b"].running) > 0 {
-			first = "b"
-		}
+		first := b.busy()
 		b.with(first, func(w *host) { w.silent = true })
 		time.Sleep(3 * time.Second)
 		b.is.Equal(len(b.hosts.starts), 4) // nothing starts elsewhere yet
@@ -427,10 +432,7 @@
 		s.Copies = true
 		b.submit("one", s)
 		time.Sleep(time.Second)
-		first := "a"
-		if len(b.hosts.all["b"].running) > 0 {
-			first = "b"
-		}
+		first := b.busy()
 		b.with(first, func(w *host) { w.silent = true })
 		time.Sleep(2600 * time.Millisecond)
 		b.is.Equal(len(b.hosts.starts), 8) // before the lease has ended
@@ -488,10 +490,7 @@
 		b.hosts.length = 20 * time.Second
 		b.submit("one", tasks(4))
 		time.Sleep(time.Second)
-		first := "a"
-		if len(b.hosts.all["b"].running) > 0 {
-			first = "b"
-		}
+		first := b.busy()
 		b.with(first, func(w *host) { w.refuses = true })
 		time.Sleep(7 * time.Second)
 		b.is.Equal(len(b.hosts.starts), 8)
@@ -615,6 +614,27 @@
 	})
 }
 
+// Guards against a leader that suspects every worker because it was paused and
+// saw no progress meanwhile (trouble-1 of rmpc-thies).
+func TestPausedLeaderSuspectsNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "a")
+		defer b.close()
+		b.hosts.length = time.Minute
+		b.submit("one", tasks(2))
+		time.Sleep(time.Second)
+		b.log.mu.Lock()
+		b.log.lease = -time.Millisecond
+		b.log.mu.Unlock()
+		time.Sleep(6 * time.Second)
+		m := b.term()
+		m.mu.Lock()
+		avoided := m.workers["a"].avoided
+		m.mu.Unlock()
+		b.is.True(avoided.IsZero())
+	})
+}
+
 // Guards against a worker that a step leaves out for good after one failed run
 // there: it may be the only one that may run the step (LOST, a day of score).
 func TestAvoidedOnlyForAWhile(t *testing.T) {
