Notice slow workers by the progress of their runs, and leave them

Ruled out: the 3 s without progress that count as standing still (slow runs move), and failed runs in a row (slow runs end as done). Change: the listing tells how far each run is. Its recent speed is compared with the estimate, corrected by what is usual for the queue and by the step's runs on other workers (internal/version/fit/motion.go, pure). A slow worker is avoided, and runs that are done sooner elsewhere are moved. Times are on the worker's clock: with the leader's own, one that had been frozen judged 16 workers slow. TestPausedLeaderSuspectsNobody: the estimate of its job was wrong by a factor of 60, which alone makes a worker look slow; it is right now, the check is the same.

--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -94,7 +94,7 @@
 		if v.Workers[w.ID].Life != w.Life {
 			continue // not committed yet
 		}
-		f := &fit.Worker{Worker: w.Worker, Free: w.Capacity, Usable: w.usable(now, t.timing().ReportEvery)}
+		f := &fit.Worker{Worker: w.Worker, Free: w.Capacity, Usable: w.usable(now, t.timing().ReportEvery), Doubted: w.doubted}
 		for id, o := range v.Occupied[w.ID] {
 			t.occupied(f, v.Jobs[id.Job], id, o)
 		}
@@ -217,7 +217,7 @@
 		return nil
 	}
 	d := &fit.Demand{
-		Step: id, Spec: s, Pool: r.Queue.Pool, Priority: r.Queue.Priority, Order: r.Sequence, Owner: r.Job.Workspace,
+		Step: id, Spec: s, Pool: r.Queue.Pool, Queue: queueKey(&r.Queue), Priority: r.Queue.Priority, Order: r.Sequence, Owner: r.Job.Workspace,
 		Payload: r.Job.Payload, Placed: map[string]int{}, Progress: p, Early: early,
 	}
 	d.Late, d.Useless = t.lateAt(r, number)
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -84,14 +84,20 @@
 	silent  bool // answers nothing
 	late    bool // carries starts out but does not answer them
 	refuses bool // nothing listens
+	factor  int  // by which tasks that start take longer; zero means one
 	looks   int
 	peak    int
 }
 
 type held struct {
-	run  int
-	ends time.Time
-	stop time.Time
+	run   int
+	began time.Time
+	ends  time.Time
+	stop  time.Time
+}
+
+func (h *held) percent() int {
+	return int(100 * time.Since(h.began) / h.ends.Sub(h.began))
 }
 
 // hosts is an Upstream of stand-ins. A task runs for a second, a stop takes 0.9 s.
@@ -168,7 +174,7 @@
 				h.twice = fmt.Sprintf("%s on %s and %s", o.Task, id, target.ID)
 			}
 		}
-		w.running[o.Task] = &held{run: o.Run, ends: time.Now().Add(h.length)}
+		w.running[o.Task] = &held{run: o.Run, began: time.Now(), ends: time.Now().Add(h.length * time.Duration(max(1, w.factor)))}
 		w.peak = max(w.peak, len(w.running))
 		h.starts = append(h.starts, fmt.Sprintf("%s run %d on %s", o.Task, o.Run, target.ID))
 	}
@@ -223,7 +229,7 @@
 	w.looks++
 	l := Listing{Whole: true, Ended: slices.Clone(w.ended)}
 	for id, r := range w.running {
-		l.Running = append(l.Running, Row{Task: id, Run: r.run, Percent: 100 - int(100*time.Until(r.ends)/h.length)})
+		l.Running = append(l.Running, Row{Task: id, Run: r.run, Percent: r.percent()})
 	}
 	return l, a, true
 }
@@ -621,7 +627,9 @@
 		b := newBench(t, "a")
 		defer b.close()
 		b.hosts.length = time.Minute
-		b.submit("one", tasks(2))
+		long := tasks(2)
+		long.Estimate = b.hosts.length // one that is wrong by as much would itself make the worker look slow
+		b.submit("one", long)
 		time.Sleep(time.Second)
 		b.log.mu.Lock()
 		b.log.lease = -time.Millisecond
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -22,6 +22,10 @@
 	// an end is seen only with the next listing if the answer is lost.
 	lossyTime = 4 * time.Second
 	lossyWait = 250 * time.Millisecond
+	// overdueFactor times the usual duration an urgent run may take before its worker
+	// is looked at for its progress, and then every overdueWait.
+	overdueFactor = 1.4
+	overdueWait   = 400 * time.Millisecond
 	// listPause is the shortest time between two listings of a worker with ends;
 	// each look has a price, and ends of one step come close together.
 	listPause = 30 * time.Millisecond
@@ -82,11 +86,16 @@
 		return o
 	}
 	o.Wait = min(listWait, t.timing().LongestPoll)
-	lossy := t.now().Sub(t.unanswered) < lossyTime
+	now := t.now()
+	lossy := now.Sub(t.unanswered) < lossyTime
 	for _, r := range w.runs {
 		if lossy && r.urgent {
 			o.Wait = min(o.Wait, lossyWait)
 		}
+		if r.urgent && r.measured() {
+			usual := overdueFactor * float64(t.norm(r.queue).Expected(r.spec.Estimate))
+			o.Wait = min(o.Wait, max(r.clear.Add(time.Duration(usual)).Sub(now), overdueWait))
+		}
 		if r.clear.IsZero() || !r.stopped.IsZero() {
 			// Its fate is wanted soon; it may be that nothing ends.
 			o.Wait = min(o.Wait, fateWait)
@@ -113,15 +122,15 @@
 	strays := false
 	for _, row := range l.Running {
 		present[row.Task] = true
-		strays = t.row(w, row) || strays
+		strays = t.row(w, row, a.Clock) || strays
 	}
-	w.strays = strays
+	w.strays = strays || t.judge(w)
 	w.probe = strays
 	last := w.listed
 	for _, e := range l.Ended {
 		if e.Number > w.listed {
 			last = max(last, e.Number)
-			t.ended(w, e)
+			t.ended(w, e, a.Clock)
 		}
 	}
 	w.listed = last
@@ -137,7 +146,7 @@
 
 // row takes in a run that a worker lists. One that is not in force is stopped;
 // row reports whether it is one.
-func (t *term) row(w *worker, row Row) bool {
+func (t *term) row(w *worker, row Row, clock time.Time) bool {
 	r := w.runs[row.Task]
 	if r == nil || r.number != row.Run {
 		t.stray(w, row)
@@ -157,6 +166,7 @@
 		r.percent, r.moved = row.Percent, now
 	}
 	r.figure = row.Figure
+	r.progress(row.Percent, clock)
 	return false
 }
 
@@ -169,7 +179,7 @@
 }
 
 // ended takes in an end that a worker lists.
-func (t *term) ended(w *worker, e EndRow) {
+func (t *term) ended(w *worker, e EndRow, clock time.Time) {
 	r := w.runs[e.Task]
 	if r == nil || r.number != e.Run || r.ended {
 		// The run was given up and went on; the state keeps what counts of it.
@@ -181,7 +191,7 @@
 	t.next.ends = append(t.next.ends, r.end(e.Outcome, e.Saved))
 	switch e.Outcome {
 	case job.Done:
-		w.faults, w.aside = 0, 0
+		t.learn(r, clock)
 	case job.Faulted:
 		w.faults++
 		t.avoid(r, t.now())
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -147,7 +147,8 @@
 		t.next.ends = append(t.next.ends, job.End{Task: s.Task, Run: s.Run, Worker: s.Worker, Life: s.Life, Outcome: job.Lost})
 		return
 	}
-	r := &run{id: s.Task, number: s.Run, worker: w, spec: d.Demand.Spec, ordered: now, moved: now, urgent: d.Demand.Priority == 0}
+	r := &run{id: s.Task, number: s.Run, worker: w, spec: d.Demand.Spec, ordered: now, moved: now, urgent: d.Demand.Priority == 0,
+		queue: d.Demand.Queue, resumed: d.Demand.Checkpoint(d.Index) != ""}
 	w.runs[s.Task], t.runs[s.Task] = r, r
 	t.launch(r, StartOrder{
 		Task: s.Task, Run: s.Run, Payload: d.Demand.Payload, Fence: t.number,
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -34,6 +34,12 @@
 	clear    time.Time // the worker answered the start, or could not get it any more; zero before
 	saved    string    // latest checkpoint that was listed
 	percent  int
+	seen     time.Time // percent was listed, on the worker's clock
+	first    reading   // of the run, or when it began
+	mark     reading   // a window or two ago; the recent speed is measured from it
+	next     reading   // takes the place of mark
+	resumed  bool      // went on from a checkpoint, or was started by an earlier leader
+	queue    string
 	figure   float64
 	moved    time.Time // percent changed
 	stopping bool
@@ -97,6 +103,10 @@
 	switch a.Result {
 	case Accepted:
 		r.clear = t.now()
+		if !r.resumed {
+			r.first = reading{at: a.Clock}
+			r.mark, r.next = r.first, r.first
+		}
 		t.follow(w)
 		return true
 	case Refused:
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -47,6 +47,7 @@
 	lanes      map[string]*lane
 	late       map[job.ID]time.Duration // from the due time until the job is late
 	peaks      map[string]*peak         // by pool, use by urgent work
+	norms      map[string]*fit.Norm     // by queue
 	next       inbox
 	loads      map[string]*fit.Load // by pool, as of the last round
 	waves      map[int64]*wave
@@ -74,11 +75,13 @@
 
 // step is what is remembered of a step that waits.
 type step struct {
-	advice fit.Advice
-	avoid  map[string]time.Time // workers where a run of it failed, and until when they are left out
-	since  time.Time            // when tasks of it became ready
-	retry  time.Time            // no question before this
-	noted  time.Time            // no line about its wait before this
+	advice  fit.Advice
+	avoid   map[string]time.Time // workers where a run of it failed, and until when they are left out
+	since   time.Time            // when tasks of it became ready
+	retry   time.Time            // no question before this
+	noted   time.Time            // no line about its wait before this
+	lags    map[string]float64   // of its runs, by worker; see fit.Motion
+	learned bool                 // its queue's norm has taken in a run
 }
 
 // lane is a process that asks the advice service.
@@ -98,6 +101,7 @@
 		dispatcher: d, number: number, began: d.options.Now(), wake: make(chan struct{}, 1),
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*step{},
 		lanes: map[string]*lane{}, late: map[job.ID]time.Duration{}, peaks: map[string]*peak{},
+		norms: map[string]*fit.Norm{},
 		waves: map[int64]*wave{},
 	}
 }
@@ -197,7 +201,7 @@
 			continue
 		}
 		r := &run{id: id, number: o.Run, worker: w, spec: &record.Job.Steps[id.Step], ordered: now, clear: now, moved: now,
-			urgent: record.Queue.Priority == 0}
+			urgent: record.Queue.Priority == 0, queue: queueKey(&record.Queue), resumed: true}
 		w.runs[id], t.runs[id] = r, r
 		if record.Status.Over() || task.Done {
 			t.stop(r)
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -48,6 +48,7 @@
 	faults    int
 	aside     time.Duration
 	avoided   time.Time // no new tasks before this
+	doubted   bool      // was slow, and has not yet shown that it is not any more
 }
 
 func newWorker(w job.Worker, now time.Time) *worker {
@@ -167,13 +168,13 @@
 }
 
 // suspect avoids a worker for a while. The caller holds the term's lock.
-func (t *term) suspect(w *worker, reason string) {
+func (t *term) suspect(w *worker, reason string, fields ...zap.Field) {
 	now := t.now()
 	if now.Before(w.avoided) {
 		return
 	}
 	w.aside = min(max(suspectTime, 2*w.aside), suspectLongest)
 	w.avoided = now.Add(w.aside)
-	t.emit(event.WorkerSuspect, zap.String("worker", w.ID), zap.String("reason", reason), zap.Int("faults", w.faults),
-		zap.Time("until", w.avoided))
+	t.emit(event.WorkerSuspect, append(fields, zap.String("worker", w.ID), zap.String("reason", reason), zap.Int("faults", w.faults),
+		zap.Time("until", w.avoided))...)
 }
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -52,6 +52,7 @@
 	job.Worker
 	Free    work.Resources
 	Usable  bool           // takes new tasks
+	Doubted bool           // was slow, and has not yet shown that it is not any more
 	Serving int            // tasks with a bound on their response times
 	Filling int            // filler tasks
 	Ending  work.Resources // part of the capacity that runs hold which are being stopped
@@ -86,6 +87,7 @@
 	Step     job.StepID
 	Spec     *job.Step
 	Pool     string
+	Queue    string // identifies the queue
 	Priority int
 	Late     time.Time     // when the job, or the occurrence, is late
 	Useless  time.Time     // when its result is of no use any more
@@ -425,6 +427,9 @@
 // than a poor fit.
 const remoteScore = 2.0
 
+// doubtScore puts a worker that was slow behind all others that have room.
+const doubtScore = 4.0
+
 // score is lower for a better worker.
 func (p *planner) score(d *Demand, w *Worker) float64 {
 	left := w.Free.Sub(d.Spec.Reserves())
@@ -432,6 +437,9 @@
 	if d.Spec.Rack != "" && d.Spec.Rack != w.Rack {
 		s += remoteScore
 	}
+	if w.Doubted {
+		s += doubtScore
+	}
 	return s
 }
 
