--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -159,13 +159,16 @@
 // concluded stops what still runs of a job that is over, and forgets it.
 func (t *term) concluded(id job.ID) {
 	var status job.Status
-	var lasted time.Duration
+	var lasted, objective time.Duration
 	t.state().View(func(v *job.View) {
 		if r := v.Jobs[id]; r != nil {
 			status, lasted = r.Status, r.Over.Sub(r.Accepted)
+			late, _ := t.lateAt(r, max(0, r.Job.Repeat-1))
+			objective = late.Sub(r.Accepted)
 		}
 	})
-	t.emit(event.JobOver, zap.String("job", string(id)), zap.Stringer("state", status), zap.Duration("after", lasted))
+	t.emit(event.JobOver, zap.String("job", string(id)), zap.Stringer("state", status), zap.Duration("after", lasted),
+		zap.Duration("objective", objective))
 	for task, r := range t.runs {
 		if task.Job == id {
 			t.stop(r)
--- a/internal/version/raft/change.go
+++ b/internal/version/raft/change.go
@@ -154,12 +154,12 @@
 		c.change(n, event.MemberRemoved, p)
 		return true
 	}
-	if g.probing || g.sending != nil || g.match+learnerBehind < c.entries.last() || c.now.Sub(g.heard) > electionMin {
+	if g.probing || g.sending != nil || g.match+learnerBehind < c.entries.last() || c.now.Sub(g.heard) > c.electionMin {
 		return false
 	}
 	if old := s.named(p.Name, true); old != nil {
 		// A voter that still answers means two processes with one name.
-		if o := c.progress[old.Identity]; o == nil || c.now.Sub(o.acked) < electionMax {
+		if o := c.progress[old.Identity]; o == nil || c.now.Sub(o.acked) < c.electionMax {
 			return false
 		}
 		n := s.without(old.Identity)
@@ -180,7 +180,7 @@
 	n := 0
 	for _, p := range m.Members {
 		g := c.progress[p.Identity]
-		if p.Voter && (p.Identity == c.identity || g != nil && c.now.Sub(g.acked) < electionMin) {
+		if p.Voter && (p.Identity == c.identity || g != nil && c.now.Sub(g.acked) < c.electionMin) {
 			n++
 		}
 	}
--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -13,18 +13,14 @@
 )
 
 const (
-	heartbeatInterval = 100 * time.Millisecond
-	// electionMin is also the time for which a replica that heard from a leader
-	// refuses to vote, and after which a leader without a quorum steps down.
-	// It is several heartbeats, and more than the longest usual sync of a disk;
-	// callers are refused while an election runs.
-	electionMin = 500 * time.Millisecond
-	electionMax = time.Second
-	// leaseLength leaves a quarter of electionMin as margin for clock drift.
-	leaseLength = 375 * time.Millisecond
-	// restartSpread is the range of the first election timeout. After a loss of all
-	// replicas nobody leads before, and callers wait for it.
-	restartSpread = 250 * time.Millisecond
+	// heartbeats is the number of heartbeats in the shortest election timeout.
+	heartbeats = 5
+	// leaseShare of the shortest election timeout is the length of a leader's
+	// lease; the rest is a margin for clock drift.
+	leaseShare = 0.75
+	// restartShare of the spread is the range of the first election timeout. After
+	// a loss of all replicas nobody leads before, and callers wait for it.
+	restartShare = 0.5
 	// joinInterval is the time between two attempts to found or join a group.
 	joinInterval = 200 * time.Millisecond
 )
@@ -53,6 +49,21 @@
 	noLease    bool // vote although a leader was heard of recently
 }
 
+// timing is what follows from the election timeouts of Options.
+type timing struct {
+	electionMin, electionMax time.Duration
+	heartbeat                time.Duration
+	lease                    time.Duration
+	restart                  time.Duration
+}
+
+func newTiming(o *Options) timing {
+	return timing{
+		electionMin: o.Election, electionMax: o.Election + o.Spread, heartbeat: o.Election / heartbeats,
+		lease: time.Duration(leaseShare * float64(o.Election)), restart: time.Duration(restartShare * float64(o.Spread)),
+	}
+}
+
 // membershipAt is the membership that an entry set.
 type membershipAt struct {
 	index uint64
@@ -75,6 +86,7 @@
 	trailing uint64
 	open     bool // admits names that are not in the settings
 	hooks    hooks
+	timing
 
 	term, vote  uint64
 	role        role
@@ -121,7 +133,7 @@
 func newCore(options Options, identity uint64, contents disk.Contents, now time.Time) (*core, error) {
 	c := &core{
 		name: options.Name, identity: identity, settings: options.Members, random: options.Random, log: options.Log,
-		trailing: options.Trailing, open: options.Open, hooks: options.hooks, term: max(contents.Hard.Term, contents.Snapshot.Term), vote: contents.Hard.Vote,
+		trailing: options.Trailing, open: options.Open, hooks: options.hooks, timing: newTiming(&options), term: max(contents.Hard.Term, contents.Snapshot.Term), vote: contents.Hard.Vote,
 		now: now, origin: now, contact: now, joinDue: now, joins: map[string]join{},
 	}
 	s := contents.Snapshot
@@ -156,11 +168,11 @@
 		started = c.now
 	}
 	c.contact = started // a leader may have had an answer just before
-	free := started.Add(electionMin)
+	free := started.Add(c.electionMin)
 	if c.now.After(free) {
 		free = c.now
 	}
-	c.electionDeadline = free.Add(time.Duration(c.random.Int64N(int64(restartSpread))))
+	c.electionDeadline = free.Add(time.Duration(c.random.Int64N(int64(c.restart))))
 }
 
 // membership returns the membership in force, nil before founding.
@@ -210,7 +222,7 @@
 func (c *core) quorum() int { return c.membership().voters()/2 + 1 }
 
 func (c *core) resetElection() {
-	c.electionDeadline = c.now.Add(electionMin + time.Duration(c.random.Int64N(int64(electionMax-electionMin))))
+	c.electionDeadline = c.now.Add(c.electionMin + time.Duration(c.random.Int64N(int64(c.electionMax-c.electionMin))))
 }
 
 // send queues a message to a replica. Messages that promise something wait for
@@ -263,7 +275,7 @@
 // member, it has promised nothing to its group, or it is a non-voter without a
 // leader, which may have been added by a change that was never committed.
 func (c *core) asks() bool {
-	return !c.inside() || c.fresh() || !c.membership().voter(c.identity) && c.now.Sub(c.contact) >= electionMax
+	return !c.inside() || c.fresh() || !c.membership().voter(c.identity) && c.now.Sub(c.contact) >= c.electionMax
 }
 
 // tick lets time pass.
--- a/internal/version/raft/core_test.go
+++ b/internal/version/raft/core_test.go
@@ -22,7 +22,11 @@
 		if rapid.Bool().Draw(t, "five") {
 			names = append(names, "d", "e")
 		}
-		s := newSimulation(rapid.Uint64().Draw(t, "seed"), Options{}, names...)
+		var o Options
+		if rapid.Bool().Draw(t, "short") {
+			o.Election, o.Spread = 400*time.Millisecond, 150*time.Millisecond
+		}
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"), o, names...)
 		name := rapid.SampledFrom(names)
 		proposed := 0
 		t.Repeat(map[string]func(*rapid.T){
@@ -369,13 +373,13 @@
 	l := s.elect()
 	b, c := others(s, l)
 	now := s.local(c)
-	c.core.contact, c.core.electionDeadline = now.Add(-2*electionMin), now.Add(time.Millisecond)
+	c.core.contact, c.core.electionDeadline = now.Add(-2*c.core.electionMin), now.Add(time.Millisecond)
 	term := b.core.term
 	c.core.step(s.local(c), Message{
 		Type: PreVote, From: b.core.identity, FromName: b.name, To: c.core.identity, Group: c.core.membership().Group,
 		Term: term + 1, Index: b.core.entries.last(), LogTerm: b.core.entries.lastTerm(),
 	})
-	is.True(c.core.electionDeadline.Sub(now) >= electionMin)
+	is.True(c.core.electionDeadline.Sub(now) >= c.core.electionMin)
 }
 
 // Guards against a group that stays without a leader for twice the election
@@ -397,9 +401,10 @@
 			s.start(n)
 			is.True(s.nodes[n].core.promised())
 		}
+		c := s.nodes["a"].core
 		// The slowest clock runs at nine tenths of the true time.
-		longest := (electionMin + restartSpread) * 10 / 9
-		for s.leader() == nil && s.now-began < 2*electionMax {
+		longest := (c.electionMin + c.restart) * 10 / 9
+		for s.leader() == nil && s.now-began < 2*c.electionMax {
 			s.run(10 * time.Millisecond)
 		}
 		is.True(s.now-began <= longest+100*time.Millisecond) // and some messages
--- a/internal/version/raft/election.go
+++ b/internal/version/raft/election.go
@@ -13,7 +13,7 @@
 	if c.hooks.noLease {
 		return false
 	}
-	return c.role == leader || c.now.Sub(c.contact) < electionMin
+	return c.role == leader || c.now.Sub(c.contact) < c.electionMin
 }
 
 // campaign starts an election, with a pre-vote that changes no term.
@@ -137,9 +137,9 @@
 	c.votes = nil
 	c.joins = map[string]join{}
 	c.progress = map[uint64]*progress{}
-	c.leaseFrom = c.now.Add(-leaseLength)
+	c.leaseFrom = c.now.Add(-c.timing.lease)
 	c.own = c.entries.last() + 1
-	c.heartbeatDue = c.now.Add(heartbeatInterval)
+	c.heartbeatDue = c.now.Add(c.heartbeat)
 	c.track()
 	c.append([]disk.Entry{{Index: c.own, Term: c.term, Kind: disk.Empty}})
 	c.log.Emit(event.LeadershipWon, zap.Uint64("term", c.term), zap.Uint64("entry", c.own))
--- a/internal/version/raft/options.go
+++ b/internal/version/raft/options.go
@@ -18,6 +18,7 @@
 	defaultSnapshotEntries = 50_000
 	defaultSnapshotBytes   = 64 << 20
 	defaultTrailing        = 5000
+	defaultElection        = 500 * time.Millisecond
 )
 
 // Options are the settings of a replica.
@@ -42,6 +43,14 @@
 	// ended by then, so that no lease counts on it for much longer. The default
 	// is the time of New.
 	Started time.Time
+	// Election is the shortest election timeout. For as long, a replica that heard
+	// from a leader refuses to vote, and a leader without a quorum does not step
+	// down; leases and heartbeats are fractions of it. It is several times the
+	// round trip and the usual sync of a disk. The default is 500 ms.
+	Election time.Duration
+	// Spread is the range of election timeouts above the shortest. The default
+	// is Election.
+	Spread time.Duration
 	// Random draws election timeouts. The default is seeded by the system.
 	Random *rand.Rand
 	Log    event.Log
@@ -56,6 +65,15 @@
 	hooks hooks
 }
 
+func (o *Options) defaultTiming() {
+	if o.Election == 0 {
+		o.Election = defaultElection
+	}
+	if o.Spread == 0 {
+		o.Spread = o.Election
+	}
+}
+
 // check fills in defaults and returns all findings.
 func (o *Options) check() error {
 	var err error
@@ -77,6 +95,9 @@
 	if !slices.Contains(o.Members, o.Name) {
 		err = errors.CombineErrors(err, errors.Newf("raft: %q is not among the members", o.Name))
 	}
+	if o.Election < 0 || o.Spread < 0 {
+		err = errors.CombineErrors(err, errors.New("raft: a negative election timeout"))
+	}
 	if o.Now == nil {
 		o.Now = time.Now
 	}
@@ -89,6 +110,7 @@
 	if o.Trailing == 0 {
 		o.Trailing = defaultTrailing
 	}
+	o.defaultTiming()
 	if o.Random == nil {
 		var seed [16]byte
 		if _, e := crypto.Read(seed[:]); e != nil {
--- a/internal/version/raft/replication.go
+++ b/internal/version/raft/replication.go
@@ -111,8 +111,8 @@
 	if c.now.Before(c.heartbeatDue) {
 		return
 	}
-	c.heartbeatDue = c.now.Add(heartbeatInterval)
-	if c.now.Sub(c.quorumAcked()) >= electionMin {
+	c.heartbeatDue = c.now.Add(c.heartbeat)
+	if c.now.Sub(c.quorumAcked()) >= c.electionMin {
 		c.follow(c.term)
 		return
 	}
@@ -166,7 +166,7 @@
 	if c.role != leader || c.leaseFrom.IsZero() {
 		return time.Time{}
 	}
-	return c.leaseFrom.Add(leaseLength)
+	return c.leaseFrom.Add(c.timing.lease)
 }
 
 // advance commits what a quorum holds.
--- a/internal/version/raft/simulation_test.go
+++ b/internal/version/raft/simulation_test.go
@@ -99,6 +99,7 @@
 	s.check(err == nil, "load: %v", err)
 	o := s.options
 	o.Name, o.Members, o.Random = name, s.names, rand.New(rand.NewPCG(s.random.Uint64(), 2))
+	o.defaultTiming()
 	if o.Trailing == 0 {
 		o.Trailing = 10
 	}
