Answer that the outcome is unknown when a lease ends before the answer

Cause: a leader whose lease ended between the commit of a call and its answer said that it does not lead, which a link takes for not carried out. If no leader followed soon, the caller got 503 for a job that was stored and runs. Change: such a call is unsettled; links ask the next leader and report an unknown outcome if there is none. A process names itself as the leader only within its lease. Both tests fail against the code before.

--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -298,7 +298,7 @@
 			to := relays[0]
 			relays = relays[1:]
 			err := l.relay(ctx, to, method, request, response)
-			if err == nil || errors.As(err, new(*peer.Remote)) {
+			if err == nil || answered(err) {
 				return err
 			}
 			unclear = unclear || !errors.Is(err, ErrNoLeader)
@@ -318,12 +318,10 @@
 		if err == nil {
 			return nil
 		}
-		var r *peer.Remote
 		switch {
-		case errors.As(err, &r) && r.Code == CodeNotLeader, errors.Is(err, peer.ErrNotSent):
-		case errors.As(err, &r):
+		case answered(err):
 			return err
-		default:
+		case !notCarriedOut(err):
 			unclear = true
 		}
 		if ctx.Err() != nil {
@@ -333,6 +331,18 @@
 	}
 }
 
+// answered reports whether an error is the leader's answer to a call.
+func answered(err error) bool {
+	var r *peer.Remote
+	return errors.As(err, &r) && r.Code != CodeNotLeader && r.Code != CodeUnsettled
+}
+
+// notCarriedOut reports whether an error says that nobody carried a call out.
+func notCarriedOut(err error) bool {
+	var r *peer.Remote
+	return errors.As(err, &r) && r.Code == CodeNotLeader || errors.Is(err, peer.ErrNotSent)
+}
+
 func failure(unclear bool) error {
 	if unclear {
 		return ErrUnknown
@@ -408,9 +418,9 @@
 		switch {
 		case err == nil:
 			return answer, nil
-		case errors.As(err, &remote) && remote.Code == CodeNotLeader, errors.Is(err, peer.ErrNotSent):
+		case notCarriedOut(err):
 			return nil, &peer.Remote{Code: codeNoLeader, Message: err.Error()}
-		case remote != nil:
+		case errors.As(err, &remote):
 			return nil, remote
 		}
 		return nil, &peer.Remote{Code: codeUnknown, Message: err.Error()}
--- a/internal/connection/cell/link_test.go
+++ b/internal/connection/cell/link_test.go
@@ -22,6 +22,8 @@
 	down    map[string]bool
 	mute    map[string]bool // carries calls out without an answer
 	calls   map[string]int
+
+	unsettled bool // the leader's lease ends before it answers calls
 }
 
 func (c *cellOf) Call(ctx context.Context, to, method string, _, response any) error {
@@ -43,6 +45,9 @@
 		if to != c.leader {
 			return &peer.Remote{Code: CodeNotLeader, Message: c.leader}
 		}
+		if c.unsettled && method == MethodCall {
+			return &peer.Remote{Code: CodeUnsettled}
+		}
 		if v, ok := response.(*Verdict); ok {
 			*v = Verdict{Code: OK}
 		}
@@ -229,3 +234,26 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// Guards against a call that is said not to have been carried out although the
+// leader committed it and lost its lease before it answered: the caller is told
+// that its job was refused, and the job runs.
+func TestUnsettledCallIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, l, stop := newLink(t, "a", "b")
+		defer stop()
+		time.Sleep(time.Second)
+		c.mu.Lock()
+		c.unsettled = true
+		c.mu.Unlock()
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			c.lead("nobody")
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		_, err := l.Call(ctx, Call{Verb: Submit})
+		is.True(errors.Is(err, ErrUnknown))
+	})
+}
--- a/internal/connection/cell/message.go
+++ b/internal/connection/cell/message.go
@@ -27,6 +27,11 @@
 // lead. Its message names the leader if that is known.
 const CodeNotLeader = "not_leader"
 
+// CodeUnsettled is the code of a peer.Remote error of a process that led when a
+// call came and not any more when its outcome was due: the call may have been
+// carried out.
+const CodeUnsettled = "unsettled"
+
 // Who asks a control process for the leader.
 type Who struct{}
 
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -9,9 +9,11 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/raft"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
@@ -668,3 +670,34 @@
 	is.True(w.lapse().After(at.Add(5100 * time.Millisecond)))
 	is.True(w.lapse().Before(at.Add(5400 * time.Millisecond)))
 }
+
+// Guards against a leader that commits a call, loses its lease before it answers,
+// and says that it does not lead, which callers take for not carried out.
+func TestLeaseOverBeforeTheAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "a")
+		defer b.close()
+		m := handlers{}
+		b.leader.Register(m)
+		go func() {
+			time.Sleep(2 * time.Millisecond) // while the round is synced
+			b.log.mu.Lock()
+			defer b.log.mu.Unlock()
+			b.log.lease = -time.Millisecond
+		}()
+		c := cell.Call{Verb: cell.Submit, Host: "h", Path: "/q/one", Key: "k", Job: &job.Job{Steps: []job.Step{tasks(1)}}}
+		_, err := m[cell.MethodCall](context.Background(), "entry", func(v any) error { *v.(*cell.Call) = c; return nil })
+		var r *peer.Remote
+		b.is.True(errors.As(err, &r))
+		b.is.Equal(r.Code, cell.CodeUnsettled)
+		b.is.Equal(b.status("one"), job.Queued)
+		who, err := m[cell.MethodWho](context.Background(), "entry", nil)
+		b.is.NoErr(err)
+		b.is.Equal(who.(cell.Leader).Name, "") // it cannot answer
+	})
+}
+
+// handlers is a peer.Mux that is called directly.
+type handlers map[string]peer.Handler
+
+func (h handlers) Handle(method string, f peer.Handler) { h[method] = f }
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -58,23 +58,18 @@
 			return nil, d.notLeader()
 		}
 		answer, ok := serve(t, ctx, name, &request)
-		if !ok {
-			return nil, &peer.Remote{Code: codeUnsettled, Message: "the outcome is not known"}
-		}
-		if !t.within() {
-			return nil, d.notLeader()
+		if !ok || !t.within() {
+			return nil, &peer.Remote{Code: cell.CodeUnsettled, Message: "the outcome is not known"}
 		}
 		return answer, nil
 	}
 }
 
-// codeUnsettled is the code of a call whose round was not committed here and
-// may have been committed all the same.
-const codeUnsettled = "unsettled"
-
+// who names the leader. This process names itself only while it can answer calls,
+// so that nobody asks it again and again meanwhile.
 func (d *Dispatcher) who() (any, error) {
 	name, _ := d.options.Log.Leader()
-	if name == d.options.Name && d.current.Load() == nil {
+	if t := d.current.Load(); name == d.options.Name && (t == nil || !t.within()) {
 		name = ""
 	}
 	return cell.Leader{Name: name, Members: d.options.Members()}, nil
