Ask ahead about more workers for wide tasks while few are known to be good

Cause: a wide step was asked about 30 of 98 workers, of which 4 to 12 may run it, and later only about workers that had room at that moment. Change: while fewer than eight good workers are known for each task, the step is asked about further ones ahead, through processes that are free.

--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -13,6 +13,9 @@
 	// renewMargin is how long before the end of its ticket a worker is asked
 	// about again, beside the time of the answer.
 	renewMargin = 200 * time.Millisecond
+	// goodWanted is how many good workers are looked for ahead for each task. About
+	// one in eight is free for a wide task in a pool that is nearly full.
+	goodWanted = 8
 	// renewedWorkers bounds the workers that are asked about ahead.
 	renewedWorkers = 8
 )
@@ -47,7 +50,9 @@
 		workers = nil // there is no room for the gang yet
 	}
 	if len(workers) == 0 {
-		p.renew(d)
+		if !p.explore(d) {
+			p.renew(d)
+		}
 		return
 	}
 	p.keep(d, workers)
@@ -66,6 +71,44 @@
 	}
 }
 
+// explore asks ahead about workers that the step was not asked about, while few
+// are known to be good for each of its tasks: a gang of wide tasks that is confined
+// to a handful of workers waits until all of them are free at once. It reports
+// whether there was anything to ask.
+func (p *planner) explore(d *Demand) bool {
+	if d.rank != timely || !p.claims(d) {
+		return false
+	}
+	good := 0
+	var unknown []*Worker
+	for _, w := range p.pools[d.Pool] {
+		a, known := d.Advice.Answers[w.ID]
+		switch {
+		case !known && suits(d, w):
+			unknown = append(unknown, w)
+		case a.Good:
+			good++
+		}
+	}
+	if len(unknown) == 0 || good >= goodWanted*len(d.Tasks) {
+		return false
+	}
+	size := d.Spec.Reserves()
+	offers := make([]offer, 0, len(unknown))
+	for _, w := range unknown {
+		offers = append(offers, p.offer(d, w, size))
+	}
+	slices.SortStableFunc(offers, compareOffers)
+	var workers []string
+	for i, o := range offers {
+		if i < maximumAsk {
+			workers = append(workers, o.worker.ID)
+		}
+	}
+	p.plan.Asks = append(p.plan.Asks, Ask{d, workers, true})
+	return true
+}
+
 // renew asks ahead of room for a demand whose answers take long: otherwise each
 // worker would idle for that time whenever it becomes free.
 func (p *planner) renew(d *Demand) {
--- a/internal/version/fit/replay_test.go
+++ b/internal/version/fit/replay_test.go
@@ -24,6 +24,10 @@
 	burst    float64 // times the rate from the 5th to the 9th second
 	good     float64 // share of workers that the advice allows; zero if not advised
 	answer   time.Duration
+	gang     bool
+	saves    bool             // its tasks may make way
+	sizes    []work.Resources // one of them for each job, in place of size
+	widest   int              // tasks of a job vary between one and this, in place of tasks
 }
 
 // arrival is a job of a replay.
@@ -33,6 +37,8 @@
 	at      time.Time
 	left    int
 	running map[int]bool
+	over    map[int]bool          // tasks that are done
+	rest    map[int]time.Duration // run time that is left of tasks that made way
 	done    time.Time
 	allowed map[string]bool
 	answer  time.Time // of the question under way
@@ -45,8 +51,15 @@
 	job    *arrival
 	index  int
 	worker *Worker
+	stop   bool // makes way at the given time, and goes on elsewhere
 }
 
+// stopTime and restoreTime are what a run that makes way takes to end and to go on.
+const (
+	stopTime    = 500 * time.Millisecond
+	restoreTime = 100 * time.Millisecond
+)
+
 // replay plays a load in virtual time, steps of 20 ms, and returns the share of
 // jobs that were in time, by kind.
 func replay(workers []*Worker, kinds []kind, spare func(kinds map[string]work.Resources) work.Resources) map[string]float64 {
@@ -84,12 +97,20 @@
 }
 
 func arrive(k *kind, at time.Time, number int, workers []*Worker, random *rand.Rand) *arrival {
-	d := demand(job.ID(fmt.Sprintf("%s-%d", k.name, number)), k.priority, k.tasks, k.size)
+	tasks, size := k.tasks, k.size
+	if k.widest > 0 {
+		tasks = 1 + random.IntN(k.widest)
+	}
+	if len(k.sizes) > 0 {
+		size = k.sizes[random.IntN(len(k.sizes))]
+	}
+	d := demand(job.ID(fmt.Sprintf("%s-%d", k.name, number)), k.priority, tasks, size)
+	d.Spec.Gang = k.gang
 	d.Order = uint64(number)
-	d.Spec.Checkpoints = k.priority == 2
+	d.Spec.Checkpoints = k.saves
 	length := time.Duration(k.stretch*float64(k.runs)) + k.target
 	d.Late, d.Useless = at.Add(length), at.Add(3*length)
-	j := &arrival{Demand: d, kind: k, at: at, left: k.tasks, running: map[int]bool{}, allowed: map[string]bool{}}
+	j := &arrival{Demand: d, kind: k, at: at, left: tasks, running: map[int]bool{}, over: map[int]bool{}, rest: map[int]time.Duration{}, allowed: map[string]bool{}}
 	if k.good > 0 {
 		advised(d, map[string]Answer{})
 		d.Slow = k.answer
@@ -105,10 +126,14 @@
 	if f.at.After(at) {
 		return false
 	}
-	f.worker.Free = f.worker.Free.Add(f.job.kind.size)
+	f.worker.Free = f.worker.Free.Add(f.job.Spec.Size)
 	delete(f.job.running, f.index)
 	f.job.Placed[f.worker.ID]--
+	if f.stop {
+		return true
+	}
 	f.job.left--
+	f.job.over[f.index] = true
 	f.job.done = at
 	return true
 }
@@ -120,7 +145,7 @@
 	var demands []*Demand
 	for _, j := range jobs {
 		for range j.running {
-			use[j.kind.name] = use[j.kind.name].Add(j.kind.size)
+			use[j.kind.name] = use[j.kind.name].Add(j.Spec.Size)
 		}
 		if j.left == 0 || len(j.running) == j.left {
 			continue
@@ -131,13 +156,31 @@
 			}
 			j.answer, j.Advice.Asking = time.Time{}, false
 		}
-		j.Tasks = slices.DeleteFunc(j.Tasks, func(i int) bool { return j.running[i] })
+		j.Tasks = j.Tasks[:0]
+		for i := range j.Spec.Count {
+			if _, stopped := j.rest[i]; !j.running[i] && (!j.over[i] || stopped) {
+				j.Tasks = append(j.Tasks, i)
+			}
+		}
 		j.Waited = at.Sub(j.at)
 		demands = append(demands, j.Demand)
 		byDemand[j.Demand] = j
 	}
 	for _, w := range workers {
-		w.held = nil
+		w.held, w.Runs, w.Ending = nil, nil, work.Resources{}
+	}
+	for _, f := range ends {
+		switch {
+		case f.stop:
+			f.worker.Ending = f.worker.Ending.Add(f.job.Spec.Size)
+		case f.job.Spec.Checkpoints:
+			f.worker.Runs = append(f.worker.Runs, Run{
+				Task: f.job.Step.Task(f.index), Priority: f.job.Priority, Due: Due(f.job.Late, f.job.Priority), Size: f.job.Spec.Size,
+			})
+		}
+	}
+	for _, w := range workers {
+		slices.SortStableFunc(w.Runs, func(a, b Run) int { return a.Priority - b.Priority })
 	}
 	p := Decide(at, demands, Room{Workers: workers, Spare: map[string]work.Resources{"p": spare(use)}})
 	for _, a := range p.Asks {
@@ -145,11 +188,22 @@
 			j.Advice.Asking, j.asked, j.answer = true, a.Workers, at.Add(j.kind.answer)
 		}
 	}
+	for i := range ends {
+		f := &ends[i]
+		if slices.Contains(p.Stops, f.job.Step.Task(f.index)) {
+			f.job.rest[f.index], f.at, f.stop = f.at.Sub(at)+restoreTime, at.Add(stopTime), true
+		}
+	}
 	var started []finish
 	for _, s := range p.Starts {
 		j := byDemand[s.Demand]
+		length, resumed := j.rest[s.Index]
+		if !resumed {
+			length = j.kind.runs
+		}
+		delete(j.rest, s.Index)
 		j.running[s.Index] = true
-		started = append(started, finish{at: at.Add(j.kind.runs), job: j, index: s.Index, worker: s.Worker})
+		started = append(started, finish{at: at.Add(length), job: j, index: s.Index, worker: s.Worker})
 	}
 	return started
 }
@@ -217,3 +271,26 @@
 	atLeast(t, shares, "wide", targetShare)
 	t.Logf("in time: %v", shares)
 }
+
+// gpus returns a size with accelerators, in whole processors and GB.
+func gpus(processors, memory, accelerators int64) work.Resources {
+	return work.Resources{Processors: processors * 1000, Memory: memory << 30, Accelerators: accelerators}
+}
+
+// Replays gangs of wide tasks, each with a quarter of a worker to all of it, that
+// may run on a third of the pool, beside small tasks that save their work; the
+// load of the accelerators of a grown cell in a burst. Guards against gangs that
+// wait because few workers are known to be good, and against room that idles
+// because gangs keep it which cannot start yet.
+func TestReplayWideGangs(t *testing.T) {
+	kinds := []kind{
+		{name: "wide", priority: 1, widest: 5, gang: true, sizes: []work.Resources{gpus(62, 320, 2), gpus(62, 320, 4), gpus(62, 320, 8), gpus(62, 320, 8)},
+			runs: 5600 * time.Millisecond, stretch: 2.2, target: time.Second, rate: 5, burst: 1.3, good: 0.3, answer: 600 * time.Millisecond},
+		{name: "small", priority: 2, widest: 25, size: gpus(11, 59, 1), saves: true, runs: 3800 * time.Millisecond, stretch: 4, target: 3 * time.Second,
+			rate: 4.6, good: 0.45, answer: 200 * time.Millisecond},
+	}
+	shares := replay(pool(98, gpus(128, 512, 8)), kinds, noSpare)
+	t.Logf("in time: %v", shares)
+	atLeast(t, shares, "wide", targetShare)
+	atLeast(t, shares, "small", targetShare)
+}
