--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -30,7 +30,7 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/metric"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/settings"
-	"github.com/rosemaryloft/rosemaryloft/internal/request/platform"
+	"github.com/rosemaryloft/rosemaryloft/internal/request/balancer"
 )
 
 const (
@@ -99,15 +99,15 @@
 // adapters returns what each HTTP surface serves. A process without the role
 // entry serves the platform only.
 func (d *Daemon) adapters() map[settings.Surface]adapter {
-	p := platform.Options{}
+	p := balancer.Options{}
 	adapters := make(map[settings.Surface]adapter)
 	if d.entry != nil {
-		p = platform.Options{Directory: d.entry.link, Draining: d.entry.draining.Load}
+		p = balancer.Options{Directory: d.entry.link, Draining: d.entry.draining.Load}
 		for surface, a := range d.entry.adapters {
 			adapters[surface] = counted{a, string(surface), d.metrics}
 		}
 	}
-	adapters[settings.Platform] = platform.New(p)
+	adapters[settings.Platform] = balancer.New(p)
 	return adapters
 }
 
--- a/internal/request/platform/platform.go
+++ b/internal/request/balancer/balancer.go
@@ -1,4 +1,4 @@
-// Package platform serves the load balancer and the monitoring of the platform
+// Package balancer serves the load balancer and the monitoring of the platform
 // that the VMs run on:
 //
 //   - GET /health answers 200 while the process runs. A failing check is a
@@ -10,9 +10,9 @@
 //
 // # Usage
 //
-//	a := platform.New(platform.Options{Directory: link, Draining: draining.Load})
+//	a := balancer.New(balancer.Options{Directory: link, Draining: draining.Load})
 //	server := &fasthttp.Server{Handler: a.Handler}
-package platform
+package balancer
 
 import (
 	"time"
--- a/internal/request/platform/platform_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -1,4 +1,4 @@
-package platform
+package balancer
 
 import (
 	"encoding/json"
