--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -299,7 +299,10 @@
 func (b *bench) apply() {
 	v, ok := b.term().apply(context.Background(), &job.Catalogue{
 		Version: 1, Pools: []job.Pool{{Name: "p"}}, Workspaces: []job.Workspace{{Name: "depot", Keys: []string{"k"}}},
-		Queues: []job.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Priority: 1, Attempts: 3, Stretch: 4, Target: 3 * time.Second}},
+		Queues: []job.Queue{
+			{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Priority: 1, Attempts: 3, Stretch: 4, Target: 3 * time.Second},
+			{Name: "u", Host: "h", Prefix: "/u/", Pool: "p", Attempts: 3, Stretch: 4, Target: 3 * time.Second},
+		},
 	})
 	b.is.True(ok)
 	b.is.Equal(v.Code, cell.OK)
@@ -354,9 +357,15 @@
 }
 
 func (b *bench) submit(id string, s job.Step) {
+	b.is.Helper()
+	b.submitTo("/q/", id, s)
+}
+
+// submitTo submits to a queue; that of /u/ is urgent.
+func (b *bench) submitTo(prefix, id string, s job.Step) {
 	b.is.Helper()
 	v, ok := b.term().call(context.Background(), &cell.Call{
-		Verb: cell.Submit, Host: "h", Path: "/q/" + id, Key: "k", Job: &job.Job{Steps: []job.Step{s}},
+		Verb: cell.Submit, Host: "h", Path: prefix + id, Key: "k", Job: &job.Job{Steps: []job.Step{s}},
 	})
 	b.is.True(ok)
 	b.is.Equal(v.Code, cell.OK)
@@ -697,6 +706,33 @@
 	})
 }
 
+// Guards against lasting tasks that are stopped to make room (AVAIL): their users
+// would miss them, whatever else waits. Tasks that save their work make way.
+func TestLastingTasksAreNotStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBench(t, "a")
+		defer b.close()
+		b.hosts.length = 2 * time.Minute
+		lasting := tasks(2)
+		lasting.Lasting, lasting.Checkpoints, lasting.Allowance = true, true, 1
+		b.submit("lasting", lasting)
+		saving := tasks(2)
+		saving.Checkpoints, saving.Estimate = true, b.hosts.length
+		b.submit("saving", saving)
+		time.Sleep(time.Second)
+		b.is.Equal(len(b.hosts.all["a"].running), 4) // as many as there are processors
+		urgent := tasks(4)
+		urgent.Estimate = b.hosts.length
+		b.submitTo("/u/", "urgent", urgent)
+		time.Sleep(5 * time.Second)
+		running := map[job.ID]int{}
+		for id := range b.hosts.all["a"].running {
+			running[id.Job]++
+		}
+		b.is.Equal(running, map[job.ID]int{"lasting": 2, "urgent": 2})
+	})
+}
+
 // handlers is a peer.Mux that is called directly.
 type handlers map[string]peer.Handler
 
--- a/internal/version/fit/fit_test.go
+++ b/internal/version/fit/fit_test.go
@@ -260,3 +260,29 @@
 		is.True(slices.Contains(p.Asks[0].Workers, workers[80+i].ID))
 	}
 }
+
+// Guards against fillers beside tasks with a bound on their response times
+// (HARM): how much they disturb them is not known beforehand.
+func TestFillersKeepAwayFromServing(t *testing.T) {
+	is := is.New(t)
+	filler, serving := demand("f", 2, 4, cores(1)), demand("s", 1, 4, cores(4))
+	filler.Spec.Filler, filler.Spec.Lasting = true, true
+	serving.Spec.Target, serving.Spec.Lasting = 200*time.Millisecond, true
+	workers := pool(3, cores(16))
+	workers[0].Serving, workers[1].Filling = 1, 1
+	p := Decide(now, []*Demand{filler, serving}, Room{Workers: workers})
+	is.Equal(startsOf(p, filler), 4)
+	is.Equal(startsOf(p, serving), 4)
+	kinds := map[string]map[bool]bool{}
+	for _, s := range p.Starts {
+		if kinds[s.Worker.ID] == nil {
+			kinds[s.Worker.ID] = map[bool]bool{}
+		}
+		kinds[s.Worker.ID][s.Demand == filler] = true
+	}
+	for _, w := range workers {
+		is.True(len(kinds[w.ID]) < 2)
+	}
+	is.True(!kinds[workers[0].ID][true])  // it serves
+	is.True(!kinds[workers[1].ID][false]) // it fills
+}
