Elect at once after a restart of all voters

Cause: a replica refuses to vote for an election timeout after its start, since a leader may have had an answer from it just before. Change: a voter that just started says so in its answer to a pre-vote. If every voter does, or is free to vote, the former leader is among them, its lease ended with its process, and the election goes on. A single voter that does not answer leaves the wait as it was. Ruled out: a quorum of such answers; TestRestartedGroupElectsSoon then finds a leader beside one that still holds a lease. A lease lets its process answer; it ends with the process now. Nothing else changed.

--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -101,12 +101,14 @@
 
 	now              time.Time
 	origin           time.Time // start, which Sent counts from
-	contact          time.Time // last sign of a leader; no vote within electionMin after it
+	contact          time.Time // last sign of a leader, or the start; no vote within electionMin after it
+	unheard          bool      // no sign of a leader since the start
 	electionDeadline time.Time
 	heartbeatDue     time.Time
 	joinDue          time.Time
 
 	votes     map[uint64]bool // answers by identity
+	restarts  map[uint64]bool // voters that answered a pre-vote with Restarted, by identity
 	progress  map[uint64]*progress
 	own       uint64 // first entry of the leader's term
 	leaseFrom time.Time
@@ -167,12 +169,8 @@
 	if started.IsZero() || started.After(c.now) {
 		started = c.now
 	}
-	c.contact = started // a leader may have had an answer just before
-	free := started.Add(c.electionMin)
-	if c.now.After(free) {
-		free = c.now
-	}
-	c.electionDeadline = free.Add(time.Duration(c.random.Int64N(int64(c.restart))))
+	c.contact, c.unheard = started, true // a leader may have had an answer just before
+	c.electionDeadline = c.now.Add(time.Duration(c.random.Int64N(int64(c.restart))))
 }
 
 // membership returns the membership in force, nil before founding.
@@ -328,7 +326,7 @@
 		c.handlePreVote(m)
 		return
 	}
-	if m.Type == Vote && c.promised() {
+	if m.Type == Vote && c.promised() && !(m.Restarted && c.restartedOnly()) {
 		return
 	}
 	granted := m.Type == PreVoteAnswer && !m.Reject
@@ -384,7 +382,7 @@
 // heard notes a sign of the leader of the current term.
 func (c *core) heard(m Message) {
 	c.role = follower
-	c.contact = c.now
+	c.contact, c.unheard = c.now, false
 	c.resetElection()
 	if c.leader != m.From {
 		c.leader, c.leaderName = m.From, m.FromName
@@ -397,7 +395,7 @@
 	if c.role == leader {
 		// A lease that was handed out may still run, so this replica gives no
 		// vote until it has certainly ended.
-		c.contact = c.now
+		c.contact, c.unheard = c.now, false
 		c.log.Emit(event.LeadershipLost, zap.Uint64("term", c.term), zap.Uint64("next", term))
 	}
 	if term != c.term {
--- a/internal/version/raft/election.go
+++ b/internal/version/raft/election.go
@@ -1,6 +1,8 @@
 package raft
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
@@ -16,16 +18,32 @@
 	return c.role == leader || c.now.Sub(c.contact) < c.electionMin
 }
 
+// restartedOnly tells whether nothing but the recent start of this replica keeps
+// it from voting.
+func (c *core) restartedOnly() bool { return c.unheard && c.role != leader && c.promised() }
+
 // campaign starts an election, with a pre-vote that changes no term.
+//
+// A replica that has just started refuses to vote, because a leader may have had
+// an answer from it just before. If all voters, the former leader among them, have
+// just started, that leader and its lease are gone, and the election need not wait.
 func (c *core) campaign() {
 	c.forgetLeader()
 	c.resetElection()
+	if c.restartedOnly() {
+		c.electionDeadline = c.contact.Add(c.electionMin + time.Duration(c.random.Int64N(int64(c.restart))))
+	}
 	if c.hooks.noPreVote || c.single() {
-		c.stand()
+		c.stand(false)
 		return
 	}
 	c.role = preCandidate
-	c.votes = map[uint64]bool{c.identity: true}
+	c.votes, c.restarts = map[uint64]bool{}, map[uint64]bool{}
+	if c.restartedOnly() {
+		c.restarts[c.identity] = true // its own promise counts like that of others
+	} else {
+		c.votes[c.identity] = true
+	}
 	m := Message{Type: PreVote, Term: c.term + 1}
 	if !c.empty() {
 		m.Membership = c.membership().encode() // for voters that missed the founding
@@ -33,14 +51,15 @@
 	c.request(true, m)
 }
 
-// stand starts a real election in the next term.
-func (c *core) stand() {
+// stand starts a real election in the next term. Restarted tells that all voters
+// have just started.
+func (c *core) stand(restarted bool) {
 	c.role = candidate
 	c.term, c.vote, c.changedHard = c.term+1, c.identity, true
 	c.votes = map[uint64]bool{}
 	c.resetElection()
 	c.log.Emit(event.ElectionStarted, zap.Uint64("term", c.term))
-	c.request(false, Message{Type: Vote, Term: c.term})
+	c.request(false, Message{Type: Vote, Term: c.term, Restarted: restarted})
 }
 
 // request asks all other voters.
@@ -63,13 +82,18 @@
 
 func (c *core) handlePreVote(m Message) {
 	c.founding.confirmed = true
-	if c.promised() {
+	restarted := c.restartedOnly()
+	if c.promised() && !restarted {
 		return
 	}
 	if m.Term <= c.term || !c.current(m) {
 		c.answer(m, Message{Type: PreVoteAnswer, Reject: true})
 		return
 	}
+	if restarted {
+		c.answer(m, Message{Type: PreVoteAnswer, Term: m.Term, Restarted: true})
+		return
+	}
 	// Two replicas that stand at the same time split the votes and cost another
 	// election timeout; the one that asks first goes first.
 	c.resetElection()
@@ -80,10 +104,28 @@
 	if c.role != preCandidate || m.Reject || m.Term != c.term+1 {
 		return
 	}
-	c.votes[c.ballot(m)] = true
-	if c.won() {
-		c.stand()
+	if m.Restarted {
+		c.restarts[c.ballot(m)] = true
+	} else {
+		c.votes[c.ballot(m)] = true
+	}
+	switch {
+	case c.won():
+		c.stand(false)
+	case c.allRestarted():
+		c.stand(true)
+	}
+}
+
+// allRestarted tells whether every voter has answered that it just started, or
+// that it is free to vote.
+func (c *core) allRestarted() bool {
+	for _, p := range c.membership().Members {
+		if p.Voter && !c.votes[p.Identity] && !c.restarts[p.Identity] {
+			return false
+		}
 	}
+	return true
 }
 
 func (c *core) handleVote(m Message) {
--- a/internal/version/raft/founding.go
+++ b/internal/version/raft/founding.go
@@ -105,7 +105,7 @@
 // found persists a founding membership.
 func (c *core) found(m *Membership, confirmed bool) {
 	c.term, c.vote, c.founding.confirmed = foundingTerm, 0, confirmed
-	c.contact = c.now
+	c.contact, c.unheard = c.now, false
 	c.resetElection()
 	c.replace(disk.Snapshot{Index: foundingIndex, Term: foundingTerm, Membership: m.encode()})
 	c.log.Emit(event.GroupFounded, zap.Uint64("group", m.Group), zap.Int("members", len(m.Members)))
--- a/internal/version/raft/message.go
+++ b/internal/version/raft/message.go
@@ -71,6 +71,10 @@
 
 	Empty bool   `cbor:"19,keyasint,omitempty"` // the reporting replica belongs to no group
 	Nonce uint64 `cbor:"20,keyasint,omitempty"` // binds Found to the receiver's latest report
+
+	// Restarted tells in PreVoteAnswer that the voter began a moment ago and has
+	// not heard from a leader since, and in Vote that all voters did.
+	Restarted bool `cbor:"21,keyasint,omitempty"`
 }
 
 // Membership is the set of replicas as of one log entry.
--- a/internal/version/raft/simulation_test.go
+++ b/internal/version/raft/simulation_test.go
@@ -122,6 +122,10 @@
 
 func (s *simulation) crash(name string) {
 	n := s.nodes[name]
+	if n.core != nil && n.core.role == leader {
+		// A lease lets its process answer, and ends with it.
+		s.leases[n.core.term] = min(s.leases[n.core.term], s.now)
+	}
 	delete(s.checked, n.core)
 	n.core, n.paused = nil, false
 	n.store.Crash()
