--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -22,7 +22,7 @@
 	WorkerOver       = define(912, zapcore.InfoLevel, "worker over", "The worker's life ended, for the reason given.")
 	WorkerSilent     = define(913, zapcore.WarnLevel, "worker silent", "A worker does not answer; it gets nothing new until it does.")
 	WorkerAnswers    = define(914, zapcore.InfoLevel, "worker answers again", "A silent worker answered.")
-	WorkerSuspect    = define(915, zapcore.WarnLevel, "worker avoided", "Runs on the worker fail or stand still while others succeed; it gets new tasks only now and then.")
+	WorkerSuspect    = define(915, zapcore.WarnLevel, "worker avoided", "Runs on the worker fail, stand still or move slowly while others succeed; it gets new tasks only now and then.")
 	WorkerReport     = define(916, zapcore.WarnLevel, "report ignored", "A report could not be used; the line has the reason.")
 	CatalogueInForce = define(920, zapcore.InfoLevel, "catalogue in force", "The operator's change is committed and in force on every process.")
 	CatalogueRefused = define(921, zapcore.WarnLevel, "catalogue refused", "The operator's change is invalid; the line has every finding.")
