Count answers of restarted voters only in the candidate's own term

Found by reading: a voter with a lower term could answer, elect a leader in a term below the candidate's, grant that leader a lease, restart, and then vote for the candidate while the lease runs. An answer in the candidate's own term excludes it: any leader that follows has a higher term, which its voters have on disk. For the same reason answers of voters that have not restarted no longer count among them, and a candidate that has just started does not stand on ordinary answers. TestRestartedAnswersOnlyInTheSameTerm fails without the check.

--- a/internal/version/raft/core_test.go
+++ b/internal/version/raft/core_test.go
@@ -418,3 +418,26 @@
 		}
 	}
 }
+
+// Guards against answers to different terms that count together: a voter with a
+// lower term may elect a leader after its answer whose lease then still runs.
+func TestRestartedAnswersOnlyInTheSameTerm(t *testing.T) {
+	is := is.New(t)
+	s := newSimulation(3, Options{}, "a", "b", "c")
+	s.elect()
+	for _, n := range s.names {
+		s.crash(n)
+	}
+	s.start("b")
+	b := s.nodes["b"]
+	ask := func(term uint64) int {
+		b.core.urgent, b.core.after = nil, nil
+		b.core.step(s.local(b), Message{
+			Type: PreVote, From: b.core.membership().named("c", true).Identity, FromName: "c", To: b.core.identity,
+			Group: b.core.membership().Group, Term: term, Index: b.core.entries.last(), LogTerm: b.core.entries.lastTerm(),
+		})
+		return len(b.core.urgent) + len(b.core.after)
+	}
+	is.Equal(ask(b.core.term+1), 1)
+	is.Equal(ask(b.core.term+2), 0)
+}
--- a/internal/version/raft/election.go
+++ b/internal/version/raft/election.go
@@ -39,11 +39,7 @@
 	}
 	c.role = preCandidate
 	c.votes, c.restarts = map[uint64]bool{}, map[uint64]bool{}
-	if c.restartedOnly() {
-		c.restarts[c.identity] = true // its own promise counts like that of others
-	} else {
-		c.votes[c.identity] = true
-	}
+	c.votes[c.identity] = true
 	m := Message{Type: PreVote, Term: c.term + 1}
 	if !c.empty() {
 		m.Membership = c.membership().encode() // for voters that missed the founding
@@ -82,7 +78,9 @@
 
 func (c *core) handlePreVote(m Message) {
 	c.founding.confirmed = true
-	restarted := c.restartedOnly()
+	// A leader of the candidate's term or an earlier one cannot follow on an answer
+	// that is given in the same term, however late the answer and the vote arrive.
+	restarted := c.restartedOnly() && m.Term == c.term+1
 	if c.promised() && !restarted {
 		return
 	}
@@ -110,18 +108,18 @@
 		c.votes[c.ballot(m)] = true
 	}
 	switch {
-	case c.won():
-		c.stand(false)
 	case c.allRestarted():
 		c.stand(true)
+	case c.won() && !c.restartedOnly(): // its own promise binds it too
+		c.stand(false)
 	}
 }
 
-// allRestarted tells whether every voter has answered that it just started, or
-// that it is free to vote.
+// allRestarted tells whether every other voter has answered that it just started,
+// in the term that this replica is in.
 func (c *core) allRestarted() bool {
 	for _, p := range c.membership().Members {
-		if p.Voter && !c.votes[p.Identity] && !c.restarts[p.Identity] {
+		if p.Voter && p.Identity != c.identity && !c.restarts[p.Identity] {
 			return false
 		}
 	}
