--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -217,8 +217,8 @@
 		return nil
 	}
 	d := &fit.Demand{
-		Step: id, Spec: s, Pool: r.Queue.Pool, Queue: queueKey(&r.Queue), Priority: r.Queue.Priority, Order: r.Sequence, Owner: r.Job.Workspace,
-		Payload: r.Job.Payload, Placed: map[string]int{}, Progress: p, Early: early,
+		Step: id, Spec: s, Pool: r.Queue.Pool, Queue: queueKey(&r.Queue), Priority: r.Queue.Priority, Order: r.Sequence,
+		Owner: r.Job.Workspace, Payload: r.Job.Payload, Placed: map[string]int{}, Progress: p, Early: early,
 	}
 	d.Late, d.Useless = t.lateAt(r, number)
 	d.Length = chainFrom(&r.Job, index)
--- a/internal/process/dispatch/speed.go
+++ b/internal/process/dispatch/speed.go
@@ -83,16 +83,13 @@
 	if !w.doubted {
 		w.aside = 0
 	}
-	if r.spec.Lasting || r.spec.Filler || r.pace != 0 {
-		return
-	}
-	if r.first.at.IsZero() {
+	if r.spec.Lasting || r.spec.Filler || r.pace != 0 || r.resumed || r.first.at.IsZero() {
 		return
 	}
 	r.seen, r.percent = clock, 100
 	m := t.motion(r, r.first)
 	lag, ok := m.Lag()
-	if !ok || r.resumed {
+	if !ok {
 		return
 	}
 	t.lagged(r, lag)
@@ -109,19 +106,7 @@
 	if !t.within() {
 		return false
 	}
-	now := t.now()
-	var motions []fit.Motion
-	var runs []*run
-	for _, r := range w.runs {
-		if !r.measured() {
-			continue
-		}
-		m := t.motion(r, r.mark)
-		motions, runs = append(motions, m), append(runs, r)
-		if lag, ok := m.Lag(); ok {
-			t.lagged(r, lag)
-		}
-	}
+	runs, motions := t.motions(w)
 	judgement := fit.Judge(motions)
 	switch judgement.Speed {
 	case fit.Sound:
@@ -135,17 +120,39 @@
 		zap.Int("steps", judgement.Steps), zap.Int("runs", len(runs)))
 	strays := false
 	for i, r := range runs {
-		saves := r.spec.Checkpoints && r.saved != ""
-		switch {
-		case r.spec.Copies && motions[i].Moves(saves, 0):
-			strays = true
-			t.avoid(r, now)
-			t.lose(r, "its worker is slow and a copy may run elsewhere")
-		case motions[i].Moves(saves, t.timing().StopTime):
-			t.avoid(r, now)
-			t.stop(r)
-			t.breakGang(r)
-		}
+		strays = t.move(r, &motions[i]) || strays
 	}
 	return strays
 }
+
+// motions describes the recent progress of a worker's runs, as far as it is known.
+func (t *term) motions(w *worker) (runs []*run, motions []fit.Motion) {
+	for _, r := range w.runs {
+		if !r.measured() {
+			continue
+		}
+		m := t.motion(r, r.mark)
+		runs, motions = append(runs, r), append(motions, m)
+		if lag, ok := m.Lag(); ok {
+			t.lagged(r, lag)
+		}
+	}
+	return runs, motions
+}
+
+// move has a run start elsewhere if it is done sooner there. It reports whether
+// the run was given up and may go on.
+func (t *term) move(r *run, m *fit.Motion) bool {
+	saves := r.spec.Checkpoints && r.saved != ""
+	switch {
+	case r.spec.Copies && m.Moves(saves, 0):
+		t.avoid(r, t.now())
+		t.lose(r, "its worker is slow and a copy may run elsewhere")
+		return true
+	case m.Moves(saves, t.timing().StopTime):
+		t.avoid(r, t.now())
+		t.stop(r)
+		t.breakGang(r)
+	}
+	return false
+}
--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -93,17 +93,14 @@
 	if len(unknown) == 0 || good >= goodWanted*len(d.Tasks) {
 		return false
 	}
-	size := d.Spec.Reserves()
 	offers := make([]offer, 0, len(unknown))
 	for _, w := range unknown {
-		offers = append(offers, p.offer(d, w, size))
+		offers = append(offers, p.offer(d, w, d.Spec.Reserves()))
 	}
 	slices.SortStableFunc(offers, compareOffers)
 	var workers []string
-	for i, o := range offers {
-		if i < maximumAsk {
-			workers = append(workers, o.worker.ID)
-		}
+	for _, o := range offers[:min(len(offers), maximumAsk)] {
+		workers = append(workers, o.worker.ID)
 	}
 	p.plan.Asks = append(p.plan.Asks, Ask{d, workers, true})
 	return true
--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -135,7 +135,8 @@
 func newCore(options Options, identity uint64, contents disk.Contents, now time.Time) (*core, error) {
 	c := &core{
 		name: options.Name, identity: identity, settings: options.Members, random: options.Random, log: options.Log,
-		trailing: options.Trailing, open: options.Open, hooks: options.hooks, timing: newTiming(&options), term: max(contents.Hard.Term, contents.Snapshot.Term), vote: contents.Hard.Vote,
+		trailing: options.Trailing, open: options.Open, hooks: options.hooks, timing: newTiming(&options),
+		term: max(contents.Hard.Term, contents.Snapshot.Term), vote: contents.Hard.Vote,
 		now: now, origin: now, contact: now, joinDue: now, joins: map[string]join{},
 	}
 	s := contents.Snapshot
