--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -395,6 +395,16 @@
 	return "a"
 }
 
+// interrupt starts four tasks of 20 s, which fill one host, and changes that host
+// a second later.
+func (b *bench) interrupt(change func(w *host)) {
+	b.is.Helper()
+	b.hosts.length = 20 * time.Second
+	b.submit("one", tasks(4))
+	time.Sleep(time.Second)
+	b.with(b.busy(), change)
+}
+
 func tasks(n int) job.Step {
 	return job.Step{Count: n, Size: work.Resources{Processors: 1000, Memory: 1 << 30}, Estimate: time.Second}
 }
@@ -424,11 +434,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, "a", "b")
 		defer b.close()
-		b.hosts.length = 20 * time.Second
-		b.submit("one", tasks(4))
-		time.Sleep(time.Second)
-		first := b.busy()
-		b.with(first, func(w *host) { w.silent = true })
+		b.interrupt(func(w *host) { w.silent = true })
 		time.Sleep(3 * time.Second)
 		b.is.Equal(len(b.hosts.starts), 4) // nothing starts elsewhere yet
 		time.Sleep(5 * time.Second)
@@ -504,11 +510,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newBench(t, "a", "b")
 		defer b.close()
-		b.hosts.length = 20 * time.Second
-		b.submit("one", tasks(4))
-		time.Sleep(time.Second)
-		first := b.busy()
-		b.with(first, func(w *host) { w.refuses = true })
+		b.interrupt(func(w *host) { w.refuses = true })
 		time.Sleep(7 * time.Second)
 		b.is.Equal(len(b.hosts.starts), 8)
 		b.is.Equal(b.hosts.twice, "")
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -10,10 +10,11 @@
 const (
 	// goneAfter is the silence after which a worker without runs is forgotten.
 	goneAfter = 15 * time.Second
+	// avoidTime is how long a step leaves out a worker where a run of it failed or
+	// was slow.
+	avoidTime = 1500 * time.Millisecond
 	// drainSlack is left between the stop of a run on a draining worker and the
 	// worker's end, beside the time that a stop may take.
-	// avoidTime is how long a step leaves out a worker where a run of it failed.
-	avoidTime  = 1500 * time.Millisecond
 	drainSlack = 400 * time.Millisecond
 )
 
--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -13,8 +13,9 @@
 	// renewMargin is how long before the end of its ticket a worker is asked
 	// about again, beside the time of the answer.
 	renewMargin = 200 * time.Millisecond
-	// goodWanted is how many good workers are looked for ahead for each task. About
-	// one in eight is free for a wide task in a pool that is nearly full.
+	// goodWanted is how many good workers are looked for ahead for each task. With
+	// it, a gang of four is asked about nearly all of a pool of a hundred workers of
+	// which three in ten are good.
 	goodWanted = 8
 	// renewedWorkers bounds the workers that are asked about ahead.
 	renewedWorkers = 8
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -1,5 +1,5 @@
 // Package fit decides which waiting tasks start on which workers, which advice
-// to ask for, and which running tasks make way.
+// to ask for, which running tasks make way, and which workers are slow.
 //
 // # Usage
 //
--- a/internal/version/fit/motion.go
+++ b/internal/version/fit/motion.go
@@ -14,7 +14,8 @@
 	// slowCertainty is the number of standard deviations by which they have to be
 	// slower; estimates of single jobs are rough.
 	slowCertainty = 4.0
-	// soundFactor is below what sound workers of different speed reach.
+	// soundFactor is the most by which sound workers differ: speeds are between 0.8
+	// and 1.25 times the usual one.
 	soundFactor = 1.6
 	// lookShare of its estimate, and leastLook at least, a run has to work before
 	// its progress tells anything.
--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -164,8 +164,8 @@
 	return c, c.err
 }
 
-// restarted sets from when on the replica may vote and campaign. An earlier
-// process of it ended before started.
+// restarted sets from when on the replica may vote, and when it first campaigns.
+// An earlier process of it ended before started.
 func (c *core) restarted(started time.Time) {
 	if started.IsZero() || started.After(c.now) {
 		started = c.now
