Bound connections by budgets, and accept on after EMFILE

Change: package tcp. A pool closes the least recently used idle connections, a listener those that are idle for longest; a failed accept is logged and tried again. The servers of rosemaryloftd use the same listener. Transfers have a deadline.

--- a/internal/connection/plain/plain.go
+++ b/internal/connection/plain/plain.go
@@ -26,7 +26,6 @@
 import (
 	"bytes"
 	"context"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -37,6 +36,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/tcp"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 )
 
@@ -54,6 +54,13 @@
 	idleTime = 60 * time.Second
 	// maxConnections is the maximum number of open connections to one process.
 	maxConnections = 64
+	// defaultBudget is the number of connections from and to other processes unless
+	// Options states one.
+	defaultBudget = 1024
+	// readTimeout and writeTimeout bound the transfer of one request and of its
+	// response, so that a peer that stalls does not keep its connection forever.
+	readTimeout  = 10 * time.Second
+	writeTimeout = 10 * time.Second
 	// maxBodySize is the maximum size of a request or response body, in bytes. A
 	// chunk of a snapshot and the largest desired state are smaller.
 	maxBodySize = 8 << 20
@@ -74,9 +81,11 @@
 
 // Options configures a Node.
 type Options struct {
-	Name string // IP address of this process
-	Port uint16 // of all processes
-	Log  event.Log
+	Name     string // IP address of this process
+	Port     uint16 // of all processes
+	Log      event.Log
+	Accepted *tcp.Budget // connections from other processes; nil for a default
+	Opened   *tcp.Budget // connections to other processes; nil for a default
 }
 
 // Node is the endpoint of one process: its server, and its connections to the
@@ -84,6 +93,7 @@
 type Node struct {
 	options Options
 	server  *fasthttp.Server
+	pool    *tcp.Pool
 
 	mu         sync.RWMutex
 	handlers   map[string]peer.Handler
@@ -99,9 +109,9 @@
 
 // remote holds the connections and the message queue to another process.
 type remote struct {
-	name   string
-	client *fasthttp.HostClient
-	queue  chan message
+	name    string
+	address netip.AddrPort
+	queue   chan message
 }
 
 // message is a one-way message as sent in a batch.
@@ -113,12 +123,21 @@
 
 // New returns a Node. It listens only after Run is called.
 func New(options Options) *Node {
+	if options.Accepted == nil {
+		options.Accepted = tcp.NewBudget("peers", defaultBudget)
+	}
+	if options.Opened == nil {
+		options.Opened = tcp.NewBudget("to peers", defaultBudget)
+	}
 	n := &Node{options: options, handlers: map[string]peer.Handler{}, remotes: map[string]*remote{}}
 	n.server = &fasthttp.Server{
 		Handler: n.serve, MaxRequestBodySize: maxBodySize, NoDefaultServerHeader: true, NoDefaultDate: true,
-		NoDefaultContentType: true, IdleTimeout: 2 * idleTime, TCPKeepalive: true, TCPKeepalivePeriod: idleTime / 4,
+		NoDefaultContentType: true, IdleTimeout: 2 * idleTime, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
 		CloseOnShutdown: true, Logger: discardLogger{}, ReduceMemoryUsage: false,
 	}
+	n.pool = tcp.NewPool(tcp.PoolOptions{
+		Budget: options.Opened, PerAddress: maxConnections, DialTimeout: dialTimeout, IdleTime: idleTime, MaxBody: maxBodySize,
+	})
 	return n
 }
 
@@ -136,10 +155,15 @@
 
 // Run serves calls until ctx is done.
 func (n *Node) Run(ctx context.Context) error {
-	l, err := net.Listen("tcp4", netip.AddrPortFrom(netip.MustParseAddr(n.options.Name), n.options.Port).String())
+	address, err := netip.ParseAddr(n.options.Name)
+	if err != nil {
+		return errors.Wrap(err, "name of the process")
+	}
+	l, err := tcp.Listen(netip.AddrPortFrom(address, n.options.Port), n.options.Accepted, n.options.Log)
 	if err != nil {
 		return errors.Wrap(err, "listen for connections of other processes")
 	}
+	n.server.ConnState = l.Track
 	n.mu.Lock()
 	n.runContext = ctx
 	for _, r := range n.remotes {
@@ -180,7 +204,7 @@
 	if r = n.remotes[name]; r != nil {
 		return r, nil
 	}
-	r = &remote{name: name, queue: make(chan message, queueLength), client: newClient(netip.AddrPortFrom(a, n.options.Port))}
+	r = &remote{name: name, queue: make(chan message, queueLength), address: netip.AddrPortFrom(a, n.options.Port)}
 	n.remotes[name] = r
 	if n.runContext != nil && n.runContext.Err() == nil {
 		n.startSender(n.runContext, r)
@@ -188,16 +212,6 @@
 	return r, nil
 }
 
-func newClient(address netip.AddrPort) *fasthttp.HostClient {
-	return &fasthttp.HostClient{
-		Addr: address.String(), MaxConns: maxConnections, MaxIdleConnDuration: idleTime,
-		Dial:                func(addr string) (net.Conn, error) { return fasthttp.DialTimeout(addr, dialTimeout) },
-		MaxResponseBodySize: maxBodySize, NoDefaultUserAgentHeader: true,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
-	}
-}
-
 // Call implements peer.Caller.
 func (n *Node) Call(ctx context.Context, to, method string, request, response any) error {
 	if to == n.options.Name {
@@ -257,7 +271,7 @@
 	}
 	request.Header.Set(timeoutHeader, formatTimeout(remaining))
 	request.SetBodyRaw(body)
-	if err := r.client.DoDeadline(request, response, deadline); err != nil {
+	if err := n.pool.Do(r.address, request, response, deadline); err != nil {
 		return nil, classifyError(err)
 	}
 	switch response.StatusCode() {
@@ -272,9 +286,7 @@
 // classifyError marks an error with peer.ErrNotSent if the request cannot have
 // reached the other side, else with peer.ErrUnknown.
 func classifyError(err error) error {
-	var op *net.OpError
-	if errors.Is(err, fasthttp.ErrDialTimeout) || errors.Is(err, fasthttp.ErrNoFreeConns) ||
-		errors.As(err, &op) && op.Op == "dial" {
+	if tcp.NotSent(err) {
 		return errors.CombineErrors(peer.ErrNotSent, err)
 	}
 	return errors.CombineErrors(peer.ErrUnknown, err)
--- /dev/null
+++ b/internal/connection/tcp/pool.go
@@ -0,0 +1,153 @@
+package tcp
+
+import (
+	"container/list"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/valyala/fasthttp"
+)
+
+// ErrNoDescriptor means that no connection could be opened because the budget is
+// used up by connections that are in use.
+var ErrNoDescriptor = errors.New("the budget of connections is used up")
+
+// PoolOptions configures a Pool.
+type PoolOptions struct {
+	Budget      *Budget
+	PerAddress  int           // maximum number of connections to one address
+	DialTimeout time.Duration // to open a connection
+	Wait        time.Duration // longest wait for one of the PerAddress connections
+	IdleTime    time.Duration // after which an unused connection is closed
+	MaxBody     int           // maximum size of a response in bytes; zero means no limit
+}
+
+// Pool sends HTTP requests to many addresses over a bounded number of
+// connections. It never retries a request. It is safe for concurrent use.
+type Pool struct {
+	options PoolOptions
+
+	mu     sync.Mutex
+	remote map[netip.AddrPort]*remote
+	recent *list.List // of *remote that may have an idle connection, the one used last first
+}
+
+// remote is the client for one address.
+type remote struct {
+	http  *fasthttp.HostClient
+	place *list.Element // in Pool.recent; nil if it is not there
+}
+
+// NewPool returns a Pool.
+func NewPool(options PoolOptions) *Pool {
+	return &Pool{options: options, remote: map[netip.AddrPort]*remote{}, recent: list.New()}
+}
+
+// Do sends a request and reads the response. It returns by the deadline.
+func (p *Pool) Do(address netip.AddrPort, request *fasthttp.Request, response *fasthttp.Response, deadline time.Time) error {
+	r := p.get(address)
+	err := r.http.DoDeadline(request, response, deadline)
+	p.use(r)
+	return err
+}
+
+// get returns the client for an address and creates it if needed.
+func (p *Pool) get(address netip.AddrPort) *remote {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	r := p.remote[address]
+	if r == nil {
+		r = &remote{http: &fasthttp.HostClient{
+			Addr: address.String(), MaxConns: p.options.PerAddress, MaxIdleConnDuration: p.options.IdleTime,
+			MaxConnWaitTimeout: p.options.Wait, MaxResponseBodySize: p.options.MaxBody,
+			Dial: p.dial, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
+			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		}}
+		p.remote[address] = r
+	}
+	return r
+}
+
+// use moves a client to the front of the recently used ones.
+func (p *Pool) use(r *remote) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if r.place != nil {
+		p.recent.MoveToFront(r.place)
+		return
+	}
+	r.place = p.recent.PushFront(r)
+}
+
+// Forget closes the idle connections to an address that is no longer used.
+func (p *Pool) Forget(address netip.AddrPort) {
+	p.mu.Lock()
+	r := p.remote[address]
+	delete(p.remote, address)
+	if r != nil {
+		p.drop(r)
+	}
+	p.mu.Unlock()
+	if r != nil {
+		r.http.CloseIdleConnections()
+	}
+}
+
+// drop removes a client from the recently used ones. The caller holds the lock.
+func (p *Pool) drop(r *remote) {
+	if r.place != nil {
+		p.recent.Remove(r.place)
+		r.place = nil
+	}
+}
+
+// dial opens a connection within the budget.
+func (p *Pool) dial(address string) (net.Conn, error) {
+	if !p.reserve() {
+		return nil, ErrNoDescriptor
+	}
+	// Requests have deadlines, so that probes would find nothing that they do not.
+	d := net.Dialer{Timeout: p.options.DialTimeout, KeepAlive: -1}
+	c, err := d.Dial("tcp4", address)
+	if err != nil {
+		p.options.Budget.release()
+		return nil, err
+	}
+	t, ok := c.(*net.TCPConn)
+	if !ok {
+		p.options.Budget.release()
+		return nil, errors.CombineErrors(errors.Newf("%s: not a TCP connection", address), c.Close())
+	}
+	return &conn{TCPConn: t, closed: p.options.Budget.release}, nil
+}
+
+// reserve takes a descriptor. While there is none, it closes the idle connections
+// of the clients that were used least recently. It returns false if all
+// connections are in use.
+func (p *Pool) reserve() bool {
+	for {
+		if _, ok := p.options.Budget.acquire(); ok {
+			return true
+		}
+		p.mu.Lock()
+		last := p.recent.Back()
+		if last == nil {
+			p.mu.Unlock()
+			return false
+		}
+		r := last.Value.(*remote)
+		p.drop(r)
+		p.mu.Unlock()
+		r.http.CloseIdleConnections()
+	}
+}
+
+// NotSent reports whether an error of Pool.Do rules out that the request reached
+// the other side.
+func NotSent(err error) bool {
+	var op *net.OpError
+	return errors.Is(err, ErrNoDescriptor) || errors.Is(err, fasthttp.ErrNoFreeConns) || errors.As(err, &op) && op.Op == "dial"
+}
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -95,7 +95,7 @@
 	}
 	d.registerGauges()
 	metrics.Publish()
-	d.servers, err = listen(s.Listen.Servers(), d.adapters())
+	d.servers, err = listen(s.Listen.Servers(), d.adapters(), d.log)
 	return d, err
 }
 
--- a/internal/process/daemon/server.go
+++ b/internal/process/daemon/server.go
@@ -8,6 +8,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/tcp"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/settings"
 	"github.com/rosemaryloft/rosemaryloft/internal/request/web"
 	"github.com/rosemaryloft/rosemaryloft/pkg/api"
@@ -22,6 +24,9 @@
 	// maxBodySize is above every body limit that an entry may set. The adapters
 	// enforce the lower limits.
 	maxBodySize = 64 << 20
+	// serverShare is the fraction of the process's descriptors that the HTTP servers
+	// divide among them. The rest is for runners and files.
+	serverShare = 0.6
 )
 
 // adapter serves a part of the HTTP interface.
@@ -63,8 +68,9 @@
 
 // listen opens the listeners of the configured HTTP servers. A server none of
 // whose surfaces has an adapter is not opened.
-func listen(servers []settings.Server, adapters map[settings.Surface]adapter) ([]*server, error) {
+func listen(servers []settings.Server, adapters map[settings.Surface]adapter, log event.Log) ([]*server, error) {
 	var out []*server
+	budget := int(serverShare*float64(tcp.DescriptorLimit())) / max(1, len(servers))
 	for _, s := range servers {
 		var serves []adapter
 		for _, o := range matchOrder {
@@ -77,14 +83,20 @@
 		if len(serves) == 0 {
 			continue
 		}
-		l, err := net.Listen("tcp", s.Address.String())
+		l, err := tcp.Listen(s.Address, tcp.NewBudget(s.Address.String(), budget), log)
 		if err != nil {
 			for _, open := range out {
 				_ = open.listener.Close()
 			}
 			return nil, errors.Wrapf(err, "listen on %s", s.Address)
 		}
-		out = append(out, &server{http: newServer(serves), listener: countingListener{l}})
+		h := newServer(serves)
+		h.ConnState = func(c net.Conn, s fasthttp.ConnState) {
+			if c, ok := c.(countingConn); ok {
+				l.Track(c.Conn, s)
+			}
+		}
+		out = append(out, &server{http: h, listener: countingListener{l}})
 	}
 	return out, nil
 }
