--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -83,6 +83,15 @@
 	return &Dispatcher{options: options}, nil
 }
 
+// Term returns the number of the term in which this process leads, or zero if it
+// does not.
+func (d *Dispatcher) Term() uint64 {
+	if t := d.current.Load(); t != nil {
+		return t.number
+	}
+	return 0
+}
+
 // Run serves the terms in which the replica is the leader, until ctx ends.
 func (d *Dispatcher) Run(ctx context.Context) error {
 	for ctx.Err() == nil {
