Plan with an index over the workers of a pool

Cause: in the profile of 1,100 workers under load, fit.Decide took 37 of 100 samples: each demand that did not fit looked at every worker four times and sorted them. Change: inventory.go indexes the workers of a pool by what is free; advised demands look only at workers with a ticket; the n best are selected without a sort; the planner stops reserving once every worker is reserved. fit.go is split.

--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -23,9 +23,9 @@
 )
 
 // queryEarly sends the first query about a step that is not ready yet.
-func (p *planner) queryEarly(d *Demand) {
+func (p *planner) queryEarly(l *inventory, d *Demand) {
 	if d.Advised && !d.Advice.InFlight && len(d.Advice.Answers) == 0 {
-		p.addQuery(d, p.unknownWorkers(d, maxQueryWorkers))
+		p.addQuery(d, p.unknownWorkers(l, d, maxQueryWorkers))
 	}
 }
 
@@ -33,45 +33,43 @@
 // worker with a valid ticket. Allowed workers with free capacity come first, then
 // those not queried yet; no worker is queried again once it was refused. If no
 // worker has free capacity, it queries ahead instead.
-func (p *planner) query(d *Demand, tasks int) {
+func (p *planner) query(l *inventory, d *Demand, tasks int) {
 	if !d.Advised || d.Advice.InFlight {
 		return
 	}
 	if len(d.Advice.Answers) == 0 {
-		p.addQuery(d, p.unknownWorkers(d, maxQueryWorkers))
+		p.addQuery(d, p.unknownWorkers(l, d, maxQueryWorkers))
 		return
 	}
 	wanted := min(maxQueryWorkers, max(3, int(math.Ceil(float64(tasks)*queryFactor))))
-	workers, fit := p.expiredTickets(d)
+	workers, fit := p.expiredTickets(l, d)
 	if len(workers) > wanted {
 		workers = workers[:wanted]
 	}
 	if d.Spec.Gang && fit < len(d.Tasks) || len(workers) < wanted {
-		workers = append(workers, p.unknownWorkers(d, max(wanted-len(workers), 0))...)
+		workers = append(workers, p.unknownWorkers(l, d, max(wanted-len(workers), 0))...)
 	}
 	if d.Spec.Gang && fit < len(d.Tasks) && !p.anyUnknown(d, workers) {
 		workers = nil // the gang does not fit yet
 	}
 	if len(workers) == 0 {
-		if !p.explore(d) {
-			p.renewTickets(d)
+		if !p.explore(l, d) {
+			p.renewTickets(l, d)
 		}
 		return
 	}
-	p.reserveQueried(d, workers)
+	p.reserveQueried(l, d, workers)
 	p.addQuery(d, workers)
 }
 
 // reserveQueried reserves queried workers, so that their capacity is still free
 // when the answer arrives.
-func (p *planner) reserveQueried(d *Demand, names []string) {
+func (p *planner) reserveQueried(l *inventory, d *Demand, names []string) {
 	if d.rank != onTime {
 		return
 	}
-	for _, w := range p.pools[d.Pool] {
-		if w.reservedFor == nil && slices.Contains(names, w.ID) {
-			w.reservedFor = d
-		}
+	for _, id := range names {
+		l.reserve(l.named[id], d)
 	}
 }
 
@@ -79,31 +77,30 @@
 // known to be allowed. Otherwise a gang of wide tasks that is limited to a handful
 // of workers would wait until all of them are free at once. It reports whether it
 // added a query.
-func (p *planner) explore(d *Demand) bool {
-	if d.rank != onTime || !p.mayReserve(d) {
+func (p *planner) explore(l *inventory, d *Demand) bool {
+	if d.rank != onTime || !p.mayReserve(l, d) {
 		return false
 	}
 	allowed := 0
-	var unknown []*Worker
-	for _, w := range p.pools[d.Pool] {
-		a, known := d.Advice.Answers[w.ID]
-		switch {
-		case !known && eligible(d, w):
-			unknown = append(unknown, w)
-		case a.Allowed:
+	for _, a := range d.Advice.Answers {
+		if a.Allowed {
 			allowed++
 		}
 	}
-	if len(unknown) == 0 || allowed >= allowedPerTask*len(d.Tasks) {
+	if allowed >= allowedPerTask*len(d.Tasks) {
 		return false
 	}
-	candidates := make([]candidate, 0, len(unknown))
-	for _, w := range unknown {
-		candidates = append(candidates, p.evaluate(d, w, d.Spec.Reservation()))
+	var candidates []candidate
+	for _, w := range l.workers {
+		if _, known := d.Advice.Answers[w.ID]; !known && eligible(d, w) {
+			candidates = append(candidates, p.evaluate(d, w, d.Spec.Reservation()))
+		}
+	}
+	if len(candidates) == 0 {
+		return false
 	}
-	slices.SortStableFunc(candidates, compareCandidates)
 	var workers []string
-	for _, c := range candidates[:min(len(candidates), maxQueryWorkers)] {
+	for _, c := range smallest(candidates, maxQueryWorkers, compareCandidates) {
 		workers = append(workers, c.worker.ID)
 	}
 	p.plan.Queries = append(p.plan.Queries, Query{d, workers, true})
@@ -113,48 +110,52 @@
 // renewTickets renews tickets before capacity becomes free if the advice service
 // is slow. Otherwise each worker would be idle for the response time whenever it
 // becomes free.
-func (p *planner) renewTickets(d *Demand) {
+func (p *planner) renewTickets(l *inventory, d *Demand) {
 	if d.MinAnswerTime < slowAnswerTime || d.rank != onTime {
 		return
 	}
 	var candidates []candidate
-	for _, w := range p.pools[d.Pool] {
-		a := d.Advice.Answers[w.ID]
-		if a.Allowed && p.now.Add(d.MinAnswerTime+renewMargin).After(a.Expiry) && p.reservable(d, w) {
+	for _, w := range l.allowed(d) {
+		if p.now.Add(d.MinAnswerTime+renewMargin).After(d.Advice.Answers[w.ID].Expiry) && p.reservable(d, w) {
 			candidates = append(candidates, p.evaluate(d, w, d.Spec.Reservation()))
 		}
 	}
-	slices.SortStableFunc(candidates, compareCandidates)
 	var workers []string
-	for i, c := range candidates {
-		if i < maxRenewedWorkers {
-			workers = append(workers, c.worker.ID)
-		}
+	for _, c := range smallest(candidates, maxRenewedWorkers, compareCandidates) {
+		workers = append(workers, c.worker.ID)
 	}
 	if len(workers) > 0 {
 		p.plan.Queries = append(p.plan.Queries, Query{d, workers, true})
 	}
 }
 
+// allowed returns the workers that the advice service allows, ordered by ID.
+func (l *inventory) allowed(d *Demand) []*Worker {
+	var list []*Worker
+	for id, a := range d.Advice.Answers {
+		if w := l.named[id]; a.Allowed && w != nil {
+			list = append(list, w)
+		}
+	}
+	slices.SortFunc(list, func(a, b *Worker) int { return a.order - b.order })
+	return list
+}
+
 // expiredTickets returns the allowed workers with an expired ticket on which a
 // task fits, and how many tasks fit on all allowed workers. Both count the
 // capacity of runs that are being stopped as free.
-func (p *planner) expiredTickets(d *Demand) (workers []string, fit int) {
+func (p *planner) expiredTickets(l *inventory, d *Demand) (workers []string, fit int) {
 	size := d.Spec.Reservation()
-	for _, w := range p.pools[d.Pool] {
-		a := d.Advice.Answers[w.ID]
-		if !a.Allowed {
-			continue
-		}
+	for _, w := range l.allowed(d) {
 		ending := w.Releasing
 		w.Free = w.Free.Add(ending)
-		if p.fits(d, w) {
+		if fits(d, w) {
 			n := fitCount(size, w.Free)
 			if d.Spec.Spread > 0 {
 				n = min(n, d.Spec.Spread-d.Placed[w.ID])
 			}
 			fit += n
-			if !p.now.Before(a.Expiry) {
+			if !p.now.Before(d.Advice.Answers[w.ID].Expiry) {
 				workers = append(workers, w.ID)
 			}
 		}
@@ -176,23 +177,33 @@
 // unknownWorkers returns up to most workers with free capacity that have not been
 // queried yet, those that fit the most tasks first. The first query includes
 // workers without free capacity, which may have some when the answer arrives.
-func (p *planner) unknownWorkers(d *Demand, most int) []string {
+func (p *planner) unknownWorkers(l *inventory, d *Demand, most int) []string {
+	if most <= 0 {
+		return nil
+	}
 	first := len(d.Advice.Answers) == 0
 	var candidates []*Worker
-	for _, w := range p.pools[d.Pool] {
-		if _, known := d.Advice.Answers[w.ID]; !known && (first && eligible(d, w) || p.fits(d, w)) {
+	consider := func(w *Worker) bool {
+		if _, known := d.Advice.Answers[w.ID]; !known && (first && eligible(d, w) || fits(d, w)) {
 			candidates = append(candidates, w)
 		}
+		return len(candidates) < most
+	}
+	for _, w := range l.own {
+		consider(w)
 	}
 	size := d.Spec.Reservation()
-	slices.SortStableFunc(candidates, func(a, b *Worker) int {
-		return cmp.Compare(fitCount(size, b.Free.Add(b.Releasing)), fitCount(size, a.Free.Add(a.Releasing)))
-	})
-	var workers []string
-	for i, w := range candidates {
-		if i >= most {
-			break
+	l.freest(size, consider)
+	for i := 0; first && i < len(l.workers) && len(candidates) < most; i++ {
+		// Steps begin at different workers, so that they do not all wait for the same.
+		if w := l.workers[(i+int(d.Sequence))%len(l.workers)]; w.reservedFor != nil && w.reservedFor != d {
+			consider(w)
 		}
+	}
+	var workers []string
+	for _, w := range smallest(candidates, most, func(a, b *Worker) int {
+		return cmp.Compare(fitCount(size, b.Free.Add(b.Releasing)), fitCount(size, a.Free.Add(a.Releasing)))
+	}) {
 		workers = append(workers, w.ID)
 	}
 	return workers
--- a/internal/version/fit/claim.go
+++ b/internal/version/fit/claim.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"slices"
 	"time"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
@@ -22,11 +21,11 @@
 
 // mayReserve reports whether the demand may reserve workers: urgent and
 // long-running work may, and so may wide tasks.
-func (p *planner) mayReserve(d *Demand) bool {
+func (p *planner) mayReserve(l *inventory, d *Demand) bool {
 	if d.Priority == 0 || d.Spec.Lasting {
 		return true
 	}
-	for _, w := range p.pools[d.Pool] {
+	for _, w := range l.workers {
 		if eligible(d, w) {
 			return d.Spec.Reservation().Dominant(w.Capacity) >= wideTaskShare
 		}
@@ -38,24 +37,27 @@
 // lack the least and where the fewest runs have to be preempted. Once the demand
 // has waited for its preemption delay, those runs are stopped. A gang that would
 // not fit even then reserves the workers that come closest.
-func (p *planner) reserve(d *Demand, tasks int) {
+func (p *planner) reserve(l *inventory, d *Demand, tasks int) {
+	if l.open == 0 {
+		return
+	}
 	size := d.Spec.Reservation()
 	var candidates []candidate
-	for _, w := range p.pools[d.Pool] {
-		if p.reservable(d, w) {
-			candidates = append(candidates, p.evaluate(d, w, size))
+	for _, w := range l.workers {
+		if !p.reservable(d, w) {
+			continue
+		}
+		if c := p.evaluate(d, w, size); c.tasks > 0 || d.Spec.Gang {
+			candidates = append(candidates, c)
 		}
 	}
-	slices.SortStableFunc(candidates, compareCandidates)
+	candidates = smallest(candidates, tasks, compareCandidates)
 	preempt := d.Waited >= preemptDelay || d.Priority == 0 && d.Waited >= urgentPreemptDelay
 	for _, c := range candidates {
 		if tasks <= 0 {
 			return
 		}
-		if c.tasks == 0 && !d.Spec.Gang {
-			continue
-		}
-		c.worker.reservedFor = d
+		l.reserve(c.worker, d)
 		n := min(tasks, max(1, c.tasks))
 		tasks -= n
 		if preempt && c.tasks > 0 {
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -59,7 +59,10 @@
 	FillerTasks int            // running filler tasks
 	Releasing   work.Resources // reserved by runs that are being stopped
 	Runs        []Run          // preemptible runs, which can resume from a checkpoint
-	reservedFor *Demand        // only this demand and those ahead of it may use the free capacity
+
+	reservedFor *Demand // only this demand may use the free capacity now
+	order       int     // position in the pool
+	places      [indexes]place
 }
 
 // Run is a run that more urgent work may preempt.
@@ -209,20 +212,13 @@
 type planner struct {
 	now     time.Time
 	cluster Cluster
-	pools   map[string][]*Worker
-	free    map[string]work.Resources // by pool, over usable workers
+	pools   map[string]*inventory
 	plan    Plan
 }
 
 // Decide plans one scheduling round.
 func Decide(now time.Time, demands []*Demand, cluster Cluster) Plan {
-	p := &planner{now: now, cluster: cluster, pools: map[string][]*Worker{}, free: map[string]work.Resources{}}
-	for _, w := range cluster.Workers {
-		if w.Usable {
-			p.pools[w.Pool] = append(p.pools[w.Pool], w)
-			p.free[w.Pool] = p.free[w.Pool].Add(w.Free)
-		}
-	}
+	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers)}
 	for _, d := range demands {
 		d.rank = d.rankAt(now)
 	}
@@ -306,251 +302,3 @@
 	}
 	return cmp.Compare(a.Step.Step, b.Step.Step)
 }
-
-// schedule plans one demand.
-func (p *planner) schedule(d *Demand) {
-	if d.Prefetch {
-		p.queryEarly(d)
-		return
-	}
-	if d.Spec.Gang {
-		p.placeGang(d)
-		return
-	}
-	p.placeTasks(d)
-}
-
-// placeTasks places as many tasks as fit.
-func (p *planner) placeTasks(d *Demand) {
-	limit := p.cluster.Limits[d.Workspace]
-	for n, index := range d.Tasks {
-		if !limit.allows(d.Spec.Size, 1) {
-			p.block(d, AtLimit)
-			return
-		}
-		if !p.leavesHeadroom(d, 1) {
-			p.block(d, UrgentHeadroom)
-			return
-		}
-		w, reason := p.best(d, p.pools[d.Pool])
-		if w == nil {
-			p.block(d, reason)
-			if d.rank == onTime && p.mayReserve(d) {
-				p.reserve(d, len(d.Tasks)-n)
-			}
-			p.query(d, len(d.Tasks)-n)
-			return
-		}
-		p.start(d, index, w)
-	}
-}
-
-// leavesHeadroom reports whether starting n tasks leaves the headroom for urgent
-// work free.
-func (p *planner) leavesHeadroom(d *Demand, n int) bool {
-	if d.Priority == 0 || d.Spec.Lasting {
-		return true // a long-running task serves users and must restart quickly
-	}
-	keep := p.cluster.Headroom[d.Pool]
-	left := p.free[d.Pool].Sub(d.Spec.Reservation().Times(int64(n)))
-	return left.Processors >= keep.Processors || d.Spec.Filler
-}
-
-// block records why a demand waits.
-func (p *planner) block(d *Demand, reason string) {
-	p.plan.Blocks = append(p.plan.Blocks, Block{d, reason})
-}
-
-// start adds a start to the plan and updates the free amounts, limits and
-// counters.
-func (p *planner) start(d *Demand, index int, w *Worker) {
-	size := d.Spec.Reservation()
-	w.Free = w.Free.Sub(size)
-	p.free[d.Pool] = p.free[d.Pool].Sub(size)
-	p.cluster.Limits[d.Workspace].charge(d.Spec.Size)
-	d.Placed[w.ID]++
-	switch {
-	case d.Spec.Filler:
-		w.FillerTasks++
-	case d.Spec.Target > 0:
-		w.TargetTasks++
-	}
-	s := Start{Demand: d, Index: index, Worker: w}
-	if d.Advised {
-		s.Ticket = d.Advice.Answers[w.ID].Ticket
-	}
-	p.plan.Starts = append(p.plan.Starts, s)
-}
-
-// eligible reports whether the worker may run a task of the demand, regardless of
-// its current load.
-func eligible(d *Demand, w *Worker) bool {
-	return !d.Avoid[w.ID] && (d.Spec.Label == "" || slices.Contains(w.Labels, d.Spec.Label)) && d.Spec.Reservation().Fits(w.Capacity)
-}
-
-// fits reports whether the worker can take a task of the demand now.
-func (p *planner) fits(d *Demand, w *Worker) bool {
-	if w.reservedFor != nil && w.reservedFor != d && compareDemands(w.reservedFor, d) < 0 {
-		return false
-	}
-	if d.Spec.Spread > 0 && d.Placed[w.ID] >= d.Spec.Spread {
-		return false
-	}
-	if d.Spec.Filler && w.TargetTasks > 0 || d.Spec.Target > 0 && w.FillerTasks > 0 {
-		return false // fillers slow down tasks with a response time target
-	}
-	return d.Spec.Reservation().Fits(w.Free) && eligible(d, w)
-}
-
-// best returns the best-scored worker that can take a task of the demand, or the
-// reason why there is none.
-func (p *planner) best(d *Demand, workers []*Worker) (*Worker, string) {
-	var best *Worker
-	var score float64
-	reason := NoSuitableWorker
-	for _, w := range workers {
-		if !p.fits(d, w) {
-			if reason == NoSuitableWorker && eligible(d, w) {
-				reason = NoCapacity
-			}
-			continue
-		}
-		if d.Advised {
-			a, known := d.Advice.Answers[w.ID]
-			if known && !a.Allowed {
-				if reason == NoCapacity || reason == NoSuitableWorker {
-					reason = NoneAllowed
-				}
-				continue
-			}
-			if !known || !p.now.Before(a.Expiry) {
-				reason = NoAdvice
-				continue
-			}
-		}
-		if s := p.score(d, w); best == nil || s < score {
-			best, score = w, s
-		}
-	}
-	return best, reason
-}
-
-// remoteRackPenalty is added to the score of a worker on another rack than the
-// data. The task takes about half as long again there, which costs more than a
-// poor fit.
-const remoteRackPenalty = 2.0
-
-// slowPenalty ranks a worker that was slow behind all others that fit.
-const slowPenalty = 4.0
-
-// score rates a worker for a task; lower is better. It is the dominant fraction
-// of the worker that would stay free, plus penalties.
-func (p *planner) score(d *Demand, w *Worker) float64 {
-	left := w.Free.Sub(d.Spec.Reservation())
-	s := left.Dominant(w.Capacity)
-	if d.Spec.Rack != "" && d.Spec.Rack != w.Rack {
-		s += remoteRackPenalty
-	}
-	if w.WasSlow {
-		s += slowPenalty
-	}
-	return s
-}
-
-// placeGang places all tasks of a gang or none.
-func (p *planner) placeGang(d *Demand) {
-	limit := p.cluster.Limits[d.Workspace]
-	if !limit.allows(d.Spec.Size, len(d.Tasks)) {
-		p.block(d, AtLimit)
-		return
-	}
-	chosen, reason := p.fitGang(d)
-	if chosen == nil {
-		p.block(d, reason)
-		if d.rank == onTime {
-			p.reserve(d, len(d.Tasks))
-		}
-		p.query(d, len(d.Tasks))
-		return
-	}
-	for i, index := range d.Tasks {
-		p.start(d, index, chosen[i])
-	}
-}
-
-// fitGang returns a worker for each task of a gang, or nil if they do not all
-// fit. If the step asks for a single rack, a rack that takes the whole gang is
-// preferred.
-func (p *planner) fitGang(d *Demand) ([]*Worker, string) {
-	workers := p.pools[d.Pool]
-	if d.Spec.SameRack {
-		for _, rack := range racks(workers) {
-			if chosen, _ := p.tryGang(d, rack); chosen != nil {
-				return chosen, ""
-			}
-		}
-	}
-	return p.tryGang(d, workers)
-}
-
-// racks groups workers by rack, in order of first occurrence.
-func racks(workers []*Worker) [][]*Worker {
-	var groups [][]*Worker
-	at := map[string]int{}
-	for _, w := range workers {
-		i, ok := at[w.Rack]
-		if !ok {
-			i = len(groups)
-			at[w.Rack] = i
-			groups = append(groups, nil)
-		}
-		groups[i] = append(groups[i], w)
-	}
-	return groups
-}
-
-// tryGang fits all tasks of a gang onto workers. It restores the free amounts
-// before it returns.
-func (p *planner) tryGang(d *Demand, workers []*Worker) ([]*Worker, string) {
-	var chosen []*Worker
-	size := d.Spec.Reservation()
-	defer func() {
-		for _, w := range chosen {
-			w.Free = w.Free.Add(size)
-			d.Placed[w.ID]--
-		}
-	}()
-	for range d.Tasks {
-		w, reason := p.best(d, workers)
-		if w == nil {
-			return nil, reason
-		}
-		w.Free = w.Free.Sub(size)
-		d.Placed[w.ID]++
-		chosen = append(chosen, w)
-	}
-	return slices.Clone(chosen), ""
-}
-
-// fitCount returns how many tasks of a size fit into a capacity.
-func fitCount(size, capacity work.Resources) int {
-	n := int64(1 << 30)
-	for _, p := range [...][2]int64{
-		{size.Processors, capacity.Processors}, {size.Memory, capacity.Memory}, {size.Accelerators, capacity.Accelerators},
-	} {
-		if p[0] > 0 {
-			n = min(n, p[1]/p[0])
-		}
-	}
-	return int(n)
-}
-
-// mayBeAllowed reports whether the advice service allows the worker or has not
-// been queried about it.
-func (p *planner) mayBeAllowed(d *Demand, w *Worker) bool {
-	if !d.Advised {
-		return true
-	}
-	a, known := d.Advice.Answers[w.ID]
-	return !known || a.Allowed
-}
--- /dev/null
+++ b/internal/version/fit/place.go
@@ -0,0 +1,298 @@
+package fit
+
+import (
+	"slices"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+)
+
+const (
+	// remoteRackPenalty is added to the score of a worker on another rack than the
+	// data. The task takes about half as long again there, which costs more than a
+	// poor fit.
+	remoteRackPenalty = 2.0
+	// slowPenalty ranks a worker that was slow behind all others that fit.
+	slowPenalty = 4.0
+	// minCandidates and candidatesPerTask bound the workers that are compared for a
+	// demand. Those with the least free come first, so that the rest would seldom be
+	// chosen.
+	minCandidates     = 64
+	candidatesPerTask = 4
+)
+
+// schedule plans one demand.
+func (p *planner) schedule(d *Demand) {
+	l := p.pools[d.Pool]
+	if l == nil {
+		if !d.Prefetch {
+			p.block(d, NoSuitableWorker)
+		}
+		return
+	}
+	l.own = l.own[:0]
+	switch {
+	case d.Prefetch:
+		p.queryEarly(l, d)
+	case d.Spec.Gang:
+		p.placeGang(l, d)
+	default:
+		p.placeTasks(l, d)
+	}
+}
+
+// placeTasks places as many tasks as fit.
+func (p *planner) placeTasks(l *inventory, d *Demand) {
+	limit := p.cluster.Limits[d.Workspace]
+	var candidates []*Worker
+	for n, index := range d.Tasks {
+		if !limit.allows(d.Spec.Size, 1) {
+			p.block(d, AtLimit)
+			return
+		}
+		if !p.leavesHeadroom(l, d, 1) {
+			p.block(d, UrgentHeadroom)
+			return
+		}
+		if n == 0 {
+			candidates = p.candidates(l, d)
+		}
+		w := best(d, candidates)
+		if w == nil {
+			p.block(d, p.reason(l, d))
+			if d.rank == onTime && p.mayReserve(l, d) {
+				p.reserve(l, d, len(d.Tasks)-n)
+			}
+			p.query(l, d, len(d.Tasks)-n)
+			return
+		}
+		p.start(l, d, index, w)
+	}
+}
+
+// leavesHeadroom reports whether starting n tasks leaves the headroom for urgent
+// work free.
+func (p *planner) leavesHeadroom(l *inventory, d *Demand, n int) bool {
+	if d.Priority == 0 || d.Spec.Lasting {
+		return true // a long-running task serves users and must restart quickly
+	}
+	left := l.free.Sub(d.Spec.Reservation().Times(int64(n)))
+	return left.Processors >= p.cluster.Headroom[d.Pool].Processors || d.Spec.Filler
+}
+
+// block records why a demand waits.
+func (p *planner) block(d *Demand, reason string) {
+	p.plan.Blocks = append(p.plan.Blocks, Block{d, reason})
+}
+
+// start adds a start to the plan and updates the free amounts, limits and
+// counters.
+func (p *planner) start(l *inventory, d *Demand, index int, w *Worker) {
+	l.use(w, d.Spec.Reservation())
+	p.cluster.Limits[d.Workspace].charge(d.Spec.Size)
+	d.Placed[w.ID]++
+	switch {
+	case d.Spec.Filler:
+		w.FillerTasks++
+	case d.Spec.Target > 0:
+		w.TargetTasks++
+	}
+	s := Start{Demand: d, Index: index, Worker: w}
+	if d.Advised {
+		s.Ticket = d.Advice.Answers[w.ID].Ticket
+	}
+	p.plan.Starts = append(p.plan.Starts, s)
+}
+
+// eligible reports whether the worker may run a task of the demand, regardless of
+// its current load.
+func eligible(d *Demand, w *Worker) bool {
+	return d.Spec.Reservation().Fits(w.Capacity) && (d.Spec.Label == "" || slices.Contains(w.Labels, d.Spec.Label)) &&
+		(len(d.Avoid) == 0 || !d.Avoid[w.ID])
+}
+
+// fits reports whether the worker can take a task of the demand now.
+func fits(d *Demand, w *Worker) bool {
+	if w.reservedFor != nil && w.reservedFor != d || !d.Spec.Reservation().Fits(w.Free) || !eligible(d, w) {
+		return false
+	}
+	if d.Spec.Spread > 0 && d.Placed[w.ID] >= d.Spec.Spread {
+		return false
+	}
+	// Fillers slow down tasks with a response time target.
+	return !(d.Spec.Filler && w.TargetTasks > 0 || d.Spec.Target > 0 && w.FillerTasks > 0)
+}
+
+// candidates returns workers that can take a task of the demand now, ordered by ID.
+// If the demand is advised, these are the ones with a valid ticket.
+func (p *planner) candidates(l *inventory, d *Demand) []*Worker {
+	var list []*Worker
+	if d.Advised {
+		for id, a := range d.Advice.Answers {
+			if w := l.named[id]; a.Allowed && p.now.Before(a.Expiry) && w != nil && fits(d, w) {
+				list = append(list, w)
+			}
+		}
+	} else {
+		for _, w := range l.racks[d.Spec.Rack] {
+			if d.Spec.Rack != "" && fits(d, w) {
+				list = append(list, w)
+			}
+		}
+		wanted := len(list) + max(minCandidates, candidatesPerTask*len(d.Tasks))
+		l.tightest(d.Spec.Reservation(), func(w *Worker) bool {
+			if fits(d, w) && (d.Spec.Rack == "" || w.Rack != d.Spec.Rack) {
+				list = append(list, w)
+			}
+			return len(list) < wanted
+		})
+	}
+	slices.SortFunc(list, func(a, b *Worker) int { return a.order - b.order })
+	return list
+}
+
+// best returns the best-scored worker that can take a task of the demand, or nil
+// if there is none.
+func best(d *Demand, workers []*Worker) *Worker {
+	var chosen *Worker
+	var lowest float64
+	for _, w := range workers {
+		if !fits(d, w) {
+			continue
+		}
+		if s := score(d, w); chosen == nil || s < lowest {
+			chosen, lowest = w, s
+		}
+	}
+	return chosen
+}
+
+// score rates a worker for a task; lower is better. It is the dominant fraction
+// of the worker that would stay free, plus penalties.
+func score(d *Demand, w *Worker) float64 {
+	left := w.Free.Sub(d.Spec.Reservation())
+	s := left.Dominant(w.Capacity)
+	if d.Spec.Rack != "" && d.Spec.Rack != w.Rack {
+		s += remoteRackPenalty
+	}
+	if w.WasSlow {
+		s += slowPenalty
+	}
+	return s
+}
+
+// reason returns why no worker can take a task of the demand now.
+func (p *planner) reason(l *inventory, d *Demand) string {
+	found := NoCapacity
+	l.tightest(d.Spec.Reservation(), func(w *Worker) bool {
+		if !fits(d, w) {
+			return true
+		}
+		found = NoneAllowed
+		if p.mayBeAllowed(d, w) {
+			found = NoAdvice
+		}
+		return found == NoneAllowed
+	})
+	if found == NoCapacity && !slices.ContainsFunc(l.workers, func(w *Worker) bool { return eligible(d, w) }) {
+		return NoSuitableWorker
+	}
+	return found
+}
+
+// placeGang places all tasks of a gang or none.
+func (p *planner) placeGang(l *inventory, d *Demand) {
+	limit := p.cluster.Limits[d.Workspace]
+	if !limit.allows(d.Spec.Size, len(d.Tasks)) {
+		p.block(d, AtLimit)
+		return
+	}
+	chosen := p.fitGang(l, d)
+	if chosen == nil {
+		p.block(d, p.reason(l, d))
+		if d.rank == onTime {
+			p.reserve(l, d, len(d.Tasks))
+		}
+		p.query(l, d, len(d.Tasks))
+		return
+	}
+	for i, index := range d.Tasks {
+		p.start(l, d, index, chosen[i])
+	}
+}
+
+// fitGang returns a worker for each task of a gang, or nil if they do not all
+// fit. If the step asks for a single rack, a rack that takes the whole gang is
+// preferred.
+func (p *planner) fitGang(l *inventory, d *Demand) []*Worker {
+	candidates := p.candidates(l, d)
+	if d.Spec.SameRack {
+		for _, rack := range racks(candidates) {
+			if chosen := tryGang(d, rack); chosen != nil {
+				return chosen
+			}
+		}
+	}
+	return tryGang(d, candidates)
+}
+
+// racks groups workers by rack, in order of first occurrence.
+func racks(workers []*Worker) [][]*Worker {
+	var groups [][]*Worker
+	at := map[string]int{}
+	for _, w := range workers {
+		i, ok := at[w.Rack]
+		if !ok {
+			i = len(groups)
+			at[w.Rack] = i
+			groups = append(groups, nil)
+		}
+		groups[i] = append(groups[i], w)
+	}
+	return groups
+}
+
+// tryGang fits all tasks of a gang onto workers. It restores the free amounts
+// before it returns.
+func tryGang(d *Demand, workers []*Worker) []*Worker {
+	var chosen []*Worker
+	size := d.Spec.Reservation()
+	defer func() {
+		for _, w := range chosen {
+			w.Free = w.Free.Add(size)
+			d.Placed[w.ID]--
+		}
+	}()
+	for range d.Tasks {
+		w := best(d, workers)
+		if w == nil {
+			return nil
+		}
+		w.Free = w.Free.Sub(size)
+		d.Placed[w.ID]++
+		chosen = append(chosen, w)
+	}
+	return slices.Clone(chosen)
+}
+
+// fitCount returns how many tasks of a size fit into a capacity.
+func fitCount(size, capacity work.Resources) int {
+	n := int64(1 << 30)
+	for _, p := range [...][2]int64{
+		{size.Processors, capacity.Processors}, {size.Memory, capacity.Memory}, {size.Accelerators, capacity.Accelerators},
+	} {
+		if p[0] > 0 {
+			n = min(n, p[1]/p[0])
+		}
+	}
+	return int(n)
+}
+
+// mayBeAllowed reports whether the advice service allows the worker or has not
+// been queried about it.
+func (p *planner) mayBeAllowed(d *Demand, w *Worker) bool {
+	if !d.Advised {
+		return true
+	}
+	a, known := d.Advice.Answers[w.ID]
+	return !known || a.Allowed
+}
--- a/internal/version/fit/replay_test.go
+++ b/internal/version/fit/replay_test.go
@@ -170,7 +170,7 @@
 		byDemand[j.Demand] = j
 	}
 	for _, w := range workers {
-		w.reservedFor, w.Runs, w.Releasing = nil, nil, work.Resources{}
+		w.Runs, w.Releasing = nil, work.Resources{}
 	}
 	for _, f := range ends {
 		switch {
