Keep loads between rounds, bound orders in flight and the share of deciding

Under load the leader spent a third of its time on rounds. Change: at most 48 orders in flight, workers with runs are listed first; what runs on a worker is kept between rounds; a round comes no sooner than 2.5 times the time that the last one took to decide; loads for admission every 40 ms.

--- a/internal/process/dispatch/admit.go
+++ b/internal/process/dispatch/admit.go
@@ -13,6 +13,10 @@
 // passed.
 const discoveryTime = 6 * time.Second
 
+// loadInterval is the interval at which the loads of the pools are computed anew.
+// Jobs that are accepted meanwhile are added to them.
+const loadInterval = 40 * time.Millisecond
+
 // checkAdmission reports whether a job is refused, with the verdict that tells
 // the caller when to retry. Repeated jobs are never refused.
 func (t *term) checkAdmission(j *job.Job, q *job.Queue) (cell.Verdict, bool) {
@@ -29,14 +33,27 @@
 	for i := range j.Steps {
 		steps = append(steps, &fit.Demand{
 			Spec: &j.Steps[i], Priority: q.Priority, Deadline: now.Add(timeToDeadline), Expiry: now.Add(expiryFactor * timeToDeadline),
+			CriticalPath: criticalPathFrom(j, i),
 		})
 	}
 	v := l.Admit(now, steps, path)
+	if !v.Refused {
+		for i, d := range steps {
+			if len(j.Steps[i].After) == 0 {
+				l.AddWaiting(d, d.Spec.Count, now)
+			}
+		}
+	}
 	return cell.Verdict{Code: cell.Busy, Message: v.Reason, Wait: v.RetryAfter}, v.Refused
 }
 
-// updateLoads computes the load of each pool. The caller holds the lock.
+// updateLoads computes the load of each pool, at intervals. The caller holds the
+// lock.
 func (t *term) updateLoads(v *job.View, cluster fit.Cluster, demands []*fit.Demand, now time.Time) {
+	if now.Sub(t.loadsAt) < loadInterval {
+		return
+	}
+	t.loadsAt = now
 	pools := map[string][]*fit.Worker{}
 	for _, w := range cluster.Workers {
 		pools[w.Pool] = append(pools[w.Pool], w)
@@ -52,7 +69,7 @@
 	}
 	for _, d := range demands {
 		if l := t.loads[d.Pool]; l != nil && !d.Prefetch {
-			l.AddWaiting(d, now)
+			l.AddWaiting(d, len(d.Tasks), now)
 		}
 	}
 }
--- a/internal/process/dispatch/advice.go
+++ b/internal/process/dispatch/advice.go
@@ -136,12 +136,3 @@
 		s.advice.Answers[w] = fit.Answer{Allowed: allowed, Ticket: ticket, Expiry: now.Add(valid - ticketMargin)}
 	}
 }
-
-func sortWorkers(workers []*fit.Worker) {
-	slices.SortFunc(workers, func(a, b *fit.Worker) int {
-		if a.ID < b.ID {
-			return -1
-		}
-		return 1
-	})
-}
--- /dev/null
+++ b/internal/process/dispatch/cluster.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+)
+
+const (
+	// peakWindow is how long the highest use of a pool by urgent work is
+	// remembered.
+	peakWindow = 12 * time.Second
+	// headroomFactor times the recent peak of its use is reserved for urgent
+	// work. Bursts of twice the usual traffic are normal.
+	headroomFactor = 1.3
+)
+
+// cluster describes the workers and the limits of the workspaces. What is known of
+// a worker is kept between rounds, since few workers change in each.
+func (t *term) cluster(v *job.View, now time.Time) fit.Cluster {
+	cluster := fit.Cluster{Limits: map[string]*fit.Limit{}, Headroom: map[string]work.Resources{}}
+	if t.sorted == nil {
+		for _, w := range t.workers {
+			t.sorted = append(t.sorted, w)
+		}
+		slices.SortFunc(t.sorted, func(a, b *worker) int { return strings.Compare(a.ID, b.ID) })
+	}
+	cluster.Workers = make([]*fit.Worker, 0, len(t.sorted))
+	for _, w := range t.sorted {
+		if w.stale {
+			w.committed = v.Workers[w.ID].Life == w.Life
+		}
+		if !w.committed {
+			continue // this incarnation is not committed yet
+		}
+		if w.stale {
+			w.load, w.stale = t.load(v, w), false
+		}
+		w.planned = w.load
+		w.planned.Worker, w.planned.WasSlow = w.Worker, w.wasSlow
+		w.planned.Usable = w.usable(now, t.timing().ReportInterval)
+		cluster.Workers = append(cluster.Workers, &w.planned)
+	}
+	for i := range v.Catalogue.Workspaces {
+		s := &v.Catalogue.Workspaces[i]
+		cluster.Limits[s.Name] = &fit.Limit{Max: s.Limit, Used: v.Used[s.Name]}
+	}
+	t.setHeadroom(v, cluster, now)
+	return cluster
+}
+
+// load describes what runs on a worker.
+func (t *term) load(v *job.View, w *worker) fit.Worker {
+	f := fit.Worker{Free: w.Capacity}
+	for id, o := range v.Reservations[w.ID] {
+		t.countRun(&f, v.Jobs[id.Job], id, o)
+	}
+	slices.SortFunc(f.Runs, comparePreemption)
+	return f
+}
+
+// countRun subtracts a run from the free capacity of its worker. A run that
+// saves checkpoints is listed as one that may be preempted.
+func (t *term) countRun(f *fit.Worker, record *job.Record, id job.TaskID, o job.Reservation) {
+	f.Free = f.Free.Sub(o.Size)
+	s := &record.Job.Steps[id.Step]
+	if s.Filler {
+		f.FillerTasks++
+	} else if s.Target > 0 {
+		f.TargetTasks++
+	}
+	r := t.runs[id]
+	switch {
+	case r == nil:
+	case r.stopping || r.endQueued:
+		f.Releasing = f.Releasing.Add(o.Size)
+	case s.Checkpoints && !s.Gang && !s.Lasting && !r.startResolvedAt.IsZero():
+		deadline, _ := t.deadlines(record, id.Occurrence)
+		f.Runs = append(f.Runs, fit.Run{
+			Task: id, Priority: record.Queue.Priority, EffectiveDeadline: fit.EffectiveDeadline(deadline, record.Queue.Priority), Size: o.Size,
+		})
+	}
+}
+
+// comparePreemption sorts the runs that are preempted first to the end: those
+// of the lowest priority, of these the ones with the latest deadline, and of
+// these the smallest.
+func comparePreemption(a, b fit.Run) int {
+	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
+		return c
+	}
+	if c := a.EffectiveDeadline.Compare(b.EffectiveDeadline); c != 0 {
+		return c
+	}
+	if c := cmp.Compare(b.Size.Processors, a.Size.Processors); c != 0 {
+		return c
+	}
+	return strings.Compare(a.Task.String(), b.Task.String())
+}
+
+// setHeadroom sets the capacity that is kept free for urgent work.
+func (t *term) setHeadroom(v *job.View, cluster fit.Cluster, now time.Time) {
+	for i := range v.Catalogue.Pools {
+		name := v.Catalogue.Pools[i].Name
+		p := t.urgentPeaks[name]
+		if p == nil {
+			p = &peak{}
+			t.urgentPeaks[name] = p
+		}
+		u := t.urgentUse[name]
+		if u.Processors >= p.use.Processors || now.Sub(p.at) > peakWindow {
+			p.use, p.at = u, now
+		}
+		headroom := int64(headroomFactor*float64(p.use.Processors)) - u.Processors
+		cluster.Headroom[name] = work.Resources{Processors: max(0, headroom)}
+	}
+}
+
+// addRun registers a run.
+func (t *term) addRun(r *run) {
+	w := r.worker
+	w.runs[r.id], t.runs[r.id] = r, r
+	w.stale = true
+	if r.urgent {
+		t.urgentUse[w.Pool] = t.urgentUse[w.Pool].Add(r.spec.Reservation())
+	}
+}
+
+// deleteRun removes a run whose end is committed.
+func (t *term) deleteRun(r *run) {
+	w := r.worker
+	delete(t.runs, r.id)
+	delete(w.runs, r.id)
+	w.stale = true
+	if r.urgent {
+		t.urgentUse[w.Pool] = t.urgentUse[w.Pool].Sub(r.spec.Reservation())
+	}
+}
+
+// markStale has the load of workers computed anew in the next round, all of them
+// if none is named.
+func (t *term) markStale(names ...string) {
+	for _, n := range names {
+		if w := t.workers[n]; w != nil {
+			w.stale = true
+		}
+	}
+	if len(names) == 0 {
+		for _, w := range t.workers {
+			w.stale = true
+		}
+	}
+}
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -1,9 +1,6 @@
 package dispatch
 
 import (
-	"cmp"
-	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -11,16 +8,9 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
-	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
 const (
-	// peakWindow is how long the highest use of a pool by urgent work is
-	// remembered.
-	peakWindow = 12 * time.Second
-	// headroomFactor times the recent peak of its use is reserved for urgent
-	// work. Bursts of twice the usual traffic are normal.
-	headroomFactor = 1.3
 	// ticketMargin is the part of a ticket's validity that the commit and the
 	// start of a run use up.
 	ticketMargin = 80 * time.Millisecond
@@ -92,92 +82,6 @@
 	return starts[:n]
 }
 
-// cluster describes the workers and the limits of the workspaces.
-func (t *term) cluster(v *job.View, now time.Time) fit.Cluster {
-	cluster := fit.Cluster{Limits: map[string]*fit.Limit{}, Headroom: map[string]work.Resources{}}
-	for _, w := range t.workers {
-		if v.Workers[w.ID].Life != w.Life {
-			continue // this incarnation is not committed yet
-		}
-		f := &fit.Worker{Worker: w.Worker, Free: w.Capacity, Usable: w.usable(now, t.timing().ReportInterval), WasSlow: w.wasSlow}
-		for id, o := range v.Reservations[w.ID] {
-			t.countRun(f, v.Jobs[id.Job], id, o)
-		}
-		slices.SortFunc(f.Runs, comparePreemption)
-		cluster.Workers = append(cluster.Workers, f)
-	}
-	sortWorkers(cluster.Workers)
-	for i := range v.Catalogue.Workspaces {
-		s := &v.Catalogue.Workspaces[i]
-		cluster.Limits[s.Name] = &fit.Limit{Max: s.Limit, Used: v.Used[s.Name]}
-	}
-	t.setHeadroom(v, cluster, now)
-	return cluster
-}
-
-// countRun subtracts a run from the free capacity of its worker. A run that
-// saves checkpoints is listed as one that may be preempted.
-func (t *term) countRun(f *fit.Worker, record *job.Record, id job.TaskID, o job.Reservation) {
-	f.Free = f.Free.Sub(o.Size)
-	s := &record.Job.Steps[id.Step]
-	if s.Filler {
-		f.FillerTasks++
-	} else if s.Target > 0 {
-		f.TargetTasks++
-	}
-	r := t.runs[id]
-	switch {
-	case r == nil:
-	case r.stopping || r.endQueued:
-		f.Releasing = f.Releasing.Add(o.Size)
-	case s.Checkpoints && !s.Gang && !s.Lasting && !r.startResolvedAt.IsZero():
-		deadline, _ := t.deadlines(record, id.Occurrence)
-		f.Runs = append(f.Runs, fit.Run{
-			Task: id, Priority: record.Queue.Priority, EffectiveDeadline: fit.EffectiveDeadline(deadline, record.Queue.Priority), Size: o.Size,
-		})
-	}
-}
-
-// comparePreemption sorts the runs that are preempted first to the end: those
-// of the lowest priority, of these the ones with the latest deadline, and of
-// these the smallest.
-func comparePreemption(a, b fit.Run) int {
-	if c := cmp.Compare(a.Priority, b.Priority); c != 0 {
-		return c
-	}
-	if c := a.EffectiveDeadline.Compare(b.EffectiveDeadline); c != 0 {
-		return c
-	}
-	if c := cmp.Compare(b.Size.Processors, a.Size.Processors); c != 0 {
-		return c
-	}
-	return strings.Compare(a.Task.String(), b.Task.String())
-}
-
-// setHeadroom sets the capacity that is kept free for urgent work.
-func (t *term) setHeadroom(v *job.View, cluster fit.Cluster, now time.Time) {
-	urgentUse := map[string]work.Resources{}
-	for _, r := range t.runs {
-		record := v.Jobs[r.id.Job]
-		if record != nil && record.Queue.Priority == 0 {
-			urgentUse[r.worker.Pool] = urgentUse[r.worker.Pool].Add(r.spec.Reservation())
-		}
-	}
-	for i := range v.Catalogue.Pools {
-		name := v.Catalogue.Pools[i].Name
-		p := t.urgentPeaks[name]
-		if p == nil {
-			p = &peak{}
-			t.urgentPeaks[name] = p
-		}
-		if u := urgentUse[name]; u.Processors >= p.use.Processors || now.Sub(p.at) > peakWindow {
-			p.use, p.at = u, now
-		}
-		headroom := int64(headroomFactor*float64(p.use.Processors)) - urgentUse[name].Processors
-		cluster.Headroom[name] = work.Resources{Processors: max(0, headroom)}
-	}
-}
-
 // demands lists the steps with waiting tasks.
 func (t *term) demands(v *job.View, now time.Time) []*fit.Demand {
 	var demands []*fit.Demand
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -161,6 +161,13 @@
 	return &peer.RemoteError{Code: cell.CodeNotLeader, Message: name}
 }
 
+// sleepUntil waits until a time or until ctx ends.
+func sleepUntil(ctx context.Context, at time.Time) {
+	if d := time.Until(at); d > 0 {
+		sleep(ctx, d)
+	}
+}
+
 // sleep waits until d has passed or ctx ends.
 func sleep(ctx context.Context, d time.Duration) {
 	t := time.NewTimer(d)
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -64,15 +64,14 @@
 		o := t.listOrder(w)
 		target := w.Worker
 		t.mu.Unlock()
-		if !t.isLeading() {
+		listing, sent, a, ok := t.list(&target, o)
+		if !ok {
 			sleep(t.ctx, orderRetryDelay)
 			if t.ctx.Err() != nil {
 				return
 			}
 			continue
 		}
-		sent := t.now()
-		listing, a := t.dispatcher.options.Upstream.List(sent.Add(o.Wait+listTimeoutMargin), &target, o)
 		if committed := t.handleListing(w, sent, listing, a); committed != nil {
 			t.awaitCommit(t.ctx, committed)
 		}
@@ -85,6 +84,22 @@
 	}
 }
 
+// list sends a listing order. It returns false if this process does not lead now.
+func (t *term) list(w *job.Worker, o ListOrder) (l Listing, sent time.Time, a Answer, ok bool) {
+	send := func() {
+		sent = t.now()
+		l, a = t.dispatcher.options.Upstream.List(sent.Add(o.Wait+listTimeoutMargin), w, o)
+	}
+	if o.Wait == 0 {
+		ok = t.order(send)
+		return l, sent, a, ok
+	}
+	if ok = t.isLeading(); ok {
+		send()
+	}
+	return l, sent, a, ok
+}
+
 // listOrder returns the next listing order for a worker. It waits less if an
 // end, or the outcome of an order, is wanted soon.
 func (t *term) listOrder(w *worker) ListOrder {
@@ -165,7 +180,7 @@
 	}
 	now := t.now()
 	if r.startResolvedAt.IsZero() {
-		r.startResolvedAt = now
+		r.startResolvedAt, w.stale = now, true
 	}
 	if listed.Checkpoint != "" {
 		r.checkpoint = listed.Checkpoint
@@ -197,7 +212,7 @@
 			job.End{Task: e.Task, Run: e.Run, Worker: w.ID, Life: w.Life, Outcome: e.Outcome, Saved: e.Checkpoint})
 		return
 	}
-	r.endQueued = true
+	r.endQueued, w.stale = true, true
 	t.inbox.ends = append(t.inbox.ends, r.end(e.Outcome, e.Checkpoint))
 	switch e.Outcome {
 	case job.Done:
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -15,6 +15,11 @@
 // about 100 KB in the log.
 const maxRoundStarts = 800
 
+// maxDecideShare is the largest share of the time that decisions take. Beyond it,
+// rounds come less often and decide more at once, so that orders, listings and
+// calls are not starved of the processor under overload.
+const maxDecideShare = 0.4
+
 // runRounds builds and commits rounds until ctx ends.
 func (t *term) runRounds(ctx context.Context) {
 	for {
@@ -23,7 +28,12 @@
 		case <-ctx.Done():
 			return
 		}
+		sleepUntil(ctx, t.nextRound)
+		began := time.Now()
 		r, in, starts := t.buildRound()
+		took := time.Since(began)
+		t.nextRound = began.Add(time.Duration(float64(took) / maxDecideShare))
+		t.emit(event.RoundDecided, zap.Duration("took", took))
 		if r.Empty() {
 			t.notify(in, true)
 			continue
@@ -100,6 +110,16 @@
 	t.mu.Lock()
 	for i := range r.Ends {
 		t.removeRun(&r.Ends[i])
+		t.markStale(r.Ends[i].Worker)
+	}
+	for i := range r.Workers {
+		t.markStale(r.Workers[i].ID)
+	}
+	for i := range r.Gone {
+		t.markStale(r.Gone[i].ID)
+	}
+	if r.Catalogue != nil {
+		t.markStale() // priorities may have changed
 	}
 	for i := range r.Ends {
 		// The task is done, so another run of it is not needed.
@@ -137,8 +157,7 @@
 	if r == nil || r.number != e.Run || r.worker.ID != e.Worker || r.worker.Life != e.Life {
 		return
 	}
-	delete(t.runs, e.Task)
-	delete(r.worker.runs, e.Task)
+	t.deleteRun(r)
 }
 
 // startRun registers a run and sends its start order.
@@ -152,7 +171,7 @@
 	}
 	r := &run{id: s.Task, number: s.Run, worker: w, spec: d.Demand.Spec, committedAt: now, lastProgress: now, urgent: d.Demand.Priority == 0,
 		queue: d.Demand.Queue, resumed: d.Demand.Checkpoint(d.Index) != ""}
-	w.runs[s.Task], t.runs[s.Task] = r, r
+	t.addRun(r)
 	t.sendStartAsync(r, StartOrder{
 		Task: s.Task, Run: s.Run, Payload: d.Demand.Payload, Fence: t.number,
 		Checkpoint: d.Demand.Checkpoint(d.Index), Ticket: d.Ticket,
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -23,6 +23,10 @@
 	// much. A network partition or a change of the leader that is shorter costs
 	// no work.
 	leaseLength = 4 * time.Second
+	// maxOrders bounds the orders in flight, without listings that wait for an end.
+	// A new leader asks every worker for its runs; with a thousand answers at a time
+	// its replica would miss the heartbeats that keep it leader.
+	maxOrders = 48
 )
 
 // run is the leader's in-memory record of a run.
@@ -62,6 +66,22 @@
 	return min(leaseLength, t.timing().MaxLease-leaseExpiryMargin)
 }
 
+// order sends an order once fewer than maxOrders are in flight. It sends nothing and
+// returns false if this process no longer leads.
+func (t *term) order(send func()) bool {
+	select {
+	case t.slots <- struct{}{}:
+	case <-t.ctx.Done():
+		return false
+	}
+	defer func() { <-t.slots }()
+	if !t.isLeading() {
+		return false
+	}
+	send()
+	return true
+}
+
 // sendStartAsync sends the start order of a committed run in the background.
 // The caller holds the lock.
 func (t *term) sendStartAsync(r *run, o StartOrder) {
@@ -80,11 +100,9 @@
 		o.Lease = w.extendLease(t.now(), t.leaseDuration())
 		target := w.Worker
 		t.mu.Unlock()
-		if !t.isLeading() {
-			return
-		}
-		a := t.dispatcher.options.Upstream.Start(t.now().Add(orderTimeout), &target, o)
-		if t.handleStartAnswer(r, a, attempt) {
+		var a Answer
+		if !t.order(func() { a = t.dispatcher.options.Upstream.Start(t.now().Add(orderTimeout), &target, o) }) ||
+			t.handleStartAnswer(r, a, attempt) {
 			return
 		}
 		sleep(t.ctx, orderRetryDelay)
@@ -105,7 +123,7 @@
 	}
 	switch a.Result {
 	case Accepted:
-		r.startResolvedAt = t.now()
+		r.startResolvedAt, w.stale = t.now(), true
 		if !r.resumed {
 			r.firstSample = progressSample{at: a.Clock}
 			r.windowStart, r.nextWindowStart = r.firstSample, r.firstSample
@@ -141,7 +159,7 @@
 	case a.Reason == ReasonStaleLeader:
 		return true // another process leads
 	case a.Reason == ReasonRunEnded && attempt > 1:
-		r.startResolvedAt = t.now() // the run has already ended; the listing has its outcome
+		r.startResolvedAt, r.worker.stale = t.now(), true // the run has already ended; the listing has its outcome
 		t.startPolling(r.worker)
 	case attempt > 1:
 		t.stop(r)
@@ -182,7 +200,7 @@
 	if r.stopping || r.endQueued {
 		return
 	}
-	r.stopping = true
+	r.stopping, r.worker.stale = true, true
 	t.orders.Go(func() { t.sendStop(r) })
 }
 
@@ -198,11 +216,9 @@
 		}
 		target := r.worker.Worker
 		t.mu.Unlock()
-		if !t.isLeading() {
-			return
-		}
-		a := t.dispatcher.options.Upstream.Stop(t.now().Add(orderTimeout), &target, StopOrder{Task: r.id, Run: r.number, Fence: t.number})
-		if t.handleStopAnswer(r, a) {
+		var a Answer
+		o := StopOrder{Task: r.id, Run: r.number, Fence: t.number}
+		if !t.order(func() { a = t.dispatcher.options.Upstream.Stop(t.now().Add(orderTimeout), &target, o) }) || t.handleStopAnswer(r, a) {
 			return
 		}
 		sleep(t.ctx, orderRetryDelay)
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -40,18 +40,23 @@
 	ctx        context.Context
 	orders     sync.WaitGroup
 	wake       chan struct{}
+	slots      chan struct{} // one for each order in flight
+	nextRound  time.Time     // no round is decided before this; used by runRounds only
 
 	mu             sync.Mutex // guards the rest; taken before the state's lock
 	over           bool
 	workers        map[string]*worker
+	sorted         []*worker // by ID; nil after a change of workers
 	runs           map[job.TaskID]*run
 	steps          map[job.StepID]*stepState
 	adviceClients  map[string]*adviceClient
-	timeToDeadline map[job.ID]time.Duration // from the due time to the deadline of the job
-	urgentPeaks    map[string]*peak         // by pool
-	baselines      map[string]*fit.Baseline // by queue
+	timeToDeadline map[job.ID]time.Duration  // from the due time to the deadline of the job
+	urgentPeaks    map[string]*peak          // by pool
+	urgentUse      map[string]work.Resources // by pool; reserved by urgent runs
+	baselines      map[string]*fit.Baseline  // by queue
 	inbox          inbox
-	loads          map[string]*fit.Load // by pool, as of the latest round
+	loads          map[string]*fit.Load // by pool
+	loadsAt        time.Time            // when loads were computed
 	waves          map[int64]*wave
 	lastPoolLog    time.Time // when the usage of the pools was last logged
 	lastUnanswered time.Time // when an order last got no answer
@@ -101,9 +106,10 @@
 
 func newTerm(d *Dispatcher, number uint64) *term {
 	return &term{
-		dispatcher: d, number: number, began: d.options.Now(), wake: make(chan struct{}, 1),
+		dispatcher: d, number: number, began: d.options.Now(), wake: make(chan struct{}, 1), slots: make(chan struct{}, maxOrders),
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*stepState{},
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*peak{},
+		urgentUse: map[string]work.Resources{},
 		baselines: map[string]*fit.Baseline{},
 		waves:     map[int64]*wave{},
 	}
@@ -174,7 +180,7 @@
 		for _, w := range v.Workers {
 			m := newWorker(w, now)
 			m.inheritedLeaseEnd = now.Add(time.Duration(float64(t.timing().MaxLease)/minClockRate) + leaseExpiryMargin)
-			t.workers[w.ID] = m
+			t.workers[w.ID], t.sorted = m, nil
 		}
 		for name, reservations := range v.Reservations {
 			t.adoptRuns(v, name, reservations, now)
@@ -182,11 +188,15 @@
 		t.emit(event.TermBegun, zap.Uint64("term", t.number), zap.Int("workers", len(v.Workers)),
 			zap.Int("runs", len(t.runs)), zap.Int("jobs", len(v.Active)))
 	})
-	// Workers without runs are polled too: a start order needs a reading of
-	// their clock.
-	for _, w := range t.workers {
-		w.pollOnce = true
-		t.startPolling(w)
+	// Workers without runs are polled too, but last: a start order needs a reading
+	// of their clock.
+	for _, idle := range []bool{false, true} {
+		for _, w := range t.workers {
+			if idle == (len(w.runs) == 0) {
+				w.pollOnce = true
+				t.startPolling(w)
+			}
+		}
 	}
 	t.signal()
 }
@@ -206,7 +216,7 @@
 		}
 		r := &run{id: id, number: o.Run, worker: w, spec: &record.Job.Steps[id.Step], committedAt: now, startResolvedAt: now, lastProgress: now,
 			urgent: record.Queue.Priority == 0, queue: queueKey(&record.Queue), resumed: true}
-		w.runs[id], t.runs[id] = r, r
+		t.addRun(r)
 		if record.Status.Final() || task.Done {
 			t.stop(r)
 		}
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -6,6 +6,7 @@
 	"go.uber.org/zap"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
@@ -50,10 +51,14 @@
 	avoidTime         time.Duration // latest length of its avoidance
 	avoidedUntil      time.Time     // no new tasks before this
 	wasSlow           bool          // was slow and has not shown normal speed since
+	committed         bool          // its incarnation is in the replicated state
+	load              fit.Worker    // what runs on it
+	stale             bool          // load has to be computed anew
+	planned           fit.Worker    // copy of load that a round changes
 }
 
 func newWorker(w job.Worker, now time.Time) *worker {
-	return &worker{Worker: w, lastSeen: now, runs: map[job.TaskID]*run{}}
+	return &worker{Worker: w, lastSeen: now, runs: map[job.TaskID]*run{}, stale: true}
 }
 
 // updateClock records a reading of the worker's clock.
@@ -131,6 +136,7 @@
 	t.emit(event.WorkerOver, zap.String("worker", w.ID), zap.Int64("life", int64(w.Life)), zap.String("reason", reason),
 		zap.Int("runs", len(w.runs)))
 	delete(t.workers, w.ID)
+	t.sorted = nil
 	t.inbox.gone = append(t.inbox.gone, w.Worker)
 	t.loseRuns(w, reason)
 	t.dispatcher.options.Upstream.Forget(&w.Worker)
@@ -161,7 +167,7 @@
 	if r.endQueued {
 		return
 	}
-	r.endQueued = true
+	r.endQueued, r.worker.stale = true, true
 	t.emit(event.RunLost, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
 		zap.String("reason", reason))
 	t.inbox.ends = append(t.inbox.ends, r.end(job.Lost, r.checkpoint))
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -38,6 +38,7 @@
 	CallRead         = define(954, zapcore.DebugLevel, "call read", "A call that only reads was answered; it is counted and measured, not logged.")
 	OrderAnswered    = define(955, zapcore.DebugLevel, "order answered", "A worker answered an order or a listing; it is counted and measured, not logged.")
 	RoundCommitted   = define(956, zapcore.DebugLevel, "round committed", "A round of the leader's decisions is committed; it is counted and measured, not logged.")
+	RoundDecided     = define(958, zapcore.DebugLevel, "round decided", "The leader has decided a round; it is counted and measured, not logged.")
 	CallRelayed      = define(957, zapcore.InfoLevel, "call relayed", "This process reaches no leader and passed a call on through another process.")
 	SettingsReloaded = define(960, zapcore.InfoLevel, "settings reloaded", "The settings file changed; what can change without a restart is in force.")
 	SettingsRejected = define(961, zapcore.ErrorLevel, "settings rejected", "The settings file changed but cannot be used; the former settings stay in force.")
--- a/internal/version/fit/admit.go
+++ b/internal/version/fit/admit.go
@@ -55,13 +55,13 @@
 	l.running[d.tier()] += time.Duration(remainingShare * float64(l.poolTime(d.Spec.Reservation(), 1, d.Spec.Estimate)))
 }
 
-// AddWaiting adds a waiting demand. Late and expired ones are served last and
+// AddWaiting adds waiting tasks of a demand. Late and expired ones are served last and
 // delay nothing, so they do not count. Long-running ones do not count either.
-func (l *Load) AddWaiting(d *Demand, now time.Time) {
+func (l *Load) AddWaiting(d *Demand, tasks int, now time.Time) {
 	if d.Spec.Lasting || d.rankAt(now) != onTime {
 		return
 	}
-	l.waiting = append(l.waiting, queuedWork{d.tier(), d.effectiveDeadline(), l.poolTime(d.Spec.Reservation(), len(d.Tasks), d.Spec.Estimate)})
+	l.waiting = append(l.waiting, queuedWork{d.tier(), d.effectiveDeadline(), l.poolTime(d.Spec.Reservation(), tasks, d.Spec.Estimate)})
 }
 
 // Admission is the decision whether a job is accepted.
--- a/internal/version/fit/admit_test.go
+++ b/internal/version/fit/admit_test.go
@@ -31,7 +31,7 @@
 		d := urgentDemand(i, 6)
 		if last = l.Admit(now, []*Demand{d}, time.Second); !last.Refused {
 			accepted++
-			l.AddWaiting(d, now)
+			l.AddWaiting(d, len(d.Tasks), now)
 		}
 	}
 	is.True(accepted*6 >= 3*64) // jobs that finish before they expire are accepted
@@ -50,13 +50,13 @@
 	l := NewLoad(pool(1, cores(32)))
 	batch := demand("batch", 2, 1000, cores(4))
 	batch.Spec.Estimate = time.Second
-	l.AddWaiting(batch, now)
+	l.AddWaiting(batch, len(batch.Tasks), now)
 	for range 32 {
 		l.AddRunning(batch) // fills the pool
 	}
 	late := urgentDemand(1, 1000)
 	late.Deadline = now.Add(-time.Second)
-	l.AddWaiting(late, now)
+	l.AddWaiting(late, len(late.Tasks), now)
 	is.True(!l.Admit(now, []*Demand{urgentDemand(2, 6)}, time.Second).Refused)
 }
 
