Send the orders of a large cell through the other control processes

Cause: with 1,100 workers the leader spent a third of its processor time on requests to workers, and the other control processes were idle. Change: package driver. A driver decides nothing; an order that it does not answer counts as Undelivered, which says nothing about the worker but may still be carried out. Orders wait for their turn in the process that sends them, and their permit is checked right before.

--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -154,7 +154,7 @@
 	return w, Answer{Result: Accepted, Clock: h.clock(w), Life: w.life}, true
 }
 
-func (h *fakeWorkers) Start(_ time.Time, target *job.Worker, o StartOrder) Answer {
+func (h *fakeWorkers) Start(_ Permit, target *job.Worker, o StartOrder) Answer {
 	time.Sleep(2 * time.Millisecond)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -192,7 +192,7 @@
 	return a
 }
 
-func (h *fakeWorkers) Stop(_ time.Time, target *job.Worker, o StopOrder) Answer {
+func (h *fakeWorkers) Stop(_ Permit, target *job.Worker, o StopOrder) Answer {
 	time.Sleep(2 * time.Millisecond)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -209,7 +209,7 @@
 	return a
 }
 
-func (h *fakeWorkers) List(_ time.Time, target *job.Worker, o ListOrder) (Listing, Answer) {
+func (h *fakeWorkers) List(_ Permit, target *job.Worker, o ListOrder) (Listing, Answer) {
 	deadline := time.Now().Add(o.Wait)
 	for {
 		time.Sleep(2 * time.Millisecond)
@@ -242,7 +242,7 @@
 	return l, a, true
 }
 
-func (h *fakeWorkers) Throttle(time.Time, *job.Worker, ThrottleOrder) Answer {
+func (h *fakeWorkers) Throttle(Permit, *job.Worker, ThrottleOrder) Answer {
 	return Answer{Result: Accepted}
 }
 
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -64,14 +64,15 @@
 		o := t.listOrder(w)
 		target := w.Worker
 		t.mu.Unlock()
-		listing, sent, a, ok := t.list(&target, o)
-		if !ok {
+		if !t.isLeading() {
 			sleep(t.ctx, orderRetryDelay)
 			if t.ctx.Err() != nil {
 				return
 			}
 			continue
 		}
+		sent := t.now()
+		listing, a := t.dispatcher.options.Upstream.List(t.permit(o.Wait+listTimeoutMargin), &target, o)
 		if committed := t.handleListing(w, sent, listing, a); committed != nil {
 			t.awaitCommit(t.ctx, committed)
 		}
@@ -84,22 +85,6 @@
 	}
 }
 
-// list sends a listing order. It returns false if this process does not lead now.
-func (t *term) list(w *job.Worker, o ListOrder) (l Listing, sent time.Time, a Answer, ok bool) {
-	send := func() {
-		sent = t.now()
-		l, a = t.dispatcher.options.Upstream.List(sent.Add(o.Wait+listTimeoutMargin), w, o)
-	}
-	if o.Wait == 0 {
-		ok = t.order(send)
-		return l, sent, a, ok
-	}
-	if ok = t.isLeading(); ok {
-		send()
-	}
-	return l, sent, a, ok
-}
-
 // listOrder returns the next listing order for a worker. It waits less if an
 // end, or the outcome of an order, is wanted soon.
 func (t *term) listOrder(w *worker) ListOrder {
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -23,10 +23,6 @@
 	// much. A network partition or a change of the leader that is shorter costs
 	// no work.
 	leaseLength = 4 * time.Second
-	// maxOrders bounds the orders in flight, without listings that wait for an end.
-	// A new leader asks every worker for its runs; with a thousand answers at a time
-	// its replica would miss the heartbeats that keep it leader.
-	maxOrders = 48
 )
 
 // run is the leader's in-memory record of a run.
@@ -66,20 +62,9 @@
 	return min(leaseLength, t.timing().MaxLease-leaseExpiryMargin)
 }
 
-// order sends an order once fewer than maxOrders are in flight. It sends nothing and
-// returns false if this process no longer leads.
-func (t *term) order(send func()) bool {
-	select {
-	case t.slots <- struct{}{}:
-	case <-t.ctx.Done():
-		return false
-	}
-	defer func() { <-t.slots }()
-	if !t.isLeading() {
-		return false
-	}
-	send()
-	return true
+// permit returns the permit of an order, which holds while this process leads.
+func (t *term) permit(timeout time.Duration) Permit {
+	return Permit{Timeout: timeout, Valid: t.isLeading}
 }
 
 // sendStartAsync sends the start order of a committed run in the background.
@@ -100,9 +85,7 @@
 		o.Lease = w.extendLease(t.now(), t.leaseDuration())
 		target := w.Worker
 		t.mu.Unlock()
-		var a Answer
-		if !t.order(func() { a = t.dispatcher.options.Upstream.Start(t.now().Add(orderTimeout), &target, o) }) ||
-			t.handleStartAnswer(r, a, attempt) {
+		if !t.isLeading() || t.handleStartAnswer(r, t.dispatcher.options.Upstream.Start(t.permit(orderTimeout), &target, o), attempt) {
 			return
 		}
 		sleep(t.ctx, orderRetryDelay)
@@ -216,9 +199,8 @@
 		}
 		target := r.worker.Worker
 		t.mu.Unlock()
-		var a Answer
 		o := StopOrder{Task: r.id, Run: r.number, Fence: t.number}
-		if !t.order(func() { a = t.dispatcher.options.Upstream.Stop(t.now().Add(orderTimeout), &target, o) }) || t.handleStopAnswer(r, a) {
+		if !t.isLeading() || t.handleStopAnswer(r, t.dispatcher.options.Upstream.Stop(t.permit(orderTimeout), &target, o)) {
 			return
 		}
 		sleep(t.ctx, orderRetryDelay)
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -40,8 +40,7 @@
 	ctx        context.Context
 	orders     sync.WaitGroup
 	wake       chan struct{}
-	slots      chan struct{} // one for each order in flight
-	nextRound  time.Time     // no round is decided before this; used by runRounds only
+	nextRound  time.Time // no round is decided before this; used by runRounds only
 
 	mu             sync.Mutex // guards the rest; taken before the state's lock
 	over           bool
@@ -106,7 +105,7 @@
 
 func newTerm(d *Dispatcher, number uint64) *term {
 	return &term{
-		dispatcher: d, number: number, began: d.options.Now(), wake: make(chan struct{}, 1), slots: make(chan struct{}, maxOrders),
+		dispatcher: d, number: number, began: d.options.Now(), wake: make(chan struct{}, 1),
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*stepState{},
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*peak{},
 		urgentUse: map[string]work.Resources{},
--- a/internal/process/dispatch/upstream.go
+++ b/internal/process/dispatch/upstream.go
@@ -19,6 +19,7 @@
 	Unanswered         // no answer; the worker may still carry out the order, now or later
 	NotSent            // no connection was established, or nothing accepted the order; a network partition may look the same
 	WrongWorker        // another worker answers at the address
+	Undelivered        // the process that should have sent the order did not; says nothing about the worker, which may still receive it
 )
 
 // Reason is why a worker refused an order.
@@ -79,6 +80,7 @@
 
 // ListedRun describes a run on a worker.
 type ListedRun struct {
+	_          struct{} `cbor:",toarray"`
 	Task       job.TaskID
 	Run        int
 	Checkpoint string  // latest checkpoint
@@ -88,7 +90,8 @@
 
 // EndedRun describes a run that ended on a worker.
 type EndedRun struct {
-	Number     int64 // increases within the worker's incarnation
+	_          struct{} `cbor:",toarray"`
+	Number     int64    // increases within the worker's incarnation
 	Task       job.TaskID
 	Run        int
 	Outcome    job.Outcome
@@ -97,17 +100,25 @@
 
 // Listing is a worker's report about its runs.
 type Listing struct {
+	_        struct{} `cbor:",toarray"`
 	Running  []ListedRun
 	Ended    []EndedRun // not acknowledged yet
 	Complete bool       // Ended is not truncated
 }
 
-// Upstream sends orders to workers. Calls return by the deadline.
+// Permit says when an order may be sent.
+type Permit struct {
+	Timeout time.Duration // for the answer, from when the order is sent
+	Valid   func() bool   // called right before the order is sent, which it must allow
+}
+
+// Upstream sends orders to workers. An order may wait for its turn before it is
+// sent.
 type Upstream interface {
-	Start(deadline time.Time, w *job.Worker, o StartOrder) Answer
-	Stop(deadline time.Time, w *job.Worker, o StopOrder) Answer
-	List(deadline time.Time, w *job.Worker, o ListOrder) (Listing, Answer)
-	Throttle(deadline time.Time, w *job.Worker, o ThrottleOrder) Answer
+	Start(p Permit, w *job.Worker, o StartOrder) Answer
+	Stop(p Permit, w *job.Worker, o StopOrder) Answer
+	List(p Permit, w *job.Worker, o ListOrder) (Listing, Answer)
+	Throttle(p Permit, w *job.Worker, o ThrottleOrder) Answer
 	// Forget drops the connections to a worker whose incarnation has ended.
 	Forget(w *job.Worker)
 }
@@ -125,11 +136,11 @@
 }
 
 // Start implements Upstream.
-func (m timedUpstream) Start(deadline time.Time, w *job.Worker, o StartOrder) Answer {
-	return m.logDuration("start", time.Now(), m.Upstream.Start(deadline, w, o))
+func (m timedUpstream) Start(p Permit, w *job.Worker, o StartOrder) Answer {
+	return m.logDuration("start", time.Now(), m.Upstream.Start(p, w, o))
 }
 
 // Stop implements Upstream.
-func (m timedUpstream) Stop(deadline time.Time, w *job.Worker, o StopOrder) Answer {
-	return m.logDuration("stop", time.Now(), m.Upstream.Stop(deadline, w, o))
+func (m timedUpstream) Stop(p Permit, w *job.Worker, o StopOrder) Answer {
+	return m.logDuration("stop", time.Now(), m.Upstream.Stop(p, w, o))
 }
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -117,6 +117,7 @@
 	case WrongWorker:
 		t.removeWorker(w, "another process answers at its address")
 		return false
+	case Undelivered:
 	default:
 		w.missed++
 		t.lastUnanswered = now
--- /dev/null
+++ b/internal/process/driver/fleet.go
@@ -0,0 +1,296 @@
+package driver
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/dispatch"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+)
+
+const (
+	// presenceInterval is the interval at which an idle driver is asked whether it is
+	// there, and at which new members are looked for.
+	presenceInterval = 100 * time.Millisecond
+	// batchTimeout bounds the delivery of a batch to a driver. A driver that takes
+	// longer gets nothing until it answers.
+	batchTimeout = 250 * time.Millisecond
+	// answerMargin is the time, in addition to the time-out of an order, for the order
+	// and its answer to pass between leader and driver and to wait for their turn.
+	answerMargin = 120 * time.Millisecond
+	// maxQueued bounds the orders that wait for a driver. Further ones are not sent.
+	maxQueued = 8192
+)
+
+// FleetOptions configures a Fleet.
+type FleetOptions struct {
+	Name    string
+	Local   dispatch.Upstream // sends orders from this process
+	Peer    peer.Caller
+	Members func() []string // control processes
+	Leading func() bool
+	Log     event.Log
+}
+
+// Fleet is a leader's view of its drivers, and the Upstream through which it sends
+// orders.
+type Fleet struct {
+	options FleetOptions
+	session uint64
+	number  atomic.Uint64
+
+	mu      sync.Mutex
+	drivers map[string]*remote
+	routes  routes
+	workers map[string]bool // that orders were sent to and that were not forgotten
+}
+
+var _ dispatch.Upstream = (*Fleet)(nil)
+
+// remote is a driver.
+type remote struct {
+	name   string
+	queue  []order
+	wake   chan struct{}
+	cancel context.CancelFunc
+	flight map[uint64]chan reply // orders that wait for an answer
+}
+
+// NewFleet returns a Fleet.
+func NewFleet(options FleetOptions) *Fleet {
+	return &Fleet{options: options, session: rand.Uint64(), drivers: map[string]*remote{}, workers: map[string]bool{}}
+}
+
+// Register registers the method that a leader serves.
+func (f *Fleet) Register(mux peer.Mux) {
+	mux.Handle(MethodDriven, func(_ context.Context, name string, decode peer.Decode) (any, error) {
+		var b replies
+		if err := decode(&b); err != nil {
+			return nil, &peer.RemoteError{Code: peer.CodeMalformed, Message: err.Error()}
+		}
+		if b.Session == f.session {
+			f.receive(name, b.Replies)
+		}
+		return nil, nil
+	})
+}
+
+// receive hands answers to those who wait for them.
+func (f *Fleet) receive(name string, list []reply) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.drivers[name]
+	if d == nil {
+		return
+	}
+	for i := range list {
+		if c := d.flight[list[i].Number]; c != nil {
+			delete(d.flight, list[i].Number)
+			c <- list[i]
+		}
+	}
+}
+
+// Run keeps in touch with the drivers while this process leads, until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	var senders sync.WaitGroup
+	defer senders.Wait()
+	tick := time.NewTicker(presenceInterval)
+	defer tick.Stop()
+	for {
+		f.update(ctx, &senders)
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// update adds drivers for new members and drops those that are gone, or all if this
+// process does not lead.
+func (f *Fleet) update(ctx context.Context, senders *sync.WaitGroup) {
+	wanted := map[string]bool{}
+	if f.options.Leading() {
+		for _, n := range f.options.Members() {
+			wanted[n] = n != f.options.Name
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for name, d := range f.drivers {
+		if !wanted[name] {
+			delete(f.drivers, name)
+			f.routes.drop(name)
+			d.cancel()
+			d.abandon()
+		}
+	}
+	for name, yes := range wanted {
+		if !yes || f.drivers[name] != nil {
+			continue
+		}
+		inner, cancel := context.WithCancel(ctx)
+		d := &remote{name: name, wake: make(chan struct{}, 1), cancel: cancel, flight: map[uint64]chan reply{}}
+		f.drivers[name] = d
+		senders.Go(func() { f.feed(inner, d) })
+	}
+}
+
+// feed sends the queued orders to a driver, one batch at a time.
+func (f *Fleet) feed(ctx context.Context, d *remote) {
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		orders := d.queue
+		d.queue = nil
+		f.mu.Unlock()
+		var p presence
+		call, cancel := context.WithTimeout(ctx, batchTimeout)
+		err := f.options.Peer.Call(call, d.name, MethodDrive, batch{Session: f.session, Orders: orders}, &p)
+		cancel()
+		f.note(d, p.Zone, err)
+		wait(ctx, presenceInterval, d.wake)
+	}
+}
+
+// wait waits for d, a signal on wake, or the end of ctx.
+func wait(ctx context.Context, d time.Duration, wake <-chan struct{}) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-wake:
+	case <-ctx.Done():
+	}
+}
+
+// note records whether a driver took a batch. If not, whatever it holds counts as
+// not delivered, and its workers are reached through others until it answers.
+func (f *Fleet) note(d *remote, zone string, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.drivers[d.name] != d {
+		return
+	}
+	if err == nil {
+		if f.routes.add(d.name, zone) {
+			f.options.Log.Emit(event.DriverFound, zap.String("driver", d.name), zap.String("zone", zone))
+		}
+		return
+	}
+	if f.routes.drop(d.name) {
+		f.options.Log.Emit(event.DriverLost, zap.String("driver", d.name), zap.Int("orders", len(d.flight)), event.Cause(err))
+	}
+	d.abandon()
+}
+
+// abandon answers all orders that a driver holds. The caller holds the lock of the
+// fleet.
+func (d *remote) abandon() {
+	for n, c := range d.flight {
+		c <- reply{Number: n, Result: dispatch.Undelivered}
+	}
+	d.flight, d.queue = map[uint64]chan reply{}, nil
+}
+
+// route returns the driver for a worker, or nil if this process sends the order
+// itself. The caller holds the lock.
+func (f *Fleet) route(w *job.Worker) *remote {
+	f.workers[w.ID] = true
+	return f.drivers[f.routes.choose(w.ID, w.Zone, len(f.workers))]
+}
+
+// send sends an order through a driver and waits for its answer. It returns false
+// if this process has to send the order itself.
+func (f *Fleet) send(p dispatch.Permit, w *job.Worker, o order) (reply, bool) {
+	o.Number, o.Timeout, o.Worker, o.Address = f.number.Add(1), p.Timeout, w.ID, address(w)
+	answer := make(chan reply, 1)
+	f.mu.Lock()
+	d := f.route(w)
+	if d == nil {
+		f.mu.Unlock()
+		return reply{}, false
+	}
+	if len(d.queue) >= maxQueued || !p.Valid() {
+		f.mu.Unlock()
+		return reply{Result: dispatch.Undelivered}, true
+	}
+	d.queue, d.flight[o.Number] = append(d.queue, o), answer
+	f.mu.Unlock()
+	select {
+	case d.wake <- struct{}{}:
+	default:
+	}
+	t := time.NewTimer(p.Timeout + answerMargin)
+	defer t.Stop()
+	select {
+	case r := <-answer:
+		return r, true
+	case <-t.C:
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(d.flight, o.Number)
+	return reply{Result: dispatch.Undelivered}, true
+}
+
+// Start implements dispatch.Upstream.
+func (f *Fleet) Start(p dispatch.Permit, w *job.Worker, o dispatch.StartOrder) dispatch.Answer {
+	r, ok := f.send(p, w, order{
+		Kind: start, Task: o.Task, Run: o.Run, Payload: o.Payload, Lease: milliseconds(o.Lease), Fence: o.Fence, Checkpoint: o.Checkpoint,
+		Ticket: o.Ticket,
+	})
+	if !ok {
+		return f.options.Local.Start(p, w, o)
+	}
+	_, a := r.answer()
+	return a
+}
+
+// Stop implements dispatch.Upstream.
+func (f *Fleet) Stop(p dispatch.Permit, w *job.Worker, o dispatch.StopOrder) dispatch.Answer {
+	r, ok := f.send(p, w, order{Kind: stop, Task: o.Task, Run: o.Run, Fence: o.Fence})
+	if !ok {
+		return f.options.Local.Stop(p, w, o)
+	}
+	_, a := r.answer()
+	return a
+}
+
+// List implements dispatch.Upstream.
+func (f *Fleet) List(p dispatch.Permit, w *job.Worker, o dispatch.ListOrder) (dispatch.Listing, dispatch.Answer) {
+	r, ok := f.send(p, w, order{Kind: list, Lease: milliseconds(o.Lease), Fence: o.Fence, Acked: o.Acknowledged, Wait: o.Wait})
+	if !ok {
+		return f.options.Local.List(p, w, o)
+	}
+	return r.answer()
+}
+
+// Throttle implements dispatch.Upstream.
+func (f *Fleet) Throttle(p dispatch.Permit, w *job.Worker, o dispatch.ThrottleOrder) dispatch.Answer {
+	r, ok := f.send(p, w, order{Kind: throttle, Task: o.Task, Run: o.Run, Percent: o.Percent, Fence: o.Fence})
+	if !ok {
+		return f.options.Local.Throttle(p, w, o)
+	}
+	_, a := r.answer()
+	return a
+}
+
+// Forget implements dispatch.Upstream.
+func (f *Fleet) Forget(w *job.Worker) {
+	f.options.Local.Forget(w)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.route(w)
+	delete(f.workers, w.ID)
+	if d != nil && len(d.queue) < maxQueued {
+		d.queue = append(d.queue, order{Kind: forget, Worker: w.ID, Address: address(w)})
+	}
+}
--- /dev/null
+++ b/internal/process/driver/message.go
@@ -0,0 +1,123 @@
+package driver
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/process/dispatch"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+)
+
+// Methods between a leader and its drivers.
+const (
+	MethodDrive  = "drive"  // driver: send a batch of orders to workers
+	MethodDriven = "driven" // leader: a batch of answers
+)
+
+// kind is the kind of an order.
+type kind uint8
+
+const (
+	start kind = iota + 1
+	stop
+	list
+	throttle
+	forget
+)
+
+// order is an order to a worker.
+type order struct {
+	_          struct{} `cbor:",toarray"`
+	Number     uint64   // identifies the order within the session
+	Kind       kind
+	Timeout    time.Duration // from when the driver has received the order
+	Worker     string
+	Address    string
+	Fence      uint64
+	Task       job.TaskID
+	Run        int
+	Payload    string
+	Lease      int64 // end of the lease in milliseconds of the worker's clock; zero if none
+	Checkpoint string
+	Ticket     string
+	Acked      int64         // see dispatch.ListOrder
+	Wait       time.Duration // see dispatch.ListOrder
+	Percent    int
+}
+
+// batch is a set of orders. An empty one asks whether the driver is there.
+type batch struct {
+	_       struct{} `cbor:",toarray"`
+	Session uint64
+	Orders  []order
+}
+
+// presence is a driver's answer to a batch.
+type presence struct {
+	_    struct{} `cbor:",toarray"`
+	Zone string
+}
+
+// reply is the answer to an order.
+type reply struct {
+	_       struct{} `cbor:",toarray"`
+	Number  uint64
+	Result  dispatch.Result
+	Reason  dispatch.Reason
+	Clock   int64 // in milliseconds; zero if not stated
+	Life    job.Incarnation
+	Error   string
+	Listing *dispatch.Listing
+}
+
+// replies is a set of answers.
+type replies struct {
+	_       struct{} `cbor:",toarray"`
+	Session uint64
+	Replies []reply
+}
+
+// milliseconds converts a time on a worker's clock for a message.
+func milliseconds(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// clock is the inverse of milliseconds.
+func clock(n int64) time.Time {
+	if n == 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(n)
+}
+
+// newReply returns the message for an answer.
+func newReply(number uint64, a dispatch.Answer, l *dispatch.Listing) reply {
+	r := reply{Number: number, Result: a.Result, Reason: a.Reason, Clock: milliseconds(a.Clock), Life: a.Life, Listing: l}
+	if a.Error != nil {
+		r.Error = a.Error.Error()
+	}
+	return r
+}
+
+// answer returns the answer in a message.
+func (r *reply) answer() (dispatch.Listing, dispatch.Answer) {
+	a := dispatch.Answer{Result: r.Result, Reason: r.Reason, Clock: clock(r.Clock), Life: r.Life}
+	if r.Error != "" {
+		a.Error = errors.Newf("%s", r.Error)
+	}
+	if r.Listing == nil {
+		return dispatch.Listing{}, a
+	}
+	return *r.Listing, a
+}
+
+// worker returns the worker that an order is for.
+func (o *order) worker() (*job.Worker, error) {
+	a, err := netip.ParseAddrPort(o.Address)
+	return &job.Worker{ID: o.Worker, Address: a}, errors.Wrap(err, "address of the worker")
+}
