--- a/internal/version/fit/claim.go
+++ b/internal/version/fit/claim.go
@@ -42,8 +42,12 @@
 		return
 	}
 	size := d.Spec.Reservation()
+	workers := l.workers
+	if d.Advised {
+		workers = l.allowed(d)
+	}
 	var candidates []candidate
-	for _, w := range l.workers {
+	for _, w := range workers {
 		if !p.reservable(d, w) {
 			continue
 		}
