--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -32,15 +32,13 @@
 	}
 	cluster.Workers = make([]*fit.Worker, 0, len(t.sorted))
 	for _, w := range t.sorted {
-		if w.stale {
+		if n := v.Changes[w.ID]; w.stale || n != w.changes {
 			w.committed = v.Workers[w.ID].Life == w.Life
+			w.load, w.changes, w.stale = t.load(v, w), n, false
 		}
 		if !w.committed {
 			continue // this incarnation is not committed yet
 		}
-		if w.stale {
-			w.load, w.stale = t.load(v, w), false
-		}
 		w.planned = w.load
 		w.planned.Worker, w.planned.WasSlow = w.Worker, w.wasSlow
 		w.planned.Usable = w.usable(now, t.timing().ReportInterval)
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -87,7 +87,10 @@
 	silent             bool // answers nothing
 	dropsAnswers       bool // executes starts but does not answer them
 	refusesConnections bool // nothing listens
-	slowdown           int  // factor by which new tasks take longer; zero means one
+	hidesRuns          bool // answers no listing
+	delaysStarts       bool // answers no start and carries it out only with carryOutLate
+	late               []StartOrder
+	slowdown           int // factor by which new tasks take longer; zero means one
 	listings           int
 	peakRuns           int
 }
@@ -162,6 +165,10 @@
 	if !ok {
 		return a
 	}
+	if w.delaysStarts {
+		w.late = append(w.late, o)
+		return Answer{Result: Unanswered}
+	}
 	refuse := func(r Reason) Answer { a.Result, a.Reason = Refused, r; return a }
 	switch {
 	case o.Fence < w.fence:
@@ -192,6 +199,18 @@
 	return a
 }
 
+// carryOutLate carries out the starts that a worker has delayed.
+func (h *fakeWorkers) carryOutLate(id string) {
+	h.mu.Lock()
+	w := h.all[id]
+	late := w.late
+	w.late, w.delaysStarts = nil, false
+	h.mu.Unlock()
+	for _, o := range late {
+		h.Start(Permit{}, &job.Worker{ID: id}, o)
+	}
+}
+
 func (h *fakeWorkers) Stop(_ Permit, target *job.Worker, o StopOrder) Answer {
 	time.Sleep(2 * time.Millisecond)
 	h.mu.Lock()
@@ -226,6 +245,9 @@
 	if !ok {
 		return Listing{}, a, true
 	}
+	if w.hidesRuns {
+		return Listing{}, Answer{Result: Unanswered}, true
+	}
 	w.fence = max(w.fence, o.Fence)
 	if o.Lease.After(w.lease) {
 		w.lease = o.Lease
@@ -753,6 +775,83 @@
 	})
 }
 
+// Guards against a new leader that fills a worker before it knows what runs there:
+// the worker had reported itself, but not yet listed a run that the former leader
+// had given up (rule LIMIT).
+func TestNewLeaderLooksBeforeItStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.changeWorker("a", func(w *fakeWorker) {
+			w.running[job.TaskID{Job: "forgotten"}] = &fakeRun{run: 1, began: time.Now(), ends: time.Now().Add(time.Minute)}
+			w.lease, w.hidesRuns = b.workers.clock(w).Add(time.Minute), true
+		})
+		b.log.set(false, 2)
+		time.Sleep(100 * time.Millisecond)
+		b.log.set(true, 3)
+		time.Sleep(2 * time.Second) // the worker reports itself meanwhile
+		b.submit("one", tasks(4))
+		time.Sleep(2 * time.Second)
+		b.is.Equal(len(b.workers.starts), 0)
+		b.changeWorker("a", func(w *fakeWorker) { w.hidesRuns = false })
+		time.Sleep(6 * time.Second)
+		b.is.Equal(b.status("one"), job.Completed)
+		b.is.True(b.workers.all["a"].peakRuns <= 4)
+	})
+}
+
+// Guards against a worker that is filled while it may still carry out starts that
+// were given up (rule LIMIT).
+func TestGivenUpStartsTakeNoRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.workers.runTime = 5 * time.Second
+		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts = true })
+		s := tasks(4)
+		s.Copies = true
+		b.submit("one", s)
+		time.Sleep(450 * time.Millisecond) // given up, but not answered
+		_, ok := b.term().call(context.Background(), &cell.Call{Verb: cell.Cancel, Host: "h", Path: "/q/one", Key: "k"})
+		b.is.True(ok)
+		b.submit("two", tasks(4))
+		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts = false })
+		time.Sleep(3 * time.Second)
+		b.is.Equal(len(b.workers.all["a"].running), 4)
+		b.workers.carryOutLate("a")
+		b.is.Equal(b.workers.all["a"].peakRuns, 4)
+	})
+}
+
+// Guards against starts that are decided under limits which the same round replaces
+// (rule QUOTA).
+func TestNoStartsUnderReplacedLimits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.changeWorker("a", func(w *fakeWorker) { w.hidesRuns = true })
+		b.add("b", 1)
+		current := b.term()
+		var lower job.Catalogue
+		b.state.View(func(v *job.View) { lower = *v.Catalogue })
+		lower.Version = 2
+		lower.Workspaces = []job.Workspace{{Name: "depot", Keys: []string{"k"}, Limit: work.Resources{Processors: 1000}}}
+		current.mu.Lock()
+		j := job.Job{ID: "one", Host: "h", Prefix: "/q/", Workspace: "depot", Steps: []job.Step{tasks(3)}}
+		current.workers["a"].listed, current.workers["b"].listed = false, false
+		submitted := current.enqueue(func(n *inbox) { n.submits = append(n.submits, j) })
+		current.mu.Unlock()
+		b.is.True(<-submitted)
+		current.mu.Lock()
+		current.workers["b"].listed = true // the task could start with the next round
+		applied := current.enqueue(func(n *inbox) { n.catalogue = &lower })
+		current.mu.Unlock()
+		b.is.True(<-applied)
+		time.Sleep(500 * time.Millisecond)
+		b.is.Equal(b.workers.all["a"].peakRuns+b.workers.all["b"].peakRuns, 1)
+	})
+}
+
 // handlers is a peer.Mux whose handlers are called directly.
 type handlers map[string]peer.Handler
 
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -50,12 +50,17 @@
 	t.orders.Go(func() { t.poll(w) })
 }
 
+// idle reports whether there is nothing to list.
+func (w *worker) idle() bool {
+	return len(w.runs)+len(w.orphans) == 0 && w.acknowledged >= w.lastEnd && !w.pollOnce
+}
+
 // poll lists a worker's runs, extends its lease and acknowledges its ended
 // runs, until it has none.
 func (t *term) poll(w *worker) {
 	for {
 		t.mu.Lock()
-		if t.over || t.workers[w.ID] != w || len(w.runs) == 0 && w.acknowledged >= w.lastEnd && !w.pollOnce {
+		if t.over || t.workers[w.ID] != w || w.idle() {
 			w.polling = false
 			t.mu.Unlock()
 			return
@@ -126,14 +131,16 @@
 	if a.Result != Accepted {
 		return nil
 	}
-	present := map[job.TaskID]bool{}
-	orphans := false
+	w.listed = true
+	present := map[job.TaskID]int{}
 	for _, listed := range l.Running {
-		present[listed.Task] = true
-		orphans = t.handleListedRun(w, listed, a.Clock) || orphans
+		present[listed.Task] = listed.Run
+		t.handleListedRun(w, listed, a.Clock)
+	}
+	t.checkSpeed(w)
+	if l.Complete {
+		w.dropOrphans(sent, present)
 	}
-	w.hasOrphans = orphans || t.checkSpeed(w)
-	w.pollOnce = orphans
 	last := w.lastEnd
 	for _, e := range l.Ended {
 		if e.Number > w.lastEnd {
@@ -152,16 +159,17 @@
 	return t.enqueue(func(n *inbox) { n.acks = append(n.acks, ack) })
 }
 
-// handleListedRun processes a run that a worker lists. It reports whether the
-// run is orphaned, and stops it if the leader does not know it.
-func (t *term) handleListedRun(w *worker, listed ListedRun, clock time.Time) bool {
+// handleListedRun processes a run that a worker lists, and stops it if the leader
+// does not know it: its start was carried out late, or it was given up and
+// continued.
+func (t *term) handleListedRun(w *worker, listed ListedRun, clock time.Time) {
 	r := w.runs[listed.Task]
 	if r == nil || r.number != listed.Run {
-		t.stopOrphan(w, listed)
-		return true
+		t.stopOrphan(w, listed.Task, listed.Run, "the worker lists an orphaned run")
+		return
 	}
 	if r.endQueued {
-		return true // given up; it is stopped once its end is committed
+		return // given up; it is stopped as an orphan
 	}
 	now := t.now()
 	if r.startResolvedAt.IsZero() {
@@ -175,16 +183,6 @@
 	}
 	r.usage = listed.Usage
 	r.recordProgress(listed.Percent, clock)
-	return false
-}
-
-// stopOrphan stops a run that the leader does not know, or no longer: its start
-// was carried out late, or it was given up and continued.
-func (t *term) stopOrphan(w *worker, listed ListedRun) {
-	r := &run{id: listed.Task, number: listed.Run, worker: w, spec: &job.Step{}}
-	t.emit(event.RunUnclear, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", w.ID),
-		zap.String("reason", "the worker lists an orphaned run"))
-	t.stop(r)
 }
 
 // handleEnd processes the end of a run that a worker lists.
@@ -222,9 +220,9 @@
 // loseMissing gives up runs that are absent from a listing although they should
 // be in it: the worker had answered their start, or their stop, before the
 // listing was requested.
-func (t *term) loseMissing(w *worker, sent time.Time, present map[job.TaskID]bool) {
+func (t *term) loseMissing(w *worker, sent time.Time, present map[job.TaskID]int) {
 	for id, r := range w.runs {
-		if r.endQueued || present[id] {
+		if _, listed := present[id]; r.endQueued || listed {
 			continue
 		}
 		started := !r.startResolvedAt.IsZero() && r.startResolvedAt.Before(sent)
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -64,6 +64,9 @@
 	if t.over || !t.isLeading() {
 		return r, in, nil
 	}
+	if in.catalogue != nil {
+		return r, in, nil // what starts is decided under the new limits, with the next round
+	}
 	starts := t.decide()
 	for _, s := range starts {
 		r.Starts = append(r.Starts, job.Start{
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -295,6 +295,8 @@
 		w.drainDeadline = now.Add(time.Duration(r.Remaining) * time.Millisecond)
 	}
 	t.workers[w.ID], t.sorted = w, nil
+	w.pollOnce = true // it gets tasks once it has shown what it runs
+	t.startPolling(w)
 	t.emit(event.WorkerKnown, zap.String("worker", w.ID), zap.Int64("life", int64(w.Life)), zap.String("pool", w.Pool),
 		zap.Stringer("address", w.Address), zap.String("rack", w.Rack))
 	return t.enqueue(func(n *inbox) { n.workers = append(n.workers, w.Worker) })
--- a/internal/process/dispatch/speed.go
+++ b/internal/process/dispatch/speed.go
@@ -104,29 +104,26 @@
 }
 
 // checkSpeed evaluates the recent progress of a worker's runs. If they are much
-// slower than usual, the worker is avoided and the runs are moved. It reports
-// whether runs were given up that may continue.
-func (t *term) checkSpeed(w *worker) bool {
+// slower than usual, the worker is avoided and the runs are moved.
+func (t *term) checkSpeed(w *worker) {
 	if !t.isLeading() {
-		return false
+		return
 	}
 	runs, motions := t.motions(w)
 	assessment := fit.Assess(motions)
 	switch assessment.Speed {
 	case fit.Normal:
 		w.wasSlow = false
-		return false
+		return
 	case fit.Unknown:
-		return false
+		return
 	}
 	w.wasSlow = true
 	t.avoidWorker(w, "its runs are slow", zap.Float64("factor", assessment.Factor), zap.Float64("certainty", assessment.Certainty),
 		zap.Int("steps", assessment.Steps), zap.Int("runs", len(runs)))
-	orphans := false
 	for i, r := range runs {
-		orphans = t.moveRun(r, &motions[i]) || orphans
+		t.moveRun(r, &motions[i])
 	}
-	return orphans
 }
 
 // motions describes the recent progress of those runs of a worker that are
@@ -146,18 +143,15 @@
 }
 
 // moveRun has a run start on another worker if it would be done sooner there.
-// It reports whether the run was given up and may continue.
-func (t *term) moveRun(r *run, m *fit.Motion) bool {
+func (t *term) moveRun(r *run, m *fit.Motion) {
 	hasCheckpoint := r.spec.Checkpoints && r.checkpoint != ""
 	switch {
 	case r.spec.Copies && m.ShouldMove(hasCheckpoint, 0):
 		t.avoidForStep(r, t.now())
-		t.lose(r, "its worker is slow and a copy may run elsewhere")
-		return true
+		t.giveUp(r, "its worker is slow and a copy may run elsewhere")
 	case m.ShouldMove(hasCheckpoint, t.timing().StopTime):
 		t.avoidForStep(r, t.now())
 		t.stop(r)
 		t.stopGang(r)
 	}
-	return false
 }
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -39,22 +39,24 @@
 	leaseEnd          time.Time // latest end of a lease that was sent, on the worker's clock
 	inheritedLeaseEnd time.Time // leases from earlier leaders may last until then
 	runs              map[job.TaskID]*run
-	polling           bool          // a loop lists its runs
-	pollOnce          bool          // one listing is needed even without runs
-	hasOrphans        bool          // it may still execute runs that were given up; cleared by a listing without any
-	lastEnd           int64         // highest number of an end that was processed
-	acknowledged      int64         // highest number of an end that is committed
-	missed            int           // consecutive unanswered orders
-	leavesAt          time.Time     // when it counts as gone; zero unless it announced its termination
-	drainDeadline     time.Time     // a draining worker is gone after this
-	faults            int           // consecutive failed runs
-	avoidTime         time.Duration // latest length of its avoidance
-	avoidedUntil      time.Time     // no new tasks before this
-	wasSlow           bool          // was slow and has not shown normal speed since
-	committed         bool          // its incarnation is in the replicated state
-	load              fit.Worker    // what runs on it
-	stale             bool          // load has to be computed anew
-	planned           fit.Worker    // copy of load that a round changes
+	polling           bool            // a loop lists its runs
+	pollOnce          bool            // one listing is needed even without runs
+	listed            bool            // has answered a listing in this term
+	orphans           map[orphan]*run // runs that were given up and that it may still execute
+	lastEnd           int64           // highest number of an end that was processed
+	acknowledged      int64           // highest number of an end that is committed
+	missed            int             // consecutive unanswered orders
+	leavesAt          time.Time       // when it counts as gone; zero unless it announced its termination
+	drainDeadline     time.Time       // a draining worker is gone after this
+	faults            int             // consecutive failed runs
+	avoidTime         time.Duration   // latest length of its avoidance
+	avoidedUntil      time.Time       // no new tasks before this
+	wasSlow           bool            // was slow and has not shown normal speed since
+	committed         bool            // its incarnation is in the replicated state
+	load              fit.Worker      // what runs on it
+	changes           uint64          // job.View.Changes when load was computed
+	stale             bool            // load has to be computed anew for another reason
+	planned           fit.Worker      // copy of load that a round changes
 }
 
 func newWorker(w job.Worker, now time.Time) *worker {
@@ -94,7 +96,7 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now time.Time, every time.Duration) bool {
-	return !w.Draining && !w.hasOrphans && w.leavesAt.IsZero() && !w.clockReading.IsZero() && w.missed < maxMissedAnswers &&
+	return !w.Draining && w.listed && len(w.orphans) == 0 && w.leavesAt.IsZero() && !w.clockReading.IsZero() && w.missed < maxMissedAnswers &&
 		now.Sub(w.lastSeen) < maxMissedReports*every && !now.Before(w.avoidedUntil)
 }
 
@@ -140,6 +142,9 @@
 	t.sorted = nil
 	t.inbox.gone = append(t.inbox.gone, w.Worker)
 	t.loseRuns(w, reason)
+	for _, r := range w.orphans {
+		r.endQueued = true // ends the resending of the stop
+	}
 	t.dispatcher.options.Upstream.Forget(&w.Worker)
 }
 
@@ -151,13 +156,53 @@
 }
 
 // loseCopies gives up the runs on a silent worker whose tasks may run in
-// several copies. They may continue there, so the worker gets no new tasks
-// until a listing shows none of them.
+// several copies.
 func (t *term) loseCopies(w *worker) {
 	for _, r := range w.runs {
-		if r.spec.Copies && !r.endQueued {
-			w.hasOrphans = true
-			t.lose(r, "the worker is silent and a copy may run elsewhere")
+		if r.spec.Copies {
+			t.giveUp(r, "the worker is silent and a copy may run elsewhere")
+		}
+	}
+}
+
+// orphan identifies a run that was given up.
+type orphan struct {
+	task job.TaskID
+	run  int
+}
+
+// giveUp gives up a run that may continue, or begin, because its task may run in
+// several copies. Its worker gets no new tasks before it can no longer execute the
+// run: it has answered a stop, and a later listing does not show the run.
+func (t *term) giveUp(r *run, reason string) {
+	if r.endQueued {
+		return
+	}
+	t.lose(r, reason)
+	t.stopOrphan(r.worker, r.id, r.number, reason)
+}
+
+// stopOrphan stops a run that is given up or not known.
+func (t *term) stopOrphan(w *worker, id job.TaskID, number int, reason string) {
+	key := orphan{id, number}
+	if w.orphans[key] != nil {
+		return
+	}
+	r := &run{id: id, number: number, worker: w, spec: &job.Step{}}
+	if w.orphans == nil {
+		w.orphans = map[orphan]*run{}
+	}
+	w.orphans[key] = r
+	t.emit(event.RunUnclear, zap.Stringer("task", id), zap.Int("run", number), zap.String("worker", w.ID), zap.String("reason", reason))
+	t.stop(r)
+}
+
+// dropOrphans drops the orphans that the worker can no longer execute.
+func (w *worker) dropOrphans(sent time.Time, present map[job.TaskID]int) {
+	for key, r := range w.orphans {
+		if !r.stopAnsweredAt.IsZero() && r.stopAnsweredAt.Before(sent) && present[key.task] != key.run {
+			r.endQueued = true // ends the resending of the stop
+			delete(w.orphans, key)
 		}
 	}
 }
--- a/internal/version/fit/motion.go
+++ b/internal/version/fit/motion.go
@@ -31,6 +31,9 @@
 	minSpread     = 0.3
 	// learnRate is the weight of each new step in the moving average of its queue.
 	learnRate = 0.1
+	// knownSteps is the number of learned steps from which on a baseline tells how
+	// rough the estimates of its queue are.
+	knownSteps = 5
 	// maxLogLag limits the logarithm of the lag of a single run; e^3 is a factor
 	// of 20.
 	maxLogLag = 3.0
@@ -44,6 +47,7 @@
 type Baseline struct {
 	mean   float64
 	spread float64
+	steps  int // that were learned
 }
 
 // NewBaseline returns the baseline of a queue without finished runs, which
@@ -56,6 +60,7 @@
 	x := min(max(math.Log(lag), -maxLogLag), maxLogLag)
 	n.spread += learnRate * (deviationFactor*math.Abs(x-n.mean) - n.spread)
 	n.mean += learnRate * (x - n.mean)
+	n.steps++
 }
 
 // Expected returns the expected run time for an estimate.
@@ -129,6 +134,7 @@
 		sum, weight float64
 		runs        int
 	}
+	founded := false // on runs of the same step on another worker, or on a known baseline
 	steps := map[job.StepID]*evidence{}
 	for i := range runs {
 		m := &runs[i]
@@ -142,6 +148,7 @@
 			e = &evidence{weight: 1 / (spread * spread)}
 			steps[m.Step] = e
 		}
+		founded = founded || m.MinLag > 0 || m.Baseline.steps >= knownSteps
 		e.sum += math.Log(lag) - m.expectedLogLag()
 		e.runs++
 	}
@@ -156,6 +163,8 @@
 	mean := sum / weight
 	j := Assessment{Factor: math.Exp(mean), Certainty: mean * math.Sqrt(weight), Steps: len(steps)}
 	switch {
+	case len(steps) == 1 && !founded && j.Factor > normalFactor:
+		// It is as likely that the estimate of the step is wrong.
 	case j.Factor >= slowFactor && j.Certainty >= slowDeviations:
 		j.Speed = Slow
 	case j.Factor <= normalFactor:
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -144,6 +144,7 @@
 	Active       map[ID]*Record // not finished, or with remaining reservations
 	Workers      map[string]Worker
 	Reservations map[string]map[TaskID]Reservation // by worker
+	Changes      map[string]uint64                 // by worker; rises with each change of its reservations
 	Used         map[string]work.Resources         // by workspace; total size of its runs
 	Sequence     uint64
 
@@ -167,7 +168,7 @@
 func (v *View) init() {
 	v.Jobs, v.Active = map[ID]*Record{}, map[ID]*Record{}
 	v.Workers, v.Reservations = map[string]Worker{}, map[string]map[TaskID]Reservation{}
-	v.Used = map[string]work.Resources{}
+	v.Used, v.Changes = map[string]work.Resources{}, map[string]uint64{}
 }
 
 // View calls read with the current state, which read must not retain or change.
@@ -298,12 +299,14 @@
 		v.Reservations[t.Worker] = m
 	}
 	s := &r.Job.Steps[id.Step]
+	v.Changes[t.Worker]++
 	m[id] = Reservation{Run: t.Run, Size: s.Reservation(), Workspace: r.Job.Workspace}
 	v.Used[r.Job.Workspace] = v.Used[r.Job.Workspace].Add(s.Size)
 }
 
 // release removes the reservation of a task's current run.
 func (v *View) release(r *Record, id TaskID, t *Task) {
+	v.Changes[t.Worker]++
 	if m := v.Reservations[t.Worker]; m != nil {
 		delete(m, id)
 		if len(m) == 0 {
