Ask about many workers at a time, repeat orders without an answer, pass reports on together

- A step asks the advice service by up to six queries at a time about as many workers as it needs, by the share that its queue was allowed so far.
- A start or stop without an answer is sent again after four times the usual answer time, three times within its time-out.
A refusal of a copy proves nothing.
While orders to three workers got no answer, listings wait 0.12 s with urgent runs and 0.5 s without.
- Reports of workers go to the leader in batches; from 150 workers on they stay with the process that received them.
- Races in the test doubles of TestRelay.

--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -87,6 +87,7 @@
 	lastAnswered atomic.Int64 // Unix nanoseconds of the last answered ping; zero if none
 	lostAt       atomic.Int64 // Unix nanoseconds at which the last known leader was lost
 	wake         chan struct{}
+	reporter     reporter
 
 	mu              sync.Mutex
 	seeds           []string
@@ -99,6 +100,7 @@
 func New(options Options) *Link {
 	l := &Link{options: options, seeds: options.Seeds, wake: make(chan struct{}, 1), changed: make(chan struct{})}
 	l.lostAt.Store(time.Now().UnixNano())
+	l.reporter.link = l
 	return l
 }
 
@@ -264,9 +266,7 @@
 
 // Report sends a worker's report to the leader.
 func (l *Link) Report(ctx context.Context, r Report) (Receipt, error) {
-	var a Receipt
-	err := l.callLeader(ctx, MethodReport, r, &a)
-	return a, err
+	return l.reporter.send(ctx, r)
 }
 
 // Leave reports to the leader that a worker is shutting down.
--- a/internal/connection/cell/link_test.go
+++ b/internal/connection/cell/link_test.go
@@ -25,9 +25,10 @@
 	calls       map[string]int
 
 	unsettled bool // the leader loses its lease before it answers calls
+	reports   [][]Report
 }
 
-func (c *fakeCell) Call(ctx context.Context, to, method string, _, response any) error {
+func (c *fakeCell) Call(ctx context.Context, to, method string, request, response any) error {
 	time.Sleep(2 * time.Millisecond)
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -42,6 +43,18 @@
 	case MethodWho:
 		*response.(*Leader) = Leader{Name: c.leader, Members: c.members}
 		return nil
+	case MethodReports:
+		if to != c.leader {
+			return &peer.RemoteError{Code: CodeNotLeader, Message: c.leader}
+		}
+		list := request.([]Report)
+		c.reports = append(c.reports, list)
+		r := Receipts{Leader: c.leader, Spread: true}
+		for i := range list {
+			r.Taken = append(r.Taken, list[i].Sequence != 13)
+		}
+		*response.(*Receipts) = r
+		return nil
 	case MethodPing, MethodCall:
 		if to != c.leader {
 			return &peer.RemoteError{Code: CodeNotLeader, Message: c.leader}
@@ -160,13 +173,31 @@
 type fakeNetwork struct {
 	name     string
 	handlers map[string]map[string]peer.Handler // by process and method
-	cut      map[string]bool                    // "from to"
+	cut      *cuts
+}
+
+// cuts are the partitions of a network, as "from to".
+type cuts struct {
+	mu  sync.Mutex
+	all map[string]bool
+}
+
+func (c *cuts) add(cut string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.all[cut] = true
+}
+
+func (c *cuts) has(cut string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.all[cut]
 }
 
 func (n fakeNetwork) Call(ctx context.Context, to, method string, request, response any) error {
 	time.Sleep(time.Millisecond)
 	h := n.handlers[to][method]
-	if n.cut[n.name+" "+to] || h == nil {
+	if n.cut.has(n.name+" "+to) || h == nil {
 		return peer.ErrNotSent
 	}
 	body, err := cbor.Marshal(request)
@@ -193,7 +224,7 @@
 func TestRelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		all, cut := map[string]map[string]peer.Handler{}, map[string]bool{}
+		all, cut := map[string]map[string]peer.Handler{}, &cuts{all: map[string]bool{}}
 		leader := func(context.Context, string, peer.Decode) (any, error) {
 			return Leader{Name: "core", Members: []string{"core"}, Linked: []string{"one", "two"}}, nil
 		}
@@ -222,13 +253,13 @@
 			})
 		}
 		time.Sleep(time.Second)
-		cut["one core"] = true
+		cut.add("one core")
 		time.Sleep(time.Second)
 		is.Equal(links[0].Leader(), "")
 		v, err := links[0].Call(ctx, Call{Path: "/x"})
 		is.NoErr(err)
 		is.Equal(v.Message, "/x")
-		cut["two core"] = true
+		cut.add("two core")
 		time.Sleep(time.Second)
 		_, err = links[0].Call(ctx, Call{Path: "/x"})
 		is.True(errors.Is(err, ErrNoLeader))
@@ -260,3 +291,53 @@
 		is.True(errors.Is(err, ErrUnknown))
 	})
 }
+
+// Guards against a call to the leader for each of a thousand workers' reports, and
+// against one of them that decides the outcome of the others.
+func TestReportsTravelTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, l, stop := newLink(t, "a")
+		defer stop()
+		time.Sleep(time.Second)
+		var reports sync.WaitGroup
+		for i := range 40 {
+			reports.Go(func() {
+				a, err := l.Report(t.Context(), Report{Sequence: int64(i)})
+				is.Equal(err != nil, i == 13) // the leader could not commit that one
+				if err == nil {
+					is.Equal(a, Receipt{Leader: "a", Spread: true})
+				}
+			})
+		}
+		reports.Wait()
+		is.True(len(c.reports) <= 3)
+	})
+}
+
+// Guards against memory that grows with the reports that no leader takes, and
+// against old reports that are sent once there is one.
+func TestReportsWithoutALeaderAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, l, stop := newLink(t, "a")
+		defer stop()
+		c.setLeader("", "a", "b", "c", "d")
+		time.Sleep(3 * time.Second)
+		ctx, cancel := context.WithTimeout(t.Context(), 900*time.Millisecond)
+		defer cancel()
+		var reports sync.WaitGroup
+		for i := range maxQueuedReports + 500 {
+			reports.Go(func() {
+				_, err := l.Report(ctx, Report{Sequence: int64(i)})
+				is.True(err != nil)
+			})
+		}
+		reports.Wait()
+		time.Sleep(time.Second)
+		l.reporter.mu.Lock()
+		defer l.reporter.mu.Unlock()
+		is.Equal(len(l.reporter.queue), 0)
+		is.Equal(len(c.reports), 0)
+	})
+}
--- a/internal/process/dispatch/advice.go
+++ b/internal/process/dispatch/advice.go
@@ -26,6 +26,10 @@
 	urgentAdviceClients = 2
 	// adviceTimeoutMargin is added to the expected response time.
 	adviceTimeoutMargin = 1500 * time.Millisecond
+	// allowedLearnRate is the weight of each answer in the moving average of the share
+	// of workers that a queue's steps may use; minAllowedShare is its lower limit.
+	allowedLearnRate = 0.05
+	minAllowedShare  = 0.05
 	// adviceRetryDelay is the delay after a query that failed.
 	adviceRetryDelay = 100 * time.Millisecond
 )
@@ -35,9 +39,6 @@
 // a process that is idle now. The caller holds the lock.
 func (t *term) queryAdvice(a fit.Query, now time.Time) {
 	s := t.step(a.Demand.Step)
-	if s.advice.InFlight {
-		return
-	}
 	name, client := t.pickAdviceClient(now, a.Demand.Priority == 0)
 	if client == nil || client.idleAt.Sub(now) > maxAdviceBacklog || a.Early && client.idleAt.After(now) {
 		return
@@ -49,7 +50,10 @@
 	expected := q.Base + time.Duration(len(a.Workers))*q.Each
 	client.idleAt = later(client.idleAt, now).Add(expected)
 	deadline := client.idleAt.Add(adviceTimeoutMargin)
-	s.advice.InFlight = true
+	s.advice.Queries++
+	for _, w := range a.Workers {
+		s.advice.Asked[w] = true
+	}
 	t.orders.Go(func() { t.sendQuery(a, name, client, q, deadline) })
 }
 
@@ -104,7 +108,10 @@
 	if s == nil {
 		return // the job is finished
 	}
-	s.advice.InFlight = false
+	s.advice.Queries--
+	for _, w := range a.Workers {
+		delete(s.advice.Asked, w)
+	}
 	if err != nil {
 		s.adviceRetryAt = now.Add(adviceRetryDelay)
 		client.idleAt = later(client.idleAt, now)
@@ -128,9 +135,12 @@
 	if valid == 0 {
 		valid = q.Expiry
 	}
-	if s.advice.Answers == nil {
-		s.advice.Answers = map[string]fit.Answer{}
+	share := t.allowedShares[a.Demand.Queue]
+	if share == 0 {
+		share = float64(len(answer.Tickets)) / float64(len(a.Workers))
 	}
+	share += allowedLearnRate * (float64(len(answer.Tickets))/float64(len(a.Workers)) - share)
+	t.allowedShares[a.Demand.Queue] = max(share, minAllowedShare)
 	for _, w := range a.Workers {
 		ticket, allowed := answer.Tickets[w]
 		s.advice.Answers[w] = fit.Answer{Allowed: allowed, Ticket: ticket, Expiry: now.Add(valid - ticketMargin)}
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -156,12 +156,11 @@
 	}
 	if r.Queue.Advised != nil {
 		d.Advised, d.Advice, d.MinAnswerTime = true, &m.advice, r.Queue.Advised.Base
+		d.AllowedShare = t.allowedShares[d.Queue]
 		if m.advice.Answers == nil {
-			m.advice.Answers = map[string]fit.Answer{}
-		}
-		if now.Before(m.adviceRetryAt) {
-			d.Advice = &fit.Advice{Answers: m.advice.Answers, InFlight: true}
+			m.advice.Answers, m.advice.Asked = map[string]fit.Answer{}, map[string]bool{}
 		}
+		m.advice.Paused = now.Before(m.adviceRetryAt)
 	}
 	return d
 }
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -90,7 +90,8 @@
 	hidesRuns          bool // answers no listing
 	delaysStarts       bool // answers no start and carries it out only with carryOutLate
 	late               []StartOrder
-	slowdown           int // factor by which new tasks take longer; zero means one
+	refusesCopies      bool // executes starts, but answers that a second copy of them was refused
+	slowdown           int  // factor by which new tasks take longer; zero means one
 	listings           int
 	peakRuns           int
 }
@@ -196,6 +197,10 @@
 	if w.dropsAnswers {
 		return Answer{Result: Unanswered}
 	}
+	if w.refusesCopies {
+		a.Repeated = true
+		return refuse(ReasonOther)
+	}
 	return a
 }
 
@@ -358,7 +363,7 @@
 	}}
 	b.workers.mu.Unlock()
 	if t := b.term(); t != nil {
-		t.report(context.Background(), &r)
+		t.reports(context.Background(), []cell.Report{r})
 	}
 }
 
@@ -568,6 +573,22 @@
 	})
 }
 
+// Guards against a start that counts as refused although an earlier copy of the
+// order was carried out.
+func TestRefusalOfACopyProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b")
+		defer b.close()
+		b.changeWorker("a", func(w *fakeWorker) { w.refusesCopies = true })
+		b.submit("one", tasks(6))
+		time.Sleep(300 * time.Millisecond)
+		b.changeWorker("a", func(w *fakeWorker) { w.refusesCopies = false })
+		time.Sleep(8 * time.Second)
+		b.is.Equal(b.workers.duplicate, "")
+		b.is.Equal(b.status("one"), job.Completed)
+	})
+}
+
 // Guards against tasks that wait for a lease although their worker is known to
 // have restarted, and against ends of its former incarnation that count for the
 // new one.
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,12 +20,14 @@
 	unresolvedListWait = 150 * time.Millisecond
 	// listTimeoutMargin is added to the wait, for the answer to arrive.
 	listTimeoutMargin = 200 * time.Millisecond
-	// lossyPeriod is how long after an unanswered order the connections count
-	// as lossy. During this time, listings of workers with urgent runs wait for
-	// lossyListWait at most, because the end of a run is seen only with the
-	// next listing if an answer is lost.
-	lossyPeriod   = 4 * time.Second
-	lossyListWait = 250 * time.Millisecond
+	// lossyPeriod is how long after unanswered orders to lossyWorkers workers the
+	// connections count as lossy. During this time listings wait less, because the
+	// end of a run is seen only with the next listing if an answer is lost.
+	lossyPeriod        = 4 * time.Second
+	lossyWorkers       = 3
+	lossyListWait      = 120 * time.Millisecond // of workers with urgent runs
+	lossyOtherListWait = 500 * time.Millisecond // of other workers
+	lossyTimeoutMargin = 80 * time.Millisecond
 	// An urgent run may take overdueFactor times its expected run time before
 	// its worker is polled for its progress. From then on it is polled every
 	// overdueListWait.
@@ -67,6 +70,10 @@
 		}
 		w.pollOnce = false
 		o := t.listOrder(w)
+		timeout := o.Wait + listTimeoutMargin
+		if t.lossy() {
+			timeout = o.Wait + lossyTimeoutMargin
+		}
 		target := w.Worker
 		t.mu.Unlock()
 		if !t.isLeading() {
@@ -77,7 +84,7 @@
 			continue
 		}
 		sent := t.now()
-		listing, a := t.dispatcher.options.Upstream.List(t.permit(o.Wait+listTimeoutMargin), &target, o)
+		listing, a := t.dispatcher.options.Upstream.List(t.permit(timeout), &target, o)
 		if committed := t.handleListing(w, sent, listing, a); committed != nil {
 			t.awaitCommit(t.ctx, committed)
 		}
@@ -90,6 +97,14 @@
 	}
 }
 
+// lossy reports whether orders to several workers got no answer recently. One
+// worker alone may be gone.
+func (t *term) lossy() bool {
+	now := t.now()
+	maps.DeleteFunc(t.unanswered, func(_ string, at time.Time) bool { return now.Sub(at) >= lossyPeriod })
+	return len(t.unanswered) >= min(lossyWorkers, len(t.workers))
+}
+
 // listOrder returns the next listing order for a worker. It waits less if an
 // end, or the outcome of an order, is wanted soon.
 func (t *term) listOrder(w *worker) ListOrder {
@@ -99,7 +114,10 @@
 	}
 	o.Wait = min(maxListWait, t.timing().MaxPoll)
 	now := t.now()
-	lossy := now.Sub(t.lastUnanswered) < lossyPeriod
+	lossy := t.lossy()
+	if lossy {
+		o.Wait = min(o.Wait, lossyOtherListWait)
+	}
 	for _, r := range w.runs {
 		if lossy && r.urgent {
 			o.Wait = min(o.Wait, lossyListWait)
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -114,7 +114,7 @@
 		t.startPolling(w)
 		return true
 	case Refused:
-		return t.handleRefusal(r, a, attempt)
+		return t.handleRefusal(r, a, attempt, attempt > 1 || a.Repeated)
 	}
 	t.emit(event.RunUnclear, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", w.ID),
 		zap.Int("attempt", attempt), event.Cause(a.Error))
@@ -126,10 +126,10 @@
 	return false
 }
 
-// handleRefusal processes the refusal of a start order. If there was an earlier
-// attempt without an answer, it may still be carried out, so its run is stopped
+// handleRefusal processes the refusal of a start order. If the order was sent
+// before and not answered, it may still be carried out, so its run is stopped
 // first.
-func (t *term) handleRefusal(r *run, a Answer, attempt int) bool {
+func (t *term) handleRefusal(r *run, a Answer, attempt int, repeated bool) bool {
 	t.emit(event.RunRefused, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
 		zap.String("reason", string(a.Reason)), zap.Int("attempt", attempt))
 	if s := t.steps[r.id.StepID()]; s != nil && a.Reason == ReasonTicket {
@@ -141,10 +141,10 @@
 	switch {
 	case a.Reason == ReasonStaleLeader:
 		return true // another process leads
-	case a.Reason == ReasonRunEnded && attempt > 1:
+	case a.Reason == ReasonRunEnded && repeated:
 		r.startResolvedAt, r.worker.stale = t.now(), true // the run has already ended; the listing has its outcome
 		t.startPolling(r.worker)
-	case attempt > 1:
+	case repeated:
 		t.stop(r)
 	default:
 		t.lose(r, "refused: "+string(a.Reason))
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -29,8 +29,8 @@
 	mux.Handle(cell.MethodRead, whileLeading(d, func(t *term, _ context.Context, _ string, _ *cell.Who) (cell.Document, bool) {
 		return t.read(), true
 	}))
-	mux.Handle(cell.MethodReport, whileLeading(d, func(t *term, ctx context.Context, _ string, r *cell.Report) (cell.Receipt, bool) {
-		return cell.Receipt{Leader: d.options.Name}, t.report(ctx, r)
+	mux.Handle(cell.MethodReports, whileLeading(d, func(t *term, ctx context.Context, _ string, r *[]cell.Report) (cell.Receipts, bool) {
+		return t.reports(ctx, *r), true
 	}))
 	mux.Handle(cell.MethodLeave, whileLeading(d, func(t *term, _ context.Context, _ string, m *cell.Leave) (cell.Receipt, bool) {
 		t.leave(m)
@@ -247,13 +247,25 @@
 	return d
 }
 
-// report processes a worker's report about itself. It reports whether the
+// spreadWorkers is the number of workers from which on their reports stay with the
+// processes that receive them first, which pass them on together.
+const spreadWorkers = 150
+
+// reports processes workers' reports about themselves. It waits until the
 // resulting changes are committed.
-func (t *term) report(ctx context.Context, r *cell.Report) bool {
+func (t *term) reports(ctx context.Context, list []cell.Report) cell.Receipts {
+	a := cell.Receipts{Leader: t.dispatcher.options.Name, Taken: make([]bool, len(list))}
+	commits := make([]<-chan bool, len(list))
 	t.mu.Lock()
-	committed := t.handleReport(r)
+	for i := range list {
+		commits[i] = t.handleReport(&list[i])
+	}
+	a.Spread = len(t.workers) >= spreadWorkers
 	t.mu.Unlock()
-	return committed == nil || t.awaitCommit(ctx, committed)
+	for i, c := range commits {
+		a.Taken[i] = c == nil || t.awaitCommit(ctx, c)
+	}
+	return a
 }
 
 // handleReport applies a worker's report. It returns a channel to wait on if a
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -53,12 +53,13 @@
 	urgentPeaks    map[string]*peak          // by pool
 	urgentUse      map[string]work.Resources // by pool; reserved by urgent runs
 	baselines      map[string]*fit.Baseline  // by queue
+	allowedShares  map[string]float64        // by queue; of the workers that were asked about
 	inbox          inbox
 	loads          map[string]*fit.Load // by pool
 	loadsAt        time.Time            // when loads were computed
 	waves          map[int64]*wave
-	lastPoolLog    time.Time // when the usage of the pools was last logged
-	lastUnanswered time.Time // when an order last got no answer
+	lastPoolLog    time.Time            // when the usage of the pools was last logged
+	unanswered     map[string]time.Time // by worker; when an order last got no answer
 }
 
 // inbox collects the input of the next round.
@@ -109,8 +110,8 @@
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*stepState{},
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*peak{},
 		urgentUse: map[string]work.Resources{},
-		baselines: map[string]*fit.Baseline{},
-		waves:     map[int64]*wave{},
+		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
+		waves: map[int64]*wave{}, unanswered: map[string]time.Time{},
 	}
 }
 
--- a/internal/process/dispatch/upstream.go
+++ b/internal/process/dispatch/upstream.go
@@ -37,11 +37,12 @@
 
 // Answer is a worker's answer to an order.
 type Answer struct {
-	Result Result
-	Reason Reason
-	Clock  time.Time       // the worker's monotonic clock; zero if the answer does not state it
-	Life   job.Incarnation // incarnation that answered; zero if the answer does not state it
-	Error  error           // for the log, if there was no answer
+	Result   Result
+	Reason   Reason
+	Repeated bool            // the order was sent more than once, and an earlier copy may have been carried out
+	Clock    time.Time       // the worker's monotonic clock; zero if the answer does not state it
+	Life     job.Incarnation // incarnation that answered; zero if the answer does not state it
+	Error    error           // for the log, if there was no answer
 }
 
 // StartOrder starts a run.
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -122,7 +122,7 @@
 	case Undelivered:
 	default:
 		w.missed++
-		t.lastUnanswered = now
+		t.unanswered[w.ID] = now
 		if w.missed == maxMissedAnswers {
 			t.emit(event.WorkerSilent, zap.String("worker", w.ID), event.Cause(a.Error), zap.Time("lapse", w.leaseExpiry()))
 		}
--- /dev/null
+++ b/internal/process/driver/hedge.go
@@ -0,0 +1,131 @@
+package driver
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/process/dispatch"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+)
+
+const (
+	// maxCopies is the number of times that an order is sent within its time-out.
+	maxCopies = 3
+	// hedgeFactor times the usual answer time is how long an answer is waited for
+	// before the order is sent again. It is at least minHedgeDelay.
+	hedgeFactor   = 4
+	minHedgeDelay = 12 * time.Millisecond
+	// maxHedges bounds the additional copies in flight, so that a process whose orders
+	// are all slow does not add to its load.
+	maxHedges = 32
+	// answerLearnRate is the weight of each answer in the usual answer time.
+	answerLearnRate = 1.0 / 32
+)
+
+// hedged is an Upstream that sends a start or a stop again, on another connection,
+// while no answer has come. Workers take a repeated order for the first one, and
+// answer within milliseconds if they answer at all.
+type hedged struct {
+	dispatch.Upstream
+	hedges *atomic.Int64
+	usual  *answerTime
+}
+
+// answerTime is the moving average of answer times.
+type answerTime struct {
+	mu   sync.Mutex
+	mean time.Duration
+}
+
+// learn adds an answer time.
+func (t *answerTime) learn(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.mean += time.Duration(answerLearnRate * float64(d-t.mean))
+}
+
+// delay returns how long to wait for an answer before an order is sent again.
+func (t *answerTime) delay() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return max(minHedgeDelay, hedgeFactor*t.mean)
+}
+
+// Hedge returns an Upstream that sends orders without an answer again through
+// another one.
+func Hedge(u dispatch.Upstream) dispatch.Upstream {
+	return hedged{u, &atomic.Int64{}, &answerTime{}}
+}
+
+// Start implements dispatch.Upstream.
+func (h hedged) Start(p dispatch.Permit, w *job.Worker, o dispatch.StartOrder) dispatch.Answer {
+	return h.send(p, func(p dispatch.Permit) dispatch.Answer { return h.Upstream.Start(p, w, o) })
+}
+
+// Stop implements dispatch.Upstream.
+func (h hedged) Stop(p dispatch.Permit, w *job.Worker, o dispatch.StopOrder) dispatch.Answer {
+	return h.send(p, func(p dispatch.Permit) dispatch.Answer { return h.Upstream.Stop(p, w, o) })
+}
+
+// send sends an order up to maxCopies times and returns the first answer. Without
+// one it returns the outcome of the copy that fared best.
+func (h hedged) send(p dispatch.Permit, order func(dispatch.Permit) dispatch.Answer) dispatch.Answer {
+	began := time.Now()
+	answers := make(chan dispatch.Answer, maxCopies)
+	copies := 0
+	launch := func(timeout time.Duration) {
+		copies++
+		hedge := copies > 1
+		go func() {
+			if hedge {
+				defer h.hedges.Add(-1)
+			}
+			answers <- order(dispatch.Permit{Timeout: timeout, Valid: p.Valid})
+		}()
+	}
+	launch(p.Timeout)
+	delay := h.usual.delay()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	worst := dispatch.Answer{}
+	for returned := 0; returned < copies; {
+		select {
+		case a := <-answers:
+			returned++
+			if a.Result == dispatch.Accepted || a.Result == dispatch.Refused || a.Result == dispatch.WrongWorker {
+				if copies == 1 {
+					h.usual.learn(time.Since(began))
+				}
+				a.Repeated = copies > 1
+				return a
+			}
+			worst = leastKnown(worst, a)
+		case <-timer.C:
+			left := p.Timeout - time.Since(began)
+			if copies < maxCopies && left > delay/2 && p.Valid() && h.reserve() {
+				launch(left)
+				timer.Reset(delay)
+			}
+		}
+	}
+	return worst
+}
+
+// reserve takes one of maxHedges additional copies.
+func (h hedged) reserve() bool {
+	if h.hedges.Add(1) <= maxHedges {
+		return true
+	}
+	h.hedges.Add(-1)
+	return false
+}
+
+// leastKnown returns the outcome after which less is known about the order: a copy
+// that may have arrived counts more than one that was not sent.
+func leastKnown(a, b dispatch.Answer) dispatch.Answer {
+	if a.Result == 0 || b.Result == dispatch.Unanswered {
+		return b
+	}
+	return a
+}
--- a/internal/process/driver/message.go
+++ b/internal/process/driver/message.go
@@ -62,14 +62,15 @@
 
 // reply is the answer to an order.
 type reply struct {
-	_       struct{} `cbor:",toarray"`
-	Number  uint64
-	Result  dispatch.Result
-	Reason  dispatch.Reason
-	Clock   int64 // in milliseconds; zero if not stated
-	Life    job.Incarnation
-	Error   string
-	Listing *dispatch.Listing
+	_        struct{} `cbor:",toarray"`
+	Number   uint64
+	Result   dispatch.Result
+	Reason   dispatch.Reason
+	Repeated bool
+	Clock    int64 // in milliseconds; zero if not stated
+	Life     job.Incarnation
+	Error    string
+	Listing  *dispatch.Listing
 }
 
 // replies is a set of answers.
@@ -97,7 +98,7 @@
 
 // newReply returns the message for an answer.
 func newReply(number uint64, a dispatch.Answer, l *dispatch.Listing) reply {
-	r := reply{Number: number, Result: a.Result, Reason: a.Reason, Clock: milliseconds(a.Clock), Life: a.Life, Listing: l}
+	r := reply{Number: number, Result: a.Result, Reason: a.Reason, Repeated: a.Repeated, Clock: milliseconds(a.Clock), Life: a.Life, Listing: l}
 	if a.Error != nil {
 		r.Error = a.Error.Error()
 	}
@@ -106,7 +107,7 @@
 
 // answer returns the answer in a message.
 func (r *reply) answer() (dispatch.Listing, dispatch.Answer) {
-	a := dispatch.Answer{Result: r.Result, Reason: r.Reason, Clock: clock(r.Clock), Life: r.Life}
+	a := dispatch.Answer{Result: r.Result, Reason: r.Reason, Repeated: r.Repeated, Clock: clock(r.Clock), Life: r.Life}
 	if r.Error != "" {
 		a.Error = errors.Newf("%s", r.Error)
 	}
--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -18,14 +18,19 @@
 	// for. With 8, a gang of 4 queries nearly all of a pool of 100 workers of which
 	// three in ten are allowed.
 	allowedPerTask = 8
+	// defaultAllowedShare is the expected fraction of allowed workers for a queue that
+	// has had no answers.
+	defaultAllowedShare = 0.5
+	// minQueryWorkers is the lowest number of workers to ask about.
+	minQueryWorkers = 6
 	// maxRenewedWorkers limits the workers in one renewal.
 	maxRenewedWorkers = 8
 )
 
-// queryEarly sends the first query about a step that is not ready yet.
+// queryEarly sends the first queries about a step that is not ready yet.
 func (p *planner) queryEarly(l *inventory, d *Demand) {
-	if d.Advised && !d.Advice.InFlight && len(d.Advice.Answers) == 0 {
-		p.addQuery(d, p.unknownWorkers(l, d, maxQueryWorkers))
+	if d.Advised && !d.Advice.Paused && d.Advice.Queries == 0 && len(d.Advice.Answers) == 0 {
+		p.addQueries(d, p.unknownWorkers(l, d, p.wanted(d, len(d.Tasks))), false)
 	}
 }
 
@@ -34,45 +39,81 @@
 // those not queried yet; no worker is queried again once it was refused. If no
 // worker has free capacity, it queries ahead instead.
 func (p *planner) query(l *inventory, d *Demand, tasks int) {
-	if !d.Advised || d.Advice.InFlight {
+	if !d.Advised || d.Advice.Paused || d.Advice.Queries >= maxQueries {
 		return
 	}
-	if len(d.Advice.Answers) == 0 {
-		p.addQuery(d, p.unknownWorkers(l, d, maxQueryWorkers))
+	wanted := p.wanted(d, tasks)
+	if d.Advice.Queries == 0 && len(d.Advice.Answers) == 0 {
+		p.ask(l, d, p.unknownWorkers(l, d, wanted))
+		if d.Spec.Gang {
+			p.explore(l, d)
+		}
 		return
 	}
-	wanted := min(maxQueryWorkers, max(3, int(math.Ceil(float64(tasks)*queryFactor))))
+	wanted -= len(d.Advice.Asked)
 	workers, fit := p.expiredTickets(l, d)
 	if len(workers) > wanted {
-		workers = workers[:wanted]
+		workers = workers[:max(wanted, 0)]
 	}
 	if d.Spec.Gang && fit < len(d.Tasks) || len(workers) < wanted {
-		workers = append(workers, p.unknownWorkers(l, d, max(wanted-len(workers), 0))...)
+		workers = append(workers, p.unknownWorkers(l, d, wanted-len(workers))...)
 	}
 	if d.Spec.Gang && fit < len(d.Tasks) && !p.anyUnknown(d, workers) {
 		workers = nil // the gang does not fit yet
 	}
-	if len(workers) == 0 {
-		if !p.explore(l, d) {
-			p.renewTickets(l, d)
-		}
-		return
+	p.ask(l, d, workers)
+	idle := len(workers) == 0 && d.Advice.Queries == 0
+	if explored := (idle || d.Spec.Gang) && p.explore(l, d); !explored && idle {
+		p.renewTickets(l, d)
+	}
+}
+
+// wanted returns how many workers to ask about for a number of tasks, those
+// included that are being asked about.
+func (p *planner) wanted(d *Demand, tasks int) int {
+	n := int(math.Ceil(float64(tasks) * queryFactor / d.allowedShare()))
+	return min(max(n, minQueryWorkers), maxQueries*maxQueryWorkers)
+}
+
+// allowedShare returns the expected fraction of allowed workers.
+func (d *Demand) allowedShare() float64 {
+	if d.AllowedShare <= 0 {
+		return defaultAllowedShare
 	}
-	p.reserveQueried(l, d, workers)
-	p.addQuery(d, workers)
+	return d.AllowedShare
 }
 
-// reserveQueried reserves queried workers, so that their capacity is still free
-// when the answer arrives.
-func (p *planner) reserveQueried(l *inventory, d *Demand, names []string) {
+// ask queries the advice service about workers and reserves them, so that their
+// capacity is still free when the answer arrives.
+func (p *planner) ask(l *inventory, d *Demand, workers []string) {
+	p.addQueries(d, workers, false)
 	if d.rank != onTime {
 		return
 	}
-	for _, id := range names {
+	for _, id := range workers {
 		l.reserve(l.named[id], d)
 	}
 }
 
+// addQueries adds queries about workers to the plan, as many as are needed for all
+// of them, but no more than may be in flight.
+func (p *planner) addQueries(d *Demand, workers []string, early bool) {
+	if len(workers) == 0 {
+		return
+	}
+	n := (len(workers) + maxQueryWorkers - 1) / maxQueryWorkers
+	n = min(n, maxQueries-d.Advice.Queries-p.queries)
+	if n <= 0 {
+		return
+	}
+	size := min((len(workers)+n-1)/n, maxQueryWorkers)
+	for chunk := range slices.Chunk(workers[:min(len(workers), n*size)], size) {
+		p.plan.Queries = append(p.plan.Queries, Query{d, chunk, early})
+		p.asking = append(p.asking, chunk...)
+		p.queries++
+	}
+}
+
 // explore queries workers that are not known yet while few workers per task are
 // known to be allowed. Otherwise a gang of wide tasks that is limited to a handful
 // of workers would wait until all of them are free at once. It reports whether it
@@ -81,18 +122,19 @@
 	if d.rank != onTime || !p.mayReserve(l, d) {
 		return false
 	}
-	allowed := 0
+	allowed := d.allowedShare() * float64(len(d.Advice.Asked)+len(p.asking))
 	for _, a := range d.Advice.Answers {
 		if a.Allowed {
 			allowed++
 		}
 	}
-	if allowed >= allowedPerTask*len(d.Tasks) {
+	missing := float64(allowedPerTask*len(d.Tasks)) - allowed
+	if missing <= 0 {
 		return false
 	}
 	var candidates []candidate
 	for _, w := range l.workers {
-		if _, known := d.Advice.Answers[w.ID]; !known && eligible(d, w) {
+		if !d.Advice.known(w.ID) && !slices.Contains(p.asking, w.ID) && eligible(d, w) {
 			candidates = append(candidates, p.evaluate(d, w, d.Spec.Reservation()))
 		}
 	}
@@ -100,13 +142,20 @@
 		return false
 	}
 	var workers []string
-	for _, c := range smallest(candidates, maxQueryWorkers, compareCandidates) {
+	most := min(int(math.Ceil(missing/d.allowedShare())), maxQueries*maxQueryWorkers)
+	for _, c := range smallest(candidates, most, compareCandidates) {
 		workers = append(workers, c.worker.ID)
 	}
-	p.plan.Queries = append(p.plan.Queries, Query{d, workers, true})
+	p.addQueries(d, workers, true)
 	return true
 }
 
+// known reports whether a worker was asked about.
+func (a *Advice) known(worker string) bool {
+	_, answered := a.Answers[worker]
+	return answered || a.Asked[worker]
+}
+
 // renewTickets renews tickets before capacity becomes free if the advice service
 // is slow. Otherwise each worker would be idle for the response time whenever it
 // becomes free.
@@ -124,9 +173,7 @@
 	for _, c := range smallest(candidates, maxRenewedWorkers, compareCandidates) {
 		workers = append(workers, c.worker.ID)
 	}
-	if len(workers) > 0 {
-		p.plan.Queries = append(p.plan.Queries, Query{d, workers, true})
-	}
+	p.addQueries(d, workers, true)
 }
 
 // allowed returns the workers that the advice service allows, ordered by ID.
@@ -155,7 +202,7 @@
 				n = min(n, d.Spec.Spread-d.Placed[w.ID])
 			}
 			fit += n
-			if !p.now.Before(d.Advice.Answers[w.ID].Expiry) {
+			if !p.now.Before(d.Advice.Answers[w.ID].Expiry) && !d.Advice.Asked[w.ID] {
 				workers = append(workers, w.ID)
 			}
 		}
@@ -181,10 +228,10 @@
 	if most <= 0 {
 		return nil
 	}
-	first := len(d.Advice.Answers) == 0
+	first := len(d.Advice.Answers) == 0 && d.Advice.Queries == 0
 	var candidates []*Worker
 	consider := func(w *Worker) bool {
-		if _, known := d.Advice.Answers[w.ID]; !known && (first && eligible(d, w) || fits(d, w)) {
+		if !d.Advice.known(w.ID) && (first && eligible(d, w) || fits(d, w)) {
 			candidates = append(candidates, w)
 		}
 		return len(candidates) < most
@@ -208,10 +255,3 @@
 	}
 	return workers
 }
-
-// addQuery adds a query to the plan unless it would be empty.
-func (p *planner) addQuery(d *Demand, workers []string) {
-	if len(workers) > 0 {
-		p.plan.Queries = append(p.plan.Queries, Query{d, workers, false})
-	}
-}
--- a/internal/version/fit/claim.go
+++ b/internal/version/fit/claim.go
@@ -22,7 +22,12 @@
 // mayReserve reports whether the demand may reserve workers: urgent and
 // long-running work may, and so may wide tasks.
 func (p *planner) mayReserve(l *inventory, d *Demand) bool {
-	if d.Priority == 0 || d.Spec.Lasting {
+	return d.Priority == 0 || d.Spec.Lasting || p.wide(l, d)
+}
+
+// wide reports whether tasks of the demand seldom fit between smaller ones.
+func (p *planner) wide(l *inventory, d *Demand) bool {
+	if d.Spec.Gang {
 		return true
 	}
 	for _, w := range l.workers {
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -40,12 +40,14 @@
 )
 
 const (
-	// maxQueryWorkers limits the workers in one query to the advice service,
-	// because a slow answer costs more than leaving out a few workers.
+	// maxQueryWorkers limits the workers in one query to the advice service, which
+	// takes longer for each. More are asked about by several queries at a time.
 	maxQueryWorkers = 30
-	// queryFactor is the number of workers queried per waiting task once it is
-	// known which ones are allowed. It leaves a margin because a third of them may
-	// be full by the time of the answer.
+	// maxQueries limits the queries in flight for one step.
+	maxQueries = 6
+	// queryFactor is the number of tasks for which workers are queried per waiting
+	// task. It leaves a margin because a third of the workers may be full by the time
+	// of the answer.
 	queryFactor = 1.5
 )
 
@@ -83,8 +85,10 @@
 
 // Advice holds the answers received so far for an advised step.
 type Advice struct {
-	Answers  map[string]Answer // by worker; missing if not queried yet
-	InFlight bool              // a query is in flight
+	Answers map[string]Answer // by worker; missing if not answered yet
+	Asked   map[string]bool   // workers in the queries that are in flight
+	Queries int               // number of queries in flight
+	Paused  bool              // no query may be sent now
 }
 
 // Demand is a step with waiting tasks.
@@ -106,6 +110,7 @@
 	Avoid         map[string]bool // workers where a run of the step recently failed
 	Advised       bool            // only workers that the advice service allows may run the tasks
 	MinAnswerTime time.Duration   // minimum response time of the advice service
+	AllowedShare  float64         // fraction of the workers that the service is expected to allow
 	Advice        *Advice
 	Prefetch      bool          // not ready to start; may only query the advice service
 	Waited        time.Duration // time since tasks of the step became ready
@@ -214,6 +219,8 @@
 	cluster Cluster
 	pools   map[string]*inventory
 	plan    Plan
+	asking  []string // workers in the queries of the demand that is being planned
+	queries int      // number of these queries
 }
 
 // Decide plans one scheduling round.
--- a/internal/version/fit/place.go
+++ b/internal/version/fit/place.go
@@ -29,7 +29,7 @@
 		}
 		return
 	}
-	l.own = l.own[:0]
+	l.own, p.asking, p.queries = l.own[:0], nil, 0
 	switch {
 	case d.Prefetch:
 		p.queryEarly(l, d)
--- a/internal/version/fit/replay_test.go
+++ b/internal/version/fit/replay_test.go
@@ -157,7 +157,7 @@
 			for _, w := range j.queried {
 				j.Advice.Answers[w] = Answer{Allowed: j.allowed[w], Ticket: "t", Expiry: at.Add(1500 * time.Millisecond)}
 			}
-			j.answerAt, j.Advice.InFlight = time.Time{}, false
+			j.answerAt, j.queried, j.Advice.Asked, j.Advice.Queries = time.Time{}, nil, nil, 0
 		}
 		j.Tasks = j.Tasks[:0]
 		for i := range j.Spec.Count {
@@ -187,8 +187,15 @@
 	}
 	p := Decide(at, demands, Cluster{Workers: workers, Headroom: map[string]work.Resources{"p": headroom(use)}})
 	for _, a := range p.Queries {
-		if j := byDemand[a.Demand]; !j.Advice.InFlight {
-			j.Advice.InFlight, j.queried, j.answerAt = true, a.Workers, at.Add(j.kind.answerTime)
+		if j := byDemand[a.Demand]; j.answerAt.IsZero() || j.answerAt.Equal(at.Add(j.kind.answerTime)) {
+			if j.Advice.Asked == nil {
+				j.Advice.Asked = map[string]bool{}
+			}
+			for _, w := range a.Workers {
+				j.Advice.Asked[w] = true
+			}
+			j.Advice.Queries++
+			j.queried, j.answerAt = append(j.queried, a.Workers...), at.Add(j.kind.answerTime)
 		}
 	}
 	for i := range ends {
