Ask the advice service for the room that is missing

Change: the number of workers follows from how many tasks fit on each; the room that is expected is reserved, the rest of the first query is not.

--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -21,16 +21,18 @@
 	// defaultAllowedShare is the expected fraction of allowed workers for a queue that
 	// has had no answers.
 	defaultAllowedShare = 0.5
-	// minQueryWorkers is the lowest number of workers to ask about.
-	minQueryWorkers = 6
+	// firstQueryWorkers is the least number of workers in the first queries about a
+	// step. Naming a worker costs little beside the query itself.
+	firstQueryWorkers = 30
 	// maxRenewedWorkers limits the workers in one renewal.
 	maxRenewedWorkers = 8
 )
 
 // queryEarly sends the first queries about a step that is not ready yet.
 func (p *planner) queryEarly(l *inventory, d *Demand) {
-	if d.Advised && !d.Advice.Paused && d.Advice.Queries == 0 && len(d.Advice.Answers) == 0 {
-		p.addQueries(d, p.unknownWorkers(l, d, p.wanted(d, len(d.Tasks))), false)
+	if d.Advised && !d.Advice.Paused && d.Advice.unused() {
+		workers, _ := p.unknownWorkers(l, d, queryFactor*float64(len(d.Tasks)))
+		p.addQueries(d, workers, false)
 	}
 }
 
@@ -42,37 +44,50 @@
 	if !d.Advised || d.Advice.Paused || d.Advice.Queries >= maxQueries {
 		return
 	}
-	wanted := p.wanted(d, tasks)
-	if d.Advice.Queries == 0 && len(d.Advice.Answers) == 0 {
-		p.ask(l, d, p.unknownWorkers(l, d, wanted))
-		if d.Spec.Gang {
-			p.explore(l, d)
-		}
-		return
-	}
-	wanted -= len(d.Advice.Asked)
-	workers, fit := p.expiredTickets(l, d)
-	if len(workers) > wanted {
-		workers = workers[:max(wanted, 0)]
-	}
-	if d.Spec.Gang && fit < len(d.Tasks) || len(workers) < wanted {
-		workers = append(workers, p.unknownWorkers(l, d, wanted-len(workers))...)
+	idle := d.Advice.Queries == 0
+	missing := queryFactor*float64(tasks) - p.expected(l, d)
+	workers, missing, fit := p.expiredTickets(l, d, missing)
+	needed := len(workers)
+	if !d.Spec.Gang || fit < len(d.Tasks) {
+		unknown, n := p.unknownWorkers(l, d, missing)
+		workers, needed = append(workers, unknown...), needed+n
 	}
 	if d.Spec.Gang && fit < len(d.Tasks) && !p.anyUnknown(d, workers) {
-		workers = nil // the gang does not fit yet
+		workers, needed = nil, 0 // the gang does not fit yet
 	}
-	p.ask(l, d, workers)
-	idle := len(workers) == 0 && d.Advice.Queries == 0
+	p.ask(l, d, workers, needed)
+	idle = idle && len(workers) == 0
 	if explored := (idle || d.Spec.Gang) && p.explore(l, d); !explored && idle {
 		p.renewTickets(l, d)
 	}
 }
 
-// wanted returns how many workers to ask about for a number of tasks, those
-// included that are being asked about.
-func (p *planner) wanted(d *Demand, tasks int) int {
-	n := int(math.Ceil(float64(tasks) * queryFactor / d.allowedShare()))
-	return min(max(n, minQueryWorkers), maxQueries*maxQueryWorkers)
+// expected returns the number of tasks that are expected to fit on the workers in
+// the queries that are in flight.
+func (p *planner) expected(l *inventory, d *Demand) float64 {
+	n := 0
+	for id := range d.Advice.Asked {
+		if w := l.named[id]; w != nil {
+			n += room(d, w)
+		}
+	}
+	return d.allowedShare() * float64(n)
+}
+
+// room returns how many tasks of the demand fit on a worker once the runs that are
+// being stopped there have ended.
+func room(d *Demand, w *Worker) int {
+	ending := w.Releasing
+	w.Free = w.Free.Add(ending)
+	defer func() { w.Free = w.Free.Sub(ending) }()
+	if !fits(d, w) {
+		return 0
+	}
+	n := fitCount(d.Spec.Reservation(), w.Free)
+	if d.Spec.Spread > 0 {
+		n = min(n, d.Spec.Spread-d.Placed[w.ID])
+	}
+	return n
 }
 
 // allowedShare returns the expected fraction of allowed workers.
@@ -83,14 +98,14 @@
 	return d.AllowedShare
 }
 
-// ask queries the advice service about workers and reserves them, so that their
-// capacity is still free when the answer arrives.
-func (p *planner) ask(l *inventory, d *Demand, workers []string) {
+// ask queries the advice service about workers and reserves the needed ones, which
+// come first, so that their capacity is still free when the answer arrives.
+func (p *planner) ask(l *inventory, d *Demand, workers []string, needed int) {
 	p.addQueries(d, workers, false)
 	if d.rank != onTime {
 		return
 	}
-	for _, id := range workers {
+	for _, id := range workers[:needed] {
 		l.reserve(l.named[id], d)
 	}
 }
@@ -150,6 +165,9 @@
 	return true
 }
 
+// unused reports whether nothing was asked yet.
+func (a *Advice) unused() bool { return a.Queries == 0 && len(a.Answers) == 0 }
+
 // known reports whether a worker was asked about.
 func (a *Advice) known(worker string) bool {
 	_, answered := a.Answers[worker]
@@ -188,27 +206,30 @@
 	return list
 }
 
-// expiredTickets returns the allowed workers with an expired ticket on which a
-// task fits, and how many tasks fit on all allowed workers. Both count the
-// capacity of runs that are being stopped as free.
-func (p *planner) expiredTickets(l *inventory, d *Demand) (workers []string, fit int) {
-	size := d.Spec.Reservation()
+// expiredTickets returns allowed workers with an expired ticket on which tasks fit,
+// those that fit most first, until they fit the missing tasks. It also returns what
+// is missing then, and how many tasks fit on all allowed workers.
+func (p *planner) expiredTickets(l *inventory, d *Demand, missing float64) (names []string, left float64, fit int) {
+	type expired struct {
+		worker string
+		room   int
+	}
+	var list []expired
 	for _, w := range l.allowed(d) {
-		ending := w.Releasing
-		w.Free = w.Free.Add(ending)
-		if fits(d, w) {
-			n := fitCount(size, w.Free)
-			if d.Spec.Spread > 0 {
-				n = min(n, d.Spec.Spread-d.Placed[w.ID])
-			}
-			fit += n
-			if !p.now.Before(d.Advice.Answers[w.ID].Expiry) && !d.Advice.Asked[w.ID] {
-				workers = append(workers, w.ID)
-			}
+		n := room(d, w)
+		fit += n
+		if n > 0 && !p.now.Before(d.Advice.Answers[w.ID].Expiry) && !d.Advice.Asked[w.ID] {
+			list = append(list, expired{w.ID, n})
 		}
-		w.Free = w.Free.Sub(ending)
 	}
-	return workers, fit
+	slices.SortStableFunc(list, func(a, b expired) int { return cmp.Compare(b.room, a.room) })
+	for _, e := range list {
+		if missing <= 0 {
+			break
+		}
+		names, missing = append(names, e.worker), missing-float64(e.room)
+	}
+	return names, missing, fit
 }
 
 // anyUnknown reports whether any of the workers has not been queried yet.
@@ -221,37 +242,44 @@
 	return false
 }
 
-// unknownWorkers returns up to most workers with free capacity that have not been
-// queried yet, those that fit the most tasks first. The first query includes
-// workers without free capacity, which may have some when the answer arrives.
-func (p *planner) unknownWorkers(l *inventory, d *Demand, most int) []string {
-	if most <= 0 {
-		return nil
-	}
-	first := len(d.Advice.Answers) == 0 && d.Advice.Queries == 0
-	var candidates []*Worker
+// unknownWorkers returns workers with free capacity that have not been queried yet,
+// those with the most free first, and how many of them are needed for the missing
+// tasks to fit. The first query includes further ones and some without free
+// capacity, which may have some when the answer arrives.
+func (p *planner) unknownWorkers(l *inventory, d *Demand, missing float64) (names []string, needed int) {
+	first := d.Advice.unused()
+	least := 0
+	if first {
+		least = firstQueryWorkers
+	}
 	consider := func(w *Worker) bool {
-		if !d.Advice.known(w.ID) && (first && eligible(d, w) || fits(d, w)) {
-			candidates = append(candidates, w)
+		if n := room(d, w); !d.Advice.known(w.ID) && (n > 0 || first && eligible(d, w)) {
+			names = append(names, w.ID)
+			if n > 0 && missing > 0 {
+				needed = len(names)
+			}
+			missing -= d.allowedShare() * float64(max(n, 1))
 		}
-		return len(candidates) < most
+		return (missing > 0 || len(names) < least) && len(names) < maxQueries*maxQueryWorkers
+	}
+	if missing <= 0 && least == 0 {
+		return nil, 0
 	}
 	for _, w := range l.own {
-		consider(w)
+		if !consider(w) {
+			return names, needed
+		}
 	}
-	size := d.Spec.Reservation()
-	l.freest(size, consider)
-	for i := 0; first && i < len(l.workers) && len(candidates) < most; i++ {
+	more := true
+	l.freest(d.Spec.Reservation(), func(w *Worker) bool {
+		more = consider(w)
+		return more
+	})
+	for i := 0; first && more && i < len(l.workers); i++ {
 		// Steps begin at different workers, so that they do not all wait for the same.
 		if w := l.workers[(i+int(d.Sequence))%len(l.workers)]; w.reservedFor != nil && w.reservedFor != d {
-			consider(w)
+			more = consider(w)
 		}
 	}
-	var workers []string
-	for _, w := range smallest(candidates, most, func(a, b *Worker) int {
-		return cmp.Compare(fitCount(size, b.Free.Add(b.Releasing)), fitCount(size, a.Free.Add(a.Releasing)))
-	}) {
-		workers = append(workers, w.ID)
-	}
-	return workers
+	return names, needed
 }
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -42,9 +42,9 @@
 const (
 	// maxQueryWorkers limits the workers in one query to the advice service, which
 	// takes longer for each. More are asked about by several queries at a time.
-	maxQueryWorkers = 30
+	maxQueryWorkers = 45
 	// maxQueries limits the queries in flight for one step.
-	maxQueries = 6
+	maxQueries = 4
 	// queryFactor is the number of tasks for which workers are queried per waiting
 	// task. It leaves a margin because a third of the workers may be full by the time
 	// of the answer.
