Judge silence by time, list more often while answers get lost, mend a panic

Now half a second without any answer is needed as well. - While answers get lost, listings of workers with urgent runs wait 60 ms. Records of steps that are over are dropped.

--- a/internal/process/dispatch/advice.go
+++ b/internal/process/dispatch/advice.go
@@ -54,7 +54,7 @@
 	for _, w := range a.Workers {
 		s.advice.Asked[w] = true
 	}
-	t.orders.Go(func() { t.sendQuery(a, name, client, q, deadline) })
+	t.orders.Go(func() { t.sendQuery(s, a, name, client, q, deadline) })
 }
 
 // pickAdviceClient returns the process that is idle first. If there are enough
@@ -94,7 +94,7 @@
 }
 
 // sendQuery sends a query through a process and records the answer.
-func (t *term) sendQuery(a fit.Query, name string, client *adviceClient, q *job.Advised, deadline time.Time) {
+func (t *term) sendQuery(s *stepState, a fit.Query, name string, client *adviceClient, q *job.Advised, deadline time.Time) {
 	ctx, cancel := context.WithDeadline(t.ctx, deadline)
 	defer cancel()
 	var answer cell.Advice
@@ -104,9 +104,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
-	s := t.steps[a.Demand.Step]
-	if s == nil {
-		return // the job is finished
+	if t.steps[a.Demand.Step] != s {
+		return // the job is over
 	}
 	s.advice.Queries--
 	for _, w := range a.Workers {
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -157,9 +157,6 @@
 	if r.Queue.Advised != nil {
 		d.Advised, d.Advice, d.MinAnswerTime = true, &m.advice, r.Queue.Advised.Base
 		d.AllowedShare = t.allowedShares[d.Queue]
-		if m.advice.Answers == nil {
-			m.advice.Answers, m.advice.Asked = map[string]fit.Answer{}, map[string]bool{}
-		}
 		m.advice.Paused = now.Before(m.adviceRetryAt)
 	}
 	return d
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/raft"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
@@ -873,6 +874,36 @@
 	})
 }
 
+// Guards against an answer of the advice service about a job that is over: it once
+// ended the leader's process, since an end that came late had made the record of the
+// step anew (scenario freeze-in-late of nwp-coop-grown). The record must not stay.
+func TestAdviceAboutAJobThatIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.submit("one", tasks(1))
+		current := b.term()
+		d := &fit.Demand{Step: job.StepID{Job: "one"}}
+		q := &job.Advised{Expiry: time.Second}
+		current.mu.Lock()
+		s := current.step(d.Step)
+		s.advice.Queries++
+		current.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		b.is.Equal(b.status("one"), job.Completed)
+		current.mu.Lock()
+		made := current.step(d.Step)
+		current.recordAdvice(made, fit.Query{Demand: d, Workers: []string{"a"}}, q, cell.Advice{}, current.now())
+		current.mu.Unlock()
+		current.sendQuery(s, fit.Query{Demand: d, Workers: []string{"a"}}, "entry", &adviceClient{}, q, current.now())
+		b.is.Equal(made.advice.Queries, 0) // the query belonged to the former record
+		time.Sleep(2 * stepCheckInterval)
+		current.mu.Lock()
+		defer current.mu.Unlock()
+		b.is.Equal(len(current.steps), 0)
+	})
+}
+
 // handlers is a peer.Mux whose handlers are called directly.
 type handlers map[string]peer.Handler
 
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -25,9 +25,9 @@
 	// end of a run is seen only with the next listing if an answer is lost.
 	lossyPeriod        = 4 * time.Second
 	lossyWorkers       = 3
-	lossyListWait      = 120 * time.Millisecond // of workers with urgent runs
+	lossyListWait      = 60 * time.Millisecond  // of workers with urgent runs
 	lossyOtherListWait = 500 * time.Millisecond // of other workers
-	lossyTimeoutMargin = 80 * time.Millisecond
+	lossyTimeoutMargin = 60 * time.Millisecond
 	// An urgent run may take overdueFactor times its expected run time before
 	// its worker is polled for its progress. From then on it is polled every
 	// overdueListWait.
@@ -109,11 +109,14 @@
 // end, or the outcome of an order, is wanted soon.
 func (t *term) listOrder(w *worker) ListOrder {
 	o := ListOrder{Lease: w.extendLease(t.now(), t.leaseDuration()), Fence: t.number, Acknowledged: w.acknowledged}
-	if len(w.runs) == 0 || w.missed > 0 || w.clockReading.IsZero() {
+	now := t.now()
+	if len(w.runs) == 0 || w.silent(now) || w.clockReading.IsZero() {
 		return o
 	}
 	o.Wait = min(maxListWait, t.timing().MaxPoll)
-	now := t.now()
+	if w.missed > 0 {
+		o.Wait = lossyListWait
+	}
 	lossy := t.lossy()
 	if lossy {
 		o.Wait = min(o.Wait, lossyOtherListWait)
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
@@ -14,6 +15,9 @@
 	// stepAvoidTime is how long a step avoids a worker on which a run of it
 	// failed or was slow.
 	stepAvoidTime = 1500 * time.Millisecond
+	// stepCheckInterval is the interval at which records of steps that are over are
+	// dropped.
+	stepCheckInterval = 5 * time.Second
 	// drainMargin is the time left between the stop of the runs on a draining
 	// worker and the worker's termination, in addition to the time that a stop
 	// may take.
@@ -39,11 +43,32 @@
 		for _, w := range t.workers {
 			t.checkWorker(w, now)
 		}
+		if now.Sub(t.stepsChecked) >= stepCheckInterval {
+			t.stepsChecked = now
+			t.dropSteps()
+		}
 		t.mu.Unlock()
 		t.signal()
 	}
 }
 
+// dropSteps drops the records of steps whose jobs are over. An answer or an end
+// that came after a job was over may have made one anew.
+func (t *term) dropSteps() {
+	t.state().View(func(v *job.View) {
+		for id := range t.steps {
+			if v.Active[id.Job] == nil {
+				delete(t.steps, id)
+			}
+		}
+		for id := range t.timeToDeadline {
+			if v.Active[id] == nil {
+				delete(t.timeToDeadline, id)
+			}
+		}
+	})
+}
+
 // checkWorker handles the timeouts of a worker and its runs.
 func (t *term) checkWorker(w *worker, now time.Time) {
 	switch {
@@ -56,7 +81,7 @@
 		t.removeWorker(w, "silent")
 		return
 	}
-	if w.missed >= maxMissedAnswers {
+	if w.silent(now) {
 		t.loseCopies(w)
 	}
 	if w.Draining && !w.drainDeadline.IsZero() && now.After(w.drainDeadline.Add(-t.timing().StopTime-drainMargin)) {
@@ -115,7 +140,10 @@
 func (t *term) step(id job.StepID) *stepState {
 	s := t.steps[id]
 	if s == nil {
-		s = &stepState{avoidUntil: map[string]time.Time{}}
+		s = &stepState{
+			avoidUntil: map[string]time.Time{},
+			advice:     fit.Advice{Answers: map[string]fit.Answer{}, Asked: map[string]bool{}},
+		}
 		t.steps[id] = s
 	}
 	return s
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -56,6 +56,7 @@
 	allowedShares  map[string]float64        // by queue; of the workers that were asked about
 	inbox          inbox
 	loads          map[string]*fit.Load // by pool
+	stepsChecked   time.Time            // when dropSteps was last called
 	loadsAt        time.Time            // when loads were computed
 	waves          map[int64]*wave
 	lastPoolLog    time.Time            // when the usage of the pools was last logged
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -14,9 +14,11 @@
 	// maxMissedReports is the number of missing reports after which a worker
 	// gets no new tasks.
 	maxMissedReports = 3
-	// maxMissedAnswers is the number of consecutive unanswered orders after
-	// which a worker gets no new tasks.
+	// A worker is silent, and gets no new tasks, after maxMissedAnswers consecutive
+	// orders without an answer and silentTime without any. Where many answers get
+	// lost, the number alone says little.
 	maxMissedAnswers = 3
+	silentTime       = 500 * time.Millisecond
 	// maxFaults is the number of failed runs, without a successful one in
 	// between, after which a worker is avoided.
 	maxFaults = 3
@@ -34,6 +36,8 @@
 	job.Worker
 	sequence          int64
 	lastSeen          time.Time // last report or answer
+	answeredAt        time.Time // last answer
+	silentLogged      bool
 	clockReading      time.Time // latest reading of the worker's clock
 	clockReadAt       time.Time // when that reading arrived
 	leaseEnd          time.Time // latest end of a lease that was sent, on the worker's clock
@@ -60,7 +64,7 @@
 }
 
 func newWorker(w job.Worker, now time.Time) *worker {
-	return &worker{Worker: w, lastSeen: now, runs: map[job.TaskID]*run{}, stale: true}
+	return &worker{Worker: w, lastSeen: now, answeredAt: now, runs: map[job.TaskID]*run{}, stale: true}
 }
 
 // updateClock records a reading of the worker's clock.
@@ -96,10 +100,15 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now time.Time, every time.Duration) bool {
-	return !w.Draining && w.listed && len(w.orphans) == 0 && w.leavesAt.IsZero() && !w.clockReading.IsZero() && w.missed < maxMissedAnswers &&
+	return !w.Draining && w.listed && len(w.orphans) == 0 && w.leavesAt.IsZero() && !w.clockReading.IsZero() && !w.silent(now) &&
 		now.Sub(w.lastSeen) < maxMissedReports*every && !now.Before(w.avoidedUntil)
 }
 
+// silent reports whether the worker does not answer orders.
+func (w *worker) silent(now time.Time) bool {
+	return w.missed >= maxMissedAnswers && now.Sub(w.answeredAt) >= silentTime
+}
+
 // handleAnswer processes an answer, or the lack of one. It reports whether the
 // worker's incarnation continues. The runs of another incarnation with the same
 // ID are learned from its own report. The caller holds the term's lock.
@@ -107,10 +116,10 @@
 	now := t.now()
 	switch a.Result {
 	case Accepted, Refused:
-		if w.missed >= maxMissedAnswers {
+		if w.silentLogged {
 			t.emit(event.WorkerAnswers, zap.String("worker", w.ID), zap.Int("missed", w.missed))
 		}
-		w.missed, w.lastSeen = 0, now
+		w.missed, w.lastSeen, w.answeredAt, w.silentLogged = 0, now, now, false
 		w.updateClock(a.Clock, now)
 		if a.Life != 0 && a.Life != w.Life {
 			t.removeWorker(w, "another incarnation answers under its id")
@@ -123,7 +132,8 @@
 	default:
 		w.missed++
 		t.unanswered[w.ID] = now
-		if w.missed == maxMissedAnswers {
+		if w.silent(now) && !w.silentLogged {
+			w.silentLogged = true
 			t.emit(event.WorkerSilent, zap.String("worker", w.ID), event.Cause(a.Error), zap.Time("lapse", w.leaseExpiry()))
 		}
 	}
