--- a/internal/connection/plain/plain.go
+++ b/internal/connection/plain/plain.go
@@ -85,7 +85,8 @@
 	Port     uint16 // of all processes
 	Log      event.Log
 	Accepted *tcp.Budget // connections from other processes; nil for a default
-	Opened   *tcp.Budget // connections to other processes; nil for a default
+	Opened   *tcp.Budget // connections to other processes for calls; nil for a default
+	Messages *tcp.Budget // connections to other processes for one-way messages; nil for a default
 }
 
 // Node is the endpoint of one process: its server, and its connections to the
@@ -93,7 +94,8 @@
 type Node struct {
 	options Options
 	server  *fasthttp.Server
-	pool    *tcp.Pool
+	calls   *tcp.Pool
+	sends   *tcp.Pool // of its own, so that calls cannot hold up the replica's messages
 
 	mu         sync.RWMutex
 	handlers   map[string]peer.Handler
@@ -129,15 +131,21 @@
 	if options.Opened == nil {
 		options.Opened = tcp.NewBudget("to peers", defaultBudget)
 	}
+	if options.Messages == nil {
+		options.Messages = tcp.NewBudget("messages", defaultBudget)
+	}
 	n := &Node{options: options, handlers: map[string]peer.Handler{}, remotes: map[string]*remote{}}
 	n.server = &fasthttp.Server{
 		Handler: n.serve, MaxRequestBodySize: maxBodySize, NoDefaultServerHeader: true, NoDefaultDate: true,
 		NoDefaultContentType: true, IdleTimeout: 2 * idleTime, ReadTimeout: readTimeout, WriteTimeout: writeTimeout,
 		CloseOnShutdown: true, Logger: discardLogger{}, ReduceMemoryUsage: false,
 	}
-	n.pool = tcp.NewPool(tcp.PoolOptions{
-		Budget: options.Opened, PerAddress: maxConnections, DialTimeout: dialTimeout, IdleTime: idleTime, MaxBody: maxBodySize,
-	})
+	newPool := func(budget *tcp.Budget) *tcp.Pool {
+		return tcp.NewPool(tcp.PoolOptions{
+			Budget: budget, PerAddress: maxConnections, DialTimeout: dialTimeout, IdleTime: idleTime, MaxBody: maxBodySize,
+		})
+	}
+	n.calls, n.sends = newPool(options.Opened), newPool(options.Messages)
 	return n
 }
 
@@ -225,7 +233,7 @@
 	if !ok {
 		deadline = time.Now().Add(DefaultTimeout)
 	}
-	answer, err := n.post(to, callPath+method, body, deadline)
+	answer, err := n.post(n.calls, to, callPath+method, body, deadline)
 	if err != nil {
 		return err
 	}
@@ -253,7 +261,7 @@
 }
 
 // post sends one request and returns the body of the response.
-func (n *Node) post(to, path string, body []byte, deadline time.Time) ([]byte, error) {
+func (n *Node) post(pool *tcp.Pool, to, path string, body []byte, deadline time.Time) ([]byte, error) {
 	r, err := n.getRemote(to)
 	if err != nil {
 		return nil, errors.CombineErrors(peer.ErrNotSent, err)
@@ -271,7 +279,7 @@
 	}
 	request.Header.Set(timeoutHeader, formatTimeout(remaining))
 	request.SetBodyRaw(body)
-	if err := n.pool.Do(r.address, request, response, deadline); err != nil {
+	if err := pool.Do(r.address, request, response, deadline); err != nil {
 		return nil, classifyError(err)
 	}
 	switch response.StatusCode() {
@@ -394,7 +402,7 @@
 		batch = fillBatch(r.queue, batch)
 		body, err := cbor.Marshal(batch)
 		if err == nil {
-			_, err = n.post(r.name, sendPath, body, time.Now().Add(sendTimeout))
+			_, err = n.post(n.sends, r.name, sendPath, body, time.Now().Add(sendTimeout))
 		}
 		if (err != nil) != failing && ctx.Err() == nil {
 			failing = err != nil
