--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -88,6 +88,7 @@
 	silent             bool // answers nothing
 	dropsAnswers       bool // executes starts but does not answer them
 	refusesConnections bool // nothing listens
+	loses              bool // the process that should send orders to it does not
 	hidesRuns          bool // answers no listing
 	delaysStarts       bool // answers no start and carries it out only with carryOutLate
 	late               []StartOrder
@@ -152,6 +153,8 @@
 	switch {
 	case w == nil || w.refusesConnections:
 		return nil, Answer{Result: NotSent}, false
+	case w.loses:
+		return nil, Answer{Result: Undelivered}, false
 	case w.silent:
 		return nil, Answer{Result: Unanswered}, false
 	}
