Log lapses of the leader's lease and stops that are not confirmed

New events: lease lapsed (933), lease regained (934, with how long), stop not confirmed (935, with whether the worker answered it).

--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -44,6 +44,8 @@
 	usage           float64   // latest ListedRun.Usage
 	lastProgress    time.Time // when percent last changed
 	stopping        bool
+	stoppingSince   time.Time
+	nextStopLog     time.Time // a stop that is not confirmed is not logged before this
 	stopAnsweredAt  time.Time // when the worker answered the stop; zero before
 	endQueued       bool      // its end waits for a round
 	throttlePercent int       // share of the full speed; zero means full speed
@@ -183,7 +185,7 @@
 	if r.stopping || r.endQueued {
 		return
 	}
-	r.stopping, r.worker.stale = true, true
+	r.stopping, r.stoppingSince, r.worker.stale = true, t.now(), true
 	t.orders.Go(func() { t.sendStop(r) })
 }
 
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -4,6 +4,9 @@
 	"context"
 	"time"
 
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
@@ -18,6 +21,10 @@
 	// stepCheckInterval is the interval at which records of steps that are over are
 	// dropped.
 	stepCheckInterval = 5 * time.Second
+	// A stop is logged if it is not confirmed stopLogDelay after the time that a
+	// stop may take, and every stopLogInterval from then on.
+	stopLogDelay    = time.Second
+	stopLogInterval = 2 * time.Second
 	// drainMargin is the time left between the stop of the runs on a draining
 	// worker and the worker's termination, in addition to the time that a stop
 	// may take.
@@ -35,13 +42,14 @@
 		case <-ctx.Done():
 			return
 		}
-		if !t.isLeading() {
+		if !t.noteLease(t.isLeading()) {
 			continue // this process may have been paused and heard nothing meanwhile
 		}
 		t.mu.Lock()
 		now := t.now()
 		for _, w := range t.workers {
 			t.checkWorker(w, now)
+			t.logStops(w, now)
 		}
 		if now.Sub(t.stepsChecked) >= stepCheckInterval {
 			t.stepsChecked = now
@@ -52,6 +60,38 @@
 	}
 }
 
+// noteLease logs when the lease lapses and when it is regained. It returns held.
+func (t *term) noteLease(held bool) bool {
+	switch {
+	case !held && t.lapsedAt.IsZero():
+		t.lapsedAt = t.now()
+		t.emit(event.LeaseLapsed, zap.Uint64("term", t.number))
+	case held && !t.lapsedAt.IsZero():
+		t.emit(event.LeaseRegained, zap.Uint64("term", t.number), zap.Duration("lapsed", t.now().Sub(t.lapsedAt)))
+		t.lapsedAt = time.Time{}
+	}
+	return held
+}
+
+// logStops logs the runs of a worker that should have ended a while ago.
+func (t *term) logStops(w *worker, now time.Time) {
+	for _, r := range w.runs {
+		t.logStop(r, now)
+	}
+	for _, r := range w.orphans {
+		t.logStop(r, now)
+	}
+}
+
+func (t *term) logStop(r *run, now time.Time) {
+	if !r.stopping || r.endQueued || now.Sub(r.stoppingSince) < t.timing().StopTime+stopLogDelay || now.Before(r.nextStopLog) {
+		return
+	}
+	r.nextStopLog = now.Add(stopLogInterval)
+	t.emit(event.StopUnconfirmed, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
+		zap.Duration("since", now.Sub(r.stoppingSince)), zap.Bool("answered", !r.stopAnsweredAt.IsZero()), zap.Int("missed", r.worker.missed))
+}
+
 // dropSteps drops the records of steps whose jobs are over. An answer or an end
 // that came after a job was over may have made one anew.
 func (t *term) dropSteps() {
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -41,6 +41,7 @@
 	orders     sync.WaitGroup
 	wake       chan struct{}
 	nextRound  time.Time // no round is decided before this; used by runRounds only
+	lapsedAt   time.Time // when the lease was found lapsed; zero while it is held; used by runChecks only
 
 	mu             sync.Mutex // guards the rest; taken before the state's lock
 	over           bool
