Keep sending starts and stops after a lapse of the leader's lease

What callers saw: a task went on for as long as it liked after the cancellation of its job was acknowledged (UNASKED), or an accepted task never ran (LOST).

Cause: the goroutine that sends an order until it is answered returned for good if the leader had no lease when it looked. The lease lasts 300 ms and a leader without a quorum steps down after 400 ms, so that a lease can lapse and come back within one term: a leader that is frozen, slow or cut off for a third of a second. The run stayed marked as stopping, so nothing stopped it again, and the listings went on and extended its lease.

Class: a step that must happen is tied to a permission that may lapse, and is dropped with it instead of waiting for it or for the end of the term.

The loops now wait for the lease and end with the term, and look again at what they send after the wait. The other uses of the lease were gone through: rounds and checks are repeated every 50 ms, listings wait.

--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -77,7 +77,7 @@
 
 // sendStart sends a start order repeatedly until its outcome is known.
 func (t *term) sendStart(r *run, o StartOrder) {
-	for attempt := 1; ; attempt++ {
+	for attempt := 1; t.awaitLease(); attempt++ {
 		t.mu.Lock()
 		if t.over || r.endQueued || r.stopping || !r.startResolvedAt.IsZero() {
 			t.mu.Unlock()
@@ -87,7 +87,7 @@
 		o.Lease = w.extendLease(t.now(), t.leaseDuration())
 		target := w.Worker
 		t.mu.Unlock()
-		if !t.isLeading() || t.handleStartAnswer(r, t.dispatcher.options.Upstream.Start(t.permit(orderTimeout), &target, o), attempt) {
+		if t.handleStartAnswer(r, t.dispatcher.options.Upstream.Start(t.permit(orderTimeout), &target, o), attempt) {
 			return
 		}
 		sleep(t.ctx, orderRetryDelay)
@@ -193,7 +193,7 @@
 // incarnation ends. If the stop reaches the worker before the start, the worker
 // refuses the start.
 func (t *term) sendStop(r *run) {
-	for {
+	for t.awaitLease() {
 		t.mu.Lock()
 		if t.over || r.endQueued {
 			t.mu.Unlock()
@@ -202,7 +202,7 @@
 		target := r.worker.Worker
 		t.mu.Unlock()
 		o := StopOrder{Task: r.id, Run: r.number, Fence: t.number}
-		if !t.isLeading() || t.handleStopAnswer(r, t.dispatcher.options.Upstream.Stop(t.permit(orderTimeout), &target, o)) {
+		if t.handleStopAnswer(r, t.dispatcher.options.Upstream.Stop(t.permit(orderTimeout), &target, o)) {
 			return
 		}
 		sleep(t.ctx, orderRetryDelay)
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -136,6 +136,18 @@
 	return name == t.dispatcher.options.Name && number == t.number && t.now().Before(lease)
 }
 
+// awaitLease waits until this process may send orders. It reports whether the term
+// continues. The lease may lapse for a moment within a term, such as after a pause.
+func (t *term) awaitLease() bool {
+	for !t.isLeading() {
+		sleep(t.ctx, orderRetryDelay)
+		if t.ctx.Err() != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // signal wakes the loop that builds rounds.
 func (t *term) signal() {
 	select {
