Repeat the first listing of a worker until it is answered

What callers saw: a task that an earlier leader had started, and that the state does not know, went on after its job was cancelled (UNASKED); the worker got no tasks in that term.

Cause: a worker without known runs is listed once in a term. The wish for that listing was dropped when it was sent, not when it was answered. If the lease had lapsed, or the control process that should have passed it on did not (Undelivered, from 150 workers on), nothing asked again: only unanswered orders made the next report do so.

The wish stays until a listing is answered. A worker that does not answer is asked again with its next report, as before, so a dead one costs no more looks.

--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -61,14 +61,13 @@
 // poll lists a worker's runs, extends its lease and acknowledges its ended
 // runs, until it has none.
 func (t *term) poll(w *worker) {
-	for {
+	for t.awaitLease() {
 		t.mu.Lock()
 		if t.over || t.workers[w.ID] != w || w.idle() {
 			w.polling = false
 			t.mu.Unlock()
 			return
 		}
-		w.pollOnce = false
 		o := t.listOrder(w)
 		timeout := o.Wait + listTimeoutMargin
 		if t.lossy() {
@@ -76,18 +75,14 @@
 		}
 		target := w.Worker
 		t.mu.Unlock()
-		if !t.isLeading() {
-			sleep(t.ctx, orderRetryDelay)
-			if t.ctx.Err() != nil {
-				return
-			}
-			continue
-		}
 		sent := t.now()
 		listing, a := t.dispatcher.options.Upstream.List(t.permit(timeout), &target, o)
 		if committed := t.handleListing(w, sent, listing, a); committed != nil {
 			t.awaitCommit(t.ctx, committed)
 		}
+		if t.pausePolling(w, a) {
+			return
+		}
 		switch {
 		case o.Wait == 0:
 			sleep(t.ctx, unresolvedListWait) // polls again for what is not known yet
@@ -97,6 +92,21 @@
 	}
 }
 
+// pausePolling ends the loop of a worker that does not answer and is not known to
+// run anything. The loop starts again with the worker's next report.
+func (t *term) pausePolling(w *worker, a Answer) bool {
+	if a.Result == Accepted || a.Result == Undelivered {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(w.runs)+len(w.orphans) > 0 || w.acknowledged < w.lastEnd {
+		return false
+	}
+	w.polling = false
+	return true
+}
+
 // lossy reports whether orders to several workers got no answer recently. One
 // worker alone may be gone.
 func (t *term) lossy() bool {
@@ -152,7 +162,7 @@
 	if a.Result != Accepted {
 		return nil
 	}
-	w.listed = true
+	w.listed, w.pollOnce = true, false
 	present := map[job.TaskID]int{}
 	for _, listed := range l.Running {
 		present[listed.Task] = listed.Run
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -285,7 +285,7 @@
 	}
 	w.sequence, w.lastSeen = r.Sequence, now
 	w.updateClock(r.Clock, now)
-	if w.missed > 0 {
+	if w.missed > 0 || w.pollOnce {
 		// The worker can send again; a listing tells whether it answers orders.
 		w.pollOnce = true
 		t.startPolling(w)
