Count runs that were given up until their worker can no longer execute them

What callers saw: a workspace had more running than its limit (QUOTA), and a task of a cancelled job went on (UNASKED).

Cause: a run whose task may run in copies is given up while its worker is silent or slow. Its end was committed as lost, which is the outcome of a run that is certainly over, so the replicated state forgot it.

Class: the state says that something is over when it is only no longer wanted.

Change: the outcome Abandoned turns a reservation into an orphan in the replicated state. A new leader stops the orphans that it finds.

--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -58,6 +58,10 @@
 	for id, o := range v.Reservations[w.ID] {
 		t.countRun(&f, v.Jobs[id.Job], id, o)
 	}
+	for _, o := range v.Orphans[w.ID] {
+		f.Free = f.Free.Sub(o.Reserved)
+		f.Releasing = f.Releasing.Add(o.Reserved)
+	}
 	slices.SortFunc(f.Runs, comparePreemption)
 	return f
 }
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -70,6 +70,7 @@
 	workers   []job.Worker
 	gone      []job.Worker
 	ends      []job.End
+	settled   []job.Start // orphans that can no longer be executed
 	cancels   []job.ID
 	submits   []job.Job
 	waiters   []chan bool // receive whether the round was committed
@@ -199,6 +200,9 @@
 		for name, reservations := range v.Reservations {
 			t.adoptRuns(v, name, reservations, now)
 		}
+		for name, orphans := range v.Orphans {
+			t.adoptOrphans(name, orphans)
+		}
 		t.emit(event.TermBegun, zap.Uint64("term", t.number), zap.Int("workers", len(v.Workers)),
 			zap.Int("runs", len(t.runs)), zap.Int("jobs", len(v.Active)))
 	})
@@ -237,6 +241,16 @@
 	}
 }
 
+// adoptOrphans stops the runs on one worker that an earlier leader gave up.
+func (t *term) adoptOrphans(name string, orphans map[job.OrphanID]job.Orphan) {
+	w := t.workers[name]
+	for id := range orphans {
+		if w != nil && w.Life == id.Life {
+			t.stopOrphan(w, id.Task, id.Run, "an earlier leader gave it up")
+		}
+	}
+}
+
 // abandon tells everybody who waits for a round that the term is over.
 func (t *term) abandon() {
 	t.mu.Lock()
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -188,7 +188,7 @@
 	if r.endQueued {
 		return
 	}
-	t.lose(r, reason)
+	t.endRun(r, job.Abandoned, reason)
 	t.stopOrphan(r.worker, r.id, r.number, reason)
 }
 
@@ -208,25 +208,30 @@
 }
 
 // dropOrphans drops the orphans that the worker can no longer execute.
-func (w *worker) dropOrphans(sent time.Time, present map[job.TaskID]int) {
+func (t *term) dropOrphans(w *worker, sent time.Time, present map[job.TaskID]int) {
 	for key, r := range w.orphans {
 		if !r.stopAnsweredAt.IsZero() && r.stopAnsweredAt.Before(sent) && present[key.task] != key.run {
 			r.endQueued = true // ends the resending of the stop
 			delete(w.orphans, key)
+			t.inbox.settled = append(t.inbox.settled, job.Start{Task: key.task, Run: key.run, Worker: w.ID, Life: w.Life})
+			t.signal()
 		}
 	}
 }
 
-// lose gives up a run that no longer executes and never will, or whose task may
-// run in several copies. The caller holds the term's lock.
-func (t *term) lose(r *run, reason string) {
+// lose gives up a run that no longer executes and never will. The caller holds the
+// term's lock.
+func (t *term) lose(r *run, reason string) { t.endRun(r, job.Lost, reason) }
+
+// endRun ends a run whose end no worker lists.
+func (t *term) endRun(r *run, outcome job.Outcome, reason string) {
 	if r.endQueued {
 		return
 	}
 	r.endQueued, r.worker.stale = true, true
 	t.emit(event.RunLost, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
 		zap.String("reason", reason))
-	t.inbox.ends = append(t.inbox.ends, r.end(job.Lost, r.checkpoint))
+	t.inbox.ends = append(t.inbox.ends, r.end(outcome, r.checkpoint))
 	t.signal()
 }
 
--- a/internal/version/job/command.go
+++ b/internal/version/job/command.go
@@ -42,12 +42,13 @@
 	Cancels   []ID       `cbor:"8,keyasint,omitempty"`
 	Submits   []Job      `cbor:"9,keyasint,omitempty"`
 	Starts    []Start    `cbor:"10,keyasint,omitempty"`
-	Forget    time.Time  `cbor:"11,keyasint"` // jobs that finished before this time are dropped
+	Forget    time.Time  `cbor:"11,keyasint"`           // jobs that finished before this time are dropped
+	Settled   []Start    `cbor:"12,keyasint,omitempty"` // orphans that their workers can no longer execute; applied after Ends
 }
 
 // Empty reports whether the round changes nothing.
 func (r *Round) Empty() bool {
-	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts) == 0
+	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled) == 0
 }
 
 // Result is the outcome of applying a round.
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -144,8 +144,9 @@
 	Active       map[ID]*Record // not finished, or with remaining reservations
 	Workers      map[string]Worker
 	Reservations map[string]map[TaskID]Reservation // by worker
-	Changes      map[string]uint64                 // by worker; rises with each change of its reservations
-	Used         map[string]work.Resources         // by workspace; total size of its runs
+	Orphans      map[string]map[OrphanID]Orphan    // by worker
+	Changes      map[string]uint64                 // by worker; rises with each change of its reservations and orphans
+	Used         map[string]work.Resources         // by workspace; total size of its runs and orphans
 	Sequence     uint64
 
 	finished []ID // finished jobs in the order in which they finished
@@ -169,6 +170,7 @@
 	v.Jobs, v.Active = map[ID]*Record{}, map[ID]*Record{}
 	v.Workers, v.Reservations = map[string]Worker{}, map[string]map[TaskID]Reservation{}
 	v.Used, v.Changes = map[string]work.Resources{}, map[string]uint64{}
+	v.Orphans = map[string]map[OrphanID]Orphan{}
 }
 
 // View calls read with the current state, which read must not retain or change.
@@ -208,10 +210,15 @@
 		if v.Workers[w.ID].Life == w.Life {
 			delete(v.Workers, w.ID)
 		}
+		v.dropOrphans(w.ID, w.Life)
 	}
 	for i := range r.Ends {
 		v.end(&r.Ends[i], r.Now, &result)
 	}
+	for i := range r.Settled {
+		o := &r.Settled[i]
+		v.dropOrphan(o.Worker, OrphanID{Task: o.Task, Run: o.Run, Life: o.Life})
+	}
 	for _, id := range r.Cancels {
 		v.cancel(id, r.Now, &result)
 	}
@@ -301,7 +308,7 @@
 	s := &r.Job.Steps[id.Step]
 	v.Changes[t.Worker]++
 	m[id] = Reservation{Run: t.Run, Size: s.Reservation(), Workspace: r.Job.Workspace}
-	v.Used[r.Job.Workspace] = v.Used[r.Job.Workspace].Add(s.Size)
+	v.use(r.Job.Workspace, s.Size)
 }
 
 // release removes the reservation of a task's current run.
@@ -313,13 +320,23 @@
 			delete(v.Reservations, t.Worker)
 		}
 	}
-	v.Used[r.Job.Workspace] = v.Used[r.Job.Workspace].Sub(r.Job.Steps[id.Step].Size)
-	if v.Used[r.Job.Workspace] == (work.Resources{}) {
-		delete(v.Used, r.Job.Workspace)
-	}
+	v.unuse(r.Job.Workspace, r.Job.Steps[id.Step].Size)
 	t.Worker, t.Life = "", 0
 }
 
+// use adds to what a workspace uses.
+func (v *View) use(workspace string, size work.Resources) {
+	v.Used[workspace] = v.Used[workspace].Add(size)
+}
+
+// unuse subtracts from what a workspace uses.
+func (v *View) unuse(workspace string, size work.Resources) {
+	v.Used[workspace] = v.Used[workspace].Sub(size)
+	if v.Used[workspace] == (work.Resources{}) {
+		delete(v.Used, workspace)
+	}
+}
+
 // Find returns the job record of a task, its occurrence and its state. The record
 // is nil if the job is unknown; the others are nil unless the occurrence is open
 // and has such a task.
@@ -339,6 +356,11 @@
 // no reservation to release, but its success or failure still counts.
 func (v *View) end(e *End, now time.Time, result *Result) {
 	r, o, t := v.Find(e.Task)
+	if e.Outcome == Abandoned {
+		v.addOrphan(r, e)
+	} else {
+		v.dropOrphan(e.Worker, OrphanID{Task: e.Task, Run: e.Run, Life: e.Life})
+	}
 	if t == nil || e.Run > t.Run {
 		return
 	}
@@ -351,7 +373,7 @@
 	if slices.Contains(t.Counted, e.Run) {
 		return // a new leader lists ends again that were not acknowledged
 	}
-	if e.Outcome != Lost {
+	if e.Outcome != Lost && e.Outcome != Abandoned {
 		t.Counted = append(t.Counted, e.Run)
 	}
 	if e.Saved != "" && e.Outcome != Done {
@@ -497,6 +519,7 @@
 	Workers   map[string]Worker `cbor:"4,keyasint"`
 	Sequence  uint64            `cbor:"5,keyasint"`
 	Over      []ID              `cbor:"6,keyasint"`
+	Orphans   []orphanRecord    `cbor:"7,keyasint,omitempty"`
 }
 
 // Snapshot implements raft.StateMachine.
@@ -509,6 +532,7 @@
 		d.Jobs = append(d.Jobs, r)
 	}
 	slices.SortFunc(d.Jobs, func(a, b *Record) int { return int(int64(a.Sequence) - int64(b.Sequence)) })
+	d.Orphans = v.orphanRecords()
 	b, err := codec.Encode(d)
 	return b, errors.Wrap(err, "encode snapshot")
 }
@@ -535,6 +559,9 @@
 			v.restoreReservations(r, n)
 		}
 	}
+	for _, o := range d.Orphans {
+		v.putOrphan(o.Worker, o.ID, o.Orphan)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view = v
