Ignore a notice of leaving if its worker still answers

What callers could see: a task ran in two places at once, and for a second and a half the worker and the workspace had more running than was counted (TWICE, LIMIT, QUOTA).

Cause: a worker's notice that it is leaving names no incarnation. One that is delayed until the next incarnation under the same id has reported itself ended that incarnation's runs 250 ms later, as lost for certain.

Evidence: TestLateLeaveEndsNoNewIncarnation failed before (the task ran on both workers) and passes now. TestTasksOfAWorkerThatLeftStartElsewhereAtOnce, which passed before, holds the other side: a worker that left and refuses connections is removed within a second.

--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -112,8 +112,7 @@
 // checkWorker handles the timeouts of a worker and its runs.
 func (t *term) checkWorker(w *worker, now time.Time) {
 	switch {
-	case !w.leavesAt.IsZero() && now.After(w.leavesAt):
-		t.removeWorker(w, "the worker left")
+	case t.concludeLeave(w, now):
 		return
 	case len(w.runs) > 0 && now.After(w.leaseExpiry()) && w.missed > 0:
 		t.loseRuns(w, "the lease has expired and the worker does not answer")
@@ -137,6 +136,24 @@
 	}
 }
 
+// concludeLeave removes a worker that announced that it is leaving and has left. The
+// notice names no incarnation and may be of an earlier one, so that a worker with
+// runs is only removed if it no longer answers. It reports whether it was removed.
+func (t *term) concludeLeave(w *worker, now time.Time) bool {
+	switch {
+	case w.leavesAt.IsZero() || !now.After(w.leavesAt):
+		return false
+	case w.answeredAt.After(w.leavesAt):
+		t.emit(event.WorkerStays, zap.String("worker", w.ID), zap.Int64("life", int64(w.Life)), zap.Int("runs", len(w.runs)))
+		w.leavesAt = time.Time{}
+		return false
+	case len(w.runs)+len(w.orphans) > 0 && w.missed < maxMissedAnswers:
+		return false
+	}
+	t.removeWorker(w, "the worker left")
+	return true
+}
+
 // stalled reports whether a run has made no progress for too long.
 func (t *term) stalled(r *run, now time.Time) bool {
 	return !r.spec.Lasting && !r.spec.Filler && r.throttlePercent == 0 && now.Sub(later(r.lastProgress, r.startResolvedAt)) > stallTimeout+t.gangTime(r)
