Keep the limit of a workspace that a catalogue no longer contains

What callers could see: the remaining jobs of a workspace that the operator removed took as much of the pool as there was (QUOTA).

Cause: limits were looked up in the present catalogue; no entry meant no limit. Queues have always been kept for the jobs that are left.

Evidence: TestRemovedWorkspaceKeepsItsLimit failed before (eight tasks under a limit of two) and passes now.

--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -44,9 +44,8 @@
 		w.planned.Usable = w.usable(now, t.timing().ReportInterval)
 		cluster.Workers = append(cluster.Workers, &w.planned)
 	}
-	for i := range v.Catalogue.Workspaces {
-		s := &v.Catalogue.Workspaces[i]
-		cluster.Limits[s.Name] = &fit.Limit{Max: s.Limit, Used: v.Used[s.Name]}
+	for name, limit := range v.Limits {
+		cluster.Limits[name] = &fit.Limit{Max: limit, Used: v.Used[name]}
 	}
 	t.setHeadroom(v, cluster, now)
 	return cluster
--- a/internal/process/dispatch/stray_test.go
+++ b/internal/process/dispatch/stray_test.go
@@ -104,3 +104,27 @@
 		b.is.Equal(b.status("one"), job.Completed)
 	})
 }
+
+// Guards against a workspace without any limit for its remaining jobs once the
+// catalogue no longer contains it (rule QUOTA).
+func TestRemovedWorkspaceKeepsItsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b")
+		defer b.close()
+		b.limit(2000)
+		b.submit("one", tasks(8))
+		time.Sleep(300 * time.Millisecond)
+		var c job.Catalogue
+		b.state.View(func(v *job.View) { c = *v.Catalogue })
+		c.Version++
+		c.Workspaces = nil
+		_, ok := b.term().apply(context.Background(), &c)
+		b.is.True(ok)
+		for range 40 {
+			time.Sleep(100 * time.Millisecond)
+			b.is.True(b.running() <= 2)
+		}
+		time.Sleep(4 * time.Second)
+		b.is.Equal(b.status("one"), job.Completed)
+	})
+}
--- /dev/null
+++ b/internal/version/job/snapshot.go
@@ -0,0 +1,84 @@
+package job
+
+import (
+	"maps"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
+)
+
+// snapshot is the encoded form of View.
+type snapshot struct {
+	Term      uint64            `cbor:"1,keyasint"`
+	Catalogue *Catalogue        `cbor:"2,keyasint"`
+	Jobs      []*Record         `cbor:"3,keyasint"`
+	Workers   map[string]Worker `cbor:"4,keyasint"`
+	Sequence  uint64            `cbor:"5,keyasint"`
+	Over      []ID              `cbor:"6,keyasint"`
+	Orphans   []orphanRecord    `cbor:"7,keyasint,omitempty"`
+	Limits    limits            `cbor:"8,keyasint,omitempty"`
+}
+
+// Snapshot implements raft.StateMachine.
+func (s *State) Snapshot() ([]byte, error) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	v := &s.view
+	d := snapshot{Term: v.Term, Catalogue: v.Catalogue, Workers: v.Workers, Sequence: v.Sequence, Over: v.finished, Limits: v.Limits}
+	for _, r := range v.Jobs {
+		d.Jobs = append(d.Jobs, r)
+	}
+	slices.SortFunc(d.Jobs, func(a, b *Record) int { return int(int64(a.Sequence) - int64(b.Sequence)) })
+	d.Orphans = v.orphanRecords()
+	b, err := codec.Encode(d)
+	return b, errors.Wrap(err, "encode snapshot")
+}
+
+// Restore implements raft.StateMachine.
+func (s *State) Restore(b []byte) error {
+	var d snapshot
+	if err := codec.Decode(b, &d); err != nil {
+		return errors.Wrap(err, "decode snapshot")
+	}
+	v := View{}
+	v.init()
+	v.Term, v.Catalogue, v.Sequence, v.finished = d.Term, d.Catalogue, d.Sequence, d.Over
+	for id, w := range d.Workers {
+		v.Workers[id] = w
+	}
+	maps.Copy(v.Limits, d.Limits)
+	if v.Catalogue != nil {
+		v.addLimits(v.Catalogue) // snapshots of earlier builds have no limits
+	}
+	for _, r := range d.Jobs {
+		v.Jobs[r.Job.ID] = r
+		if !r.Status.Final() || len(r.Open) > 0 {
+			v.Active[r.Job.ID] = r
+		}
+		r.Unscheduled = r.Status == Queued
+		for _, n := range r.OpenOccurrences() {
+			v.restoreReservations(r, n)
+		}
+	}
+	for _, o := range d.Orphans {
+		v.putOrphan(o.Worker, o.ID, o.Orphan)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view = v
+	return nil
+}
+
+// restoreReservations rebuilds the reservations of an occurrence's runs.
+func (v *View) restoreReservations(r *Record, number int) {
+	o := r.Open[number]
+	for step := range o.Steps {
+		for i := range o.Steps[step].Tasks {
+			if t := &o.Steps[step].Tasks[i]; t.Worker != "" {
+				v.reserve(r, TaskID{Job: r.Job.ID, Occurrence: number, Step: step, Index: i}, t)
+			}
+		}
+	}
+}
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -5,9 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
@@ -136,6 +133,9 @@
 	Workspace string
 }
 
+// limits holds limits by workspace.
+type limits map[string]work.Resources
+
 // View gives access to the state under State's lock.
 type View struct {
 	Term         uint64
@@ -147,6 +147,7 @@
 	Orphans      map[string]map[OrphanID]Orphan    // by worker
 	Changes      map[string]uint64                 // by worker; rises with each change of its reservations and orphans
 	Used         map[string]work.Resources         // by workspace; total size of its runs and orphans
+	Limits       limits                            // by workspace; from the latest catalogue that contains it
 	Sequence     uint64
 
 	finished []ID // finished jobs in the order in which they finished
@@ -170,7 +171,7 @@
 	v.Jobs, v.Active = map[ID]*Record{}, map[ID]*Record{}
 	v.Workers, v.Reservations = map[string]Worker{}, map[string]map[TaskID]Reservation{}
 	v.Used, v.Changes = map[string]work.Resources{}, map[string]uint64{}
-	v.Orphans = map[string]map[OrphanID]Orphan{}
+	v.Orphans, v.Limits = map[string]map[OrphanID]Orphan{}, limits{}
 }
 
 // View calls read with the current state, which read must not retain or change.
@@ -234,17 +235,30 @@
 }
 
 // setCatalogue installs a catalogue if its version is higher than the current one.
-// Unfinished jobs take over the new settings of their queue; if it is gone, they
-// keep the old ones.
+// Unfinished jobs take over the new settings of their queue and workspace; if these
+// are gone, they keep the old ones.
 func (v *View) setCatalogue(c *Catalogue) {
 	if v.Catalogue != nil && c.Version <= v.Catalogue.Version {
 		return
 	}
 	v.Catalogue = c
+	kept := limits{}
 	for _, r := range v.Active {
 		if q := c.Queue(r.Job.Host, r.Job.Prefix); q != nil {
 			r.Queue = *q
 		}
+		if limit, ok := v.Limits[r.Job.Workspace]; ok {
+			kept[r.Job.Workspace] = limit
+		}
+	}
+	v.Limits = kept
+	v.addLimits(c)
+}
+
+// addLimits installs the limits of a catalogue.
+func (v *View) addLimits(c *Catalogue) {
+	for i := range c.Workspaces {
+		v.Limits[c.Workspaces[i].Name] = c.Workspaces[i].Limit
 	}
 }
 
@@ -510,72 +524,3 @@
 	}
 	return n
 }
-
-// snapshot is the encoded form of View.
-type snapshot struct {
-	Term      uint64            `cbor:"1,keyasint"`
-	Catalogue *Catalogue        `cbor:"2,keyasint"`
-	Jobs      []*Record         `cbor:"3,keyasint"`
-	Workers   map[string]Worker `cbor:"4,keyasint"`
-	Sequence  uint64            `cbor:"5,keyasint"`
-	Over      []ID              `cbor:"6,keyasint"`
-	Orphans   []orphanRecord    `cbor:"7,keyasint,omitempty"`
-}
-
-// Snapshot implements raft.StateMachine.
-func (s *State) Snapshot() ([]byte, error) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	v := &s.view
-	d := snapshot{Term: v.Term, Catalogue: v.Catalogue, Workers: v.Workers, Sequence: v.Sequence, Over: v.finished}
-	for _, r := range v.Jobs {
-		d.Jobs = append(d.Jobs, r)
-	}
-	slices.SortFunc(d.Jobs, func(a, b *Record) int { return int(int64(a.Sequence) - int64(b.Sequence)) })
-	d.Orphans = v.orphanRecords()
-	b, err := codec.Encode(d)
-	return b, errors.Wrap(err, "encode snapshot")
-}
-
-// Restore implements raft.StateMachine.
-func (s *State) Restore(b []byte) error {
-	var d snapshot
-	if err := codec.Decode(b, &d); err != nil {
-		return errors.Wrap(err, "decode snapshot")
-	}
-	v := View{}
-	v.init()
-	v.Term, v.Catalogue, v.Sequence, v.finished = d.Term, d.Catalogue, d.Sequence, d.Over
-	for id, w := range d.Workers {
-		v.Workers[id] = w
-	}
-	for _, r := range d.Jobs {
-		v.Jobs[r.Job.ID] = r
-		if !r.Status.Final() || len(r.Open) > 0 {
-			v.Active[r.Job.ID] = r
-		}
-		r.Unscheduled = r.Status == Queued
-		for _, n := range r.OpenOccurrences() {
-			v.restoreReservations(r, n)
-		}
-	}
-	for _, o := range d.Orphans {
-		v.putOrphan(o.Worker, o.ID, o.Orphan)
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.view = v
-	return nil
-}
-
-// restoreReservations rebuilds the reservations of an occurrence's runs.
-func (v *View) restoreReservations(r *Record, number int) {
-	o := r.Open[number]
-	for step := range o.Steps {
-		for i := range o.Steps[step].Tasks {
-			if t := &o.Steps[step].Tasks[i]; t.Worker != "" {
-				v.reserve(r, TaskID{Job: r.Job.ID, Occurrence: number, Step: step, Index: i}, t)
-			}
-		}
-	}
-}
