Show what else lets cancelled work run on, with tests that fail

No logic is changed.

The log has "stop not confirmed" with answered true for the run, 13 s after its stop.

The simulated workers can refuse stops and shorten leases, and the simulated log refuses what is too large, as the real ones do. The existing tests pass with it.

--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -39,6 +39,9 @@
 	if !l.leads {
 		return nil, raft.ErrNotLeader
 	}
+	if len(command) > raft.MaxCommand {
+		return nil, raft.ErrTooLarge
+	}
 	l.index++
 	return l.machine.Apply(l.index, command), nil
 }
@@ -93,6 +96,7 @@
 	delaysStarts       bool // answers no start and carries it out only with carryOutLate
 	late               []StartOrder
 	refusesCopies      bool // executes starts, but answers that a second copy of them was refused
+	refusesStops       bool // is unhealthy: answers stops, but does nothing
 	slowdown           int  // factor by which new tasks take longer; zero means one
 	listings           int
 	peakRuns           int
@@ -109,6 +113,9 @@
 	return int(100 * time.Since(h.began) / h.ends.Sub(h.began))
 }
 
+// maxLease is the longest lease that a simulated worker grants.
+const maxLease = 6 * time.Second
+
 // fakeWorkers is an Upstream of simulated workers. A task runs for a second
 // unless runTime is changed, a stop takes 0.9 s.
 type fakeWorkers struct {
@@ -123,6 +130,16 @@
 	return time.UnixMilli(1000).Add(time.Since(w.since))
 }
 
+// extendLease extends the lease of a worker, which shortens one that is too long.
+func (h *fakeWorkers) extendLease(w *fakeWorker, end time.Time) {
+	if longest := h.clock(w).Add(maxLease); end.After(longest) {
+		end = longest
+	}
+	if end.After(w.lease) {
+		w.lease = end
+	}
+}
+
 // endDueRuns ends the runs of a worker that are done, stopped or without a
 // lease.
 func (h *fakeWorkers) endDueRuns(w *fakeWorker) {
@@ -184,9 +201,7 @@
 		return refuse(ReasonLeaseExpired)
 	}
 	w.fence = max(w.fence, o.Fence)
-	if o.Lease.After(w.lease) {
-		w.lease = o.Lease
-	}
+	h.extendLease(w, o.Lease)
 	if w.running[o.Task] == nil {
 		for id, other := range h.all {
 			h.endDueRuns(other)
@@ -228,6 +243,10 @@
 	if !ok {
 		return a
 	}
+	if w.refusesStops {
+		a.Result, a.Reason = Refused, ReasonOther
+		return a
+	}
 	w.fence = max(w.fence, o.Fence)
 	if r := w.running[o.Task]; r != nil && r.run == o.Run && r.stop.IsZero() {
 		r.stop = time.Now().Add(900 * time.Millisecond)
@@ -258,9 +277,7 @@
 		return Listing{}, Answer{Result: Unanswered}, true
 	}
 	w.fence = max(w.fence, o.Fence)
-	if o.Lease.After(w.lease) {
-		w.lease = o.Lease
-	}
+	h.extendLease(w, o.Lease)
 	w.ended = slices.DeleteFunc(w.ended, func(e EndedRun) bool { return e.Number <= o.Acknowledged })
 	if len(w.ended) == 0 && !over {
 		return Listing{}, a, false
@@ -300,7 +317,7 @@
 	b.leader, err = New(Options{
 		Name: "me", State: b.state, Log: b.log, Upstream: b.workers, Peer: unreachablePeers{}, Members: func() []string { return []string{"me"} },
 		Timing: Timing{
-			MaxLease: 6 * time.Second, StopTime: 900 * time.Millisecond, GangTime: 3 * time.Second,
+			MaxLease: maxLease, StopTime: 900 * time.Millisecond, GangTime: 3 * time.Second,
 			ReportInterval: 1500 * time.Millisecond, JobRetention: time.Minute, MaxPoll: 2 * time.Second,
 		},
 	})
@@ -351,10 +368,15 @@
 
 // add starts an incarnation of a worker and reports it.
 func (b *testCluster) add(id string, life job.Incarnation) {
+	b.restart(id, life)
+	b.report(id, false)
+}
+
+// restart starts an incarnation of a worker, which has not reported itself yet.
+func (b *testCluster) restart(id string, life job.Incarnation) {
 	b.workers.mu.Lock()
+	defer b.workers.mu.Unlock()
 	b.workers.all[id] = &fakeWorker{life: life, since: time.Now(), running: map[job.TaskID]*fakeRun{}, stopped: map[job.TaskID]int{}}
-	b.workers.mu.Unlock()
-	b.report(id, false)
 }
 
 func (b *testCluster) report(id string, draining bool) {
--- /dev/null
+++ b/internal/process/dispatch/incarnation_test.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+)
+
+// Guards against a task that runs in two places because its start reached the next
+// incarnation of its worker, which executes it: the end of the former incarnation
+// counted as the end of the run (rule TWICE).
+func TestStartThatReachesTheNextIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.workers.runTime = 5 * time.Second
+		b.restart("a", 2)
+		b.submit("one", tasks(2))
+		time.Sleep(20 * time.Millisecond)
+		b.add("b", 1)
+		time.Sleep(3 * time.Second)
+		b.is.Equal(b.workers.duplicate, "")
+	})
+}
+
+// Guards against a run of a cancelled job on the next incarnation of its worker, which
+// carries out an order to the former one: a worker without known runs is looked at
+// only once, and knows nothing of an earlier stop (rule UNASKED).
+func TestLateStartOnTheNextIncarnationIsStopped(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.workers.runTime = time.Minute
+		time.Sleep(30 * time.Second)
+		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts = true })
+		b.submit("one", tasks(2))
+		time.Sleep(100 * time.Millisecond)
+		b.cancel("one")
+		b.workers.mu.Lock()
+		late := b.workers.all["a"].late
+		b.workers.mu.Unlock()
+		b.add("a", 2)
+		time.Sleep(2 * time.Second)
+		b.changeWorker("a", func(w *fakeWorker) { w.late = late })
+		b.workers.carryOutLate("a")
+		b.is.Equal(b.running(), 2)
+		time.Sleep(5 * time.Second) // less than the lease
+		b.is.Equal(b.running(), 0)
+	})
+}
+
+// Guards against a worker that gets no tasks for the rest of the term because it
+// reported itself before the round of its removal was built: the round registers it
+// and then removes it (rule LOST).
+func TestWorkerReturnsBeforeItsRemovalIsCommitted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		current := b.term()
+		current.mu.Lock()
+		w := current.workers["a"]
+		current.removeWorker(w, "silent")
+		current.mu.Unlock()
+		b.report("a", false)
+		b.submit("one", tasks(2))
+		time.Sleep(10 * time.Second)
+		b.is.Equal(b.status("one"), job.Completed)
+	})
+}
--- a/internal/process/dispatch/stray_test.go
+++ b/internal/process/dispatch/stray_test.go
@@ -13,11 +13,17 @@
 
 // limit installs a catalogue in which the workspace may use some processors.
 func (b *testCluster) limit(processors int64) {
+	b.is.Helper()
+	b.setWorkspaces(job.Workspace{Name: "depot", Keys: []string{"k"}, Limit: work.Resources{Processors: processors}})
+}
+
+// setWorkspaces installs a catalogue with these workspaces only.
+func (b *testCluster) setWorkspaces(list ...job.Workspace) {
 	b.is.Helper()
 	var c job.Catalogue
 	b.state.View(func(v *job.View) { c = *v.Catalogue })
 	c.Version++
-	c.Workspaces = []job.Workspace{{Name: "depot", Keys: []string{"k"}, Limit: work.Resources{Processors: processors}}}
+	c.Workspaces = list
 	v, ok := b.term().apply(context.Background(), &c)
 	b.is.True(ok)
 	b.is.Equal(v.Code, cell.OK)
@@ -104,3 +110,20 @@
 		b.is.Equal(b.status("one"), job.Completed)
 	})
 }
+
+// Guards against a workspace without a limit while its jobs go on: a catalogue that
+// no longer lists the workspace must not let it use more than before (rule QUOTA).
+func TestRemovedWorkspaceKeepsItsLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b")
+		defer b.close()
+		b.limit(2000)
+		b.workers.runTime = 20 * time.Second
+		b.submit("one", tasks(6))
+		time.Sleep(time.Second)
+		b.is.Equal(b.running(), 2)
+		b.setWorkspaces()
+		time.Sleep(time.Second)
+		b.is.Equal(b.running(), 2)
+	})
+}
