Send a stop again that the worker refused

Cause: the answer to a stop counted as its end whether the worker had accepted or refused it. An unhealthy worker answers 429 or 503 and has then done nothing. The run stayed marked as stopping and was never stopped again, while the listings went on extending its lease; the missing run in a listing, or the end of an orphan's wait, counted as proof that a late start could not be carried out any more.

Class: a step counts as done on any answer, in place of on proof.

As a second line, a worker on which nothing is to go on gets no longer lease, so that what is left ends with the lease if no stop reaches it. The field of event 935 says accepted, not answered.

--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -86,6 +86,8 @@
 		switch {
 		case o.Wait == 0:
 			sleep(t.ctx, unresolvedListWait) // polls again for what is not known yet
+		case a.Result == Refused:
+			sleep(t.ctx, refusalRetryDelay)
 		case a.Result != Accepted || len(listing.Ended) > 0:
 			sleep(t.ctx, minListInterval)
 		}
@@ -118,8 +120,11 @@
 // listOrder returns the next listing order for a worker. It waits less if an
 // end, or the outcome of an order, is wanted soon.
 func (t *term) listOrder(w *worker) ListOrder {
-	o := ListOrder{Lease: w.extendLease(t.now(), t.leaseDuration()), Fence: t.number, Acknowledged: w.acknowledged}
 	now := t.now()
+	o := ListOrder{Lease: w.leaseEnd, Fence: t.number, Acknowledged: w.acknowledged}
+	if w.needsLease() {
+		o.Lease = w.extendLease(now, t.leaseDuration())
+	}
 	if len(w.runs) == 0 || w.silent(now) || w.clockReading.IsZero() {
 		return o
 	}
@@ -139,7 +144,7 @@
 			expected := overdueFactor * float64(t.baseline(r.queue).Expected(r.spec.Estimate))
 			o.Wait = min(o.Wait, max(r.startResolvedAt.Add(time.Duration(expected)).Sub(now), overdueListWait))
 		}
-		if r.startResolvedAt.IsZero() || !r.stopAnsweredAt.IsZero() {
+		if r.startResolvedAt.IsZero() || !r.stopAcceptedAt.IsZero() {
 			// The outcome of the order is needed soon, and possibly no run ends
 			// meanwhile.
 			o.Wait = min(o.Wait, unresolvedListWait)
@@ -261,15 +266,15 @@
 }
 
 // loseMissing gives up runs that are absent from a listing although they should
-// be in it: the worker had answered their start, or their stop, before the
-// listing was requested.
+// be in it: the worker had answered their start, or accepted their stop, before
+// the listing was requested.
 func (t *term) loseMissing(w *worker, sent time.Time, present map[job.TaskID]int) {
 	for id, r := range w.runs {
 		if _, listed := present[id]; r.endQueued || listed {
 			continue
 		}
 		started := !r.startResolvedAt.IsZero() && r.startResolvedAt.Before(sent)
-		stopped := !r.stopAnsweredAt.IsZero() && r.stopAnsweredAt.Before(sent)
+		stopped := !r.stopAcceptedAt.IsZero() && r.stopAcceptedAt.Before(sent)
 		if started || stopped {
 			t.lose(r, "not listed by the worker")
 			t.stopGang(r)
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -13,8 +13,11 @@
 	// orderTimeout bounds one attempt of an order. A worker answers within a
 	// few milliseconds, and resending an order is harmless.
 	orderTimeout = 80 * time.Millisecond
-	// orderRetryDelay is the delay before an order is resent.
-	orderRetryDelay = 20 * time.Millisecond
+	// orderRetryDelay is the delay before an order is resent, refusalRetryDelay the
+	// delay before one that was refused is. An unhealthy worker refuses what it
+	// carries out once it has recovered.
+	orderRetryDelay   = 20 * time.Millisecond
+	refusalRetryDelay = 100 * time.Millisecond
 	// startRetryTimeout is how long a start order without an answer is resent,
 	// while a listing may show that it was carried out. Afterwards its run is
 	// stopped, so that the task can start elsewhere.
@@ -46,7 +49,7 @@
 	stopping        bool
 	stoppingSince   time.Time
 	nextStopLog     time.Time // a stop that is not confirmed is not logged before this
-	stopAnsweredAt  time.Time // when the worker answered the stop; zero before
+	stopAcceptedAt  time.Time // when the worker accepted the stop; zero before
 	endQueued       bool      // its end waits for a round
 	throttlePercent int       // share of the full speed; zero means full speed
 	urgent          bool      // its queue has the highest priority
@@ -189,9 +192,9 @@
 	t.orders.Go(func() { t.sendStop(r) })
 }
 
-// sendStop sends a stop order repeatedly until the worker answers or its
+// sendStop sends a stop order repeatedly until the worker accepts it or its
 // incarnation ends. If the stop reaches the worker before the start, the worker
-// refuses the start.
+// refuses the start. A refused stop proves nothing.
 func (t *term) sendStop(r *run) {
 	for t.awaitLease() {
 		t.mu.Lock()
@@ -201,14 +204,20 @@
 		}
 		target := r.worker.Worker
 		t.mu.Unlock()
-		o := StopOrder{Task: r.id, Run: r.number, Fence: t.number}
-		if t.handleStopAnswer(r, t.dispatcher.options.Upstream.Stop(t.permit(orderTimeout), &target, o)) {
+		a := t.dispatcher.options.Upstream.Stop(t.permit(orderTimeout), &target, StopOrder{Task: r.id, Run: r.number, Fence: t.number})
+		if t.handleStopAnswer(r, a) {
 			return
 		}
-		sleep(t.ctx, orderRetryDelay)
+		if a.Result == Refused {
+			sleep(t.ctx, refusalRetryDelay)
+		} else {
+			sleep(t.ctx, orderRetryDelay)
+		}
 	}
 }
 
+// handleStopAnswer processes the answer to a stop order. It reports whether no
+// further attempt is needed.
 func (t *term) handleStopAnswer(r *run, a Answer) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -219,11 +228,11 @@
 	if !t.handleAnswer(w, a) {
 		return true
 	}
-	if a.Result != Accepted && a.Result != Refused {
+	if a.Result != Accepted {
 		return false
 	}
-	if r.stopAnsweredAt.IsZero() {
-		r.stopAnsweredAt = t.now()
+	if r.stopAcceptedAt.IsZero() {
+		r.stopAcceptedAt = t.now()
 	}
 	t.startPolling(w)
 	return true
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -89,7 +89,7 @@
 	}
 	r.nextStopLog = now.Add(stopLogInterval)
 	t.emit(event.StopUnconfirmed, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
-		zap.Duration("since", now.Sub(r.stoppingSince)), zap.Bool("answered", !r.stopAnsweredAt.IsZero()), zap.Int("missed", r.worker.missed))
+		zap.Duration("since", now.Sub(r.stoppingSince)), zap.Bool("accepted", !r.stopAcceptedAt.IsZero()), zap.Int("missed", r.worker.missed))
 }
 
 // dropSteps drops the records of steps whose jobs are over. An answer or an end
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -86,6 +86,17 @@
 	return w.leaseEnd
 }
 
+// needsLease reports whether the worker executes anything that is to go on. Without
+// it, what is left ends with the lease even if no stop reaches the worker.
+func (w *worker) needsLease() bool {
+	for _, r := range w.runs {
+		if !r.stopping {
+			return true
+		}
+	}
+	return len(w.runs)+len(w.orphans) == 0
+}
+
 // leaseExpiry returns the time after which no granted lease is valid any more.
 func (w *worker) leaseExpiry() time.Time {
 	if w.leaseEnd.IsZero() || w.clockReading.IsZero() {
@@ -210,7 +221,7 @@
 // dropOrphans drops the orphans that the worker can no longer execute.
 func (t *term) dropOrphans(w *worker, sent time.Time, present map[job.TaskID]int) {
 	for key, r := range w.orphans {
-		if !r.stopAnsweredAt.IsZero() && r.stopAnsweredAt.Before(sent) && present[key.task] != key.run {
+		if !r.stopAcceptedAt.IsZero() && r.stopAcceptedAt.Before(sent) && present[key.task] != key.run {
 			r.endQueued = true // ends the resending of the stop
 			delete(w.orphans, key)
 			t.inbox.settled = append(t.inbox.settled, job.Start{Task: key.task, Run: key.run, Worker: w.ID, Life: w.Life})
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -32,7 +32,7 @@
 	RoundDropped     = define(932, zapcore.ErrorLevel, "round not committed", "The log did not commit a round; its decisions are dropped and made again.")
 	LeaseLapsed      = define(933, zapcore.WarnLevel, "lease lapsed", "The leader may send no order and answer no call for now, because it has not heard from a majority; its term goes on.")
 	LeaseRegained    = define(934, zapcore.InfoLevel, "lease regained", "The leader acts again within the same term; the line has how long it could not.")
-	StopUnconfirmed  = define(935, zapcore.WarnLevel, "stop not confirmed", "A run that should have ended may still execute; the line has how long ago its stop was decided and whether the worker answered it.")
+	StopUnconfirmed  = define(935, zapcore.WarnLevel, "stop not confirmed", "A run that should have ended may still execute; the line has how long ago its stop was decided and whether the worker accepted it.")
 	AdviceAsked      = define(940, zapcore.InfoLevel, "advice asked", "The advice service was asked about a step through the process given.")
 	AdviceFailed     = define(941, zapcore.WarnLevel, "advice failed", "The advice service gave no usable answer; the step is asked about again.")
 	LeaderReached    = define(950, zapcore.InfoLevel, "leader reached", "This process forwards calls to the leader given.")
