Name orphans in a round apart from the ends of runs

Change: the run ends as Lost, as before, and a new field of the round, which earlier builds ignore, names it as an orphan.

--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -201,7 +201,7 @@
 func (t *term) handleListedRun(w *worker, listed ListedRun, clock time.Time) {
 	r := w.runs[listed.Task]
 	if r == nil || r.number != listed.Run {
-		t.foundOrphan(w, listed)
+		t.addOrphan(w, listed.Task, listed.Run, "the worker lists an orphaned run")
 		return
 	}
 	if r.endQueued {
@@ -221,18 +221,6 @@
 	r.recordProgress(listed.Percent, clock)
 }
 
-// foundOrphan stops a run that the leader does not know, and has it counted until
-// the worker can no longer execute it.
-func (t *term) foundOrphan(w *worker, listed ListedRun) {
-	if w.orphans[orphan{listed.Task, listed.Run}] != nil {
-		return
-	}
-	t.inbox.ends = append(t.inbox.ends,
-		job.End{Task: listed.Task, Run: listed.Run, Worker: w.ID, Life: w.Life, Outcome: job.Abandoned, Saved: listed.Checkpoint})
-	t.stopOrphan(w, listed.Task, listed.Run, "the worker lists an orphaned run")
-	t.signal()
-}
-
 // handleEnd processes the end of a run that a worker lists.
 func (t *term) handleEnd(w *worker, e EndedRun, clock time.Time) {
 	r := w.runs[e.Task]
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -60,7 +60,7 @@
 	t.inbox = inbox{}
 	r := job.Round{
 		Catalogue: in.catalogue, Workers: in.workers, Gone: in.gone, Ends: in.ends, Cancels: in.cancels, Submits: in.submits,
-		Settled: in.settled,
+		Orphans: in.orphans, Settled: in.settled,
 	}
 	if t.over || !t.isLeading() {
 		return r, in, nil
@@ -93,6 +93,7 @@
 	n.workers = append(in.workers, n.workers...)
 	n.gone = append(in.gone, n.gone...)
 	n.ends = append(in.ends, n.ends...)
+	n.orphans = append(in.orphans, n.orphans...)
 	n.settled = append(in.settled, n.settled...)
 	n.acks = append(in.acks, n.acks...)
 }
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -70,6 +70,7 @@
 	workers   []job.Worker
 	gone      []job.Worker
 	ends      []job.End
+	orphans   []job.Start // runs that were given up and may still be executed
 	settled   []job.Start // orphans that can no longer be executed
 	cancels   []job.ID
 	submits   []job.Job
@@ -241,16 +242,6 @@
 	}
 }
 
-// adoptOrphans stops the runs on one worker that an earlier leader gave up.
-func (t *term) adoptOrphans(name string, orphans map[job.OrphanID]job.Orphan) {
-	w := t.workers[name]
-	for id := range orphans {
-		if w != nil && w.Life == id.Life {
-			t.stopOrphan(w, id.Task, id.Run, "an earlier leader gave it up")
-		}
-	}
-}
-
 // abandon tells everybody who waits for a round that the term is over.
 func (t *term) abandon() {
 	t.mu.Lock()
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -186,63 +186,17 @@
 	}
 }
 
-// orphan identifies a run that was given up.
-type orphan struct {
-	task job.TaskID
-	run  int
-}
-
-// giveUp gives up a run that may continue, or begin, because its task may run in
-// several copies. Its worker gets no new tasks before it can no longer execute the
-// run: it has answered a stop, and a later listing does not show the run.
-func (t *term) giveUp(r *run, reason string) {
-	if r.endQueued {
-		return
-	}
-	t.endRun(r, job.Abandoned, reason)
-	t.stopOrphan(r.worker, r.id, r.number, reason)
-}
-
-// stopOrphan stops a run that is given up or not known.
-func (t *term) stopOrphan(w *worker, id job.TaskID, number int, reason string) {
-	key := orphan{id, number}
-	if w.orphans[key] != nil {
-		return
-	}
-	r := &run{id: id, number: number, worker: w, spec: &job.Step{}}
-	if w.orphans == nil {
-		w.orphans = map[orphan]*run{}
-	}
-	w.orphans[key] = r
-	t.emit(event.RunUnclear, zap.Stringer("task", id), zap.Int("run", number), zap.String("worker", w.ID), zap.String("reason", reason))
-	t.stop(r)
-}
-
-// dropOrphans drops the orphans that the worker can no longer execute.
-func (t *term) dropOrphans(w *worker, sent time.Time, present map[job.TaskID]int) {
-	for key, r := range w.orphans {
-		if !r.stopAcceptedAt.IsZero() && r.stopAcceptedAt.Before(sent) && present[key.task] != key.run {
-			r.endQueued = true // ends the resending of the stop
-			delete(w.orphans, key)
-			t.inbox.settled = append(t.inbox.settled, job.Start{Task: key.task, Run: key.run, Worker: w.ID, Life: w.Life})
-			t.signal()
-		}
-	}
-}
-
-// lose gives up a run that no longer executes and never will. The caller holds the
+// lose ends a run whose end no worker will list. Unless it also becomes an orphan, it
+// must be certain that it no longer executes and never will. The caller holds the
 // term's lock.
-func (t *term) lose(r *run, reason string) { t.endRun(r, job.Lost, reason) }
-
-// endRun ends a run whose end no worker lists.
-func (t *term) endRun(r *run, outcome job.Outcome, reason string) {
+func (t *term) lose(r *run, reason string) {
 	if r.endQueued {
 		return
 	}
 	r.endQueued, r.worker.stale = true, true
 	t.emit(event.RunLost, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
 		zap.String("reason", reason))
-	t.inbox.ends = append(t.inbox.ends, r.end(outcome, r.checkpoint))
+	t.inbox.ends = append(t.inbox.ends, r.end(job.Lost, r.checkpoint))
 	t.signal()
 }
 
--- a/internal/version/job/command.go
+++ b/internal/version/job/command.go
@@ -29,8 +29,7 @@
 }
 
 // Round is the only command of the replicated log. It holds everything that the
-// leader decided and learned since the previous round. The fields are applied in
-// their order here.
+// leader decided and learned since the previous round.
 type Round struct {
 	Term      uint64     `cbor:"1,keyasint"` // of the leader that proposed the round
 	Now       time.Time  `cbor:"2,keyasint"`
@@ -43,12 +42,13 @@
 	Submits   []Job      `cbor:"9,keyasint,omitempty"`
 	Starts    []Start    `cbor:"10,keyasint,omitempty"`
 	Forget    time.Time  `cbor:"11,keyasint"`           // jobs that finished before this time are dropped
-	Settled   []Start    `cbor:"12,keyasint,omitempty"` // orphans that their workers can no longer execute; applied after Ends
+	Settled   []Start    `cbor:"12,keyasint,omitempty"` // orphans that their workers can no longer execute
+	Orphans   []Start    `cbor:"13,keyasint,omitempty"` // runs that were given up and that their workers may still execute
 }
 
 // Empty reports whether the round changes nothing.
 func (r *Round) Empty() bool {
-	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled) == 0
+	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans) == 0
 }
 
 // Result is the outcome of applying a round.
--- a/internal/version/job/model.go
+++ b/internal/version/job/model.go
@@ -262,7 +262,6 @@
 	GangBroken             // another member of the gang ended
 	GangIncomplete         // the other members of the gang did not start
 	Lost                   // the worker's incarnation ended, or the run never began
-	Abandoned              // given up although the worker may still execute it; see Orphan
 )
 
 // String returns the outcome's name.
@@ -273,7 +272,7 @@
 	return outcomeNames[o-1]
 }
 
-var outcomeNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost", "abandoned"}
+var outcomeNames = [...]string{"done", "failed", "stopped", "lapsed", "broken", "alone", "lost"}
 
 // Task returns one task of the step.
 func (s StepID) Task(index int) TaskID {
--- a/internal/version/job/orphan.go
+++ b/internal/version/job/orphan.go
@@ -35,17 +35,18 @@
 
 // addOrphan records that a run was given up. It ignores runs of jobs that are not
 // known, whose size nobody can tell any more, and of incarnations that have ended.
-func (v *View) addOrphan(r *Record, e *End) {
-	w, ok := v.Workers[e.Worker]
-	if r == nil || !ok || w.Life != e.Life || e.Task.Step < 0 || e.Task.Step >= len(r.Job.Steps) {
+func (v *View) addOrphan(s *Start) {
+	r := v.Jobs[s.Task.Job]
+	w, ok := v.Workers[s.Worker]
+	if r == nil || !ok || w.Life != s.Life || s.Task.Step < 0 || s.Task.Step >= len(r.Job.Steps) {
 		return
 	}
-	id := OrphanID{Task: e.Task, Run: e.Run, Life: e.Life}
-	if _, known := v.Orphans[e.Worker][id]; known {
+	id := OrphanID{Task: s.Task, Run: s.Run, Life: s.Life}
+	if _, known := v.Orphans[s.Worker][id]; known {
 		return
 	}
-	s := &r.Job.Steps[e.Task.Step]
-	v.putOrphan(e.Worker, id, Orphan{Reserved: s.Reservation(), Size: s.Size, Workspace: r.Job.Workspace})
+	step := &r.Job.Steps[s.Task.Step]
+	v.putOrphan(s.Worker, id, Orphan{Reserved: step.Reservation(), Size: step.Size, Workspace: r.Job.Workspace})
 }
 
 func (v *View) putOrphan(worker string, id OrphanID, o Orphan) {
--- a/internal/version/job/orphan_test.go
+++ b/internal/version/job/orphan_test.go
@@ -26,7 +26,10 @@
 			m.submit("j", singleTask)
 			is.True(m.start(k, 1, "a"))
 			for range 2 { // proposed again after a round that was not committed
-				m.end(k, 1, "a", Abandoned)
+				m.apply(Round{
+					Ends:    []End{{Task: k, Run: 1, Worker: "a", Life: 1, Outcome: Lost}},
+					Orphans: []Start{{Task: k, Run: 1, Worker: "a", Life: 1}},
+				})
 			}
 			is.Equal(m.used(), singleTask.Size)
 			b, err := m.state.Snapshot()
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -216,6 +216,9 @@
 	for i := range r.Ends {
 		v.end(&r.Ends[i], r.Now, &result)
 	}
+	for i := range r.Orphans {
+		v.addOrphan(&r.Orphans[i])
+	}
 	for i := range r.Settled {
 		o := &r.Settled[i]
 		v.dropOrphan(o.Worker, OrphanID{Task: o.Task, Run: o.Run, Life: o.Life})
@@ -370,9 +373,7 @@
 // no reservation to release, but its success or failure still counts.
 func (v *View) end(e *End, now time.Time, result *Result) {
 	r, o, t := v.Find(e.Task)
-	if e.Outcome == Abandoned {
-		v.addOrphan(r, e)
-	} else {
+	if e.Outcome != Lost { // the worker lists it
 		v.dropOrphan(e.Worker, OrphanID{Task: e.Task, Run: e.Run, Life: e.Life})
 	}
 	if t == nil || e.Run > t.Run {
@@ -387,7 +388,7 @@
 	if slices.Contains(t.Counted, e.Run) {
 		return // a new leader lists ends again that were not acknowledged
 	}
-	if e.Outcome != Lost && e.Outcome != Abandoned {
+	if e.Outcome != Lost {
 		t.Counted = append(t.Counted, e.Run)
 	}
 	if e.Saved != "" && e.Outcome != Done {
