Take back the removal of a worker that reports itself again

What callers could see: a worker got no tasks for the rest of a term (LOST).

Cause: a worker that was removed as silent and whose report came before the next round was registered and removed by the same round, which applies removals last.

The report takes the removal out of the round. Swapping the order in the state would change what logged rounds mean. Orphans that the state knows of a worker that comes back are stopped again.

--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -307,6 +307,7 @@
 		w.drainDeadline = now.Add(time.Duration(r.Remaining) * time.Millisecond)
 	}
 	t.workers[w.ID], t.sorted = w, nil
+	t.returnWorker(w)
 	w.pollOnce = true // it gets tasks once it has shown what it runs
 	t.startPolling(w)
 	t.emit(event.WorkerKnown, zap.String("worker", w.ID), zap.Int64("life", int64(w.Life)), zap.String("pool", w.Pool),
@@ -314,6 +315,14 @@
 	return t.enqueue(func(n *inbox) { n.workers = append(n.workers, w.Worker) })
 }
 
+// returnWorker takes back the removal of an incarnation that reports itself again, as
+// one that was silent does. A round applies removals last, and the state may know
+// orphans of it.
+func (t *term) returnWorker(w *worker) {
+	t.inbox.gone = slices.DeleteFunc(t.inbox.gone, func(g job.Worker) bool { return g.ID == w.ID && g.Life == w.Life })
+	t.state().View(func(v *job.View) { t.adoptOrphans(w.ID, v.Orphans[w.ID]) })
+}
+
 // leave records that a worker announced its termination.
 func (t *term) leave(m *cell.Leave) {
 	t.mu.Lock()
