Split input that is too large for one round

Cause: a round took all input that had come. More than 512 KiB, such as 8,300 ends of runs at once, is refused by the log, was put back and came back larger.

A round takes input up to half of what the log accepts; callers and acknowledgements wait until all that came before them is committed.

--- /dev/null
+++ b/internal/process/dispatch/inbox.go
@@ -0,0 +1,134 @@
+package dispatch
+
+import "github.com/rosemaryloft/rosemaryloft/internal/version/job"
+
+// Upper bounds of the encoded size of inputs in bytes, without their strings.
+const (
+	runSize    = 64 // of the end or the start of a run
+	workerSize = 160
+	jobSize    = 200
+	stepSize   = 160
+	queueSize  = 200 // of a queue, pool or workspace
+)
+
+// inbox collects the input of the next rounds.
+type inbox struct {
+	catalogue *job.Catalogue
+	workers   []job.Worker
+	gone      []job.Worker
+	ends      []job.End
+	orphans   []job.Start // runs that were given up and may still be executed
+	settled   []job.Start // orphans that can no longer be executed
+	cancels   []job.ID
+	submits   []job.Job
+	waiters   []chan bool // receive whether the input was committed
+	acks      []acknowledgement
+}
+
+// acknowledgement says up to which number the ends of a worker are acknowledged
+// once the input is committed.
+type acknowledgement struct {
+	worker *worker
+	number int64
+}
+
+// empty reports whether there is nothing to commit.
+func (n *inbox) empty() bool {
+	return n.catalogue == nil &&
+		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits) == 0
+}
+
+// take removes and returns input of about size bytes. Waiters and
+// acknowledgements stay until all that came before them has been taken.
+func (n *inbox) take(size int) inbox {
+	all, left := *n, size
+	var in inbox
+	takeItems(&n.workers, &in.workers, &left, sizeOfWorker)
+	takeItems(&n.gone, &in.gone, &left, sizeOfWorker)
+	takeItems(&n.ends, &in.ends, &left, func(e *job.End) int { return runSize + len(e.Task.Job) + len(e.Worker) + len(e.Saved) })
+	takeItems(&n.orphans, &in.orphans, &left, sizeOfRun)
+	takeItems(&n.settled, &in.settled, &left, sizeOfRun)
+	takeItems(&n.cancels, &in.cancels, &left, func(id *job.ID) int { return runSize + len(*id) })
+	takeItems(&n.submits, &in.submits, &left, sizeOfJob)
+	rest := *n
+	rest.catalogue = nil
+	if !rest.empty() || n.catalogue != nil && !in.empty() && left < sizeOfCatalogue(n.catalogue) {
+		return in
+	}
+	*n = inbox{}
+	return all
+}
+
+// takeItems moves items to another list until left is used up.
+func takeItems[T any](from, to *[]T, left *int, size func(*T) int) {
+	k := 0
+	for k < len(*from) && *left > 0 {
+		*left -= size(&(*from)[k])
+		k++
+	}
+	*to, *from = (*from)[:k:k], (*from)[k:]
+}
+
+func sizeOfRun(s *job.Start) int { return runSize + len(s.Task.Job) + len(s.Worker) }
+
+func sizeOfWorker(w *job.Worker) int {
+	n := workerSize + len(w.ID) + len(w.Pool) + len(w.Zone) + len(w.Rack)
+	for _, l := range w.Labels {
+		n += len(l)
+	}
+	return n
+}
+
+func sizeOfJob(j *job.Job) int {
+	n := jobSize + len(j.ID) + len(j.Host) + len(j.Prefix) + len(j.Workspace) + len(j.Payload)
+	for i := range j.Steps {
+		s := &j.Steps[i]
+		n += stepSize + len(s.Label) + len(s.Rack) + len(s.Image)
+	}
+	return n
+}
+
+func sizeOfCatalogue(c *job.Catalogue) int {
+	n := len(c.Document) + queueSize*(len(c.Queues)+len(c.Pools)+len(c.Workspaces))
+	for i := range c.Workspaces {
+		for _, k := range c.Workspaces[i].Keys {
+			n += len(k)
+		}
+	}
+	return n
+}
+
+// enqueue adds input to the next round. It returns a channel that receives
+// whether the round was committed. The caller holds the lock.
+func (t *term) enqueue(add func(*inbox)) <-chan bool {
+	c := make(chan bool, 1)
+	if t.over {
+		c <- false
+		return c
+	}
+	add(&t.inbox)
+	t.inbox.waiters = append(t.inbox.waiters, c)
+	t.signal()
+	return c
+}
+
+// requeue handles a round that was not committed: it tells the waiters and puts
+// the input back that nobody waits for. Whether the round still commits later
+// is unknown, so everything in it may be applied twice.
+func (t *term) requeue(in inbox) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, c := range in.waiters {
+		c <- false
+	}
+	if t.over {
+		return
+	}
+	n := &t.inbox
+	n.workers = append(in.workers, n.workers...)
+	n.gone = append(in.gone, n.gone...)
+	n.ends = append(in.ends, n.ends...)
+	n.orphans = append(in.orphans, n.orphans...)
+	n.settled = append(in.settled, n.settled...)
+	n.acks = append(in.acks, n.acks...)
+}
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -9,11 +9,17 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/raft"
 )
 
-// maxRoundStarts bounds the starts of one round. A round of this size takes
-// about 100 KB in the log.
-const maxRoundStarts = 800
+const (
+	// maxRoundStarts bounds the starts of one round. A round of this size takes
+	// about 100 KB in the log.
+	maxRoundStarts = 800
+	// maxRoundInput bounds the input of one round in bytes. It leaves room for the
+	// starts and for an input that is a little larger than estimated.
+	maxRoundInput = raft.MaxCommand / 2
+)
 
 // maxDecideShare is the largest share of the time that decisions take. Beyond it,
 // rounds come less often and decide more at once, so that orders, listings and
@@ -56,8 +62,7 @@
 func (t *term) buildRound() (job.Round, inbox, []fit.Start) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	in := t.inbox
-	t.inbox = inbox{}
+	in := t.inbox.take(maxRoundInput)
 	r := job.Round{
 		Catalogue: in.catalogue, Workers: in.workers, Gone: in.gone, Ends: in.ends, Cancels: in.cancels, Submits: in.submits,
 		Orphans: in.orphans, Settled: in.settled,
@@ -77,27 +82,6 @@
 	return r, in, starts
 }
 
-// requeue handles a round that was not committed: it tells the waiters and puts
-// the input back that nobody waits for. Whether the round still commits later
-// is unknown, so everything in it may be applied twice.
-func (t *term) requeue(in inbox) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, c := range in.waiters {
-		c <- false
-	}
-	if t.over {
-		return
-	}
-	n := &t.inbox
-	n.workers = append(in.workers, n.workers...)
-	n.gone = append(in.gone, n.gone...)
-	n.ends = append(in.ends, n.ends...)
-	n.orphans = append(in.orphans, n.orphans...)
-	n.settled = append(in.settled, n.settled...)
-	n.acks = append(in.acks, n.acks...)
-}
-
 // notify records which ends are acknowledged by a round and tells its waiters
 // whether it was committed.
 func (t *term) notify(in inbox, ok bool) {
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -64,27 +64,6 @@
 	unanswered     map[string]time.Time // by worker; when an order last got no answer
 }
 
-// inbox collects the input of the next round.
-type inbox struct {
-	catalogue *job.Catalogue
-	workers   []job.Worker
-	gone      []job.Worker
-	ends      []job.End
-	orphans   []job.Start // runs that were given up and may still be executed
-	settled   []job.Start // orphans that can no longer be executed
-	cancels   []job.ID
-	submits   []job.Job
-	waiters   []chan bool // receive whether the round was committed
-	acks      []acknowledgement
-}
-
-// acknowledgement says up to which number the ends of a worker are acknowledged
-// once the round is committed.
-type acknowledgement struct {
-	worker *worker
-	number int64
-}
-
 // stepState is the leader's in-memory record of a step.
 type stepState struct {
 	advice        fit.Advice
@@ -253,20 +232,6 @@
 	t.inbox = inbox{}
 }
 
-// enqueue adds input to the next round. It returns a channel that receives
-// whether the round was committed. The caller holds the lock.
-func (t *term) enqueue(add func(*inbox)) <-chan bool {
-	c := make(chan bool, 1)
-	if t.over {
-		c <- false
-		return c
-	}
-	add(&t.inbox)
-	t.inbox.waiters = append(t.inbox.waiters, c)
-	t.signal()
-	return c
-}
-
 // awaitCommit waits until a round was committed or failed, or until ctx ends. It
 // reports whether the round was committed.
 func (t *term) awaitCommit(ctx context.Context, c <-chan bool) bool {
