--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -118,10 +118,10 @@
 		sleep(ctx, commitRetryDelay)
 		return // Run retries if the replica still leads
 	}
-	d.current.Store(t)
 	group, ctx := errgroup.WithContext(ctx)
 	t.ctx = ctx
 	t.adopt()
+	d.current.Store(t)
 	group.Go(func() error { t.runRounds(ctx); return nil })
 	group.Go(func() error { t.runChecks(ctx); return nil })
 	d.waitForTermEnd(ctx, number)
