Apply committed entries at the start of a replica, before an election

Cause: a replica did not know after a restart which entries of its log are committed. Change: each batch of the log records up to where entries are committed. TestRestartedReplicaAppliesBeforeAnElection failed before (0 of 10 commands applied).

--- a/internal/version/disk/directory_test.go
+++ b/internal/version/disk/directory_test.go
@@ -65,6 +65,28 @@
 	is.NoErr(d.Close())
 }
 
+// Guards against a commit that is lost or survives a reset of the log.
+func TestCommitIsKeptUntilAReset(t *testing.T) {
+	is := is.New(t)
+	path := t.TempDir()
+	d := open(t, path)
+	write(t, d, Batch{Entries: entries(1, 3, "a", "b"), Commit: 1})
+	write(t, d, Batch{Hard: &HardState{Term: 4}})
+	is.NoErr(d.Close())
+	d = open(t, path)
+	c, err := d.Load()
+	is.NoErr(err)
+	is.Equal(c.Commit, uint64(1))
+	is.NoErr(d.SaveSnapshot(Snapshot{Index: 9, Term: 5}))
+	write(t, d, Batch{Reset: &Position{9, 5}, Entries: entries(10, 5, "y")})
+	is.NoErr(d.Close())
+	d = open(t, path)
+	c, err = d.Load()
+	is.NoErr(err)
+	is.Equal(c.Commit, uint64(0))
+	is.NoErr(d.Close())
+}
+
 // Guards against segments that are never removed or removed too early, and
 // against losing the term and vote when old segments are removed.
 func TestCompactAndReset(t *testing.T) {
@@ -184,7 +206,7 @@
 // Guards against a decoder that panics, allocates without bound or does not
 // return what was encoded.
 func FuzzDecodeBatch(f *testing.F) {
-	f.Add(appendBatch(nil, Batch{Hard: &HardState{1, 2}, Reset: &Position{3, 4}, Entries: entries(5, 6, "a", "")}))
+	f.Add(appendBatch(nil, Batch{Hard: &HardState{1, 2}, Reset: &Position{3, 4}, Entries: entries(5, 6, "a", ""), Commit: 4}))
 	f.Add([]byte{0, 0xff, 0xff, 0xff, 0xff, 0x0f})
 	f.Fuzz(func(t *testing.T, b []byte) {
 		batch, rest, err := decodeBatch(b)
--- a/internal/version/disk/disk.go
+++ b/internal/version/disk/disk.go
@@ -87,6 +87,7 @@
 	Hard    *HardState // new term and vote; nil if unchanged
 	Reset   *Position  // if set, all entries are dropped and the log continues after this position
 	Entries []Entry    // consecutive entries; those stored at and after the first index are replaced
+	Commit  uint64     // entries up to this one are known to be committed; zero if that is not recorded
 }
 
 // Contents is the state that a store holds at startup.
@@ -94,6 +95,7 @@
 	Hard     HardState
 	Snapshot Snapshot // zero if none; Load does not return its Data
 	Entries  []Entry  // consecutive; may begin at or before the snapshot's index, but then reach it
+	Commit   uint64   // entries up to this one are committed; further ones may be
 }
 
 // Store is the durable state of one replica. Append and Sync are called from
@@ -126,8 +128,9 @@
 		c.Hard = *batch.Hard
 	}
 	if batch.Reset != nil {
-		c.Entries = nil
+		c.Entries, c.Commit = nil, 0
 	}
+	c.Commit = max(c.Commit, batch.Commit)
 	if len(batch.Entries) == 0 {
 		return nil
 	}
--- a/internal/version/disk/record.go
+++ b/internal/version/disk/record.go
@@ -18,6 +18,7 @@
 const (
 	flagHard = 1 << iota
 	flagReset
+	flagCommit
 )
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
@@ -81,6 +82,9 @@
 	if batch.Reset != nil {
 		flags |= flagReset
 	}
+	if batch.Commit > 0 {
+		flags |= flagCommit
+	}
 	b = append(b, flags)
 	if h := batch.Hard; h != nil {
 		b = binary.AppendUvarint(b, h.Term)
@@ -90,6 +94,9 @@
 		b = binary.AppendUvarint(b, p.Index)
 		b = binary.AppendUvarint(b, p.Term)
 	}
+	if batch.Commit > 0 {
+		b = binary.AppendUvarint(b, batch.Commit)
+	}
 	b = binary.AppendUvarint(b, uint64(len(batch.Entries)))
 	if len(batch.Entries) > 0 {
 		b = binary.AppendUvarint(b, batch.Entries[0].Index)
@@ -143,7 +150,7 @@
 	r := &batchReader{rest: b}
 	var batch Batch
 	flags := r.byte()
-	if flags&^(flagHard|flagReset) != 0 {
+	if flags&^(flagHard|flagReset|flagCommit) != 0 {
 		return Batch{}, nil, errors.Wrapf(ErrDamaged, "unknown flags %#x in a record", flags)
 	}
 	if flags&flagHard != 0 {
@@ -152,6 +159,9 @@
 	if flags&flagReset != 0 {
 		batch.Reset = &Position{Index: r.uvarint(), Term: r.uvarint()}
 	}
+	if flags&flagCommit != 0 {
+		batch.Commit = r.uvarint()
+	}
 	// Each entry takes at least three bytes, which bounds the allocation.
 	count := r.uvarint()
 	if count > uint64(len(r.rest))/3 {
--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -151,7 +151,10 @@
 		}
 		c.entries.entries = e
 	}
-	c.commit, c.delivered, c.stable = s.Index, s.Index, c.entries.last()
+	// Entries that are known to be committed are applied at once, so that an election
+	// does not have to wait for them.
+	c.commit = max(s.Index, min(contents.Commit, c.entries.last()))
+	c.delivered, c.stable = s.Index, c.entries.last()
 	if s.Index > 0 {
 		m, err := decodeMembership(s.Membership)
 		if err != nil {
@@ -458,7 +461,7 @@
 	if c.firstUnsaved > 0 {
 		b.Entries = c.entries.between(c.firstUnsaved-1, c.entries.last())
 	}
-	b.Reset = c.pendingReset
+	b.Reset, b.Commit = c.pendingReset, c.commit
 	if c.pendingSnapshot != nil {
 		if err := store.SaveSnapshot(*c.pendingSnapshot); err != nil {
 			return err
--- a/internal/version/raft/replica_test.go
+++ b/internal/version/raft/replica_test.go
@@ -208,6 +208,29 @@
 	})
 }
 
+// Guards against a new leader that first has to apply all entries since the latest
+// snapshot, although it waited for its election with nothing to do.
+func TestRestartedReplicaAppliesBeforeAnElection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a", "b", "c")
+		c.startAll()
+		l := c.leader()
+		for range 10 {
+			_, err := l.Propose(t.Context(), number(1))
+			is.NoErr(err)
+		}
+		time.Sleep(time.Second)
+		c.stopAll()
+		for _, n := range c.names {
+			c.start(n, 0)
+			synctest.Wait()
+			is.True(c.machines[n].value() >= 9) // the commit of the last entry is not on disk
+			c.stop(n)
+		}
+	})
+}
+
 // Guards against a replica that cannot restart from its data directory.
 func TestReplicaOnDisk(t *testing.T) {
 	is := is.New(t)
