Plan no queries ahead that no process can send

Cause: in a backlog each step that waits looked at all workers of its pool for workers to ask about ahead of free capacity, though such a query is sent only through a process that is idle, and each step sorted the workers that it may use three times a round. Change: the plan is told how many processes are idle (Cluster.Early) and plans no more early queries; the allowed workers of a step are listed once. The replays and TestTicketsAreRenewedAhead state idle processes, which they took for granted before.

--- a/internal/process/dispatch/advice.go
+++ b/internal/process/dispatch/advice.go
@@ -57,6 +57,18 @@
 	t.orders.Go(func() { t.sendQuery(s, a, name, client, q, deadline) })
 }
 
+// idleClients returns the number of processes that can send a query ahead of free
+// capacity.
+func (t *term) idleClients(now time.Time) int {
+	n := 0
+	for _, client := range t.adviceClients {
+		if now.Sub(client.lastPing) <= adviceClientTimeout && !client.idleAt.After(now) {
+			n++
+		}
+	}
+	return n
+}
+
 // pickAdviceClient returns the process that is idle first. If there are enough
 // processes, some are reserved for urgent work, whose queries are short and
 // would otherwise wait behind long ones.
--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -49,6 +49,7 @@
 		cluster.Limits[s.Name] = &fit.Limit{Max: s.Limit, Used: v.Used[s.Name]}
 	}
 	t.setHeadroom(v, cluster, now)
+	cluster.Early = t.idleClients(now)
 	return cluster
 }
 
--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -126,6 +126,9 @@
 		p.plan.Queries = append(p.plan.Queries, Query{d, chunk, early})
 		p.asking = append(p.asking, chunk...)
 		p.queries++
+		if early {
+			p.cluster.Early--
+		}
 	}
 }
 
@@ -134,7 +137,7 @@
 // of workers would wait until all of them are free at once. It reports whether it
 // added a query.
 func (p *planner) explore(l *inventory, d *Demand) bool {
-	if d.rank != onTime || !p.mayReserve(l, d) {
+	if p.cluster.Early <= 0 || d.rank != onTime || !p.mayReserve(l, d) {
 		return false
 	}
 	allowed := d.allowedShare() * float64(len(d.Advice.Asked)+len(p.asking))
@@ -178,11 +181,11 @@
 // is slow. Otherwise each worker would be idle for the response time whenever it
 // becomes free.
 func (p *planner) renewTickets(l *inventory, d *Demand) {
-	if d.MinAnswerTime < slowAnswerTime || d.rank != onTime {
+	if p.cluster.Early <= 0 || d.MinAnswerTime < slowAnswerTime || d.rank != onTime {
 		return
 	}
 	var candidates []candidate
-	for _, w := range l.allowed(d) {
+	for _, w := range p.allowedWorkers(l, d) {
 		if p.now.Add(d.MinAnswerTime+renewMargin).After(d.Advice.Answers[w.ID].Expiry) && p.reservable(d, w) {
 			candidates = append(candidates, p.evaluate(d, w, d.Spec.Reservation()))
 		}
@@ -194,16 +197,19 @@
 	p.addQueries(d, workers, true)
 }
 
-// allowed returns the workers that the advice service allows, ordered by ID.
-func (l *inventory) allowed(d *Demand) []*Worker {
-	var list []*Worker
-	for id, a := range d.Advice.Answers {
-		if w := l.named[id]; a.Allowed && w != nil {
-			list = append(list, w)
+// allowedWorkers returns the workers that the advice service allows for the demand
+// that is being planned, ordered by ID.
+func (p *planner) allowedWorkers(l *inventory, d *Demand) []*Worker {
+	if p.allowed == nil {
+		p.allowed = []*Worker{}
+		for id, a := range d.Advice.Answers {
+			if w := l.named[id]; a.Allowed && w != nil {
+				p.allowed = append(p.allowed, w)
+			}
 		}
+		slices.SortFunc(p.allowed, func(a, b *Worker) int { return a.order - b.order })
 	}
-	slices.SortFunc(list, func(a, b *Worker) int { return a.order - b.order })
-	return list
+	return p.allowed
 }
 
 // expiredTickets returns allowed workers with an expired ticket on which tasks fit,
@@ -215,7 +221,7 @@
 		room   int
 	}
 	var list []expired
-	for _, w := range l.allowed(d) {
+	for _, w := range p.allowedWorkers(l, d) {
 		n := room(d, w)
 		fit += n
 		if n > 0 && !p.now.Before(d.Advice.Answers[w.ID].Expiry) && !d.Advice.Asked[w.ID] {
--- a/internal/version/fit/claim.go
+++ b/internal/version/fit/claim.go
@@ -49,7 +49,7 @@
 	size := d.Spec.Reservation()
 	workers := l.workers
 	if d.Advised {
-		workers = l.allowed(d)
+		workers = p.allowedWorkers(l, d)
 	}
 	var candidates []candidate
 	for _, w := range workers {
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -185,6 +185,7 @@
 	Workers  []*Worker
 	Limits   map[string]*Limit         // by workspace
 	Headroom map[string]work.Resources // by pool; headroom that only urgent work and long-running or filler tasks may use
+	Early    int                       // number of early queries that can be sent now
 }
 
 // Limit is a workspace's resource limit and current usage.
@@ -219,8 +220,9 @@
 	cluster Cluster
 	pools   map[string]*inventory
 	plan    Plan
-	asking  []string // workers in the queries of the demand that is being planned
-	queries int      // number of these queries
+	asking  []string  // workers in the queries of the demand that is being planned
+	queries int       // number of these queries
+	allowed []*Worker // workers that the demand that is being planned may use; see allowedWorkers
 }
 
 // Decide plans one scheduling round.
--- a/internal/version/fit/fit_test.go
+++ b/internal/version/fit/fit_test.go
@@ -144,6 +144,22 @@
 	is.True(true)
 }
 
+// Guards against the search for queries that no process can send: it looks at all
+// workers for each waiting step, which is most of the work of a round under overload.
+func TestNoQueriesAheadWithoutIdleProcesses(t *testing.T) {
+	is := is.New(t)
+	workers := pool(3, cores(16))
+	workers[0].Free = cores(2)
+	answers := map[string]Answer{"w00": {Allowed: true}, "w01": {}, "w02": {}}
+	waiting := func() []*Demand {
+		first, second := demand("a", 1, 1, cores(16)), demand("b", 1, 1, cores(16))
+		return []*Demand{advised(first, answers), advised(second, answers)}
+	}
+	is.Equal(len(Decide(now, waiting(), Cluster{Workers: workers, Early: 2}).Queries), 2)
+	is.Equal(len(Decide(now, waiting(), Cluster{Workers: workers, Early: 1}).Queries), 1)
+	is.Equal(len(Decide(now, waiting(), Cluster{Workers: workers}).Queries), 0)
+}
+
 // Guards against workers that are idle for the response time of the advice
 // service whenever they become free, which cost a third of the accelerators in
 // the scenario quiet-1. Tickets of full workers are renewed early, and workers
@@ -154,7 +170,7 @@
 	workers[0].Free = cores(2)
 	answers := map[string]Answer{"w00": {Allowed: true}, "w01": {}, "w02": {}}
 	d := advised(demand("a", 1, 1, cores(16)), answers)
-	p := Decide(now, []*Demand{d}, Cluster{Workers: workers})
+	p := Decide(now, []*Demand{d}, Cluster{Workers: workers, Early: 1})
 	is.Equal(len(p.Queries), 1)
 	is.True(p.Queries[0].Early)
 	is.Equal(p.Queries[0].Workers, []string{"w00"})
--- a/internal/version/fit/place.go
+++ b/internal/version/fit/place.go
@@ -29,7 +29,7 @@
 		}
 		return
 	}
-	l.own, p.asking, p.queries = l.own[:0], nil, 0
+	l.own, p.asking, p.queries, p.allowed = l.own[:0], nil, 0, nil
 	switch {
 	case d.Prefetch:
 		p.queryEarly(l, d)
@@ -127,25 +127,25 @@
 func (p *planner) candidates(l *inventory, d *Demand) []*Worker {
 	var list []*Worker
 	if d.Advised {
-		for id, a := range d.Advice.Answers {
-			if w := l.named[id]; a.Allowed && p.now.Before(a.Expiry) && w != nil && fits(d, w) {
+		for _, w := range p.allowedWorkers(l, d) {
+			if fits(d, w) && p.now.Before(d.Advice.Answers[w.ID].Expiry) {
 				list = append(list, w)
 			}
 		}
-	} else {
-		for _, w := range l.racks[d.Spec.Rack] {
-			if d.Spec.Rack != "" && fits(d, w) {
-				list = append(list, w)
-			}
+		return list
+	}
+	for _, w := range l.racks[d.Spec.Rack] {
+		if d.Spec.Rack != "" && fits(d, w) {
+			list = append(list, w)
 		}
-		wanted := len(list) + max(minCandidates, candidatesPerTask*len(d.Tasks))
-		l.tightest(d.Spec.Reservation(), func(w *Worker) bool {
-			if fits(d, w) && (d.Spec.Rack == "" || w.Rack != d.Spec.Rack) {
-				list = append(list, w)
-			}
-			return len(list) < wanted
-		})
 	}
+	wanted := len(list) + max(minCandidates, candidatesPerTask*len(d.Tasks))
+	l.tightest(d.Spec.Reservation(), func(w *Worker) bool {
+		if fits(d, w) && (d.Spec.Rack == "" || w.Rack != d.Spec.Rack) {
+			list = append(list, w)
+		}
+		return len(list) < wanted
+	})
 	slices.SortFunc(list, func(a, b *Worker) int { return a.order - b.order })
 	return list
 }
--- a/internal/version/fit/replay_test.go
+++ b/internal/version/fit/replay_test.go
@@ -185,7 +185,7 @@
 	for _, w := range workers {
 		slices.SortStableFunc(w.Runs, func(a, b Run) int { return a.Priority - b.Priority })
 	}
-	p := Decide(at, demands, Cluster{Workers: workers, Headroom: map[string]work.Resources{"p": headroom(use)}})
+	p := Decide(at, demands, Cluster{Workers: workers, Headroom: map[string]work.Resources{"p": headroom(use)}, Early: len(workers)})
 	for _, a := range p.Queries {
 		if j := byDemand[a.Demand]; j.answerAt.IsZero() || j.answerAt.Equal(at.Add(j.kind.answerTime)) {
 			if j.Advice.Asked == nil {
