--- a/internal/version/job/replay_test.go
+++ b/internal/version/job/replay_test.go
@@ -59,3 +59,32 @@
 	}
 	return rounds, size
 }
+
+// BenchmarkSnapshot measures a snapshot of the state after the rounds of
+// BenchmarkReplay: 2,000 jobs, of which the last one is not done.
+func BenchmarkSnapshot(b *testing.B) {
+	rounds, _ := replayRounds(b, 20, 1100)
+	s := New()
+	for _, r := range rounds {
+		s.Apply(0, r)
+	}
+	data, err := s.Snapshot()
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.Run("take", func(b *testing.B) {
+		for b.Loop() {
+			if _, err := s.Snapshot(); err != nil {
+				b.Fatal(err)
+			}
+		}
+		b.ReportMetric(float64(len(data)), "B")
+	})
+	b.Run("restore", func(b *testing.B) {
+		for b.Loop() {
+			if err := New().Restore(data); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/internal/version/raft/apply.go
+++ b/internal/version/raft/apply.go
@@ -32,6 +32,7 @@
 	membership           []byte // as of applied
 	entriesSinceSnapshot uint64
 	bytesSinceSnapshot   int // of commands
+	snapshotBytes        int // size of the latest snapshot
 	snapshotDone         chan error
 }
 
@@ -115,7 +116,7 @@
 			}
 		}
 		a.applied, a.membership = disk.Position{Index: s.Index, Term: s.Term}, s.Membership
-		a.entriesSinceSnapshot, a.bytesSinceSnapshot = 0, 0
+		a.entriesSinceSnapshot, a.bytesSinceSnapshot, a.snapshotBytes = 0, 0, len(s.Data)
 	}
 	waiters := t.waiters
 	for i := range t.entries {
@@ -145,17 +146,19 @@
 }
 
 // maybeSnapshot takes a snapshot if enough was applied since the last one, and
-// writes it in a separate goroutine.
+// writes it in a separate goroutine. A large state is saved only once as many bytes
+// were applied, so that snapshots do not cost more than the log.
 func (a *applier) maybeSnapshot() error {
 	r := a.replica
-	if a.snapshotDone != nil || a.entriesSinceSnapshot < r.options.SnapshotEntries && a.bytesSinceSnapshot < r.options.SnapshotBytes {
+	enough := max(r.options.SnapshotBytes, a.snapshotBytes)
+	if a.snapshotDone != nil || a.entriesSinceSnapshot < r.options.SnapshotEntries && a.bytesSinceSnapshot < enough {
 		return nil
 	}
 	data, err := r.options.Machine.Snapshot()
 	if err != nil {
 		return errors.Wrap(err, "take snapshot")
 	}
-	a.entriesSinceSnapshot, a.bytesSinceSnapshot = 0, 0
+	a.entriesSinceSnapshot, a.bytesSinceSnapshot, a.snapshotBytes = 0, 0, len(data)
 	s := disk.Snapshot{Index: a.applied.Index, Term: a.applied.Term, Membership: a.membership, Data: data}
 	done := make(chan error, 1)
 	a.snapshotDone = done
--- a/internal/version/raft/replica_test.go
+++ b/internal/version/raft/replica_test.go
@@ -208,6 +208,36 @@
 	})
 }
 
+// largeState is a machine with a snapshot of 1000 bytes.
+type largeState struct {
+	sum
+	snapshots int
+}
+
+func (m *largeState) Snapshot() ([]byte, error) {
+	m.snapshots++
+	return make([]byte, 1000), nil
+}
+
+// Guards against snapshots that are larger than the part of the log that they replace.
+func TestLargeStateIsSavedLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a")
+		m := &largeState{}
+		c.options = func(o *Options) { o.Machine, o.SnapshotBytes, o.SnapshotEntries = m, 80, 1000 }
+		r := c.start("a", 1)
+		synctest.Wait()
+		for range 100 {
+			_, err := r.Propose(t.Context(), make([]byte, 8))
+			is.NoErr(err)
+			synctest.Wait()
+		}
+		c.stopAll()
+		is.Equal(m.snapshots, 1)
+	})
+}
+
 // Guards against a new leader that first has to apply all entries since the latest
 // snapshot, although it waited for its election with nothing to do.
 func TestRestartedReplicaAppliesBeforeAnElection(t *testing.T) {
