Look for drivers at the election, before the workers are listed

Change: the fleet follows the replica's leadership and is told of changes. TestNewLeaderKnowsItsDriversAtOnce failed before (the leader sent the order itself).

--- a/internal/process/driver/driver_test.go
+++ b/internal/process/driver/driver_test.go
@@ -180,6 +180,14 @@
 	network *fakeNetwork
 	all     *record
 	leads   atomic.Bool
+	changed atomic.Pointer[chan struct{}]
+}
+
+// lead sets whether the process leads, and announces the change.
+func (f *testFleet) lead(yes bool) {
+	f.leads.Store(yes)
+	next := make(chan struct{})
+	close(*f.changed.Swap(&next))
 }
 
 // run runs a test with a leader and three drivers, one in each zone, and enough
@@ -189,9 +197,11 @@
 		n, all := newFakeNetwork(), &record{sent: map[string][]string{}}
 		f := &testFleet{network: n, all: all}
 		f.leads.Store(true)
+		changed := make(chan struct{})
+		f.changed.Store(&changed)
 		f.Fleet = NewFleet(FleetOptions{
 			Name: "a", Local: recorder{"a", all}, Peer: endpoint{n, "a"}, Members: func() []string { return []string{"a", "b", "c", "d"} },
-			Leading: func() bool { return f.leads.Load() },
+			Leading: f.leads.Load, Changed: func() <-chan struct{} { return *f.changed.Load() },
 		})
 		f.Register(endpoint{n, "a"})
 		for i, name := range []string{"b", "c", "d"} {
@@ -249,6 +259,19 @@
 	})
 }
 
+// Guards against a new leader that asks a thousand workers itself for their runs
+// because it does not know its drivers yet.
+func TestNewLeaderKnowsItsDriversAtOnce(t *testing.T) {
+	run(t, func(is *is.I, f *testFleet) {
+		f.lead(false)
+		time.Sleep(presenceInterval + time.Millisecond)
+		f.lead(true)
+		time.Sleep(3 * time.Millisecond) // a call takes one
+		f.Stop(always(orderTimeout), worker(1), dispatch.StopOrder{Task: task(1), Run: 1})
+		is.Equal(f.all.senders("stop w001 j.0.0.1 1 0"), []string{"c"})
+	})
+}
+
 // Guards against a driver that is cut off and keeps the orders of its workers from
 // the others, and against an order that counts as refused although the driver may
 // have sent it.
--- a/internal/process/driver/fleet.go
+++ b/internal/process/driver/fleet.go
@@ -36,6 +36,7 @@
 	Peer    peer.Caller
 	Members func() []string // control processes
 	Leading func() bool
+	Changed func() <-chan struct{} // closed once Leading may have changed; nil if that is only polled
 	Log     event.Log
 }
 
@@ -105,9 +106,14 @@
 	tick := time.NewTicker(presenceInterval)
 	defer tick.Stop()
 	for {
+		var changed <-chan struct{}
+		if f.options.Changed != nil {
+			changed = f.options.Changed()
+		}
 		f.update(ctx, &senders)
 		select {
 		case <-tick.C:
+		case <-changed:
 		case <-ctx.Done():
 			return nil
 		}
