--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -48,6 +48,7 @@
 		cluster.Limits[name] = &fit.Limit{Max: limit, Used: v.Used[name]}
 	}
 	t.setHeadroom(v, cluster, now)
+	cluster.Early = t.idleClients(now)
 	return cluster
 }
 
--- a/internal/version/raft/replica_test.go
+++ b/internal/version/raft/replica_test.go
@@ -208,6 +208,59 @@
 	})
 }
 
+// largeState is a machine with a snapshot of 1000 bytes.
+type largeState struct {
+	sum
+	snapshots int
+}
+
+func (m *largeState) Snapshot() ([]byte, error) {
+	m.snapshots++
+	return make([]byte, 1000), nil
+}
+
+// Guards against snapshots that are larger than the part of the log that they replace.
+func TestLargeStateIsSavedLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a")
+		m := &largeState{}
+		c.options = func(o *Options) { o.Machine, o.SnapshotBytes, o.SnapshotEntries = m, 80, 1000 }
+		r := c.start("a", 1)
+		synctest.Wait()
+		for range 100 {
+			_, err := r.Propose(t.Context(), make([]byte, 8))
+			is.NoErr(err)
+			synctest.Wait()
+		}
+		c.stopAll()
+		is.Equal(m.snapshots, 1)
+	})
+}
+
+// Guards against a new leader that first has to apply all entries since the latest
+// snapshot, although it waited for its election with nothing to do.
+func TestRestartedReplicaAppliesBeforeAnElection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a", "b", "c")
+		c.startAll()
+		l := c.leader()
+		for range 10 {
+			_, err := l.Propose(t.Context(), number(1))
+			is.NoErr(err)
+		}
+		time.Sleep(time.Second)
+		c.stopAll()
+		for _, n := range c.names {
+			c.start(n, 0)
+			synctest.Wait()
+			is.True(c.machines[n].value() >= 9) // the commit of the last entry is not on disk
+			c.stop(n)
+		}
+	})
+}
+
 // Guards against a replica that cannot restart from its data directory.
 func TestReplicaOnDisk(t *testing.T) {
 	is := is.New(t)
