Say what holds the capacity that is idle while tasks wait

The line 'pool use' said how much of a pool was free and how many tasks waited, not why both were the case. The planner now matches what a round leaves free with the tasks that it leaves waiting, in their order, once a second: ticket, denied, reservation, headroom, limit or shape. The same amounts are gauges of the metrics.

--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -35,9 +35,11 @@
 		}
 		cluster := t.cluster(v, now)
 		demands := t.demands(v, now)
-		t.logPoolUsage(cluster, demands, now)
 		t.updateLoads(v, cluster, demands, now)
+		usages := t.poolUsages(cluster, demands, now)
+		cluster.Explain = len(usages) > 0
 		plan = fit.Decide(now, demands, cluster)
+		t.logPoolUsage(usages, cluster, plan.Idle)
 		for i := range plan.Starts {
 			plan.Starts[i].Demand.Prepare()
 		}
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,8 +41,9 @@
 	ctx        context.Context
 	orders     sync.WaitGroup
 	wake       chan struct{}
-	nextRound  time.Time // no round is decided before this; used by runRounds only
-	lapsedAt   time.Time // when the lease was found lapsed; zero while it is held; used by runChecks only
+	nextRound  time.Time                                 // no round is decided before this; used by runRounds only
+	idle       atomic.Pointer[map[string]work.Resources] // see Dispatcher.Idle
+	lapsedAt   time.Time                                 // when the lease was found lapsed; zero while it is held; used by runChecks only
 
 	mu             sync.Mutex // guards the rest; taken before the state's lock
 	over           bool
--- a/internal/process/dispatch/use.go
+++ b/internal/process/dispatch/use.go
@@ -25,10 +25,11 @@
 	waiting  [3]int // tasks by priority; the last entry includes all lower priorities
 }
 
-// logPoolUsage logs the usage of each pool at intervals.
-func (t *term) logPoolUsage(cluster fit.Cluster, demands []*fit.Demand, now time.Time) {
+// poolUsages returns the usage of each pool before a round, or nil if it need not be
+// logged now.
+func (t *term) poolUsages(cluster fit.Cluster, demands []*fit.Demand, now time.Time) map[string]*poolUsage {
 	if now.Sub(t.lastPoolLog) < poolLogInterval {
-		return
+		return nil
 	}
 	hasWaiting := false
 	usages := map[string]*poolUsage{}
@@ -50,15 +51,65 @@
 		}
 	}
 	if !hasWaiting && now.Sub(t.lastPoolLog) < idlePoolLogInterval {
-		return
+		t.idle.Store(nil)
+		return nil
 	}
 	t.lastPoolLog = now
+	return usages
+}
+
+// logPoolUsage logs the usage of each pool, and what holds the capacity that is idle
+// while tasks wait.
+func (t *term) logPoolUsage(usages map[string]*poolUsage, cluster fit.Cluster, idle map[string]fit.Idle) {
+	if usages == nil {
+		return
+	}
+	t.recordIdle(idle)
 	for name, usage := range usages {
 		used := usage.capacity.Sub(usage.free)
 		t.emit(event.PoolUse, zap.String("pool", name), zap.Int("workers", usage.workers),
 			zap.Int64("processors", used.Processors), zap.Int64("of", usage.capacity.Processors),
 			zap.Int64("accelerators", used.Accelerators), zap.Int64("ofAccelerators", usage.capacity.Accelerators),
 			zap.Int64("memory", used.Memory>>20), zap.Int64("ofMemory", usage.capacity.Memory>>20),
-			zap.Int64("spare", cluster.Headroom[name].Processors), zap.Ints("waiting", usage.waiting[:]))
+			zap.Int64("spare", cluster.Headroom[name].Processors), zap.Ints("waiting", usage.waiting[:]),
+			zap.Dict("idle", idleFields(idle[name], processors)...), zap.Dict("idleAccelerators", idleFields(idle[name], accelerators)...))
+	}
+}
+
+func processors(r work.Resources) int64   { return r.Processors }
+func accelerators(r work.Resources) int64 { return r.Accelerators }
+
+// idleFields returns the idle amounts of one resource by cause.
+func idleFields(i fit.Idle, amount func(work.Resources) int64) []zap.Field {
+	var fields []zap.Field
+	for c, idle := range i.Amounts() {
+		if n := amount(idle); n > 0 {
+			fields = append(fields, zap.Int64(fit.Causes[c], n))
+		}
+	}
+	return fields
+}
+
+// Idle returns the capacity of all pools that was idle while tasks waited, by cause,
+// when the usage of the pools was last logged.
+func (d *Dispatcher) Idle() map[string]work.Resources {
+	t := d.current.Load()
+	if t == nil {
+		return nil
+	}
+	if sum := t.idle.Load(); sum != nil {
+		return *sum
+	}
+	return nil
+}
+
+// recordIdle sums up what is idle in all pools.
+func (t *term) recordIdle(pools map[string]fit.Idle) {
+	sum := map[string]work.Resources{}
+	for _, i := range pools {
+		for c, idle := range i.Amounts() {
+			sum[fit.Causes[c]] = sum[fit.Causes[c]].Add(idle)
+		}
 	}
+	t.idle.Store(&sum)
 }
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -16,7 +16,7 @@
 	RunLost          = define(908, zapcore.WarnLevel, "run lost", "The run ended with its worker's life, its lease or an order that never arrived; the task waits again.")
 	StepWaits        = define(909, zapcore.InfoLevel, "step waits", "Tasks of the step could not be placed for the reason given; the line is written at most every 2 s for a step.")
 	RunPreempted     = define(923, zapcore.InfoLevel, "run makes way", "A run of low priority with checkpoints is stopped for more urgent work and goes on later.")
-	PoolUse          = define(924, zapcore.InfoLevel, "pool use", "What of a pool is in use, kept and waited for; the line is written once a second while work waits, else every 10 s.")
+	PoolUse          = define(924, zapcore.InfoLevel, "pool use", "What of a pool is in use, kept and waited for, and what holds the capacity that is idle while tasks wait; the line is written once a second while work waits, else every 10 s.")
 	WorkerKnown      = define(910, zapcore.InfoLevel, "worker known", "A worker reported itself for the first time in this life.")
 	WorkerLeaving    = define(911, zapcore.InfoLevel, "worker leaving", "A worker drains; it gets nothing new from now on.")
 	WorkerOver       = define(912, zapcore.InfoLevel, "worker over", "The worker's life ended, for the reason given.")
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -161,13 +161,15 @@
 type Query struct {
 	Demand  *Demand
 	Workers []string
-	Early   bool // no capacity is free yet; send only if an advice client is idle
+	Early   bool // no capacity is free yet, or the deadline is past; send only if an advice client is idle
 }
 
 // Block is the reason why tasks of a demand wait.
 type Block struct {
 	Demand *Demand
 	Reason string
+
+	started int // tasks that the same plan starts
 }
 
 // Reasons of a Block.
@@ -185,6 +187,7 @@
 	Workers  []*Worker
 	Limits   map[string]*Limit         // by workspace
 	Headroom map[string]work.Resources // by pool; headroom that only urgent work and long-running or filler tasks may use
+	Explain  bool                      // the plan tells what holds idle capacity
 }
 
 // Limit is a workspace's resource limit and current usage.
@@ -210,7 +213,8 @@
 	Starts      []Start
 	Queries     []Query
 	Blocks      []Block
-	Preemptions []job.TaskID // runs to preempt
+	Preemptions []job.TaskID    // runs to preempt
+	Idle        map[string]Idle // by pool with waiting tasks, if Cluster.Explain is set
 }
 
 // planner holds the working state of one call of Decide.
@@ -233,6 +237,9 @@
 	for _, d := range demands {
 		p.schedule(d)
 	}
+	if cluster.Explain {
+		p.plan.Idle = p.explain()
+	}
 	return p.plan
 }
 
--- a/internal/version/fit/place.go
+++ b/internal/version/fit/place.go
@@ -25,7 +25,7 @@
 	l := p.pools[d.Pool]
 	if l == nil {
 		if !d.Prefetch {
-			p.block(d, NoSuitableWorker)
+			p.block(d, NoSuitableWorker, 0)
 		}
 		return
 	}
@@ -46,11 +46,11 @@
 	var candidates []*Worker
 	for n, index := range d.Tasks {
 		if !limit.allows(d.Spec.Size, 1) {
-			p.block(d, AtLimit)
+			p.block(d, AtLimit, n)
 			return
 		}
 		if !p.leavesHeadroom(l, d, 1) {
-			p.block(d, UrgentHeadroom)
+			p.block(d, UrgentHeadroom, n)
 			return
 		}
 		if n == 0 {
@@ -58,7 +58,7 @@
 		}
 		w := best(d, candidates)
 		if w == nil {
-			p.block(d, p.reason(l, d))
+			p.block(d, p.reason(l, d), n)
 			if d.rank == onTime && p.mayReserve(l, d) {
 				p.reserve(l, d, len(d.Tasks)-n)
 			}
@@ -79,9 +79,9 @@
 	return left.Processors >= p.cluster.Headroom[d.Pool].Processors || d.Spec.Filler
 }
 
-// block records why a demand waits.
-func (p *planner) block(d *Demand, reason string) {
-	p.plan.Blocks = append(p.plan.Blocks, Block{d, reason})
+// block records why a demand waits, of which some tasks are started.
+func (p *planner) block(d *Demand, reason string, started int) {
+	p.plan.Blocks = append(p.plan.Blocks, Block{d, reason, started})
 }
 
 // start adds a start to the plan and updates the free amounts, limits and
@@ -203,12 +203,12 @@
 func (p *planner) placeGang(l *inventory, d *Demand) {
 	limit := p.cluster.Limits[d.Workspace]
 	if !limit.allows(d.Spec.Size, len(d.Tasks)) {
-		p.block(d, AtLimit)
+		p.block(d, AtLimit, 0)
 		return
 	}
 	chosen := p.fitGang(l, d)
 	if chosen == nil {
-		p.block(d, p.reason(l, d))
+		p.block(d, p.reason(l, d), 0)
 		if d.rank == onTime {
 			p.reserve(l, d, len(d.Tasks))
 		}
