--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -44,9 +44,8 @@
 		w.planned.Usable = w.usable(now, t.timing().ReportInterval)
 		cluster.Workers = append(cluster.Workers, &w.planned)
 	}
-	for i := range v.Catalogue.Workspaces {
-		s := &v.Catalogue.Workspaces[i]
-		cluster.Limits[s.Name] = &fit.Limit{Max: s.Limit, Used: v.Used[s.Name]}
+	for name, limit := range v.Limits {
+		cluster.Limits[name] = &fit.Limit{Max: limit, Used: v.Used[name]}
 	}
 	t.setHeadroom(v, cluster, now)
 	return cluster
@@ -58,6 +57,10 @@
 	for id, o := range v.Reservations[w.ID] {
 		t.countRun(&f, v.Jobs[id.Job], id, o)
 	}
+	for _, o := range v.Orphans[w.ID] {
+		f.Free = f.Free.Sub(o.Reserved)
+		f.Releasing = f.Releasing.Add(o.Reserved)
+	}
 	slices.SortFunc(f.Runs, comparePreemption)
 	return f
 }
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -72,6 +72,7 @@
 	workers   []job.Worker
 	gone      []job.Worker
 	ends      []job.End
+	settled   []job.Start // orphans that can no longer be executed
 	cancels   []job.ID
 	submits   []job.Job
 	waiters   []chan bool // receive whether the round was committed
@@ -138,6 +139,18 @@
 	return name == t.dispatcher.options.Name && number == t.number && t.now().Before(lease)
 }
 
+// awaitLease waits until this process may send orders. It reports whether the term
+// continues. The lease may lapse for a moment within a term, such as after a pause.
+func (t *term) awaitLease() bool {
+	for !t.isLeading() {
+		sleep(t.ctx, orderRetryDelay)
+		if t.ctx.Err() != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // signal wakes the loop that builds rounds.
 func (t *term) signal() {
 	select {
@@ -189,6 +202,9 @@
 		for name, reservations := range v.Reservations {
 			t.adoptRuns(v, name, reservations, now)
 		}
+		for name, orphans := range v.Orphans {
+			t.adoptOrphans(name, orphans)
+		}
 		t.emit(event.TermBegun, zap.Uint64("term", t.number), zap.Int("workers", len(v.Workers)),
 			zap.Int("runs", len(t.runs)), zap.Int("jobs", len(v.Active)))
 	})
@@ -227,6 +243,16 @@
 	}
 }
 
+// adoptOrphans stops the runs on one worker that an earlier leader gave up.
+func (t *term) adoptOrphans(name string, orphans map[job.OrphanID]job.Orphan) {
+	w := t.workers[name]
+	for id := range orphans {
+		if w != nil && w.Life == id.Life {
+			t.stopOrphan(w, id.Task, id.Run, "an earlier leader gave it up")
+		}
+	}
+}
+
 // abandon tells everybody who waits for a round that the term is over.
 func (t *term) abandon() {
 	t.mu.Lock()
