Admit a replacement whichever member its request reaches

A control process that was replaced, or lost its disk, asked only the names in the settings of its start to be admitted, and a replica that does not lead dropped the request. So it stayed out for good while the leader was not one of those names. The same list stood for the present group in four more places: reloaded seeds reached the link between processes and not the replica; a voter whose known members had all been replaced campaigned among them for ever; the link forgot the present control processes when one that was out of date answered last; and a process of a later start whose seeds named only itself founded a group of its own.

The names in the settings now only say whom to ask first. A replica without a leader sends its request to every name that it has heard of, each replica answers with the members that it knows, and the names in the answer are asked at once (join.go). The leader alone admits, by identity; it now also refuses replicas that have made promises to another group. Options.Founded keeps a process of a later start from founding; while a founding is under way, such a process follows the founder though its seeds may differ.

A silent voter leaves a group with an even number of voters after 1 s instead of 2.5 s, so that the predecessor is gone within a second of the start of its replacement. Dropping a silent voter from an even group costs no tolerance.

The leader logs silent voters with the reason why nobody has taken their place, and serves gauges; a replica that waits to be admitted logs whom it asks.

The property test found that a process that restarts during the founding with other seeds stopped it.

--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -35,6 +35,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/contact"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
@@ -90,25 +91,25 @@
 	reporter     reporter
 
 	mu              sync.Mutex
-	seeds           []string
-	members         []string
+	contacts        contact.Book  // control processes, some of which may be gone
 	relayCandidates []string      // processes that reached the leader recently
 	changed         chan struct{} // closed and replaced when a leader is found
 }
 
 // New returns a Link.
 func New(options Options) *Link {
-	l := &Link{options: options, seeds: options.Seeds, wake: make(chan struct{}, 1), changed: make(chan struct{})}
+	l := &Link{options: options, wake: make(chan struct{}, 1), changed: make(chan struct{})}
+	l.contacts.Add(options.Seeds...)
 	l.lostAt.Store(time.Now().UnixNano())
 	l.reporter.link = l
 	return l
 }
 
-// SetSeeds replaces the control processes named in the settings.
-func (l *Link) SetSeeds(seeds []string) {
+// AddSeeds adds the control processes named in reloaded settings to the known ones.
+func (l *Link) AddSeeds(seeds []string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.seeds = seeds
+	l.contacts.Add(seeds...)
 }
 
 // Connected reports whether a leader is known and has answered a ping recently.
@@ -165,13 +166,13 @@
 	l.updateMembers(a)
 }
 
-// updateMembers stores the processes listed in the answer of a control process.
+// updateMembers stores the processes listed in the answer of a control process. The
+// process may be out of date, so that its list does not replace the known contacts.
 func (l *Link) updateMembers(a Leader) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(a.Members) > 0 {
-		l.members = a.Members
-	}
+	l.contacts.Add(a.Members...)
+	l.contacts.Add(a.Name)
 	if len(a.Linked) > 0 {
 		l.relayCandidates = a.Linked
 	}
@@ -212,9 +213,7 @@
 func (l *Link) candidates() []string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	c := slices.Concat(l.members, l.seeds)
-	slices.Sort(c)
-	return slices.Compact(c)
+	return l.contacts.Names()
 }
 
 // search queries all candidates in parallel. Only a process that names itself is
@@ -367,8 +366,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var names []string
+	contacts := l.contacts.Names()
 	for _, i := range rand.Perm(len(l.relayCandidates)) {
-		if n := l.relayCandidates[i]; n != l.options.Name && !slices.Contains(l.members, n) && len(names) < maxRelays {
+		if n := l.relayCandidates[i]; n != l.options.Name && !slices.Contains(contacts, n) && len(names) < maxRelays {
 			names = append(names, n)
 		}
 	}
--- a/internal/connection/cell/link_test.go
+++ b/internal/connection/cell/link_test.go
@@ -24,7 +24,8 @@
 	loseAnswers map[string]bool // executes calls but its answers are lost
 	calls       map[string]int
 
-	unsettled bool // the leader loses its lease before it answers calls
+	outdated  map[string][]string // members that a process lists which is cut off from the others
+	unsettled bool                // the leader loses its lease before it answers calls
 	reports   [][]Report
 }
 
@@ -41,6 +42,10 @@
 	}
 	switch method {
 	case MethodWho:
+		if m := c.outdated[to]; m != nil {
+			*response.(*Leader) = Leader{Members: m}
+			return nil
+		}
 		*response.(*Leader) = Leader{Name: c.leader, Members: c.members}
 		return nil
 	case MethodReports:
@@ -130,6 +135,27 @@
 	})
 }
 
+// Guards against a process that forgets the present control processes because one
+// that is out of date answers with those of former times.
+func TestOutdatedMembersHideNobody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, l, stop := newLink(t, "a", "s")
+		defer stop()
+		time.Sleep(time.Second)
+		c.mu.Lock()
+		c.outdated = map[string][]string{"s": {"s", "x"}}
+		c.mu.Unlock()
+		c.setLeader("", "a", "b", "c", "d", "x") // all others are cut off for a while
+		time.Sleep(2 * time.Second)
+		c.mu.Lock()
+		c.leader, c.down["d"] = "d", false
+		c.mu.Unlock()
+		time.Sleep(time.Second)
+		is.Equal(l.Leader(), "d")
+	})
+}
+
 // Guards against callers that wait too long while there is no leader, and against
 // reporting a call as not executed although it may have been.
 func TestCallWithoutLeader(t *testing.T) {
--- a/internal/process/event/raft.go
+++ b/internal/process/event/raft.go
@@ -20,5 +20,8 @@
 	SnapshotInstalled = define(213, zapcore.InfoLevel, "snapshot installed", "This replica was too far behind and took over the leader's snapshot.")
 	ReplicaStarted    = define(214, zapcore.InfoLevel, "replica started", "The replica has read its disk.")
 	WriteCut          = define(215, zapcore.WarnLevel, "interrupted write cut", "The last write before a crash was incomplete and never answered; it was removed.")
+	VotersMissing     = define(217, zapcore.WarnLevel, "voters missing", "Voters have not answered the leader for a second, so that the group tolerates fewer further losses; the line names them and says why none has taken their place.")
+	VotersComplete    = define(218, zapcore.InfoLevel, "voters complete", "All voters answer the leader again, or others have taken their place.")
+	NotAdmitted       = define(219, zapcore.WarnLevel, "not admitted", "This replica has asked for some time to be admitted to the control group and is not a member; the line counts the replicas that answered and names the silent ones. If none answers, check its seeds.")
 	ReplicaFailed     = define(216, zapcore.ErrorLevel, "replica failed", "The disk failed or its data is damaged; replace the disk, the replica then joins as a new one.")
 )
--- a/internal/version/raft/change.go
+++ b/internal/version/raft/change.go
@@ -13,19 +13,15 @@
 )
 
 const (
-	// joinRequestTTL is how long a join request counts. A replica repeats it every
-	// joinInterval.
-	joinRequestTTL = time.Second
 	// learnerTimeout is the silence after which a non-voter is removed.
 	learnerTimeout = 30 * time.Second
 	// learnerMaxLag is the number of entries by which a non-voter may lag when it
 	// becomes a voter.
 	learnerMaxLag = 100
 	// silentVoterTimeout is the silence after which a voter is removed from a
-	// group with an even number of voters. It is longer than an election and a
-	// restart of the process, and shorter than the 4 s after which users expect
-	// a replaced VM to count.
-	silentVoterTimeout = 2500 * time.Millisecond
+	// group with an even number of voters, which costs no tolerance. It is longer
+	// than an election, and as short as a replacement may take to count.
+	silentVoterTimeout = time.Second
 )
 
 // Errors of membership changes.
@@ -39,19 +35,6 @@
 	ErrChangeInProgress = errors.New("another membership change is in progress")
 )
 
-func (c *core) handleJoin(m Message) {
-	s := c.membership()
-	if c.role != leader || m.FromName == c.name || s.member(m.From) != nil || c.isRemoved(m.From) {
-		return
-	}
-	known := c.open || slices.Contains(c.configured, m.FromName) || s.memberNamed(m.FromName, true) != nil
-	if !known || slices.Contains(s.Retired, m.FromName) {
-		c.log.Emit(event.JoinRefused, zap.String("name", m.FromName), zap.Uint64("identity", m.From))
-		return
-	}
-	c.joinRequests[m.FromName] = joinRequest{m.From, c.now}
-}
-
 // canChangeMembership reports whether a membership change may be proposed: the
 // previous change and an entry of this leader's term must be committed (Ongaro,
 // raft-dev, 2015: bug in single-server membership changes).
@@ -82,9 +65,10 @@
 			return
 		}
 	}
-	for _, name := range c.joinableNames() {
-		j, ok := c.joinRequests[name]
-		if !ok || c.now.Sub(j.at) > joinRequestTTL || s.member(j.identity) != nil || c.isRemoved(j.identity) {
+	for _, name := range slices.Sorted(maps.Keys(c.joinRequests)) {
+		j := c.joinRequests[name]
+		if !c.now.Before(j.deadline) || s.member(j.identity) != nil || c.isRemoved(j.identity) {
+			delete(c.joinRequests, name)
 			continue
 		}
 		if old := s.memberNamed(name, false); old != nil {
@@ -99,24 +83,6 @@
 	}
 }
 
-// joinableNames returns the names that may join, in a fixed order.
-func (c *core) joinableNames() []string {
-	names := slices.Clone(c.configured)
-	for _, p := range c.membership().Members {
-		if !slices.Contains(names, p.Name) {
-			names = append(names, p.Name)
-		}
-	}
-	if c.open {
-		for _, name := range slices.Sorted(maps.Keys(c.joinRequests)) {
-			if !slices.Contains(names, name) {
-				names = append(names, name)
-			}
-		}
-	}
-	return names
-}
-
 // removeSilentVoter removes the voter that has been silent for the longest, if
 // the number of voters is even and at least 4. An even group tolerates no more
 // failures than one with a voter less, and a group becomes even when a VM is
--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -81,7 +81,8 @@
 type core struct {
 	name       string
 	identity   uint64
-	configured []string // names of the members in the settings
+	configured []string // names of the members in the settings of the start
+	founded    bool     // this replica is never the founder
 	random     *rand.Rand
 	log        event.Log
 	load       func() (disk.Snapshot, error) // reads the stored snapshot
@@ -115,7 +116,9 @@
 	termStart       uint64 // first entry of the leader's own term
 	leaseStart      time.Time
 	joinRequests    map[string]joinRequest // latest join request by name
+	shortage        shortage
 
+	joining  joining
 	incoming incomingSnapshot // snapshot being received
 	founding founding
 
@@ -137,7 +140,7 @@
 func newCore(options Options, identity uint64, contents disk.Contents, now time.Time) (*core, error) {
 	c := &core{
 		name: options.Name, identity: identity, configured: options.Members, random: options.Random, log: options.Log,
-		trailing: options.Trailing, open: options.Open, hooks: options.hooks, timing: newTiming(&options),
+		founded: options.Founded, trailing: options.Trailing, open: options.Open, hooks: options.hooks, timing: newTiming(&options),
 		term: max(contents.Hard.Term, contents.Snapshot.Term), vote: contents.Hard.Vote,
 		now: now, origin: now, lastContact: now, joinDue: now, joinRequests: map[string]joinRequest{},
 	}
@@ -163,6 +166,7 @@
 	// The founder persists the membership last, when the founding is complete.
 	c.founding.confirmed = c.isFounder() && c.membership() != nil
 	c.initElectionTimer(options.Started)
+	c.learnContacts(options.Members)
 	return c, c.err
 }
 
@@ -273,10 +277,10 @@
 }
 
 // needsMembership reports whether this replica tries to found or join a group: it
-// is not a member, it has promised nothing to its group, or it is a non-voter
-// without a leader, which may have been added by a change that never committed.
+// is not a member, it has promised nothing to its group, or it knows no leader. In
+// the last case it may have been removed, or all members that it knows replaced.
 func (c *core) needsMembership() bool {
-	return !c.isMember() || c.promisedNothing() || !c.membership().isVoter(c.identity) && c.now.Sub(c.lastContact) >= c.electionMax
+	return !c.isMember() || c.promisedNothing() || c.leader == 0
 }
 
 // tick advances the time and runs what is due.
@@ -309,7 +313,7 @@
 		return
 	}
 	switch m.Type {
-	case Join, Report, ReportAnswer, Found, FoundAnswer:
+	case Join, JoinAnswer, Report, ReportAnswer, Found, FoundAnswer:
 		c.stepFounding(m)
 		return
 	}
@@ -322,10 +326,6 @@
 		return
 	}
 	if m.Type == PreVote {
-		if c.open && c.role == leader && s.member(m.From) == nil {
-			// It was removed while it was silent and does not know.
-			c.joinRequests[m.FromName] = joinRequest{m.From, c.now}
-		}
 		c.handlePreVote(m)
 		return
 	}
--- a/internal/version/raft/election.go
+++ b/internal/version/raft/election.go
@@ -180,7 +180,7 @@
 	c.role = leader
 	c.leader, c.leaderName = c.identity, c.name
 	c.votes = nil
-	c.joinRequests = map[string]joinRequest{}
+	c.joinRequests, c.shortage = map[string]joinRequest{}, shortage{}
 	c.progress = map[uint64]*progress{}
 	c.leaseStart = c.now.Add(-c.timing.lease)
 	c.termStart = c.entries.last() + 1
--- a/internal/version/raft/founding.go
+++ b/internal/version/raft/founding.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"go.uber.org/zap"
 
@@ -25,7 +24,7 @@
 
 // founding is the state of the founding of a group.
 //
-// The first name in the settings is the founder. It collects reports from all
+// The first name in the settings is the founder, unless its group exists already. It collects reports from all
 // other replicas, and when all disks are empty, it sends the founding membership
 // to them. Each persists it and answers; the founder persists it last, which
 // completes the founding. A new round begins when the founder starts or a replica
@@ -60,7 +59,9 @@
 // acceptsFounding reports whether this replica may accept a founding membership.
 func (c *core) acceptsFounding() bool { return c.promisedNothing() && !c.founding.confirmed }
 
-func (c *core) isFounder() bool { return len(c.configured) > 0 && c.configured[0] == c.name }
+func (c *core) isFounder() bool {
+	return !c.founded && len(c.configured) > 0 && c.configured[0] == c.name
+}
 
 // foundOrJoin continues a founding if this replica is the founder, and asks to join
 // a group.
@@ -69,9 +70,6 @@
 		return
 	}
 	c.joinDue = c.now.Add(joinInterval)
-	if !slices.Contains(c.configured, c.name) {
-		return
-	}
 	if c.isFounder() && c.membership() == nil && c.acceptsFounding() {
 		if len(c.configured) == 1 {
 			c.adoptFounding(&Membership{Group: c.randomNonzero(), Members: []Member{{Name: c.name, Identity: c.identity, Voter: true}}}, true)
@@ -80,18 +78,12 @@
 		if c.founding.round == 0 {
 			c.newRound()
 		}
-		c.sendToConfigured(Message{Type: Report, Nonce: c.founding.round})
-		c.sendProposedMembership()
-	}
-	c.sendToConfigured(Message{Type: Join})
-}
-
-func (c *core) sendToConfigured(m Message) {
-	for _, name := range c.configured {
-		if name != c.name {
-			c.send(true, name, m)
+		for _, name := range c.configured[1:] {
+			c.send(true, name, Message{Type: Report, Nonce: c.founding.round})
 		}
+		c.sendProposedMembership()
 	}
+	c.join()
 }
 
 // randomNonzero returns a random number other than zero.
@@ -116,6 +108,8 @@
 	switch m.Type {
 	case Join:
 		c.handleJoin(m)
+	case JoinAnswer:
+		c.handleJoinAnswer(m)
 	case Report:
 		c.handleReport(m)
 	case ReportAnswer:
@@ -127,8 +121,15 @@
 	}
 }
 
+// mayFound reports whether a replica may found this replica's group. Only one that
+// started before there was a group acts as founder. A replica that has restarted
+// meanwhile may have other settings than the founder, and follows it.
+func (c *core) mayFound(name string) bool {
+	return c.founded || len(c.configured) > 0 && name == c.configured[0]
+}
+
 func (c *core) handleReport(m Message) {
-	if len(c.configured) == 0 || m.FromName != c.configured[0] {
+	if !c.mayFound(m.FromName) {
 		return
 	}
 	if f := &c.founding; f.reportedRound != m.Nonce {
@@ -186,14 +187,11 @@
 
 func (c *core) handleFound(m Message) {
 	s, err := decodeMembership(m.Membership)
-	if err != nil || len(c.configured) == 0 || m.FromName != c.configured[0] || s.member(c.identity) == nil {
+	if err != nil || !c.mayFound(m.FromName) || s.member(c.identity) == nil {
 		return
 	}
-	names := make([]string, 0, len(s.Members))
-	for _, p := range s.Members {
-		names = append(names, p.Name)
-	}
-	if !slices.Equal(names, c.configured) {
+	names := s.names()
+	if !c.founded && !slices.Equal(names, c.configured) {
 		c.log.Emit(event.FoundingRefused, zap.Strings("theirs", names), zap.Strings("ours", c.configured))
 		return
 	}
@@ -251,9 +249,3 @@
 		c.answer(m, Message{Type: AppendAnswer, Index: s.Index})
 	}
 }
-
-// joinRequest is a request of a replica to be admitted.
-type joinRequest struct {
-	identity uint64
-	at       time.Time
-}
--- a/internal/version/raft/membership.go
+++ b/internal/version/raft/membership.go
@@ -21,6 +21,15 @@
 	return nil
 }
 
+// names returns the names of the members.
+func (m *Membership) names() []string {
+	n := make([]string, 0, len(m.Members))
+	for _, p := range m.Members {
+		n = append(n, p.Name)
+	}
+	return n
+}
+
 func (m *Membership) isVoter(identity uint64) bool {
 	p := m.member(identity)
 	return p != nil && p.Voter
--- a/internal/version/raft/message.go
+++ b/internal/version/raft/message.go
@@ -21,11 +21,12 @@
 	AppendAnswer
 	Chunk // one part of a snapshot
 	ChunkAnswer
-	Join // request of a replica that is not a member to be admitted
+	Join // request of a replica without a leader to be admitted
 	Report
 	ReportAnswer
 	Found // carries the founding membership
 	FoundAnswer
+	JoinAnswer // names the members that the asked replica knows
 )
 
 const (
@@ -69,13 +70,15 @@
 	Data       []byte `cbor:"17,keyasint,omitempty"`
 	Membership []byte `cbor:"18,keyasint,omitempty"`
 
-	Empty bool   `cbor:"19,keyasint,omitempty"` // the reporting replica accepts a founding membership
+	Empty bool   `cbor:"19,keyasint,omitempty"` // in ReportAnswer, accepts a founding membership; in Join, has promised nothing
 	Nonce uint64 `cbor:"20,keyasint,omitempty"` // binds Found to the receiver's latest report; in Report, the founder's round
 
 	// Restarted in PreVoteAnswer means that the voter started within the last
 	// election timeout and has not heard from a leader since; in Vote, that this
 	// holds for all voters.
 	Restarted bool `cbor:"21,keyasint,omitempty"`
+
+	Names []string `cbor:"22,keyasint,omitempty"` // in JoinAnswer
 }
 
 // Membership is the set of members that a log entry puts in force.
--- a/internal/version/raft/options.go
+++ b/internal/version/raft/options.go
@@ -25,9 +25,13 @@
 type Options struct {
 	// Name is the replica's name in the settings.
 	Name string
-	// Members are the names of all control replicas in the settings. The first
-	// one founds the group.
+	// Members are the names of control replicas in the settings. They found the
+	// group, the first one as the founder. Afterwards they are only the names that
+	// this replica asks first for the present members; SetContacts adds others.
 	Members []string
+	// Founded means that the group was founded before this replica's disk was
+	// created, so that this replica is never the founder.
+	Founded bool
 	// Open admits replicas whose names are not among the members. It is for
 	// platforms that give replacement VMs new names, which settings cannot list
 	// in advance.
@@ -94,7 +98,7 @@
 	if sorted := slices.Sorted(slices.Values(o.Members)); len(slices.Compact(sorted)) != len(o.Members) {
 		err = errors.CombineErrors(err, errors.New("raft: Members contains a name twice"))
 	}
-	if !slices.Contains(o.Members, o.Name) {
+	if !o.Open && !slices.Contains(o.Members, o.Name) {
 		err = errors.CombineErrors(err, errors.Newf("raft: Name %q is not in Members", o.Name))
 	}
 	if o.Election < 0 || o.Spread < 0 {
--- a/internal/version/raft/raft.go
+++ b/internal/version/raft/raft.go
@@ -31,8 +31,9 @@
 // # Membership
 //
 // A replica is identified by its name and the random identity on its disk.
-// founding.go describes how a group is founded, change.go how its members
-// change. Votes, answers and leases count by identity only.
+// founding.go describes how a group is founded, join.go how a replica finds it,
+// change.go how its members change. Votes, answers and leases count by identity only.
+// The names in Options and in SetContacts only tell whom to ask.
 package raft
 
 import (
--- a/internal/version/raft/replica.go
+++ b/internal/version/raft/replica.go
@@ -62,6 +62,7 @@
 	proposals         chan proposal
 	membershipChanges chan membershipChange
 	snapshots         chan disk.Position // positions saved by the applier
+	contacts          chan []string      // names of reloaded settings
 	stopped           chan struct{}
 	applier           *applier
 	waiters           []waiter // ascending by index; owned by Run
@@ -131,7 +132,8 @@
 		options: options, store: store, core: c,
 		inbox: make(chan Message, inboxSize), proposals: make(chan proposal, proposalsSize),
 		membershipChanges: make(chan membershipChange), snapshots: make(chan disk.Position, 1),
-		stopped: make(chan struct{}), changed: make(chan struct{}),
+		contacts: make(chan []string, 1),
+		stopped:  make(chan struct{}), changed: make(chan struct{}),
 	}
 	r.applier = newApplier(r)
 	if s := contents.Snapshot; s.Index > foundingIndex {
@@ -191,6 +193,8 @@
 			r.startMembershipChange(q)
 		case p := <-r.snapshots:
 			r.core.compact(p)
+		case names := <-r.contacts:
+			r.core.setContacts(r.options.Now(), names)
 		case <-timer.C:
 		}
 		r.drainQueues(proposals, batch)
@@ -341,6 +345,20 @@
 	}
 }
 
+// SetContacts adds names of control replicas, such as those of reloaded settings, to
+// the names that this replica asks for the present members. It does not block.
+func (r *Replica) SetContacts(names []string) {
+	// Replace names that were not read yet.
+	select {
+	case <-r.contacts:
+	default:
+	}
+	select {
+	case r.contacts <- names:
+	default: // another call was faster
+	}
+}
+
 // Propose commits a command and returns the machine's result for it. It fails
 // with ErrNotLeader or ErrTooLarge if the command was certainly not appended,
 // and with ErrUnknown if it may or may not commit. The caller must not modify
--- a/internal/version/raft/replica_test.go
+++ b/internal/version/raft/replica_test.go
@@ -488,3 +488,31 @@
 		}
 	})
 }
+
+// Guards against a status that shows a voter as live after it is gone, and against
+// followers that count voters which the leader counts too.
+func TestStatusCountsLiveVoters(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, "a", "b", "c")
+		c.startAll()
+		l := c.leader()
+		time.Sleep(time.Second)
+		counts := func(r *Replica) [2]int {
+			s := r.Status()
+			all, live := s.Voters()
+			return [2]int{all, live}
+		}
+		is.Equal(counts(l), [2]int{3, 3})
+		for _, n := range c.names {
+			if r := c.replicas[n]; r != l {
+				is.Equal(counts(r), [2]int{})
+				c.stop(n)
+				break
+			}
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(counts(l), [2]int{3, 2})
+		c.stopAll()
+	})
+}
--- a/internal/version/raft/replication.go
+++ b/internal/version/raft/replication.go
@@ -118,6 +118,7 @@
 	}
 	c.renewLease()
 	c.maintainMembership()
+	c.reportShortage()
 	for _, m := range c.peers() {
 		p := c.progress[m.Identity]
 		p.paused = false
--- a/internal/version/raft/status.go
+++ b/internal/version/raft/status.go
@@ -20,11 +20,29 @@
 	Retired  []string // names removed by an operator, which may not join
 }
 
-// MemberStatus describes a member. Only the leader knows Match and Heard.
+// MemberStatus describes a member. Only the leader knows Match, Heard and Live.
 type MemberStatus struct {
 	Member
 	Match uint64    // last entry known to be stored by the member
 	Heard time.Time // time of the last answer from it
+	Live  bool      // it has answered within the last second
+}
+
+// Voters returns the number of voters, and how many of them are live. Both are zero
+// unless this replica leads, so that a sum over all replicas counts each voter once.
+func (s *Status) Voters() (all, live int) {
+	if s.Role != leader.String() {
+		return 0, 0
+	}
+	for i := range s.Members {
+		if m := &s.Members[i]; m.Voter {
+			all++
+			if m.Live {
+				live++
+			}
+		}
+	}
+	return all, live
 }
 
 // Members returns the members as of the last entry in this replica's log. It
@@ -61,6 +79,7 @@
 		if p.Name == s.Name && p.Identity == s.Identity {
 			ms.Match, ms.Heard = v.last, now
 		}
+		ms.Live = v.role == leader && now.Sub(ms.Heard) < silentVoterTimeout
 		s.Members = append(s.Members, ms)
 	}
 	return s
