Show in status and gauges which voters answer the leader

rosemaryctl status and members list have a column LIVE, GET /v1/status and /v1/members a field live, and the daemon's gauges control.voters_live, so that a group that tolerates fewer losses than its size suggests is seen.

--- a/cmd/rosemaryctl/cell.go
+++ b/cmd/rosemaryctl/cell.go
@@ -86,9 +86,9 @@
 func (s *session) printMembers(list []api.Member) error {
 	rows := make([][]any, len(list))
 	for i, m := range list {
-		rows[i] = []any{m.Name, fmt.Sprintf("%016x", m.Disk), m.Voter, m.Matched}
+		rows[i] = []any{m.Name, fmt.Sprintf("%016x", m.Disk), m.Voter, m.Live, m.Matched}
 	}
-	return s.print(list, "MEMBER DISK VOTER MATCHED", rows)
+	return s.print(list, "MEMBER DISK VOTER LIVE MATCHED", rows)
 }
 
 type membersCommand struct {
--- a/cmd/rosemaryctl/command_test.go
+++ b/cmd/rosemaryctl/command_test.go
@@ -101,7 +101,7 @@
 	startFakeEntryVM(t, map[string]any{
 		"PUT /v1/keys/k":                   api.Changed{Version: 1, Secret: "S3CRET"},
 		"GET /v1/keys":                     []api.Key{{Name: "k", Role: "worker", Version: 1}},
-		"GET /v1/status":                   api.Status{Leader: "control-1", Members: []api.Member{{Name: "control-1", Disk: 255, Voter: true}}},
+		"GET /v1/status":                   api.Status{Leader: "control-1", Members: []api.Member{{Name: "control-1", Disk: 255, Voter: true, Live: true}, {Name: "control-2", Voter: true}}},
 		"GET /v1/jobs?state=queued&team=t": []api.Job{{ID: 7, Entry: "e", Size: api.Size{CPU: 500, Memory: 1 << 20}}},
 	})
 	_, out, _ := runCommand("keys", "add", "k", "--role=worker")
@@ -113,7 +113,8 @@
 	is.NoErr(json.Unmarshal([]byte(out), &keys))
 	is.Equal(len(keys), 1)
 	_, out, _ = runCommand("status")
-	is.True(strings.Contains(out, "control-1  00000000000000ff  yes"))
+	is.True(strings.Contains(out, "control-1  00000000000000ff  yes    yes   0"))
+	is.True(strings.Contains(out, "control-2  0000000000000000  yes    -     0")) // shows that a voter is missing
 	_, out, _ = runCommand("jobs", "list", "--state=queued", "--team=t")
 	is.True(strings.Contains(out, "0.5/1M"))
 }
--- a/internal/connection/control/message.go
+++ b/internal/connection/control/message.go
@@ -238,6 +238,7 @@
 	Disk    uint64 // disk identity
 	Voter   bool
 	Matched uint64 // last log index known to be stored on it
+	Live    bool   // it answers the leader
 }
 
 // EntryView is the status of an entry VM that has a session.
--- a/internal/process/daemon/control.go
+++ b/internal/process/daemon/control.go
@@ -83,7 +83,7 @@
 func (c *controlRole) members() []link.MemberView {
 	var views []link.MemberView
 	for _, m := range c.replica.Status().Members {
-		views = append(views, link.MemberView{Name: m.Name, Disk: m.Identity, Voter: m.Voter, Matched: m.Match})
+		views = append(views, link.MemberView{Name: m.Name, Disk: m.Identity, Voter: m.Voter, Matched: m.Match, Live: m.Live})
 	}
 	return views
 }
--- a/internal/process/daemon/metric.go
+++ b/internal/process/daemon/metric.go
@@ -55,6 +55,7 @@
 	Snapshot     uint64  `json:"snapshot"`
 	LeaseSeconds float64 `json:"lease_seconds"` // until the leader's lease ends; 0 on other replicas
 	Voters       int     `json:"voters"`
+	VotersLive   int     `json:"voters_live"` // that answer the leader; 0 on other replicas
 	Members      int     `json:"members"`
 	Catalogue    uint64  `json:"catalogue_version"`
 }
@@ -68,6 +69,7 @@
 	if !s.Lease.IsZero() {
 		g.LeaseSeconds = s.Lease.Sub(now).Seconds()
 	}
+	_, g.VotersLive = s.Voters()
 	for _, m := range s.Members {
 		if m.Voter {
 			g.Voters++
--- a/pkg/api/catalogue.go
+++ b/pkg/api/catalogue.go
@@ -101,6 +101,7 @@
 	Disk    uint64 `json:"disk"` // random ID of its data directory
 	Voter   bool   `json:"voter"`
 	Matched uint64 `json:"matched"`
+	Live    bool   `json:"live"` // it answers the leader
 }
 
 // Node is an entry VM.
