Let a lost disk be found by the leader that still addresses it

A replica that lost its disk stayed out for good when every name in its settings was gone or had lost its disk too, as after a replacement and the loss of two disks of three seeds. The leader knows its name and keeps sending to the lost identity; these messages were dropped. A replica without a leader now learns the sender of any message and asks it.

--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -309,6 +309,9 @@
 // step handles a message.
 func (c *core) step(now time.Time, m Message) {
 	c.advanceClock(now)
+	if c.needsMembership() {
+		c.meet(m.FromName)
+	}
 	if m.To != 0 && m.To != c.identity && !c.hooks.noIdentity {
 		return
 	}
--- a/internal/version/raft/join.go
+++ b/internal/version/raft/join.go
@@ -22,7 +22,8 @@
 // joining is how a replica without a leader finds the present group.
 //
 // Names that it was told at its start, or once was a member with, may all be gone.
-// So it asks every name that it has heard of, and each replica answers with the
+// So it asks every name that it has heard of, also as the sender of a message to its
+// lost predecessor at the same address, and each replica answers with the
 // members that it knows, whether it leads or not. The names in an answer are asked at
 // once, so that the request reaches the leader as soon as any asked replica follows
 // it. Names only tell whom to ask: the leader alone admits, by identity.
@@ -61,6 +62,9 @@
 
 // askContacts sends a join request to those names that were not asked in this round.
 func (c *core) askContacts(names []string) {
+	if c.joining.asked == nil {
+		return // it has just started; the first round is due
+	}
 	for _, name := range names {
 		if !c.joining.asked[name] {
 			c.joining.asked[name] = true
@@ -69,6 +73,13 @@
 	}
 }
 
+// meet learns the name of the sender of any message and asks it. A replica that has
+// lost its disk hears from the leader, which still addresses the lost one.
+func (c *core) meet(name string) {
+	c.learnContacts([]string{name})
+	c.askContacts([]string{name})
+}
+
 // handleJoin answers with the names to ask, and, if this replica leads, records the
 // request.
 func (c *core) handleJoin(m Message) {
@@ -115,9 +126,6 @@
 		return
 	}
 	c.learnContacts(m.Names)
-	if c.joining.asked == nil {
-		return // it has just restarted, and asks in its next round
-	}
 	if c.joining.answers != nil {
 		c.joining.answers[m.FromName] = true
 	}
--- a/internal/version/raft/join_test.go
+++ b/internal/version/raft/join_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -354,9 +355,12 @@
 		}
 		l := s.elect()
 		for _, name := range s.names {
+			if l == nil || slices.Contains(l.core.membership().names(), name) {
+				continue // the leader finds it
+			}
 			for _, other := range s.names {
-				n, o := s.nodes[name], s.nodes[other]
-				if l != nil && o != l && o != n && n.core.membership() == nil && l.core.membership().isVoter(o.store.Identity()) {
+				o := s.nodes[other]
+				if o != l && other != name && l.core.membership().isVoter(o.store.Identity()) {
 					s.reload(name, other) // does not lead
 					break
 				}
@@ -369,3 +373,46 @@
 		}
 	})
 }
+
+// Guards against a group that stops for good, or loses an entry, when two disks are
+// lost and all lose power after a VM was replaced while no seed led, and against lost
+// disks that stay out because every seed is gone or has lost its disk too. Seen in
+// docs/incidents/2026-12-04-replacement-not-admitted.md.
+func TestReplacedThenTwoDisksLost(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(20) {
+		s, l, _ := fiveOpen(seed)
+		seeds := []string{"a", "b", "c"}
+		for range 2 { // the leader changes twice, and no seed leads
+			l.paused = true
+			s.run(3 * time.Second)
+			l.paused = false
+			s.run(2 * time.Second)
+			l = s.elect()
+		}
+		lost, _ := others(s, l)
+		s.lose(lost.name)
+		s.run(time.Second)
+		s.add("n", slices.DeleteFunc(seeds, func(n string) bool { return n == l.name })...)
+		s.run(admissionLimit)
+		last := s.elect().applied
+		var old []string
+		for _, n := range s.names {
+			if n != "n" {
+				old = append(old, n)
+			}
+		}
+		for _, n := range s.names {
+			s.crash(n)
+		}
+		for _, n := range old[:2] {
+			s.nodes[n].seeds = seeds
+			s.replaceDisk(n)
+		}
+		s.startAll()
+		is.True(s.elect() != nil)
+		is.True(s.leader().applied >= last)
+		is.True(s.timeToVoters(20*time.Second) <= 2*time.Second)
+		is.Equal(s.violation, "")
+	}
+}
