Take runs and starts away from a worker that refuses orders

What callers could see: tasks were lost on a worker that answers but refuses everything for good (LOST), or waited while starts were sent to such a worker over and over.

Cause: a refusal counted as an answer like any other. The end of a worker's lease went on moving with each refused listing, so its runs never counted as over; a refused start was decided again for the same worker in the next round.

Class: a step counts as done on any answer.

--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -97,6 +97,7 @@
 	late               []StartOrder
 	refusesCopies      bool // executes starts, but answers that a second copy of them was refused
 	refusesStops       bool // is unhealthy: answers stops, but does nothing
+	unhealthy          bool // answers all orders, but does nothing
 	slowdown           int  // factor by which new tasks take longer; zero means one
 	listings           int
 	peakRuns           int
@@ -122,6 +123,7 @@
 	mu        sync.Mutex
 	all       map[string]*fakeWorker
 	starts    []string // task, run and worker of each start that was executed
+	refused   int      // starts that unhealthy workers refused
 	duplicate string   // a task that ran in two places at once
 	runTime   time.Duration
 }
@@ -176,6 +178,9 @@
 		return nil, Answer{Result: Unanswered}, false
 	}
 	h.endDueRuns(w)
+	if w.unhealthy {
+		return nil, Answer{Result: Refused, Reason: ReasonOther}, false
+	}
 	return w, Answer{Result: Accepted, Clock: h.clock(w), Life: w.life}, true
 }
 
@@ -184,6 +189,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	w, a, ok := h.contact(target.ID)
+	if a.Result == Refused {
+		h.refused++
+	}
 	if !ok {
 		return a
 	}
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -164,10 +164,13 @@
 	if !t.handleAnswer(w, a) {
 		return nil
 	}
+	if a.Result == Refused {
+		w.refuses, w.pollOnce = true, true
+	}
 	if a.Result != Accepted {
 		return nil
 	}
-	w.listed, w.pollOnce = true, false
+	w.listed, w.pollOnce, w.refuses = true, false, false
 	present := map[job.TaskID]int{}
 	for _, listed := range l.Running {
 		present[listed.Task] = listed.Run
--- a/internal/process/dispatch/refusal_test.go
+++ b/internal/process/dispatch/refusal_test.go
@@ -4,6 +4,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
 // Guards against a run of a cancelled job that goes on because its worker refused
@@ -62,3 +64,42 @@
 		b.is.True(b.workers.all["a"].peakRuns <= 4)
 	})
 }
+
+// Guards against tasks that are lost on a worker which refuses all orders for good,
+// but answers: their lease has ended there, and nothing says so (rule LOST).
+func TestTasksLeaveAWorkerThatRefusesEverything(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b")
+		defer b.close()
+		b.changeBusyWorker(func(w *fakeWorker) { w.unhealthy = true })
+		time.Sleep(3 * time.Second)
+		b.is.Equal(len(b.workers.starts), 4)
+		time.Sleep(5 * time.Second)
+		b.is.Equal(len(b.workers.starts), 8)
+		b.is.Equal(b.workers.duplicate, "")
+	})
+}
+
+// Guards against starts that are sent to a worker again and again while it refuses
+// all orders, although others have room.
+func TestUnhealthyWorkerGetsNothingNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b")
+		defer b.close()
+		b.changeWorker("a", func(w *fakeWorker) { w.unhealthy = true })
+		b.submit("one", tasks(8))
+		time.Sleep(500 * time.Millisecond)
+		before := b.refusedStarts()
+		time.Sleep(2 * time.Second)
+		b.is.Equal(b.refusedStarts(), before)
+		time.Sleep(time.Second)
+		b.is.Equal(b.status("one"), job.Completed)
+	})
+}
+
+// refusedStarts returns the number of starts that unhealthy workers refused.
+func (b *testCluster) refusedStarts() int {
+	b.workers.mu.Lock()
+	defer b.workers.mu.Unlock()
+	return b.workers.refused
+}
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -160,6 +160,9 @@
 		t.lose(r, "refused: "+string(a.Reason))
 		t.stopGang(r)
 	}
+	if a.Reason == ReasonOther {
+		t.avoidWorker(r.worker, "it refuses orders")
+	}
 	return true
 }
 
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -115,8 +115,8 @@
 	switch {
 	case t.concludeLeave(w, now):
 		return
-	case len(w.runs) > 0 && now.After(w.leaseExpiry()) && w.missed > 0:
-		t.loseRuns(w, "the lease has expired and the worker does not answer")
+	case len(w.runs) > 0 && now.After(w.leaseExpiry()) && (w.missed > 0 || w.refuses):
+		t.loseRuns(w, "the lease has expired and the worker lists nothing")
 	case len(w.runs) == 0 && now.Sub(w.lastSeen) > silentWorkerTimeout:
 		t.removeWorker(w, "silent")
 		return
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -56,6 +56,7 @@
 	lastEnd           int64           // highest number of an end that was processed
 	acknowledged      int64           // highest number of an end that is committed
 	missed            int             // consecutive unanswered orders
+	refuses           bool            // refused the latest listing, as an unhealthy worker does
 	leavesAt          time.Time       // when it counts as gone; zero unless it announced its termination
 	drainDeadline     time.Time       // a draining worker is gone after this
 	faults            int             // consecutive failed runs
@@ -89,9 +90,10 @@
 }
 
 // extendLease returns the end of a new lease, on the worker's clock. While the
-// worker does not answer, the end does not move, so that the lease expires.
+// worker does not answer or refuses listings, the end does not move, so that the
+// lease expires.
 func (w *worker) extendLease(now time.Time, length time.Duration) time.Time {
-	if w.missed == 0 && !w.clockReading.IsZero() {
+	if w.missed == 0 && !w.refuses && !w.clockReading.IsZero() {
 		end := w.clockReading.Add(now.Sub(w.clockReadAt) + length)
 		if end.After(w.leaseEnd) {
 			w.leaseEnd = end
@@ -125,7 +127,7 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now time.Time, every time.Duration) bool {
-	return !w.Draining && w.listed && len(w.orphans) == 0 && w.leavesAt.IsZero() && !w.clockReading.IsZero() && !w.silent(now) &&
+	return !w.Draining && w.listed && !w.refuses && len(w.orphans) == 0 && w.leavesAt.IsZero() && !w.clockReading.IsZero() && !w.silent(now) &&
 		now.Sub(w.lastSeen) < maxMissedReports*every && !now.Before(w.avoidedUntil)
 }
 
