Record in the log what entry VMs may hold of a limit

After a change of the leader, calls of a team were refused as "limited" for up to 34 s if an entry VM was down, although nobody used the team's limit. A new leader does not know what an entry VM holds that has not reported to it, so it kept back the whole rest of each limit until all requests of that entry VM must have ended; and for the first 4 s it granted nothing at all.

The record of a session in the log now bounds the allotments that the entry VM may hold. A larger allotment is granted once a larger bound is committed; the record is lowered at most every 10 s. A new leader keeps back what the record says, also for the former processes of an entry VM, until the entry VM reports or its requests must have ended, and grants the rest at once. A change of the record whose outcome is unknown may take effect later, so only the smaller of both counts until the next one, and changes that arrive out of order are refused. If a bound cannot be committed in time, the grant leaves the team out: a grant of zero would tell the entry VM that the limit is in use.

The model has the record in place of the waiting time; without the record, and without counting it, the checker finds a violation.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -413,6 +413,18 @@
 // Guards against a process that serves an old catalogue after it was down during
 // hundreds of changes.
 func TestMissedChanges(t *testing.T) {
+	t.Run("one leader", func(t *testing.T) { testMissedChanges(t, func(*harness) {}) })
+	t.Run("another leader before the last change", func(t *testing.T) {
+		testMissedChanges(t, func(h *harness) {
+			paused := h.Processes[h.leader()]
+			h.NoErr(paused.Signal(syscall.SIGSTOP))
+			time.Sleep(1200 * time.Millisecond)
+			h.NoErr(paused.Signal(syscall.SIGCONT))
+		})
+	})
+}
+
+func testMissedChanges(t *testing.T, beforeLast func(h *harness)) {
 	h := newHarness(t, 4)
 	h.NoErr(h.Processes["vm-4"].Kill())
 	behind := "vm-1"
@@ -424,6 +436,7 @@
 		_, err := h.Operator().PutTeam(h.ctx, api.Team{Name: fmt.Sprintf("team-%d", i), Weight: 1})
 		h.NoErr(err)
 	}
+	beforeLast(h)
 	changed, err := h.Operator().PutKey(h.ctx, api.Key{Name: "late", Team: Team, Role: "caller"})
 	h.NoErr(err)
 	h.NoErr(h.StartNode(behind))
--- a/internal/process/leader/allotment.go
+++ b/internal/process/leader/allotment.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/control"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/state"
 )
 
 // allotment is the distribution of a team's limit on requests in flight among the
@@ -14,11 +15,13 @@
 // has ended, so what it reports as held is exact: no grant that could raise it is
 // in transit.
 type allotment struct {
-	holdings   map[string]holding // by entry VM
-	withheld   []withheldAmount
-	unreported int64 // withheld for entry VMs that have not reported to a new leader
+	holdings map[string]holding // by entry VM
+	withheld []withheldAmount
 }
 
+// formerBoot stands for all former processes of an entry VM. No process has it.
+const formerBoot = 0
+
 // holding is what an entry VM holds, uses and could use of a team's limit.
 type holding struct {
 	held   int64
@@ -26,8 +29,9 @@
 	wanted int64
 }
 
-// withheldAmount is what a session held when it ended. Requests that it admitted
-// may still run until the longest request deadline has passed.
+// withheldAmount is what a session held when it ended, or may hold that has not
+// reported to a new leader. Requests that it admitted may still run until the
+// longest request deadline has passed.
 type withheldAmount struct {
 	entry  string
 	boot   uint64
@@ -44,16 +48,15 @@
 	return a
 }
 
-// initHoldings records what the first renewal of a session reports. A new leader
-// accepts holdings as they are reported. After recovery, a new session can hold
-// only what is withheld for it; anything else is past its deadline.
+// initHoldings records what the first renewal of a session reports. The session
+// can hold only what is withheld for it; anything else is past its deadline.
 func (s *sessions) initHoldings(e *session, r *control.Renewal, now time.Time) {
 	for _, u := range r.Teams {
 		s.teamAllotment(u.Team).holdings[e.name] = newHolding(max(0, u.Held), u)
 	}
 	for _, a := range s.teams {
-		h := a.holdings[e.name]
-		if held := a.reclaim(e, h.held, now); held < h.held && s.recovered {
+		h, reported := a.holdings[e.name]
+		if held := a.reclaim(e, h.held, now); reported && held < h.held {
 			h.held = max(held, h.inUse)
 			a.holdings[e.name] = h
 		}
@@ -89,9 +92,7 @@
 			b.amount = 0
 		}
 	}
-	n := min(a.unreported, amount-got)
-	a.unreported -= n
-	return got + n
+	return got
 }
 
 // withhold withholds what an ended session held.
@@ -109,39 +110,70 @@
 func (s *sessions) releaseExpired(now time.Time) {
 	for name, a := range s.teams {
 		a.withheld = slices.DeleteFunc(a.withheld, func(b withheldAmount) bool { return b.amount == 0 || !now.Before(b.until) })
-		if !now.Before(s.unreportedUntil) {
-			a.unreported = 0
-		}
-		if len(a.holdings) == 0 && len(a.withheld) == 0 && a.unreported == 0 {
+		if len(a.holdings) == 0 && len(a.withheld) == 0 {
 			delete(s.teams, name)
 		}
 	}
 }
 
-// withholdUnreported withholds, for every team with a limit, what no entry VM has
-// reported.
-func (s *sessions) withholdUnreported() {
+// withholdRecorded withholds what the sessions in the log may hold, which a new
+// leader does not know yet.
+func (s *sessions) withholdRecorded() {
+	for _, v := range s.term.state().Sessions() {
+		s.withholdHoldings(v.Entry, v.Boot, v.Held, s.lastUse(v.Ended))
+		if !v.Former.IsZero() {
+			s.withholdHoldings(v.Entry, formerBoot, v.FormerHeld, s.lastUse(v.Former.Add(sessionDuration)))
+		}
+	}
+}
+
+// lastUse returns until when requests may run that a session admitted before the
+// given time, as stamped by a former leader's clock, or until its deadline if the
+// time is zero. No session of a former leader is valid for longer than its last
+// grant, which it sent before this term.
+func (s *sessions) lastUse(ended time.Time) time.Time {
+	until := s.term.startedAt.Add(sessionDuration)
+	if !ended.IsZero() && ended.Before(until) {
+		until = ended
+	}
+	return until.Add(sessionMargin + maxRequestDuration)
+}
+
+// withholdHoldings withholds what a session may hold.
+func (s *sessions) withholdHoldings(entry string, boot uint64, held state.Holdings, until time.Time) {
+	if !s.term.startedAt.Before(until) {
+		return
+	}
 	for _, t := range s.term.state().Catalogue(false).Teams {
-		if t.Requests > 0 {
+		if amount := held.Of(t.Name, t.Requests); amount > 0 {
 			a := s.teamAllotment(t.Name)
-			a.unreported = max(0, t.Requests-a.total())
+			a.withheld = append(a.withheld, withheldAmount{entry, boot, amount, until})
 		}
 	}
 }
 
+// withheldUntil returns until when anything is withheld, or the zero time.
+func (s *sessions) withheldUntil() (until time.Time) {
+	for _, a := range s.teams {
+		for _, b := range a.withheld {
+			if b.amount > 0 && b.until.After(until) {
+				until = b.until
+			}
+		}
+	}
+	return until
+}
+
 // total returns the sum of what is held and withheld.
 func (a *allotment) total() int64 {
-	n := a.unreported
+	n := a.totalWithheld()
 	for _, h := range a.holdings {
 		n += h.held
 	}
-	for _, b := range a.withheld {
-		n += b.amount
-	}
 	return n
 }
 
-// allot sets the allotments of an entry VM for the teams that it reported. An
+// allot returns the allotments of an entry VM for the teams that it reported. An
 // allotment grows only by what nobody holds. A smaller allotment is a request:
 // what the entry VM holds counts as held until it reports less.
 func (s *sessions) allot(e *session, r *control.Renewal, now time.Time) []control.TeamGrant {
@@ -156,12 +188,9 @@
 		if !reported {
 			continue // no holding is recorded
 		}
-		granted := h.held
-		if s.recovered {
-			granted = s.fairShare(a, e.name, limit)
-			if free := limit - a.total(); granted > h.held {
-				granted = h.held + min(granted-h.held, max(0, free))
-			}
+		granted := s.fairShare(a, e.name, limit)
+		if free := limit - a.total(); granted > h.held {
+			granted = h.held + min(granted-h.held, max(0, free))
 		}
 		if granted > h.held {
 			h.held = granted
@@ -178,7 +207,7 @@
 // that the first request of the team there need not wait until another one gives
 // up its share.
 func (s *sessions) fairShare(a *allotment, name string, limit int64) int64 {
-	remaining := max(0, limit-a.totalWithheld())
+	remaining := max(0, limit-a.usedElsewhere(limit))
 	names := slices.SortedFunc(maps.Keys(a.holdings), func(x, y string) int {
 		return cmp.Or(cmp.Compare(s.wantedBy(a, x), s.wantedBy(a, y)), cmp.Compare(x, y))
 	})
@@ -212,13 +241,21 @@
 
 // totalWithheld returns the sum of what is withheld.
 func (a *allotment) totalWithheld() int64 {
-	n := a.unreported
+	n := int64(0)
 	for _, b := range a.withheld {
 		n += b.amount
 	}
 	return n
 }
 
+// usedElsewhere returns what is held by sessions that have ended or have not
+// reported, at most. All holdings together are within the limit, while what is
+// withheld for a new leader is only a bound.
+func (a *allotment) usedElsewhere(limit int64) int64 {
+	withheld := a.totalWithheld()
+	return min(withheld, max(0, limit-(a.total()-withheld)))
+}
+
 // wantedBy returns what an entry VM could use. One that drains accepts no new
 // requests.
 func (s *sessions) wantedBy(a *allotment, name string) int64 {
--- a/internal/process/leader/leader.go
+++ b/internal/process/leader/leader.go
@@ -103,8 +103,9 @@
 	guardStaleTokens                          // runs whose tokens are not current are stopped
 	guardCommittedEnds                        // ends of runs are acknowledged only once committed
 	guardWithholdEnded                        // allotments of ended sessions are withheld for a while
-	guardRecovery                             // a new leader collects reports before it grants anything
+	guardRecovery                             // a new leader collects reports before it assigns runners
 	guardWithholdUnreported                   // allotments that missing entry VMs may hold are withheld
+	guardRecordHoldings                       // allotments are granted once it is in the log that they may be held
 	guardReleaseFirst                         // a runner is released by its owner before it gets another one
 	guardRenewalOrder                         // renewals that arrive out of order are refused
 	guardEntryBoot                            // the session of one boot ends before another boot gets one
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -152,6 +152,11 @@
 			g.isolate(0, 1)
 			return g.b.renewFor(1, 30*time.Second, 0) == 0 && g.b.renewFor(1, 10*time.Second, 0) == 10
 		}},
+		"allotments in the log": {guardRecordHoldings, func(g *group) bool {
+			g.a.renewFor(0, 6*time.Second, 0)
+			g.isolate(0, 1)
+			return g.b.renewFor(1, 30*time.Second, 0) == 0 && g.b.renewFor(1, 10*time.Second, 0) == 10
+		}},
 		"release of runners": {guardReleaseFirst, func(g *group) bool {
 			g.giveRunnerToA()
 			g.b.announcedOwner(0, control.Renewal{})
--- a/internal/process/leader/session.go
+++ b/internal/process/leader/session.go
@@ -26,6 +26,9 @@
 	// commitTimeout bounds how long a renewal waits for its commands to be
 	// committed. An entry VM gives up a renewal after 500 ms.
 	commitTimeout = 350 * time.Millisecond
+	// lowerInterval is the minimum time between a change of a session's record and
+	// the next one that only lowers its holdings.
+	lowerInterval = 10 * time.Second
 	// maxCatalogueDelta is the largest number of catalogue changes that are sent
 	// as changes. An entry VM that is further behind gets the whole catalogue.
 	maxCatalogueDelta = 2000
@@ -36,12 +39,11 @@
 type sessions struct {
 	term *term
 
-	mu              sync.Mutex
-	entries         map[string]*session
-	teams           map[string]*allotment
-	runners         runners
-	recovered       bool      // every session of the former leader has reported or has ended
-	unreportedUntil time.Time // until then, missing entry VMs may hold what was not reported
+	mu        sync.Mutex
+	entries   map[string]*session
+	teams     map[string]*allotment
+	runners   runners
+	recovered bool // every session of the former leader has reported or has ended
 }
 
 // session is the session of one entry VM.
@@ -51,11 +53,14 @@
 	sequence         uint64
 	zone             string
 	draining         bool
-	recorded         bool   // the session is in the log
-	catalogueVersion uint64 // of the catalogue held
-	routesVersion    uint64 // of the runner list held; zero if it is of another term
-	claim            claim  // runner list on which its claims to runners are based
-	needsRoutes      bool   // gets the runner list even while it is incomplete
+	recorded         bool           // the session is in the log
+	record           state.Holdings // what the log says that it may hold, at least
+	proposed         uint64         // sequence of the renewal that proposed the last change of the record
+	lowerAt          time.Time      // when the record may be lowered next
+	catalogueVersion uint64         // of the catalogue held
+	routesVersion    uint64         // of the runner list held; zero if it is of another term
+	claim            claim          // runner list on which its claims to runners are based
+	needsRoutes      bool           // gets the runner list even while it is incomplete
 	deadline         time.Time
 }
 
@@ -76,26 +81,25 @@
 		return nil, &peer.RemoteError{Code: CodeDenied, Message: "the renewal is of another entry VM"}
 	}
 	received := t.now()
-	needsCommit, ok := t.sessions.acceptRenewal(r, received)
-	if !ok {
+	if !t.sessions.acceptRenewal(r, received) {
 		return nil, &peer.RemoteError{Code: CodeStale, Message: "a later renewal was served, or another process has the session"}
 	}
 	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
 	defer cancel()
-	if needsCommit && !t.commitSession(ctx, r) {
+	g := &control.Grant{Term: t.number, Sequence: r.Sequence}
+	var recorded bool
+	if g.Teams, recorded = t.grantTeams(ctx, r); !recorded {
 		return nil, &peer.RemoteError{Code: CodeUnknown, Message: "the session could not be recorded"}
 	}
-	g := &control.Grant{Term: t.number, Sequence: r.Sequence}
 	g.Workers = t.servePolls(ctx, r.Entry, r.Workers, received)
 	t.sessions.fillGrant(r, g, t.now())
 	g.Catalogue = t.catalogueSince(r.Version)
 	return t.answerIfLeading(control.MethodRenew, g)
 }
 
-// acceptRenewal processes the session part of a renewal. needsCommit reports
-// whether the session is not in the log yet. ok is false if the renewal is out of
-// order or another boot has the session.
-func (s *sessions) acceptRenewal(r *control.Renewal, received time.Time) (needsCommit, ok bool) {
+// acceptRenewal processes the session part of a renewal. It returns false if the
+// renewal is out of order or another boot has the session.
+func (s *sessions) acceptRenewal(r *control.Renewal, received time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entries[r.Entry]
@@ -104,12 +108,12 @@
 	case e.boot != r.Boot && s.term.leader.enabled(guardEntryBoot):
 		// A late renewal of a former process looks like one of a new process, so
 		// the current session has to end first, which takes 4 s.
-		return false, false
+		return false
 	case e.boot != r.Boot:
 		s.endSession(e, received)
 		e = nil
 	case r.Sequence <= e.sequence && s.term.leader.enabled(guardRenewalOrder):
-		return false, false
+		return false
 	}
 	if e == nil {
 		// A session that starts after recovery, or whose entry VM has lost its runner
@@ -134,37 +138,104 @@
 	for i := range r.Runners {
 		s.acceptAnnouncement(&r.Runners[i], received)
 	}
-	return !e.recorded, true
+	return true
 }
 
-// commitSession commits that an entry VM has a session. Nothing is granted
-// before, so that a later leader knows every entry VM that may hold something.
-func (t *term) commitSession(ctx context.Context, r *control.Renewal) bool {
-	recorded := func(v state.SessionRecord) bool { return v.Entry == r.Entry && v.Boot == r.Boot && v.Ended.IsZero() }
-	if !slices.ContainsFunc(t.state().Sessions(), recorded) {
-		v, err := t.propose(ctx, state.Command{Session: &state.Session{Entry: r.Entry, Boot: r.Boot}})
-		if err != nil || v.Code != state.OK {
-			return false
+// grantTeams returns the allotments that answer a renewal. Nothing is granted
+// before it is in the log that the session may hold it, so that a later leader
+// knows what an entry VM may hold that does not report to it. If that cannot be
+// committed in time, the allotments do not grow. recorded reports whether the
+// session is in the log.
+func (t *term) grantTeams(ctx context.Context, r *control.Renewal) (grants []control.TeamGrant, recorded bool) {
+	grants, change := t.sessions.planAllotments(r, t.now())
+	if change == nil {
+		return grants, true
+	}
+	if v, err := t.propose(ctx, state.Command{Session: change}); err == nil && v.Code == state.OK {
+		if t.sessions.setRecord(change, t.now()) {
+			t.emit(event.SessionBegan, zap.String("entry", r.Entry), zap.String("zone", r.Zone))
 		}
+		return grants, true
+	}
+	return t.sessions.recordedGrants(change, grants)
+}
+
+// planAllotments returns the allotments that answer a renewal, and the change of
+// the session's record that has to be committed before, if any.
+func (s *sessions) planAllotments(r *control.Renewal, now time.Time) ([]control.TeamGrant, *state.Session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[r.Entry]
+	if e == nil || e.boot != r.Boot || e.sequence != r.Sequence {
+		return nil, nil // a later renewal was served meanwhile; the entry VM has given up this one
 	}
-	t.emit(event.SessionBegan, zap.String("entry", r.Entry), zap.String("zone", r.Zone))
-	t.sessions.mu.Lock()
-	defer t.sessions.mu.Unlock()
-	if e := t.sessions.entries[r.Entry]; e != nil && e.boot == r.Boot {
-		e.recorded = true
+	grants := s.allot(e, r, now)
+	held := s.holdingsOf(e.name)
+	if e.recorded && e.record.Covers(held) && (now.Before(e.lowerAt) || held.Covers(e.record)) {
+		return grants, nil
 	}
-	return true
+	e.proposed = r.Sequence
+	e.record = e.record.Min(held) // the change may take effect at any time, or never
+	return grants, &state.Session{Entry: e.name, Boot: e.boot, Sequence: r.Sequence, Held: held}
+}
+
+// setRecord notes that a change of a session's record was committed. It reports
+// whether the session has begun with it.
+func (s *sessions) setRecord(c *state.Session, now time.Time) (began bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[c.Entry]
+	if e == nil || e.boot != c.Boot {
+		return false
+	}
+	began, e.recorded = !e.recorded, true
+	if e.proposed == c.Sequence {
+		e.record, e.lowerAt = c.Held, now.Add(lowerInterval)
+	}
+	return began
 }
 
-// fillGrant sets the allotments and the runner list of a grant.
+// recordedGrants returns the part of the grants that is covered without a change
+// of the session's record, and whether the session is in the log. Teams without
+// such a part are left out, because a grant of zero means that the limit is in use.
+func (s *sessions) recordedGrants(c *state.Session, grants []control.TeamGrant) (covered []control.TeamGrant, recorded bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	e := s.entries[c.Entry]
+	if e == nil || e.boot != c.Boot || !e.recorded {
+		return nil, false
+	}
+	for _, g := range grants {
+		if n := e.record.Of(g.Team, 0); n > 0 || g.Granted == 0 {
+			covered = append(covered, control.TeamGrant{Team: g.Team, Granted: min(g.Granted, n)})
+		}
+	}
+	return covered, true
+}
+
+// holdingsOf returns what an entry VM holds of each team's limit.
+func (s *sessions) holdingsOf(entry string) state.Holdings {
+	held := state.Holdings{Known: true}
+	if !s.term.leader.enabled(guardRecordHoldings) {
+		return held
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.teams)) {
+		if h := s.teams[name].holdings[entry]; h.held > 0 {
+			held.Teams = append(held.Teams, state.TeamHolding{Team: name, Amount: h.held})
+		}
+	}
+	return held
+}
+
+// fillGrant sets the runner list of a grant.
 func (s *sessions) fillGrant(r *control.Renewal, g *control.Grant, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	e := s.entries[r.Entry]
 	if e == nil || e.boot != r.Boot || e.sequence != r.Sequence {
+		g.Teams = nil
 		return // a later renewal was served meanwhile; the entry VM has given up this one
 	}
-	g.Teams = s.allot(e, r, now)
 	g.Runners, g.Full, g.Routes = s.routeChanges(e, now)
 }
 
@@ -195,7 +266,7 @@
 	now := t.now()
 	for _, c := range t.sessions.maintain(now) {
 		if _, err := t.propose(ctx, state.Command{Session: &c}); err != nil {
-			return // a new leader withholds what no entry VM reports to it
+			return // the next leader withholds what the session may hold
 		}
 	}
 }
@@ -209,7 +280,7 @@
 	for _, name := range slices.Sorted(maps.Keys(s.entries)) {
 		if e := s.entries[name]; !now.Before(e.deadline) {
 			s.endSession(e, now)
-			ended = append(ended, state.Session{Entry: name, Boot: e.boot, Ended: true})
+			ended = append(ended, state.Session{Entry: name, Boot: e.boot, Sequence: e.sequence, Ended: true})
 		}
 	}
 	ended = append(ended, s.endRecovery(now)...)
@@ -218,8 +289,9 @@
 	return ended
 }
 
-// endRecovery ends the period in which a new leader only collects reports, once
-// it is over. Sessions in the log that have not reported by then have ended.
+// endRecovery ends the period in which a new leader collects what entry VMs report
+// of runners, once it is over. Sessions in the log that have not reported by then
+// have ended.
 func (s *sessions) endRecovery(now time.Time) []state.Session {
 	if s.recovered || now.Before(s.term.startedAt.Add(sessionDuration+sessionMargin)) && s.term.leader.enabled(guardRecovery) {
 		return nil
@@ -228,30 +300,15 @@
 	var ended []state.Session
 	for _, v := range s.term.state().Sessions() {
 		if e := s.entries[v.Entry]; v.Ended.IsZero() && (e == nil || e.boot != v.Boot) {
-			ended = append(ended, state.Session{Entry: v.Entry, Boot: v.Boot, Ended: true})
-			s.unreportedUntil = now.Add(maxRequestDuration)
+			ended = append(ended, state.Session{Entry: v.Entry, Boot: v.Boot, Sequence: v.Sequence, Ended: true})
 		}
-		// These times were stamped by a former leader's clock, hence the margin.
-		until := latest(v.Ended, v.Former).Add(maxRequestDuration + sessionMargin)
-		s.unreportedUntil = latest(s.unreportedUntil, earliest(until, now.Add(maxRequestDuration)))
 	}
-	if !s.term.leader.enabled(guardWithholdUnreported) {
-		s.unreportedUntil = time.Time{}
-	}
-	if s.unreportedUntil.After(now) {
-		s.withholdUnreported()
-		s.term.emit(event.AllotmentsWithheld, zap.Time("until", s.unreportedUntil))
+	if until := s.withheldUntil(); now.Before(until) {
+		s.term.emit(event.AllotmentsWithheld, zap.Time("until", until))
 	}
 	return ended
 }
 
-func latest(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 func earliest(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/process/leader/term.go
+++ b/internal/process/leader/term.go
@@ -61,10 +61,13 @@
 // commitStart commits the start of the term. From then on, commands of earlier
 // terms are refused.
 func (t *term) commitStart(ctx context.Context) error {
-	if _, err := t.propose(ctx, state.Command{Lead: &state.Lead{}}); err != nil {
+	if _, err := t.propose(ctx, state.Command{Lead: &state.Lead{Holdings: true}}); err != nil {
 		return err
 	}
 	t.orderQueue.termStart = work.Token(t.state().Index())
+	if t.leader.enabled(guardWithholdUnreported) {
+		t.sessions.withholdRecorded()
+	}
 	return nil
 }
 
--- a/internal/version/state/command.go
+++ b/internal/version/state/command.go
@@ -36,7 +36,12 @@
 // that was paused, lost its leadership and was elected again could still commit
 // decisions based on its memory of the earlier term, for example that a lease
 // had expired.
-type Lead struct{}
+type Lead struct {
+	// Holdings states that the leader records allotments in Session.Held before it
+	// grants them. After a leader that does not, the holdings of all sessions
+	// are unknown.
+	Holdings bool
+}
 
 // TeamChange adds, changes or retires a team if its version is still Base.
 // Base zero adds a team.
@@ -148,12 +153,17 @@
 // intents, request results, finished jobs, departed workers and ended sessions.
 type Expire struct{}
 
-// Session records that a session of an entry VM began or ended. From it a new
-// leader knows which entry VMs hold allotments that were not yet reported to it.
+// Session records that a session of an entry VM began, is to get other allotments,
+// or ended. From it a new leader knows what the entry VMs may hold that have not
+// reported to it. A command with an earlier sequence than the recorded one is
+// refused, because it could lower the record below a later grant, or end a
+// session that the same process has begun again.
 type Session struct {
-	Entry string // name of the entry VM
-	Boot  uint64
-	Ended bool
+	Entry    string // name of the entry VM
+	Boot     uint64
+	Sequence uint64 // of the latest renewal of the session
+	Held     Holdings
+	Ended    bool
 }
 
 // Code classifies the result of a command.
--- a/internal/version/state/state.go
+++ b/internal/version/state/state.go
@@ -96,6 +96,9 @@
 	guardAttempt
 	guardMembership
 	guardTerm
+	guardSequence
+	guardHoldings
+	guardFormer
 )
 
 func (s *State) enabled(g guard) bool { return s.disabled&g == 0 }
@@ -193,8 +196,7 @@
 	case c.Session != nil:
 		return s.recordSession(c.Session)
 	case c.Lead != nil:
-		s.term = max(s.term, c.Term)
-		return Result{Code: OK}
+		return s.lead(c.Lead, c.Term)
 	default:
 		return s.expire()
 	}
--- a/internal/version/state/state_test.go
+++ b/internal/version/state/state_test.go
@@ -109,6 +109,11 @@
 	}
 }
 
+// held returns holdings of the team a.
+func held(n int64) Holdings {
+	return Holdings{Known: true, Teams: []TeamHolding{{Team: "a", Amount: n}}}
+}
+
 // drawCommand draws a command that is valid in most, but not all, cases.
 func drawCommand(t *rapid.T, f *fixture) Command {
 	pick := func(label string, from ...string) string { return rapid.SampledFrom(from).Draw(t, label) }
@@ -122,7 +127,7 @@
 	}
 	switch rapid.IntRange(0, 20).Draw(t, "kind") {
 	case 20:
-		return Command{Term: rapid.Uint64Range(1, 3).Draw(t, "term"), Lead: &Lead{}}
+		return Command{Term: rapid.Uint64Range(1, 3).Draw(t, "term"), Lead: &Lead{Holdings: rapid.Bool().Draw(t, "holdings")}}
 	case 0:
 		return Command{Request: request, Team: &TeamChange{Base: base(), Team: work.Team{Name: pick("team", "a", "b", "c"), Weight: 1, Limit: size(rapid.Int64Range(4, 14).Draw(t, "limit")), Tasks: rapid.Int64Range(0, 8).Draw(t, "tasks"), Retired: rapid.IntRange(0, 9).Draw(t, "retired") == 0}}}
 	case 1:
@@ -146,7 +151,7 @@
 	case 13:
 		return Command{Expire: &Expire{}}
 	case 14:
-		return Command{Session: &Session{Entry: pick("entry", "e1", "e2"), Boot: boot(), Ended: rapid.Bool().Draw(t, "ended")}}
+		return Command{Session: &Session{Entry: pick("entry", "e1", "e2"), Boot: boot(), Sequence: rapid.Uint64Range(1, 3).Draw(t, "sequence"), Held: held(rapid.Int64Range(0, 2).Draw(t, "held")), Ended: rapid.Bool().Draw(t, "ended")}}
 	case 15, 16:
 		var ends []work.End
 		for _, s := range drawTasks(t, f) {
@@ -318,6 +323,28 @@
 			f.do(Command{Term: 1, Depart: &Depart{Worker: "w1", Boot: 1}})
 			return !f.workers["w1"].Gone
 		}},
+		"sequence of sessions": {guardSequence, func(f *fixture) bool {
+			f.do(Command{Session: &Session{Entry: "e1", Boot: 1, Sequence: 2, Held: held(5)}})
+			f.do(Command{Session: &Session{Entry: "e1", Boot: 1, Sequence: 1, Held: held(1)}})
+			f.do(Command{Session: &Session{Entry: "e1", Boot: 1, Sequence: 1, Ended: true}})
+			return f.sessions["e1"].Held.Of("a", 9) == 5 && f.sessions["e1"].Ended.IsZero()
+		}},
+		"holdings after a leader that does not record them": {guardHoldings, func(f *fixture) bool {
+			f.do(Command{Session: &Session{Entry: "e1", Boot: 1, Sequence: 1, Held: held(1)}})
+			f.do(Command{Term: 1, Lead: &Lead{Holdings: true}})
+			known := f.sessions["e1"].Held.Of("a", 9) == 1
+			f.do(Command{Term: 2, Lead: &Lead{}})
+			return known && f.sessions["e1"].Held.Of("a", 9) == 9
+		}},
+		"holdings of former processes": {guardFormer, func(f *fixture) bool {
+			for boot := range uint64(3) {
+				f.do(Command{Session: &Session{Entry: "e1", Boot: 1 + boot, Sequence: 1, Held: held(2)}})
+			}
+			recent := f.sessions["e1"].FormerHeld.Of("a", 9)
+			f.now = f.now.Add(formerRetention)
+			f.do(Command{Session: &Session{Entry: "e1", Boot: 4, Sequence: 1, Held: held(2)}})
+			return recent == 4 && f.sessions["e1"].FormerHeld.Of("a", 9) == 2
+		}},
 		"intent": {guardIntent, func(f *fixture) bool {
 			f.do(intent("e1"))
 			return f.do(intent("e2")).Code == Duplicate
--- a/model/allotment.pml
+++ b/model/allotment.pml
@@ -4,14 +4,15 @@
  * Times are stored as remaining time. An entry VM counts its session from when
  * it sent the renewal; the leader counts from receipt and adds MARGIN. A request
  * outlives a session by at most REQUEST. Renewals and grants may be delayed or
- * lost, entry VMs may crash, and the leader may change: a new one knows only what
- * entry VMs report to it.
+ * lost, entry VMs may crash, and the leader may change: a new one knows what entry
+ * VMs report to it and, from the log, how much each of them may hold.
  *
  * Invariant: the requests in flight never exceed the limit.
  *
  * Guards, each removed by defining:
  *   NO_HOLD     the allotment of an expired session is granted again at once
- *   NO_SETTLE   a new leader grants without waiting for reports
+ *   NO_RECORD   a grant is sent without having been recorded in the log
+ *   NO_TAKEOVER a new leader does not count what is recorded
  *   NO_SHRINK   a grant counts as returned before the entry VM confirms it
  *   NO_EXPIRE   an entry VM continues to admit requests after its session
  *   NO_ORDER    an entry VM accepts an older grant after a newer one
@@ -45,7 +46,7 @@
 byte leader;     /* 0, then 1 */
 byte charged[2]; /* what the leader counts against the limit */
 byte hold[2];    /* time until a charge is dropped without a renewal */
-byte settle;     /* time until a new leader may grant */
+byte recorded[2]; /* what the log says that an entry VM may hold */
 
 inline begin(x) {
 	if
@@ -68,10 +69,11 @@
 inline drop_renewal(x) { e[x].renewal = 0; e[x].renewal_age = 0; e[x].reported = 0 }
 inline drop_grant(x) { e[x].grant = 0; e[x].grant_age = 0; e[x].amount = 0; e[x].latest = 0 }
 
-#ifdef NO_SETTLE
-#define may_grant true
+/* The record covers what is charged. It is lowered only sometimes. */
+#ifdef NO_RECORD
+#define record(x) skip
 #else
-#define may_grant (settle == 0)
+#define record(x) if :: recorded[x] < charged[x] || lower -> recorded[x] = charged[x] :: else fi
 #endif
 
 /* The leader answers a renewal with an allotment of want. It charges the larger of
@@ -88,11 +90,12 @@
 #endif
 		fi;
 		if
-		:: may_grant && charged[1 - x] <= LIMIT && want <= LIMIT - charged[1 - x] -> e[x].amount = want
-		:: else -> e[x].amount = (settle > 0 -> e[x].reported : 0)
+		:: charged[1 - x] <= LIMIT && want <= LIMIT - charged[1 - x] -> e[x].amount = want
+		:: else -> e[x].amount = 0
 		fi;
 		if :: e[x].amount > charged[x] -> charged[x] = e[x].amount :: else fi;
 		hold[x] = HOLD;
+		record(x);
 		e[x].grant = 1; e[x].grant_age = e[x].renewal_age; e[x].latest = 1;
 		drop_renewal(x)
 	:: else
@@ -117,10 +120,16 @@
 	e[x].granted = 0; e[x].session = 0; drop_renewal(x); drop_grant(x)
 }
 
+#ifdef NO_TAKEOVER
+#define take_over(x) charged[x] = 0; hold[x] = 0
+#else
+#define take_over(x) charged[x] = recorded[x]; hold[x] = (recorded[x] > 0 -> HOLD : 0)
+#endif
+
 inline elect() {
 	if
 	:: leader == 0 ->
-		leader = 1; charged[0] = 0; charged[1] = 0; hold[0] = 0; hold[1] = 0; settle = HOLD;
+		leader = 1; take_over(0); take_over(1);
 		drop_grant(0); drop_grant(1)
 	:: else
 	fi
@@ -140,15 +149,17 @@
 	if :: e[x].remaining > 0 -> e[x].remaining--; if :: e[x].remaining == 0 -> e[x].used = 0 :: else fi :: else fi;
 	if :: e[x].renewal && e[x].renewal_age < SESSION -> e[x].renewal_age++ :: else fi;
 	if :: e[x].grant && e[x].grant_age < SESSION -> e[x].grant_age++ :: else fi;
-	if :: hold[x] > 0 -> hold[x]--; if :: hold[x] == 0 -> charged[x] = 0 :: else fi :: else fi
+	if :: hold[x] > 0 -> hold[x]--; if :: hold[x] == 0 -> charged[x] = 0; recorded[x] = 0 :: else fi :: else fi
 }
-inline tick() { tick_entry(0); tick_entry(1); decrement(settle) }
+inline tick() { tick_entry(0); tick_entry(1) }
 
 init {
 	byte x, want;
+	bit lower;
 	do
 	:: atomic {
 		if :: x = 0 :: x = 1 fi;
+		if :: lower = 0 :: lower = 1 fi;
 		do :: want < LIMIT -> want++ :: break od;
 		if
 		:: want == 0 -> d_step { begin(x); skip }
@@ -165,7 +176,7 @@
 		:: want == 0 && x == 0 -> d_step { elect(); skip }
 		:: want == 0 && x == 0 -> d_step { tick(); skip }
 		fi;
-		x = 0; want = 0;
+		x = 0; want = 0; lower = 0;
 		assert(e[0].used + e[1].used <= LIMIT)
 	}
 	od
--- a/model/run.sh
+++ b/model/run.sh
@@ -48,7 +48,7 @@
       log) specification log -DTERMS=2 -DLENGTH=3 -DLOSSES=1 -- NO_IDENTITY NO_SYNC NO_UPTODATE NO_SERIAL ;;
       lease) specification lease -DTOKENS=2 -- NO_MARGIN FROM_ANSWER NO_WAIT NO_LEADER_LEASE NO_LATEST ;;
       intent) specification intent -DATTEMPTS=3 -- NO_INTENT NO_DUPLICATE LATE_INTENT RETRY_SENT REFUSE_SENT NO_HOLDER ;;
-      allotment) specification allotment -DLIMIT=2 -- NO_HOLD NO_SETTLE NO_SHRINK NO_EXPIRE NO_ORDER ;;
+      allotment) specification allotment -DLIMIT=2 -- NO_HOLD NO_RECORD NO_TAKEOVER NO_SHRINK NO_EXPIRE NO_ORDER ;;
       *) echo "model: no specification called $one" >&2; exit 2 ;;
     esac
   done
