--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -51,6 +51,7 @@
 			t.checkWorker(w, now)
 			t.logStops(w, now)
 		}
+		t.expireDoubts(now)
 		if now.Sub(t.stepsChecked) >= stepCheckInterval {
 			t.stepsChecked = now
 			t.dropSteps()
@@ -89,7 +90,7 @@
 	}
 	r.nextStopLog = now.Add(stopLogInterval)
 	t.emit(event.StopUnconfirmed, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
-		zap.Duration("since", now.Sub(r.stoppingSince)), zap.Bool("answered", !r.stopAnsweredAt.IsZero()), zap.Int("missed", r.worker.missed))
+		zap.Duration("since", now.Sub(r.stoppingSince)), zap.Bool("accepted", !r.stopAcceptedAt.IsZero()), zap.Int("missed", r.worker.missed))
 }
 
 // dropSteps drops the records of steps whose jobs are over. An answer or an end
@@ -112,8 +113,7 @@
 // checkWorker handles the timeouts of a worker and its runs.
 func (t *term) checkWorker(w *worker, now time.Time) {
 	switch {
-	case !w.leavesAt.IsZero() && now.After(w.leavesAt):
-		t.removeWorker(w, "the worker left")
+	case t.concludeLeave(w, now):
 		return
 	case len(w.runs) > 0 && now.After(w.leaseExpiry()) && w.missed > 0:
 		t.loseRuns(w, "the lease has expired and the worker does not answer")
@@ -137,6 +137,24 @@
 	}
 }
 
+// concludeLeave removes a worker that announced that it is leaving and has left. The
+// notice names no incarnation and may be of an earlier one, so that a worker with
+// runs is only removed if it no longer answers. It reports whether it was removed.
+func (t *term) concludeLeave(w *worker, now time.Time) bool {
+	switch {
+	case w.leavesAt.IsZero() || !now.After(w.leavesAt):
+		return false
+	case w.answeredAt.After(w.leavesAt):
+		t.emit(event.WorkerStays, zap.String("worker", w.ID), zap.Int64("life", int64(w.Life)), zap.Int("runs", len(w.runs)))
+		w.leavesAt = time.Time{}
+		return false
+	case len(w.runs)+len(w.orphans) > 0 && w.missed < maxMissedAnswers:
+		return false
+	}
+	t.removeWorker(w, "the worker left")
+	return true
+}
+
 // stalled reports whether a run has made no progress for too long.
 func (t *term) stalled(r *run, now time.Time) bool {
 	return !r.spec.Lasting && !r.spec.Filler && r.throttlePercent == 0 && now.Sub(later(r.lastProgress, r.startResolvedAt)) > stallTimeout+t.gangTime(r)
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,8 +41,9 @@
 	ctx        context.Context
 	orders     sync.WaitGroup
 	wake       chan struct{}
-	nextRound  time.Time // no round is decided before this; used by runRounds only
-	lapsedAt   time.Time // when the lease was found lapsed; zero while it is held; used by runChecks only
+	nextRound  time.Time                                 // no round is decided before this; used by runRounds only
+	idle       atomic.Pointer[map[string]work.Resources] // see Dispatcher.Idle
+	lapsedAt   time.Time                                 // when the lease was found lapsed; zero while it is held; used by runChecks only
 
 	mu             sync.Mutex // guards the rest; taken before the state's lock
 	over           bool
@@ -59,30 +61,12 @@
 	loads          map[string]*fit.Load // by pool
 	stepsChecked   time.Time            // when dropSteps was last called
 	loadsAt        time.Time            // when loads were computed
+	doubts         map[string]*doubts   // by worker
 	waves          map[int64]*wave
 	lastPoolLog    time.Time            // when the usage of the pools was last logged
 	unanswered     map[string]time.Time // by worker; when an order last got no answer
 }
 
-// inbox collects the input of the next round.
-type inbox struct {
-	catalogue *job.Catalogue
-	workers   []job.Worker
-	gone      []job.Worker
-	ends      []job.End
-	cancels   []job.ID
-	submits   []job.Job
-	waiters   []chan bool // receive whether the round was committed
-	acks      []acknowledgement
-}
-
-// acknowledgement says up to which number the ends of a worker are acknowledged
-// once the round is committed.
-type acknowledgement struct {
-	worker *worker
-	number int64
-}
-
 // stepState is the leader's in-memory record of a step.
 type stepState struct {
 	advice        fit.Advice
@@ -113,7 +97,7 @@
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*peak{},
 		urgentUse: map[string]work.Resources{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
-		waves: map[int64]*wave{}, unanswered: map[string]time.Time{},
+		doubts: map[string]*doubts{}, waves: map[int64]*wave{}, unanswered: map[string]time.Time{},
 	}
 }
 
@@ -136,6 +120,18 @@
 	return name == t.dispatcher.options.Name && number == t.number && t.now().Before(lease)
 }
 
+// awaitLease waits until this process may send orders. It reports whether the term
+// continues. The lease may lapse for a moment within a term, such as after a pause.
+func (t *term) awaitLease() bool {
+	for !t.isLeading() {
+		sleep(t.ctx, orderRetryDelay)
+		if t.ctx.Err() != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // signal wakes the loop that builds rounds.
 func (t *term) signal() {
 	select {
@@ -187,6 +183,9 @@
 		for name, reservations := range v.Reservations {
 			t.adoptRuns(v, name, reservations, now)
 		}
+		for name, orphans := range v.Orphans {
+			t.adoptOrphans(name, orphans)
+		}
 		t.emit(event.TermBegun, zap.Uint64("term", t.number), zap.Int("workers", len(v.Workers)),
 			zap.Int("runs", len(t.runs)), zap.Int("jobs", len(v.Active)))
 	})
@@ -211,13 +210,20 @@
 	for id, o := range reservations {
 		record, _, task := v.Find(id)
 		life := task.Life
-		if w == nil || w.Life != life {
-			// The worker's incarnation has ended, and its runs with it.
+		if w == nil {
 			t.inbox.ends = append(t.inbox.ends, job.End{Task: id, Run: o.Run, Worker: name, Life: life, Outcome: job.Lost})
 			continue
 		}
 		r := &run{id: id, number: o.Run, worker: w, spec: &record.Job.Steps[id.Step], committedAt: now, startResolvedAt: now, lastProgress: now,
 			urgent: record.Queue.Priority == 0, queue: queueKey(&record.Queue), resumed: true}
+		if w.Life != life {
+			// The next incarnation may execute it. The former one is only known by name.
+			r.worker = newWorker(w.Worker, now)
+			r.worker.Life = life
+			t.addRun(r)
+			t.stopFormer(w, r)
+			continue
+		}
 		t.addRun(r)
 		if record.Status.Final() || task.Done {
 			t.stop(r)
@@ -236,20 +242,6 @@
 	t.inbox = inbox{}
 }
 
-// enqueue adds input to the next round. It returns a channel that receives
-// whether the round was committed. The caller holds the lock.
-func (t *term) enqueue(add func(*inbox)) <-chan bool {
-	c := make(chan bool, 1)
-	if t.over {
-		c <- false
-		return c
-	}
-	add(&t.inbox)
-	t.inbox.waiters = append(t.inbox.waiters, c)
-	t.signal()
-	return c
-}
-
 // awaitCommit waits until a round was committed or failed, or until ctx ends. It
 // reports whether the round was committed.
 func (t *term) awaitCommit(ctx context.Context, c <-chan bool) bool {
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -31,6 +31,12 @@
 	leaveGracePeriod = 250 * time.Millisecond
 )
 
+// Reasons for the removal of a worker whose next incarnation is known to run.
+const (
+	reasonOtherLife = "another incarnation answers under its id"
+	reasonNewLife   = "a newer incarnation reported itself"
+)
+
 // worker is the leader's in-memory record of one incarnation of a worker.
 type worker struct {
 	job.Worker
@@ -74,6 +80,14 @@
 	}
 }
 
+// otherLife reports whether another incarnation than the known one has answered.
+func (w *worker) otherLife(a Answer, now time.Time) bool {
+	if a.Life != 0 {
+		return a.Life != w.Life
+	}
+	return !a.Clock.IsZero() && a.Clock.Add(clockSlack).Before(w.clockReading)
+}
+
 // extendLease returns the end of a new lease, on the worker's clock. While the
 // worker does not answer, the end does not move, so that the lease expires.
 func (w *worker) extendLease(now time.Time, length time.Duration) time.Time {
@@ -86,6 +100,17 @@
 	return w.leaseEnd
 }
 
+// needsLease reports whether the worker executes anything that is to go on. Without
+// it, what is left ends with the lease even if no stop reaches the worker.
+func (w *worker) needsLease() bool {
+	for _, r := range w.runs {
+		if !r.stopping {
+			return true
+		}
+	}
+	return len(w.runs)+len(w.orphans) == 0
+}
+
 // leaseExpiry returns the time after which no granted lease is valid any more.
 func (w *worker) leaseExpiry() time.Time {
 	if w.leaseEnd.IsZero() || w.clockReading.IsZero() {
@@ -120,11 +145,11 @@
 			t.emit(event.WorkerAnswers, zap.String("worker", w.ID), zap.Int("missed", w.missed))
 		}
 		w.missed, w.lastSeen, w.answeredAt, w.silentLogged = 0, now, now, false
-		w.updateClock(a.Clock, now)
-		if a.Life != 0 && a.Life != w.Life {
-			t.removeWorker(w, "another incarnation answers under its id")
+		if w.otherLife(a, now) {
+			t.removeWorker(w, reasonOtherLife)
 			return false
 		}
+		w.updateClock(a.Clock, now)
 	case WrongWorker:
 		t.removeWorker(w, "another process answers at its address")
 		return false
@@ -151,9 +176,17 @@
 	delete(t.workers, w.ID)
 	t.sorted = nil
 	t.inbox.gone = append(t.inbox.gone, w.Worker)
-	t.loseRuns(w, reason)
+	replaced := reason == reasonOtherLife || reason == reasonNewLife
+	for _, r := range w.runs {
+		if !replaced || !t.hold(r) {
+			t.lose(r, reason)
+		}
+	}
 	for _, r := range w.orphans {
 		r.endQueued = true // ends the resending of the stop
+		if r.former != nil {
+			t.lose(r.former, reason)
+		}
 	}
 	t.dispatcher.options.Upstream.Forget(&w.Worker)
 }
@@ -175,50 +208,9 @@
 	}
 }
 
-// orphan identifies a run that was given up.
-type orphan struct {
-	task job.TaskID
-	run  int
-}
-
-// giveUp gives up a run that may continue, or begin, because its task may run in
-// several copies. Its worker gets no new tasks before it can no longer execute the
-// run: it has answered a stop, and a later listing does not show the run.
-func (t *term) giveUp(r *run, reason string) {
-	if r.endQueued {
-		return
-	}
-	t.lose(r, reason)
-	t.stopOrphan(r.worker, r.id, r.number, reason)
-}
-
-// stopOrphan stops a run that is given up or not known.
-func (t *term) stopOrphan(w *worker, id job.TaskID, number int, reason string) {
-	key := orphan{id, number}
-	if w.orphans[key] != nil {
-		return
-	}
-	r := &run{id: id, number: number, worker: w, spec: &job.Step{}}
-	if w.orphans == nil {
-		w.orphans = map[orphan]*run{}
-	}
-	w.orphans[key] = r
-	t.emit(event.RunUnclear, zap.Stringer("task", id), zap.Int("run", number), zap.String("worker", w.ID), zap.String("reason", reason))
-	t.stop(r)
-}
-
-// dropOrphans drops the orphans that the worker can no longer execute.
-func (w *worker) dropOrphans(sent time.Time, present map[job.TaskID]int) {
-	for key, r := range w.orphans {
-		if !r.stopAnsweredAt.IsZero() && r.stopAnsweredAt.Before(sent) && present[key.task] != key.run {
-			r.endQueued = true // ends the resending of the stop
-			delete(w.orphans, key)
-		}
-	}
-}
-
-// lose gives up a run that no longer executes and never will, or whose task may
-// run in several copies. The caller holds the term's lock.
+// lose ends a run whose end no worker will list. Unless it also becomes an orphan, it
+// must be certain that it no longer executes and never will. The caller holds the
+// term's lock.
 func (t *term) lose(r *run, reason string) {
 	if r.endQueued {
 		return
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -161,13 +161,15 @@
 type Query struct {
 	Demand  *Demand
 	Workers []string
-	Early   bool // no capacity is free yet; send only if an advice client is idle
+	Early   bool // no capacity is free yet, or the deadline is past; send only if an advice client is idle
 }
 
 // Block is the reason why tasks of a demand wait.
 type Block struct {
 	Demand *Demand
 	Reason string
+
+	started int // tasks that the same plan starts
 }
 
 // Reasons of a Block.
@@ -185,6 +187,8 @@
 	Workers  []*Worker
 	Limits   map[string]*Limit         // by workspace
 	Headroom map[string]work.Resources // by pool; headroom that only urgent work and long-running or filler tasks may use
+	Early    int                       // number of early queries that can be sent now
+	Explain  bool                      // the plan tells what holds idle capacity
 }
 
 // Limit is a workspace's resource limit and current usage.
@@ -210,7 +214,8 @@
 	Starts      []Start
 	Queries     []Query
 	Blocks      []Block
-	Preemptions []job.TaskID // runs to preempt
+	Preemptions []job.TaskID    // runs to preempt
+	Idle        map[string]Idle // by pool with waiting tasks, if Cluster.Explain is set
 }
 
 // planner holds the working state of one call of Decide.
@@ -219,8 +224,9 @@
 	cluster Cluster
 	pools   map[string]*inventory
 	plan    Plan
-	asking  []string // workers in the queries of the demand that is being planned
-	queries int      // number of these queries
+	asking  []string  // workers in the queries of the demand that is being planned
+	queries int       // number of these queries
+	allowed []*Worker // workers that the demand that is being planned may use; see allowedWorkers
 }
 
 // Decide plans one scheduling round.
@@ -233,6 +239,9 @@
 	for _, d := range demands {
 		p.schedule(d)
 	}
+	if cluster.Explain {
+		p.plan.Idle = p.explain()
+	}
 	return p.plan
 }
 
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -5,9 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-
-	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
@@ -136,6 +133,9 @@
 	Workspace string
 }
 
+// limits holds limits by workspace.
+type limits map[string]work.Resources
+
 // View gives access to the state under State's lock.
 type View struct {
 	Term         uint64
@@ -144,8 +144,10 @@
 	Active       map[ID]*Record // not finished, or with remaining reservations
 	Workers      map[string]Worker
 	Reservations map[string]map[TaskID]Reservation // by worker
-	Changes      map[string]uint64                 // by worker; rises with each change of its reservations
-	Used         map[string]work.Resources         // by workspace; total size of its runs
+	Orphans      map[string]map[OrphanID]Orphan    // by worker
+	Changes      map[string]uint64                 // by worker; rises with each change of its reservations and orphans
+	Used         map[string]work.Resources         // by workspace; total size of its runs and orphans
+	Limits       limits                            // by workspace; from the latest catalogue that contains it
 	Sequence     uint64
 
 	finished []ID // finished jobs in the order in which they finished
@@ -169,6 +171,7 @@
 	v.Jobs, v.Active = map[ID]*Record{}, map[ID]*Record{}
 	v.Workers, v.Reservations = map[string]Worker{}, map[string]map[TaskID]Reservation{}
 	v.Used, v.Changes = map[string]work.Resources{}, map[string]uint64{}
+	v.Orphans, v.Limits = map[string]map[OrphanID]Orphan{}, limits{}
 }
 
 // View calls read with the current state, which read must not retain or change.
@@ -208,10 +211,18 @@
 		if v.Workers[w.ID].Life == w.Life {
 			delete(v.Workers, w.ID)
 		}
+		v.dropOrphans(w.ID, w.Life)
 	}
 	for i := range r.Ends {
 		v.end(&r.Ends[i], r.Now, &result)
 	}
+	for i := range r.Orphans {
+		v.addOrphan(&r.Orphans[i])
+	}
+	for i := range r.Settled {
+		o := &r.Settled[i]
+		v.dropOrphan(o.Worker, OrphanID{Task: o.Task, Run: o.Run, Life: o.Life})
+	}
 	for _, id := range r.Cancels {
 		v.cancel(id, r.Now, &result)
 	}
@@ -227,17 +238,30 @@
 }
 
 // setCatalogue installs a catalogue if its version is higher than the current one.
-// Unfinished jobs take over the new settings of their queue; if it is gone, they
-// keep the old ones.
+// Unfinished jobs take over the new settings of their queue and workspace; if these
+// are gone, they keep the old ones.
 func (v *View) setCatalogue(c *Catalogue) {
 	if v.Catalogue != nil && c.Version <= v.Catalogue.Version {
 		return
 	}
 	v.Catalogue = c
+	kept := limits{}
 	for _, r := range v.Active {
 		if q := c.Queue(r.Job.Host, r.Job.Prefix); q != nil {
 			r.Queue = *q
 		}
+		if limit, ok := v.Limits[r.Job.Workspace]; ok {
+			kept[r.Job.Workspace] = limit
+		}
+	}
+	v.Limits = kept
+	v.addLimits(c)
+}
+
+// addLimits installs the limits of a catalogue.
+func (v *View) addLimits(c *Catalogue) {
+	for i := range c.Workspaces {
+		v.Limits[c.Workspaces[i].Name] = c.Workspaces[i].Limit
 	}
 }
 
@@ -301,7 +325,7 @@
 	s := &r.Job.Steps[id.Step]
 	v.Changes[t.Worker]++
 	m[id] = Reservation{Run: t.Run, Size: s.Reservation(), Workspace: r.Job.Workspace}
-	v.Used[r.Job.Workspace] = v.Used[r.Job.Workspace].Add(s.Size)
+	v.use(r.Job.Workspace, s.Size)
 }
 
 // release removes the reservation of a task's current run.
@@ -313,13 +337,23 @@
 			delete(v.Reservations, t.Worker)
 		}
 	}
-	v.Used[r.Job.Workspace] = v.Used[r.Job.Workspace].Sub(r.Job.Steps[id.Step].Size)
-	if v.Used[r.Job.Workspace] == (work.Resources{}) {
-		delete(v.Used, r.Job.Workspace)
-	}
+	v.unuse(r.Job.Workspace, r.Job.Steps[id.Step].Size)
 	t.Worker, t.Life = "", 0
 }
 
+// use adds to what a workspace uses.
+func (v *View) use(workspace string, size work.Resources) {
+	v.Used[workspace] = v.Used[workspace].Add(size)
+}
+
+// unuse subtracts from what a workspace uses.
+func (v *View) unuse(workspace string, size work.Resources) {
+	v.Used[workspace] = v.Used[workspace].Sub(size)
+	if v.Used[workspace] == (work.Resources{}) {
+		delete(v.Used, workspace)
+	}
+}
+
 // Find returns the job record of a task, its occurrence and its state. The record
 // is nil if the job is unknown; the others are nil unless the occurrence is open
 // and has such a task.
@@ -339,6 +373,9 @@
 // no reservation to release, but its success or failure still counts.
 func (v *View) end(e *End, now time.Time, result *Result) {
 	r, o, t := v.Find(e.Task)
+	if e.Outcome != Lost { // the worker lists it
+		v.dropOrphan(e.Worker, OrphanID{Task: e.Task, Run: e.Run, Life: e.Life})
+	}
 	if t == nil || e.Run > t.Run {
 		return
 	}
@@ -488,67 +525,3 @@
 	}
 	return n
 }
-
-// snapshot is the encoded form of View.
-type snapshot struct {
-	Term      uint64            `cbor:"1,keyasint"`
-	Catalogue *Catalogue        `cbor:"2,keyasint"`
-	Jobs      []*Record         `cbor:"3,keyasint"`
-	Workers   map[string]Worker `cbor:"4,keyasint"`
-	Sequence  uint64            `cbor:"5,keyasint"`
-	Over      []ID              `cbor:"6,keyasint"`
-}
-
-// Snapshot implements raft.StateMachine.
-func (s *State) Snapshot() ([]byte, error) {
-	s.mu.RLock()
-	defer s.mu.RUnlock()
-	v := &s.view
-	d := snapshot{Term: v.Term, Catalogue: v.Catalogue, Workers: v.Workers, Sequence: v.Sequence, Over: v.finished}
-	for _, r := range v.Jobs {
-		d.Jobs = append(d.Jobs, r)
-	}
-	slices.SortFunc(d.Jobs, func(a, b *Record) int { return int(int64(a.Sequence) - int64(b.Sequence)) })
-	b, err := codec.Encode(d)
-	return b, errors.Wrap(err, "encode snapshot")
-}
-
-// Restore implements raft.StateMachine.
-func (s *State) Restore(b []byte) error {
-	var d snapshot
-	if err := codec.Decode(b, &d); err != nil {
-		return errors.Wrap(err, "decode snapshot")
-	}
-	v := View{}
-	v.init()
-	v.Term, v.Catalogue, v.Sequence, v.finished = d.Term, d.Catalogue, d.Sequence, d.Over
-	for id, w := range d.Workers {
-		v.Workers[id] = w
-	}
-	for _, r := range d.Jobs {
-		v.Jobs[r.Job.ID] = r
-		if !r.Status.Final() || len(r.Open) > 0 {
-			v.Active[r.Job.ID] = r
-		}
-		r.Unscheduled = r.Status == Queued
-		for _, n := range r.OpenOccurrences() {
-			v.restoreReservations(r, n)
-		}
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.view = v
-	return nil
-}
-
-// restoreReservations rebuilds the reservations of an occurrence's runs.
-func (v *View) restoreReservations(r *Record, number int) {
-	o := r.Open[number]
-	for step := range o.Steps {
-		for i := range o.Steps[step].Tasks {
-			if t := &o.Steps[step].Tasks[i]; t.Worker != "" {
-				v.reserve(r, TaskID{Job: r.Job.ID, Occurrence: number, Step: step, Index: i}, t)
-			}
-		}
-	}
-}
