Fetch the answers of drivers that cannot call the leader

Cause: a driver delivers answers by calls to the leader. Change: a driver that cannot call says so in its answers to batches, which carry the answers of workers from then on, every 20 ms; it tries to call again each second. TestAnswersOfACutDriverAreFetched failed before (Undelivered in place of Refused).

--- a/internal/process/driver/doc.go
+++ b/internal/process/driver/doc.go
@@ -14,6 +14,12 @@
 //	group.Go(func() error { return fleet.Run(ctx) })
 //	d, err := dispatch.New(dispatch.Options{Upstream: fleet, ...})
 //
+// # Partitions
+//
+// A driver delivers answers by calls to the leader. A partition may let only calls in
+// one direction pass; the driver then says so in its answers to batches, and the leader
+// fetches the answers of its workers with further batches.
+//
 // # Safety
 //
 // A driver decides nothing and keeps no state about workers. Everything that makes
--- a/internal/process/driver/driver_test.go
+++ b/internal/process/driver/driver_test.go
@@ -26,11 +26,12 @@
 	mu       sync.Mutex
 	handlers map[string]map[string]peer.Handler // by process and method
 	cut      map[string]bool                    // processes that receive nothing; calls to them hang
+	oneWay   map[[2]string]bool                 // calls from the first to the second process hang
 	paused   map[string]chan struct{}           // processes that handle nothing until the channel is closed
 }
 
 func newFakeNetwork() *fakeNetwork {
-	return &fakeNetwork{handlers: map[string]map[string]peer.Handler{}, cut: map[string]bool{}, paused: map[string]chan struct{}{}}
+	return &fakeNetwork{handlers: map[string]map[string]peer.Handler{}, cut: map[string]bool{}, oneWay: map[[2]string]bool{}, paused: map[string]chan struct{}{}}
 }
 
 // endpoint is the view of one process of the network.
@@ -51,7 +52,7 @@
 func (e endpoint) Call(ctx context.Context, to, method string, request, response any) error {
 	time.Sleep(time.Millisecond)
 	e.network.mu.Lock()
-	handler, cut, paused := e.network.handlers[to][method], e.network.cut[to] || e.network.cut[e.name], e.network.paused[to]
+	handler, cut, paused := e.network.handlers[to][method], e.network.cut[to] || e.network.cut[e.name] || e.network.oneWay[[2]string{e.name, to}], e.network.paused[to]
 	e.network.mu.Unlock()
 	if cut || handler == nil {
 		<-ctx.Done()
@@ -292,6 +293,34 @@
 	})
 }
 
+// Guards against a driver that takes orders but cannot call the leader, so that its
+// workers count as not answering for as long as that lasts.
+func TestAnswersOfACutDriverAreFetched(t *testing.T) {
+	run(t, func(is *is.I, f *testFleet) {
+		set := func(cut bool) {
+			f.network.mu.Lock()
+			defer f.network.mu.Unlock()
+			f.network.oneWay[[2]string{"c", "a"}] = cut
+		}
+		stop := func(run int) dispatch.Result {
+			return f.Stop(always(orderTimeout), worker(1), dispatch.StopOrder{Task: task(1), Run: run}).Result
+		}
+		set(true)
+		is.Equal(stop(1), dispatch.Undelivered) // its driver does not know yet
+		time.Sleep(replyTimeout)
+		for i := range 40 {
+			is.Equal(stop(2+i), dispatch.Refused) // the answer of recorder
+			time.Sleep(100 * time.Millisecond)
+		}
+		set(false)
+		time.Sleep(2 * callInterval)
+		is.Equal(stop(50), dispatch.Refused)
+		f.mu.Lock()
+		is.Equal(len(f.drivers["c"].flight), 0)
+		f.mu.Unlock()
+	})
+}
+
 // Guards against a driver that was paused and sends orders whose time has passed.
 func TestPausedDriverSendsNothingOld(t *testing.T) {
 	run(t, func(is *is.I, f *testFleet) {
--- a/internal/process/driver/fleet.go
+++ b/internal/process/driver/fleet.go
@@ -19,6 +19,9 @@
 	// presenceInterval is the interval at which an idle driver is asked whether it is
 	// there, and at which new members are looked for.
 	presenceInterval = 100 * time.Millisecond
+	// fetchInterval is the interval at which answers are fetched from a driver that
+	// cannot deliver them.
+	fetchInterval = 20 * time.Millisecond
 	// batchTimeout bounds the delivery of a batch to a driver. A driver that takes
 	// longer gets nothing until it answers.
 	batchTimeout = 250 * time.Millisecond
@@ -162,7 +165,12 @@
 		err := f.options.Peer.Call(call, d.name, MethodDrive, batch{Session: f.session, Orders: orders}, &p)
 		cancel()
 		f.note(d, p.Zone, err)
-		wait(ctx, presenceInterval, d.wake)
+		pause := presenceInterval
+		if err == nil && p.Cut {
+			f.receive(d.name, p.Replies)
+			pause = fetchInterval
+		}
+		wait(ctx, pause, d.wake)
 	}
 }
 
--- a/internal/process/driver/message.go
+++ b/internal/process/driver/message.go
@@ -56,8 +56,10 @@
 
 // presence is a driver's answer to a batch.
 type presence struct {
-	_    struct{} `cbor:",toarray"`
-	Zone string
+	_       struct{} `cbor:",toarray"`
+	Zone    string
+	Cut     bool    // the driver cannot call the leader, which has to fetch the answers with its batches
+	Replies []reply // if Cut
 }
 
 // reply is the answer to an order.
--- a/internal/process/driver/server.go
+++ b/internal/process/driver/server.go
@@ -19,6 +19,9 @@
 	maxHeld = 8192
 	// replyTimeout bounds the delivery of a batch of answers to a leader.
 	replyTimeout = 250 * time.Millisecond
+	// callInterval is how often a driver whose answers were not delivered tries again
+	// to call the leader.
+	callInterval = time.Second
 )
 
 // ServerOptions configures a Server.
@@ -45,10 +48,14 @@
 }
 
 // outbox collects the answers to a leader. Answers that come while a batch is under
-// way leave with the next one.
+// way leave with the next one. While the leader can call the driver but not the other
+// way round, it fetches them.
 type outbox struct {
 	replies []reply
 	sending bool
+	cut     bool      // the latest call to the leader failed
+	callAt  time.Time // no call before this, if cut
+	dropAt  time.Time // answers that the leader has not fetched by then are dropped, if cut
 }
 
 // NewServer returns a Server.
@@ -64,13 +71,33 @@
 			return nil, &peer.RemoteError{Code: peer.CodeMalformed, Message: err.Error()}
 		}
 		received := time.Now()
+		from := session{name, b.Session}
 		for i := range b.Orders {
-			s.accept(session{name, b.Session}, &b.Orders[i], received)
+			s.accept(from, &b.Orders[i], received)
 		}
-		return presence{Zone: s.options.Zone}, nil
+		p := presence{Zone: s.options.Zone}
+		p.Replies, p.Cut = s.fetch(from, received)
+		return p, nil
 	})
 }
 
+// fetch returns the answers that the leader has to fetch, and whether it has to fetch
+// any at all.
+func (s *Server) fetch(from session, now time.Time) (list []reply, cut bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := s.sessions[from]
+	if b == nil || !b.cut {
+		return nil, false
+	}
+	list, b.replies = b.replies, nil
+	b.dropAt = now.Add(callInterval)
+	if !now.Before(b.callAt) {
+		s.startDelivery(from, b) // tells whether it is still cut
+	}
+	return list, true
+}
+
 // accept starts to carry out an order, or refuses it if too many are held.
 func (s *Server) accept(from session, o *order, received time.Time) {
 	if s.held.Add(1) > maxHeld {
@@ -117,7 +144,8 @@
 	return newReply(o.Number, a, l), true
 }
 
-// send queues an answer and starts the delivery unless it is under way.
+// send queues an answer and starts the delivery unless it is under way or the leader
+// fetches the answers.
 func (s *Server) send(to session, r reply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -127,20 +155,35 @@
 		s.sessions[to] = b
 	}
 	b.replies = append(b.replies, r)
+	now := time.Now()
+	if b.cut && now.Before(b.callAt) {
+		if !now.Before(b.dropAt) || len(b.replies) > maxHeld {
+			b.replies = nil // the leader sends the orders again or stops their runs
+		}
+		return
+	}
+	s.startDelivery(to, b)
+}
+
+// startDelivery starts the delivery of answers unless it is under way. The caller
+// holds the lock.
+func (s *Server) startDelivery(to session, b *outbox) {
 	if !b.sending {
 		b.sending = true
 		go s.deliver(to, b)
 	}
 }
 
-// deliver sends the answers to a leader until there are none. Answers that cannot
-// be delivered are dropped: the leader sends the order again or stops its run.
+// deliver sends the answers to a leader until there are none. If it fails, the leader
+// has to fetch them.
 func (s *Server) deliver(to session, b *outbox) {
 	for {
 		s.mu.Lock()
-		list := b.replies
-		b.replies = nil
-		if len(list) == 0 {
+		var list []reply
+		if !b.cut {
+			list, b.replies = b.replies, nil
+		}
+		if len(list) == 0 && !b.cut {
 			delete(s.sessions, to)
 			s.mu.Unlock()
 			return
@@ -151,8 +194,29 @@
 		cancel()
 		if err != nil {
 			s.options.Log.Emit(event.AnswersLost, zap.String("leader", to.leader), zap.Int("answers", len(list)), event.Cause(err))
+			s.keep(to, b, list)
+			return
 		}
+		s.mu.Lock()
+		b.cut = false
+		s.mu.Unlock()
+	}
+}
+
+// keep keeps answers that were not delivered for the leader to fetch.
+func (s *Server) keep(to session, b *outbox, list []reply) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	if b.cut && !now.Before(b.dropAt) {
+		delete(s.sessions, to) // the leader is gone
+		return
+	}
+	if !b.cut {
+		b.cut, b.dropAt = true, now.Add(callInterval)
 	}
+	b.sending, b.callAt = false, now.Add(callInterval)
+	b.replies = append(list, b.replies...)
 }
 
 var _ dispatch.Upstream = limited{}
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -46,7 +46,7 @@
 	CallRelayed      = define(957, zapcore.InfoLevel, "call relayed", "This process reaches no leader and passed a call on through another process.")
 	DriverFound      = define(970, zapcore.InfoLevel, "driver found", "The leader sends orders to workers through the control process given from now on.")
 	DriverLost       = define(971, zapcore.WarnLevel, "driver lost", "A control process no longer takes the leader's orders; its workers are reached through others, and the orders that it held count as not delivered.")
-	AnswersLost      = define(972, zapcore.WarnLevel, "answers not delivered", "Answers of workers did not reach the leader that had sent the orders; it sends them again or stops their runs.")
+	AnswersLost      = define(972, zapcore.WarnLevel, "answers not delivered", "Answers of workers did not reach the leader that had sent the orders; it fetches them, sends the orders again or stops their runs.")
 	SettingsReloaded = define(960, zapcore.InfoLevel, "settings reloaded", "The settings file changed; what can change without a restart is in force.")
 	SettingsRejected = define(961, zapcore.ErrorLevel, "settings rejected", "The settings file changed but cannot be used; the former settings stay in force.")
 	LinesDropped     = define(962, zapcore.WarnLevel, "log lines dropped", "More lines were written than the log's rate allows or its reader takes; the line counts those since the last such line.")
