--- a/internal/process/dispatch/advice.go
+++ b/internal/process/dispatch/advice.go
@@ -154,6 +154,6 @@
 	t.allowedShares[a.Demand.Queue] = max(share, minAllowedShare)
 	for _, w := range a.Workers {
 		ticket, allowed := answer.Tickets[w]
-		s.advice.Answers[w] = fit.Answer{Allowed: allowed, Ticket: ticket, Expiry: now.Add(valid - ticketMargin)}
+		s.advice.Record(w, fit.Answer{Allowed: allowed, Ticket: ticket, Expiry: now.Add(valid - ticketMargin)})
 	}
 }
--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -202,12 +202,11 @@
 func (p *planner) allowedWorkers(l *inventory, d *Demand) []*Worker {
 	if p.allowed == nil {
 		p.allowed = []*Worker{}
-		for id, a := range d.Advice.Answers {
-			if w := l.named[id]; a.Allowed && w != nil {
+		for _, id := range d.Advice.allowedNames() {
+			if w := l.named[id]; w != nil {
 				p.allowed = append(p.allowed, w)
 			}
 		}
-		slices.SortFunc(p.allowed, func(a, b *Worker) int { return a.order - b.order })
 	}
 	return p.allowed
 }
--- a/internal/version/fit/decide_test.go
+++ b/internal/version/fit/decide_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
@@ -57,6 +59,7 @@
 					d.Advice.Answers[w.ID] = Answer{Allowed: r.Float64() < 0.4, Ticket: "t", Expiry: now.Add(time.Second)}
 				}
 			}
+			d.Advice.allowedNames() // kept since the round before
 			demands = append(demands, d)
 		}
 	}
@@ -66,3 +69,17 @@
 	add(150, "wide", 2, 32, work.Resources{Processors: 11_000, Memory: 20_000, Accelerators: 1}, false)
 	return demands, Cluster{Workers: workers, Headroom: map[string]work.Resources{"p": {Processors: 2_000_000}}, Early: 100}
 }
+
+// Guards against a list of allowed workers that is kept although an answer has come or
+// has changed.
+func TestAllowedWorkersFollowTheAnswers(t *testing.T) {
+	is := is.New(t)
+	a := Advice{Answers: map[string]Answer{"w2": {Allowed: true}, "w1": {Allowed: true}}}
+	is.Equal(a.allowedNames(), []string{"w1", "w2"})
+	a.Record("w0", Answer{Allowed: true})
+	is.Equal(a.allowedNames(), []string{"w0", "w1", "w2"})
+	a.Record("w1", Answer{})
+	is.Equal(a.allowedNames(), []string{"w0", "w2"})
+	a.Record("w1", Answer{Allowed: true})
+	is.Equal(a.allowedNames(), []string{"w0", "w1", "w2"})
+}
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -89,6 +89,32 @@
 	Asked   map[string]bool   // workers in the queries that are in flight
 	Queries int               // number of queries in flight
 	Paused  bool              // no query may be sent now
+
+	allowed []string // workers that are allowed, ordered by ID
+	covered int      // number of Answers that allowed covers
+}
+
+// Record adds the answer about a worker.
+func (a *Advice) Record(worker string, answer Answer) {
+	if old, ok := a.Answers[worker]; ok && old.Allowed != answer.Allowed {
+		a.covered = 0
+	}
+	a.Answers[worker] = answer
+}
+
+// allowedNames returns the workers that are allowed, ordered by ID. It is kept between
+// rounds: a step may have hundreds of answers.
+func (a *Advice) allowedNames() []string {
+	if a.covered != len(a.Answers) {
+		a.allowed, a.covered = a.allowed[:0], len(a.Answers)
+		for id, answer := range a.Answers {
+			if answer.Allowed {
+				a.allowed = append(a.allowed, id)
+			}
+		}
+		slices.Sort(a.allowed)
+	}
+	return a.allowed
 }
 
 // Demand is a step with waiting tasks.
