Give up at once a run whose start could not be sent

Change: a run of which no copy of the start can have arrived is lost after 60 ms, and its step avoids the worker for a while. TestUnsentStartsAreRepeatedElsewhere failed before (0 of 4 tasks run after 0.4 s). TestStartSentBeforeARefusalIsStoppedFirst guards the case in which an earlier copy may have arrived; it fails without the check.

--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -584,6 +584,41 @@
 	})
 }
 
+// Guards against tasks that wait for the lease of a worker to which no copy of their
+// start could be sent, as after the replacement of many workers.
+func TestUnsentStartsAreRepeatedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b")
+		defer b.close()
+		b.changeWorker("a", func(w *fakeWorker) { w.refusesConnections = true })
+		b.submit("one", tasks(4)) // fit on one worker
+		time.Sleep(400 * time.Millisecond)
+		b.is.Equal(len(b.workers.all["b"].running), 4)
+		b.is.Equal(b.workers.duplicate, "")
+	})
+}
+
+// Guards against runs that are given up because their worker refuses connections
+// although an earlier copy of their start may be carried out.
+func TestStartSentBeforeARefusalIsStoppedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b")
+		defer b.close()
+		b.workers.runTime = 3 * time.Second
+		b.changeWorker("a", func(w *fakeWorker) { w.dropsAnswers = true })
+		b.submit("one", tasks(4)) // fit on one worker
+		time.Sleep(40 * time.Millisecond)
+		b.is.True(len(b.workers.all["a"].running) > 0)
+		b.changeWorker("a", func(w *fakeWorker) { w.refusesConnections, w.dropsAnswers = true, false })
+		time.Sleep(2 * time.Second)
+		b.is.Equal(b.workers.duplicate, "")
+		b.changeWorker("a", func(w *fakeWorker) { w.refusesConnections = false })
+		time.Sleep(10 * time.Second)
+		b.is.Equal(b.workers.duplicate, "")
+		b.is.Equal(b.status("one"), job.Completed)
+	})
+}
+
 // Guards against a start that is executed but not answered, and is repeated
 // elsewhere while its run executes.
 func TestStartWithoutAnswer(t *testing.T) {
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -22,6 +22,9 @@
 	// while a listing may show that it was carried out. Afterwards its run is
 	// stopped, so that the task can start elsewhere.
 	startRetryTimeout = 500 * time.Millisecond
+	// unsentRetryTimeout is how long a start order is resent if no connection to the
+	// worker could be opened for any copy of it, so that the run certainly did not begin.
+	unsentRetryTimeout = 60 * time.Millisecond
 	// leaseLength is the length of the leases of runs, if the worker allows as
 	// much. A network partition or a change of the leader that is shorter costs
 	// no work.
@@ -35,6 +38,7 @@
 	worker          *worker
 	spec            *job.Step
 	committedAt     time.Time // when the start was committed
+	sent            bool      // a copy of the start order may have reached the worker
 	startResolvedAt time.Time // when the worker answered the start, or could no longer receive it; zero before
 	checkpoint      string    // latest one that was listed
 	percent         int
@@ -111,6 +115,7 @@
 	if attempt == 1 && !a.Repeated && a.Result != Unanswered && a.Result != Undelivered && !w.otherLife(a, t.now()) {
 		t.resolveDoubt(r)
 	}
+	r.sent = r.sent || a.Result != NotSent
 	if !t.handleAnswer(w, a) {
 		return true
 	}
@@ -129,7 +134,14 @@
 	t.emit(event.RunUnclear, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", w.ID),
 		zap.Int("attempt", attempt), event.Cause(a.Error))
 	t.startPolling(w)
-	if t.now().Sub(r.committedAt) >= startRetryTimeout {
+	switch waited := t.now().Sub(r.committedAt); {
+	case !r.sent && waited >= unsentRetryTimeout:
+		t.resolveDoubt(r)
+		t.avoidForStep(r, t.now())
+		t.lose(r, "no connection to the worker")
+		t.stopGang(r)
+		return true
+	case waited >= startRetryTimeout:
 		t.stop(r)
 		return true
 	}
