Place tasks last on workers whose latest order got no answer

Cause: a worker counts as silent after 0.5 s without answers, and got new tasks until then. Change: such a worker ranks behind all others that fit. TestUnansweringWorkersComeLast failed before.

--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -40,7 +40,7 @@
 			continue // this incarnation is not committed yet
 		}
 		w.planned = w.load
-		w.planned.Worker, w.planned.WasSlow = w.Worker, w.wasSlow
+		w.planned.Worker, w.planned.WasSlow, w.planned.Unanswering = w.Worker, w.wasSlow, w.missed > 0
 		w.planned.Usable = w.usable(now, t.timing().ReportInterval)
 		cluster.Workers = append(cluster.Workers, &w.planned)
 	}
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -57,6 +57,7 @@
 	Free        work.Resources
 	Usable      bool           // accepts new tasks
 	WasSlow     bool           // was slow and has not shown normal speed since
+	Unanswering bool           // its latest order got no answer
 	TargetTasks int            // running tasks with a response time target
 	FillerTasks int            // running filler tasks
 	Releasing   work.Resources // reserved by runs that are being stopped
--- a/internal/version/fit/fit_test.go
+++ b/internal/version/fit/fit_test.go
@@ -144,6 +144,22 @@
 	is.True(true)
 }
 
+// Guards against tasks on a worker that has just stopped answering while others have
+// room: they wait there until its lease is over. Its room is used last, since a single
+// answer may get lost.
+func TestUnansweringWorkersComeLast(t *testing.T) {
+	is := is.New(t)
+	workers := pool(2, cores(16))
+	workers[0].Unanswering, workers[0].Free = true, cores(8) // the better fit
+	d := demand("a", 0, 3, cores(8))
+	p := Decide(now, []*Demand{d}, Cluster{Workers: workers})
+	var used []string
+	for _, s := range p.Starts {
+		used = append(used, s.Worker.ID)
+	}
+	is.Equal(used, []string{"w01", "w01", "w00"})
+}
+
 // Guards against the search for queries that no process can send: it looks at all
 // workers for each waiting step, which is most of the work of a round under overload.
 func TestNoQueriesAheadWithoutIdleProcesses(t *testing.T) {
--- a/internal/version/fit/place.go
+++ b/internal/version/fit/place.go
@@ -11,8 +11,11 @@
 	// data. The task takes about half as long again there, which costs more than a
 	// poor fit.
 	remoteRackPenalty = 2.0
-	// slowPenalty ranks a worker that was slow behind all others that fit.
-	slowPenalty = 4.0
+	// slowPenalty ranks a worker that was slow behind all others that fit, and
+	// unansweringPenalty one that may not answer any more behind these: a task whose
+	// start gets no answer cannot start elsewhere before the lease of the worker is over.
+	slowPenalty        = 4.0
+	unansweringPenalty = 8.0
 	// minCandidates and candidatesPerTask bound the workers that are compared for a
 	// demand. Those with the least free come first, so that the rest would seldom be
 	// chosen.
@@ -177,6 +180,9 @@
 	if w.WasSlow {
 		s += slowPenalty
 	}
+	if w.Unanswering {
+		s += unansweringPenalty
+	}
 	return s
 }
 
