Send an order and a change again in tests if there was no leader

Trace: the cell was without a leader from 15:05:26.4 to 15:05:33.7 and from 15:08:22.9 to 15:08:30.4, with elections 1 to 4 s long. Both answers are allowed by docs/api.md while there is no leader, and a caller repeats the request under its identity. The tests do that now; what they check is unchanged: the order runs once, one operator wins and all others get a conflict.

--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -317,14 +317,21 @@
 	before := a().Total + b().Total
 	for i := range 5 {
 		ctx := client.WithIdentity(h.ctx, fmt.Sprintf("order-%d", i))
-		first := make(chan error, 1)
+		attempt, stop := context.WithCancel(ctx)
+		first := make(chan struct{})
 		go func() {
-			_, err := h.At("vm-4", h.keys.Caller).Request(ctx, Orders, "order", []byte("one lorry"), false)
-			first <- err
+			defer close(first)
+			for attempt.Err() == nil { // again with the same identity if there was no leader
+				if _, err := h.At("vm-4", h.keys.Caller).Request(attempt, Orders, "order", []byte("one lorry"), false); err == nil {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
 		}()
 		h.until("the order is being run", func() bool { return a().Total+b().Total > before })
 		before++
 		h.NoErr(h.Processes["vm-4"].Kill())
+		stop()
 		<-first
 		for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
 			_, err := h.At(name, h.keys.Caller).Request(ctx, Orders, "order", []byte("one lorry"), false)
@@ -390,8 +397,8 @@
 				mine := base
 				mine.Weight = int64(100*round + i + 1)
 				ctx := client.WithIdentity(h.ctx, fmt.Sprintf("race-%d-%d", round, i))
-				first, err := h.At(n.Name, h.Secret()).PutTeam(ctx, mine)
-				again, errAgain := h.At(n.Name, h.Secret()).PutTeam(ctx, mine)
+				first, err := putTeam(ctx, h.At(n.Name, h.Secret()), mine)
+				again, errAgain := putTeam(ctx, h.At(n.Name, h.Secret()), mine)
 				results[i] = err
 				if (err == nil) != (errAgain == nil) || first.Version != again.Version {
 					results[i] = errors.Newf("retry returned a different result: first %v, then %v", err, errAgain)
@@ -411,6 +418,18 @@
 	}
 }
 
+// putTeam changes a team. While there is no leader, the outcome is unknown, and the
+// same change is sent again.
+func putTeam(ctx context.Context, c *client.Client, t api.Team) (api.Changed, error) {
+	for {
+		v, err := c.PutTeam(ctx, t)
+		if code(err) != api.Timeout && code(err) != api.NoLeader || ctx.Err() != nil {
+			return v, err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // Guards against a process that serves an old catalogue after it was down during
 // hundreds of changes.
 func TestMissedChanges(t *testing.T) {
