Bound the headroom for urgent work to a quarter of a pool

Headroom was 1.3 times the peak of urgent work in the last 12 s less what urgent work uses now. The decision is now a function of package fit (headroom.go).

--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -11,15 +11,6 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
-const (
-	// peakWindow is how long the highest use of a pool by urgent work is
-	// remembered.
-	peakWindow = 12 * time.Second
-	// headroomFactor times the recent peak of its use is reserved for urgent
-	// work. Bursts of twice the usual traffic are normal.
-	headroomFactor = 1.3
-)
-
 // cluster describes the workers and the limits of the workspaces. What is known of
 // a worker is kept between rounds, since few workers change in each.
 func (t *term) cluster(v *job.View, now time.Time) fit.Cluster {
@@ -106,19 +97,21 @@
 
 // setHeadroom sets the capacity that is kept free for urgent work.
 func (t *term) setHeadroom(v *job.View, cluster fit.Cluster, now time.Time) {
+	capacity := map[string]work.Resources{}
+	for _, w := range cluster.Workers {
+		if w.Usable {
+			capacity[w.Pool] = capacity[w.Pool].Add(w.Capacity)
+		}
+	}
 	for i := range v.Catalogue.Pools {
 		name := v.Catalogue.Pools[i].Name
 		p := t.urgentPeaks[name]
 		if p == nil {
-			p = &peak{}
+			p = &fit.Peak{}
 			t.urgentPeaks[name] = p
 		}
-		u := t.urgentUse[name]
-		if u.Processors >= p.use.Processors || now.Sub(p.at) > peakWindow {
-			p.use, p.at = u, now
-		}
-		headroom := int64(headroomFactor*float64(p.use.Processors)) - u.Processors
-		cluster.Headroom[name] = work.Resources{Processors: max(0, headroom)}
+		p.Record(t.urgentUse[name], now)
+		cluster.Headroom[name] = p.Headroom(t.urgentUse[name], capacity[name])
 	}
 }
 
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -53,7 +53,7 @@
 	steps          map[job.StepID]*stepState
 	adviceClients  map[string]*adviceClient
 	timeToDeadline map[job.ID]time.Duration  // from the due time to the deadline of the job
-	urgentPeaks    map[string]*peak          // by pool
+	urgentPeaks    map[string]*fit.Peak      // by pool
 	urgentUse      map[string]work.Resources // by pool; reserved by urgent runs
 	baselines      map[string]*fit.Baseline  // by queue
 	allowedShares  map[string]float64        // by queue; of the workers that were asked about
@@ -103,17 +103,11 @@
 	idleAt   time.Time // when its queries so far are expected to be answered
 }
 
-// peak is the highest recent use of a pool by urgent work.
-type peak struct {
-	use work.Resources
-	at  time.Time
-}
-
 func newTerm(d *Dispatcher, number uint64) *term {
 	return &term{
 		dispatcher: d, number: number, began: d.options.Now(), wake: make(chan struct{}, 1),
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*stepState{},
-		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*peak{},
+		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*fit.Peak{},
 		urgentUse: map[string]work.Resources{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
 		waves: map[int64]*wave{}, unanswered: map[string]time.Time{},
