Keep a quarter of the advice clients for urgent work, and pick the client in package fit

Queries about wide gangs take 0.7 to 0.9 s of a client, those of urgent work 0.03 s. The choice of a client is now a function of package fit (clients.go).

--- a/internal/process/dispatch/advice.go
+++ b/internal/process/dispatch/advice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,13 +18,6 @@
 	// adviceClientTimeout is how long after its last ping a process counts as
 	// able to query the advice service.
 	adviceClientTimeout = 1200 * time.Millisecond
-	// maxAdviceBacklog bounds the time that queries wait in one process. The
-	// advice service handles one query of a process at a time, and tickets
-	// expire.
-	maxAdviceBacklog = 400 * time.Millisecond
-	// urgentAdviceClients is the number of processes that send queries for
-	// urgent work only.
-	urgentAdviceClients = 2
 	// adviceTimeoutMargin is added to the expected response time.
 	adviceTimeoutMargin = 1500 * time.Millisecond
 	// allowedLearnRate is the weight of each answer in the moving average of the share
@@ -34,15 +28,17 @@
 	adviceRetryDelay = 100 * time.Millisecond
 )
 
-// queryAdvice sends a query through the process that is idle first, unless all
-// have too long a backlog. A query ahead of free capacity is sent only through
-// a process that is idle now. The caller holds the lock.
+// queryAdvice sends a query, if a process can send it soon. The caller holds the
+// lock.
 func (t *term) queryAdvice(a fit.Query, now time.Time) {
 	s := t.step(a.Demand.Step)
-	name, client := t.pickAdviceClient(now, a.Demand.Priority == 0)
-	if client == nil || client.idleAt.Sub(now) > maxAdviceBacklog || a.Early && client.idleAt.After(now) {
+	clients := t.liveAdviceClients(now)
+	i := fit.PickClient(now, clients, a)
+	if i < 0 {
 		return
 	}
+	name := clients[i].Name
+	client := t.adviceClients[name]
 	q := t.adviceSettings(a.Demand.Step)
 	if q == nil {
 		return
@@ -57,28 +53,16 @@
 	t.orders.Go(func() { t.sendQuery(s, a, name, client, q, deadline) })
 }
 
-// pickAdviceClient returns the process that is idle first. If there are enough
-// processes, some are reserved for urgent work, whose queries are short and
-// would otherwise wait behind long ones.
-func (t *term) pickAdviceClient(now time.Time, urgent bool) (string, *adviceClient) {
-	var names []string
-	for n, client := range t.adviceClients {
-		if now.Sub(client.lastPing) <= adviceClientTimeout {
-			names = append(names, n)
+// liveAdviceClients returns the processes that can send queries, ordered by name.
+func (t *term) liveAdviceClients(now time.Time) []fit.Client {
+	var clients []fit.Client
+	for n, c := range t.adviceClients {
+		if now.Sub(c.lastPing) <= adviceClientTimeout {
+			clients = append(clients, fit.Client{Name: n, IdleAt: c.idleAt})
 		}
 	}
-	slices.Sort(names)
-	if !urgent && len(names) > 2*urgentAdviceClients {
-		names = names[urgentAdviceClients:]
-	}
-	var name string
-	var best *adviceClient
-	for _, n := range names {
-		if client := t.adviceClients[n]; best == nil || client.idleAt.Before(best.idleAt) {
-			name, best = n, client
-		}
-	}
-	return name, best
+	slices.SortFunc(clients, func(a, b fit.Client) int { return strings.Compare(a.Name, b.Name) })
+	return clients
 }
 
 // adviceSettings returns the advice settings of a step's queue, or nil if the
