Name at least 30 workers in a query, and let late work ask only idle clients

In a full pool a step asked about each worker that became free: half of the queries named one or two workers, although most of a query's time is the same for one and for thirty. Queries of work that is late went before later ones of work that could be in time.

A query is now filled up to 30 workers: allowed ones whose tickets expire soon, and unknown ones. Late and expired work asks through idle clients only.

--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -21,9 +21,10 @@
 	// defaultAllowedShare is the expected fraction of allowed workers for a queue that
 	// has had no answers.
 	defaultAllowedShare = 0.5
-	// firstQueryWorkers is the least number of workers in the first queries about a
-	// step. Naming a worker costs little beside the query itself.
-	firstQueryWorkers = 30
+	// queryWorkers is the number of workers that a query names at least, if there are
+	// as many. Naming a worker costs little beside the query itself, and an answer
+	// that covers more workers saves later queries.
+	queryWorkers = 30
 	// maxRenewedWorkers limits the workers in one renewal.
 	maxRenewedWorkers = 8
 )
@@ -55,7 +56,7 @@
 	if d.Spec.Gang && fit < len(d.Tasks) && !p.anyUnknown(d, workers) {
 		workers, needed = nil, 0 // the gang does not fit yet
 	}
-	p.ask(l, d, workers, needed)
+	p.ask(l, d, p.pad(l, d, workers), needed)
 	idle = idle && len(workers) == 0
 	if explored := (idle || d.Spec.Gang) && p.explore(l, d); !explored && idle {
 		p.renewTickets(l, d)
@@ -98,15 +99,50 @@
 	return d.AllowedShare
 }
 
+// pad adds workers to a query that names few: allowed ones whose ticket expires
+// soon, then those that have not been queried, both regardless of what is free on
+// them. Without these, a step that finds a full pool would send a query for each
+// worker that becomes free.
+func (p *planner) pad(l *inventory, d *Demand, workers []string) []string {
+	if len(workers) == 0 || len(workers) >= queryWorkers || p.off.wideQueries {
+		return workers
+	}
+	add := func(w *Worker) {
+		if len(workers) < queryWorkers && eligible(d, w) && !d.Advice.Asked[w.ID] && !slices.Contains(workers, w.ID) {
+			workers = append(workers, w.ID)
+		}
+	}
+	for _, w := range l.allowed(d) {
+		if p.expiresSoon(d, w) {
+			add(w)
+		}
+	}
+	for i := 0; i < len(l.workers) && len(workers) < queryWorkers; i++ {
+		// Steps begin at different workers, so that they do not all wait for the same.
+		if w := l.workers[(i+int(d.Sequence))%len(l.workers)]; !d.Advice.known(w.ID) {
+			add(w)
+		}
+	}
+	return workers
+}
+
+// expiresSoon reports whether the ticket for a worker may expire before a renewal
+// is answered.
+func (p *planner) expiresSoon(d *Demand, w *Worker) bool {
+	return p.now.Add(d.MinAnswerTime + renewMargin).After(d.Advice.Answers[w.ID].Expiry)
+}
+
 // ask queries the advice service about workers and reserves the needed ones, which
 // come first, so that their capacity is still free when the answer arrives.
 func (p *planner) ask(l *inventory, d *Demand, workers []string, needed int) {
-	p.addQueries(d, workers, false)
+	p.addQueries(d, workers, d.rank != onTime && !p.off.wideQueries)
 	if d.rank != onTime {
 		return
 	}
 	for _, id := range workers[:needed] {
-		l.reserve(l.named[id], d)
+		w := l.named[id]
+		l.reserve(w, d)
+		w.asked = w.reservedFor == d
 	}
 }
 
@@ -183,7 +219,7 @@
 	}
 	var candidates []candidate
 	for _, w := range l.allowed(d) {
-		if p.now.Add(d.MinAnswerTime+renewMargin).After(d.Advice.Answers[w.ID].Expiry) && p.reservable(d, w) {
+		if p.expiresSoon(d, w) && p.reservable(d, w) {
 			candidates = append(candidates, p.evaluate(d, w, d.Spec.Reservation()))
 		}
 	}
@@ -250,7 +286,7 @@
 	first := d.Advice.unused()
 	least := 0
 	if first {
-		least = firstQueryWorkers
+		least = queryWorkers
 	}
 	consider := func(w *Worker) bool {
 		if n := room(d, w); !d.Advice.known(w.ID) && (n > 0 || first && eligible(d, w)) {
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -63,6 +63,7 @@
 	Runs        []Run          // preemptible runs, which can resume from a checkpoint
 
 	reservedFor *Demand // only this demand may use the free capacity now
+	asked       bool    // reservedFor waits for the advice service's answer about the worker
 	order       int     // position in the pool
 	places      [indexes]place
 }
@@ -223,13 +224,23 @@
 	cluster Cluster
 	pools   map[string]*inventory
 	plan    Plan
+	off     rules
 	asking  []string // workers in the queries of the demand that is being planned
 	queries int      // number of these queries
 }
 
+// rules names rules that can be switched off, for comparison only.
+type rules struct {
+	wideQueries bool // a query names many workers, and late work asks only idle clients
+}
+
 // Decide plans one scheduling round.
 func Decide(now time.Time, demands []*Demand, cluster Cluster) Plan {
-	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers)}
+	return decide(now, demands, cluster, rules{})
+}
+
+func decide(now time.Time, demands []*Demand, cluster Cluster, off rules) Plan {
+	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers), off: off}
 	for _, d := range demands {
 		d.rank = d.rankAt(now)
 	}
--- a/internal/version/fit/idle.go
+++ b/internal/version/fit/idle.go
@@ -9,7 +9,7 @@
 // Idle is the free capacity of a pool that waiting tasks could use, by what keeps
 // them from it.
 type Idle struct {
-	Ticket      work.Resources // the advice service has not answered
+	Ticket      work.Resources // a task waits for the advice service's answer
 	Denied      work.Resources // the advice service does not allow the worker
 	Reservation work.Resources // the worker is reserved for others, or other members of the gang do not fit
 	Headroom    work.Resources // kept for urgent work
@@ -57,15 +57,11 @@
 		w.reservedFor = nil
 		wanted := false
 		for i, b := range blocks {
-			n := 0
 			if left[i] > 0 && fits(b.Demand, w) {
-				n = min(left[i], fitCount(b.Demand.Spec.Reservation(), w.Free))
-			}
-			if n > 0 {
-				amount := b.Demand.Spec.Reservation().Times(int64(n))
-				p.charge(&idle, w, reserved, b, amount)
-				left[i] -= n
-				w.Free = w.Free.Sub(amount)
+				size := b.Demand.Spec.Reservation()
+				n := min(left[i], fitCount(size, w.Free))
+				p.charge(&idle, w, reserved, b, size.Times(int64(n)))
+				left[i], w.Free = left[i]-n, w.Free.Sub(size.Times(int64(n)))
 			}
 			wanted = wanted || left[i] > 0
 		}
@@ -87,9 +83,12 @@
 		holder = &idle.Limit
 	case b.Reason == UrgentHeadroom:
 		holder = &idle.Headroom
+	case reserved != nil && reserved != d:
+		if w.asked {
+			holder = &idle.Ticket
+		}
 	case !p.mayBeAllowed(d, w):
 		holder = &idle.Denied
-	case reserved != nil && reserved != d:
 	case d.Advised && !p.now.Before(d.Advice.Answers[w.ID].Expiry):
 		holder = &idle.Ticket
 	}
--- a/internal/version/fit/inventory.go
+++ b/internal/version/fit/inventory.go
@@ -109,7 +109,7 @@
 	if w.reservedFor != nil {
 		return
 	}
-	w.reservedFor = d
+	w.reservedFor, w.asked = d, false
 	l.own = append(l.own, w)
 	l.open--
 	for i := range l.index {
