Tell refused callers to return in order, as fast as the pool can serve them

Every caller that was refused within a moment got the same time to return, so all came back together and most were refused again. The times are now handed out in turn, each later by the time that the job keeps the pool busy, for each tier of a pool. The test fails before: all are told the same time.

--- a/internal/process/dispatch/admit.go
+++ b/internal/process/dispatch/admit.go
@@ -60,7 +60,10 @@
 	}
 	t.loads = map[string]*fit.Load{}
 	for name, workers := range pools {
-		t.loads[name] = fit.NewLoad(workers)
+		if t.returns[name] == nil {
+			t.returns[name] = &fit.Returns{}
+		}
+		t.loads[name] = fit.NewLoad(workers, t.returns[name])
 	}
 	for _, r := range t.runs {
 		if l, record := t.loads[r.worker.Pool], v.Jobs[r.id.Job]; l != nil && record != nil && !r.spec.Lasting {
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -58,9 +58,10 @@
 	baselines      map[string]*fit.Baseline  // by queue
 	allowedShares  map[string]float64        // by queue; of the workers that were asked about
 	inbox          inbox
-	loads          map[string]*fit.Load // by pool
-	stepsChecked   time.Time            // when dropSteps was last called
-	loadsAt        time.Time            // when loads were computed
+	loads          map[string]*fit.Load    // by pool
+	returns        map[string]*fit.Returns // by pool
+	stepsChecked   time.Time               // when dropSteps was last called
+	loadsAt        time.Time               // when loads were computed
 	waves          map[int64]*wave
 	lastPoolLog    time.Time            // when the usage of the pools was last logged
 	unanswered     map[string]time.Time // by worker; when an order last got no answer
@@ -108,7 +109,7 @@
 		dispatcher: d, number: number, began: d.options.Now(), wake: make(chan struct{}, 1),
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*stepState{},
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*fit.Peak{},
-		urgentUse: map[string]work.Resources{},
+		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
 		waves: map[int64]*wave{}, unanswered: map[string]time.Time{},
 	}
--- a/internal/version/fit/admit.go
+++ b/internal/version/fit/admit.go
@@ -25,6 +25,7 @@
 	workers  []*Worker
 	running  [tiers]time.Duration // by tier; time that the whole pool needs to finish its runs
 	waiting  []queuedWork
+	returns  *Returns
 }
 
 // queuedWork is the waiting part of one demand.
@@ -34,9 +35,9 @@
 	poolTime time.Duration // time that the whole pool needs for it
 }
 
-// NewLoad returns the load of an idle pool of the workers.
-func NewLoad(workers []*Worker) *Load {
-	l := &Load{workers: workers}
+// NewLoad returns the load of an idle pool of the workers. The returns outlive it.
+func NewLoad(workers []*Worker, returns *Returns) *Load {
+	l := &Load{workers: workers, returns: returns}
 	for _, w := range workers {
 		l.capacity = l.capacity.Add(w.Capacity)
 	}
@@ -105,5 +106,10 @@
 	if excess <= 0 {
 		return Admission{}
 	}
-	return Admission{Refused: true, Reason: Overload, RetryAfter: min(maxRetryAfter, max(minRetryAfter, excess))}
+	busy := time.Duration(0)
+	for _, d := range steps {
+		busy += l.poolTime(d.Spec.Reservation(), d.Spec.Count, d.Spec.Estimate)
+	}
+	at := l.returns.assign(now, now.Add(max(minRetryAfter, excess)), first.tier(), busy)
+	return Admission{Refused: true, Reason: Overload, RetryAfter: at.Sub(now)}
 }
--- a/internal/version/fit/admit_test.go
+++ b/internal/version/fit/admit_test.go
@@ -24,7 +24,7 @@
 // the pool can do in a second.
 func TestFloodIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
-	l := NewLoad(pool(8, cores(32))) // 64 tasks at a time
+	l := NewLoad(pool(8, cores(32)), &Returns{}) // 64 tasks at a time
 	accepted := 0
 	var last Admission
 	for i := range 100 {
@@ -47,7 +47,7 @@
 // Guards against refusing a job because of work that is served after it anyway.
 func TestLaterWorkDelaysNothing(t *testing.T) {
 	is := is.New(t)
-	l := NewLoad(pool(1, cores(32)))
+	l := NewLoad(pool(1, cores(32)), &Returns{})
 	batch := demand("batch", 2, 1000, cores(4))
 	batch.Spec.Estimate = time.Second
 	l.AddWaiting(batch, len(batch.Tasks), now)
@@ -67,8 +67,35 @@
 	huge, labelled := urgentDemand(1, 1), urgentDemand(2, 1)
 	huge.Spec.Size = cores(64)
 	labelled.Spec.Label = "x"
-	l := NewLoad(pool(2, cores(32)))
+	l := NewLoad(pool(2, cores(32)), &Returns{})
 	is.Equal(l.Admit(now, []*Demand{urgentDemand(3, 1), huge}, time.Second).Reason, Infeasible)
 	is.Equal(l.Admit(now, []*Demand{labelled}, time.Second).Reason, Infeasible)
-	is.True(!NewLoad(nil).Admit(now, []*Demand{huge}, time.Second).Refused)
+	is.True(!NewLoad(nil, &Returns{}).Admit(now, []*Demand{huge}, time.Second).Refused)
+}
+
+// Guards against refused callers that return all at once, or before those that were
+// refused earlier.
+func TestRefusedCallersReturnInOrder(t *testing.T) {
+	is := is.New(t)
+	returns := &Returns{}
+	l := NewLoad(pool(8, cores(32)), returns)
+	flood := urgentDemand(0, 6*64)
+	l.AddWaiting(flood, len(flood.Tasks), now)
+	var last time.Duration
+	for i := range 20 {
+		if i%5 == 0 { // the load is computed anew between them
+			l = NewLoad(pool(8, cores(32)), returns)
+			l.AddWaiting(flood, len(flood.Tasks), now)
+		}
+		a := l.Admit(now, []*Demand{urgentDemand(i+1, 64)}, time.Second)
+		is.True(a.Refused)
+		is.True(a.RetryAfter <= maxRetryAfter)
+		if last > 0 && a.RetryAfter < maxRetryAfter {
+			is.True(a.RetryAfter-last >= 900*time.Millisecond) // each job keeps the pool busy for a second
+		}
+		last = a.RetryAfter
+	}
+	batch := demand("batch", 2, 64, cores(4))
+	batch.Spec.Estimate, batch.Expiry = time.Second, now.Add(time.Second)
+	is.True(l.Admit(now, []*Demand{batch}, time.Second).RetryAfter < last) // waits only for its own tier
 }
