Record loads with the emulator, and replay them against old and new decisions

The loads were recorded on a busy machine, where the cell served few of the callers itself; arrivals and the work of each task do not depend on that.

--- a/cmd/rosemaryloft-emulate/main.go
+++ b/cmd/rosemaryloft-emulate/main.go
@@ -4,7 +4,7 @@
 //
 // # Usage
 //
-//	rosemaryloft-emulate [--network N] [--folder DIR] [--profile SECONDS] SCENARIO
+//	rosemaryloft-emulate [--network N] [--folder DIR] [--profile SECONDS] [--record FILE] SCENARIO
 //
 // # Exit codes
 //
@@ -39,6 +39,7 @@
 	Binary   string        `help:"Program of the processes; by default rosemaryloft-cell beside this program." type:"path"`
 	Folder   string        `help:"Folder for data and logs; by default a new temporary one." type:"path"`
 	Network  int           `help:"Second byte of the loopback addresses." default:"40"`
+	Record   string        `help:"File for the load of the run, which package fit replays." type:"path"`
 	Profile  time.Duration `help:"Length of a processor profile of the leader, which is written to the folder as leader.pprof."`
 }
 
@@ -74,7 +75,7 @@
 			return false, err
 		}
 	}
-	e, err := emulator.New(emulator.Options{Scenario: s, Network: o.Network, Binary: o.Binary, Folder: o.Folder, Profile: o.Profile})
+	e, err := emulator.New(emulator.Options{Scenario: s, Network: o.Network, Binary: o.Binary, Folder: o.Folder, Profile: o.Profile, Record: o.Record})
 	if err != nil {
 		return false, err
 	}
--- a/internal/version/fit/claim.go
+++ b/internal/version/fit/claim.go
@@ -62,6 +62,9 @@
 	}
 	candidates = smallest(candidates, tasks, compareCandidates)
 	preempt := d.Waited >= preemptDelay || d.Priority == 0 && d.Waited >= urgentPreemptDelay
+	if d.Spec.Gang && total(candidates) < tasks && !p.off.wholeGangs {
+		preempt = false // the runs would be stopped in vain
+	}
 	for _, c := range candidates {
 		if tasks <= 0 {
 			return
@@ -75,6 +78,15 @@
 	}
 }
 
+// total returns how many tasks fit on the candidates.
+func total(candidates []candidate) int {
+	n := 0
+	for _, c := range candidates {
+		n += c.tasks
+	}
+	return n
+}
+
 // reservable reports whether a worker may be reserved for the demand.
 func (p *planner) reservable(d *Demand, w *Worker) bool {
 	if w.reservedFor != nil && w.reservedFor != d || !eligible(d, w) || !p.mayBeAllowed(d, w) {
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -232,6 +232,7 @@
 // rules names rules that can be switched off, for comparison only.
 type rules struct {
 	wideQueries bool // a query names many workers, and late work asks only idle clients
+	wholeGangs  bool // a gang preempts only if it then fits as a whole
 }
 
 // Decide plans one scheduling round.
