--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -31,7 +31,7 @@
 			continue // this incarnation is not committed yet
 		}
 		w.planned = w.load
-		w.planned.Worker, w.planned.WasSlow = w.Worker, w.wasSlow
+		w.planned.Worker, w.planned.WasSlow, w.planned.Unanswering = w.Worker, w.wasSlow, w.missed > 0
 		w.planned.Usable = w.usable(now, t.timing().ReportInterval)
 		cluster.Workers = append(cluster.Workers, &w.planned)
 	}
@@ -39,6 +39,7 @@
 		cluster.Limits[name] = &fit.Limit{Max: limit, Used: v.Used[name]}
 	}
 	t.setHeadroom(v, cluster, now)
+	cluster.Early, cluster.Urgent = fit.IdleClients(now, t.liveAdviceClients(now))
 	return cluster
 }
 
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -86,6 +86,8 @@
 		switch {
 		case o.Wait == 0:
 			sleep(t.ctx, unresolvedListWait) // polls again for what is not known yet
+		case a.Result == Refused:
+			sleep(t.ctx, refusalRetryDelay)
 		case a.Result != Accepted || len(listing.Ended) > 0:
 			sleep(t.ctx, minListInterval)
 		}
@@ -118,8 +120,11 @@
 // listOrder returns the next listing order for a worker. It waits less if an
 // end, or the outcome of an order, is wanted soon.
 func (t *term) listOrder(w *worker) ListOrder {
-	o := ListOrder{Lease: w.extendLease(t.now(), t.leaseDuration()), Fence: t.number, Acknowledged: w.acknowledged}
 	now := t.now()
+	o := ListOrder{Lease: w.leaseEnd, Fence: t.number, Acknowledged: w.acknowledged}
+	if w.needsLease() {
+		o.Lease = w.extendLease(now, t.leaseDuration())
+	}
 	if len(w.runs) == 0 || w.silent(now) || w.clockReading.IsZero() {
 		return o
 	}
@@ -139,7 +144,7 @@
 			expected := overdueFactor * float64(t.baseline(r.queue).Expected(r.spec.Estimate))
 			o.Wait = min(o.Wait, max(r.startResolvedAt.Add(time.Duration(expected)).Sub(now), overdueListWait))
 		}
-		if r.startResolvedAt.IsZero() || !r.stopAnsweredAt.IsZero() {
+		if r.startResolvedAt.IsZero() || !r.stopAcceptedAt.IsZero() {
 			// The outcome of the order is needed soon, and possibly no run ends
 			// meanwhile.
 			o.Wait = min(o.Wait, unresolvedListWait)
@@ -159,10 +164,13 @@
 	if !t.handleAnswer(w, a) {
 		return nil
 	}
+	if a.Result == Refused {
+		w.refuses, w.pollOnce = true, true
+	}
 	if a.Result != Accepted {
 		return nil
 	}
-	w.listed, w.pollOnce = true, false
+	w.listed, w.pollOnce, w.refuses = true, false, false
 	present := map[job.TaskID]int{}
 	for _, listed := range l.Running {
 		present[listed.Task] = listed.Run
@@ -196,7 +204,7 @@
 func (t *term) handleListedRun(w *worker, listed ListedRun, clock time.Time) {
 	r := w.runs[listed.Task]
 	if r == nil || r.number != listed.Run {
-		t.foundOrphan(w, listed)
+		t.addOrphan(w, listed.Task, listed.Run, "the worker lists an orphaned run")
 		return
 	}
 	if r.endQueued {
@@ -216,18 +224,6 @@
 	r.recordProgress(listed.Percent, clock)
 }
 
-// foundOrphan stops a run that the leader does not know, and has it counted until
-// the worker can no longer execute it.
-func (t *term) foundOrphan(w *worker, listed ListedRun) {
-	if w.orphans[orphan{listed.Task, listed.Run}] != nil {
-		return
-	}
-	t.inbox.ends = append(t.inbox.ends,
-		job.End{Task: listed.Task, Run: listed.Run, Worker: w.ID, Life: w.Life, Outcome: job.Abandoned, Saved: listed.Checkpoint})
-	t.stopOrphan(w, listed.Task, listed.Run, "the worker lists an orphaned run")
-	t.signal()
-}
-
 // handleEnd processes the end of a run that a worker lists.
 func (t *term) handleEnd(w *worker, e EndedRun, clock time.Time) {
 	r := w.runs[e.Task]
@@ -261,15 +257,15 @@
 }
 
 // loseMissing gives up runs that are absent from a listing although they should
-// be in it: the worker had answered their start, or their stop, before the
-// listing was requested.
+// be in it: the worker had answered their start, or accepted their stop, before
+// the listing was requested.
 func (t *term) loseMissing(w *worker, sent time.Time, present map[job.TaskID]int) {
 	for id, r := range w.runs {
 		if _, listed := present[id]; r.endQueued || listed {
 			continue
 		}
 		started := !r.startResolvedAt.IsZero() && r.startResolvedAt.Before(sent)
-		stopped := !r.stopAnsweredAt.IsZero() && r.stopAnsweredAt.Before(sent)
+		stopped := !r.stopAcceptedAt.IsZero() && r.stopAcceptedAt.Before(sent)
 		if started || stopped {
 			t.lose(r, "not listed by the worker")
 			t.stopGang(r)
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -13,12 +13,18 @@
 	// orderTimeout bounds one attempt of an order. A worker answers within a
 	// few milliseconds, and resending an order is harmless.
 	orderTimeout = 80 * time.Millisecond
-	// orderRetryDelay is the delay before an order is resent.
-	orderRetryDelay = 20 * time.Millisecond
+	// orderRetryDelay is the delay before an order is resent, refusalRetryDelay the
+	// delay before one that was refused is. An unhealthy worker refuses what it
+	// carries out once it has recovered.
+	orderRetryDelay   = 20 * time.Millisecond
+	refusalRetryDelay = 100 * time.Millisecond
 	// startRetryTimeout is how long a start order without an answer is resent,
 	// while a listing may show that it was carried out. Afterwards its run is
 	// stopped, so that the task can start elsewhere.
 	startRetryTimeout = 500 * time.Millisecond
+	// unsentRetryTimeout is how long a start order is resent if no connection to the
+	// worker could be opened for any copy of it, so that the run certainly did not begin.
+	unsentRetryTimeout = 60 * time.Millisecond
 	// leaseLength is the length of the leases of runs, if the worker allows as
 	// much. A network partition or a change of the leader that is shorter costs
 	// no work.
@@ -32,6 +38,7 @@
 	worker          *worker
 	spec            *job.Step
 	committedAt     time.Time // when the start was committed
+	sent            bool      // a copy of the start order may have reached the worker
 	startResolvedAt time.Time // when the worker answered the start, or could no longer receive it; zero before
 	checkpoint      string    // latest one that was listed
 	percent         int
@@ -46,8 +53,9 @@
 	stopping        bool
 	stoppingSince   time.Time
 	nextStopLog     time.Time // a stop that is not confirmed is not logged before this
-	stopAnsweredAt  time.Time // when the worker answered the stop; zero before
+	stopAcceptedAt  time.Time // when the worker accepted the stop; zero before
 	endQueued       bool      // its end waits for a round
+	former          *run      // of an orphan: the run of the worker's former incarnation that ends with it
 	throttlePercent int       // share of the full speed; zero means full speed
 	urgent          bool      // its queue has the highest priority
 }
@@ -85,6 +93,7 @@
 		}
 		w := r.worker
 		o.Lease = w.extendLease(t.now(), t.leaseDuration())
+		t.doubt(r)
 		target := w.Worker
 		t.mu.Unlock()
 		if t.handleStartAnswer(r, t.dispatcher.options.Upstream.Start(t.permit(orderTimeout), &target, o), attempt) {
@@ -103,6 +112,10 @@
 		return true
 	}
 	w := r.worker
+	if attempt == 1 && !a.Repeated && a.Result != Unanswered && a.Result != Undelivered && !w.otherLife(a, t.now()) {
+		t.resolveDoubt(r)
+	}
+	r.sent = r.sent || a.Result != NotSent
 	if !t.handleAnswer(w, a) {
 		return true
 	}
@@ -121,7 +134,14 @@
 	t.emit(event.RunUnclear, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", w.ID),
 		zap.Int("attempt", attempt), event.Cause(a.Error))
 	t.startPolling(w)
-	if t.now().Sub(r.committedAt) >= startRetryTimeout {
+	switch waited := t.now().Sub(r.committedAt); {
+	case !r.sent && waited >= unsentRetryTimeout:
+		t.resolveDoubt(r)
+		t.avoidForStep(r, t.now())
+		t.lose(r, "no connection to the worker")
+		t.stopGang(r)
+		return true
+	case waited >= startRetryTimeout:
 		t.stop(r)
 		return true
 	}
@@ -152,6 +172,9 @@
 		t.lose(r, "refused: "+string(a.Reason))
 		t.stopGang(r)
 	}
+	if a.Reason == ReasonOther {
+		t.avoidWorker(r.worker, "it refuses orders")
+	}
 	return true
 }
 
@@ -189,9 +212,9 @@
 	t.orders.Go(func() { t.sendStop(r) })
 }
 
-// sendStop sends a stop order repeatedly until the worker answers or its
+// sendStop sends a stop order repeatedly until the worker accepts it or its
 // incarnation ends. If the stop reaches the worker before the start, the worker
-// refuses the start.
+// refuses the start. A refused stop proves nothing.
 func (t *term) sendStop(r *run) {
 	for t.awaitLease() {
 		t.mu.Lock()
@@ -201,14 +224,20 @@
 		}
 		target := r.worker.Worker
 		t.mu.Unlock()
-		o := StopOrder{Task: r.id, Run: r.number, Fence: t.number}
-		if t.handleStopAnswer(r, t.dispatcher.options.Upstream.Stop(t.permit(orderTimeout), &target, o)) {
+		a := t.dispatcher.options.Upstream.Stop(t.permit(orderTimeout), &target, StopOrder{Task: r.id, Run: r.number, Fence: t.number})
+		if t.handleStopAnswer(r, a) {
 			return
 		}
-		sleep(t.ctx, orderRetryDelay)
+		if a.Result == Refused {
+			sleep(t.ctx, refusalRetryDelay)
+		} else {
+			sleep(t.ctx, orderRetryDelay)
+		}
 	}
 }
 
+// handleStopAnswer processes the answer to a stop order. It reports whether no
+// further attempt is needed.
 func (t *term) handleStopAnswer(r *run, a Answer) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -219,11 +248,11 @@
 	if !t.handleAnswer(w, a) {
 		return true
 	}
-	if a.Result != Accepted && a.Result != Refused {
+	if a.Result != Accepted {
 		return false
 	}
-	if r.stopAnsweredAt.IsZero() {
-		r.stopAnsweredAt = t.now()
+	if r.stopAcceptedAt.IsZero() {
+		r.stopAcceptedAt = t.now()
 	}
 	t.startPolling(w)
 	return true
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -277,7 +277,7 @@
 	case w != nil && r.Worker.Life < w.Life, w != nil && r.Worker.Life == w.Life && r.Sequence <= w.sequence:
 		return nil // out of order
 	case w != nil && r.Worker.Life > w.Life:
-		t.removeWorker(w, "a newer incarnation reported itself")
+		t.removeWorker(w, reasonNewLife)
 		w = nil
 	}
 	if w == nil {
@@ -307,6 +307,8 @@
 		w.drainDeadline = now.Add(time.Duration(r.Remaining) * time.Millisecond)
 	}
 	t.workers[w.ID], t.sorted = w, nil
+	t.returnWorker(w)
+	t.settleDoubts(w)
 	w.pollOnce = true // it gets tasks once it has shown what it runs
 	t.startPolling(w)
 	t.emit(event.WorkerKnown, zap.String("worker", w.ID), zap.Int64("life", int64(w.Life)), zap.String("pool", w.Pool),
@@ -314,6 +316,14 @@
 	return t.enqueue(func(n *inbox) { n.workers = append(n.workers, w.Worker) })
 }
 
+// returnWorker takes back the removal of an incarnation that reports itself again, as
+// one that was silent does. A round applies removals last, and the state may know
+// orphans of it.
+func (t *term) returnWorker(w *worker) {
+	t.inbox.gone = slices.DeleteFunc(t.inbox.gone, func(g job.Worker) bool { return g.ID == w.ID && g.Life == w.Life })
+	t.state().View(func(v *job.View) { t.adoptOrphans(w.ID, v.Orphans[w.ID]) })
+}
+
 // leave records that a worker announced its termination.
 func (t *term) leave(m *cell.Leave) {
 	t.mu.Lock()
--- a/internal/process/dispatch/stray_test.go
+++ b/internal/process/dispatch/stray_test.go
@@ -13,11 +13,17 @@
 
 // limit installs a catalogue in which the workspace may use some processors.
 func (b *testCluster) limit(processors int64) {
+	b.is.Helper()
+	b.setWorkspaces(job.Workspace{Name: "depot", Keys: []string{"k"}, Limit: work.Resources{Processors: processors}})
+}
+
+// setWorkspaces installs a catalogue with these workspaces only.
+func (b *testCluster) setWorkspaces(list ...job.Workspace) {
 	b.is.Helper()
 	var c job.Catalogue
 	b.state.View(func(v *job.View) { c = *v.Catalogue })
 	c.Version++
-	c.Workspaces = []job.Workspace{{Name: "depot", Keys: []string{"k"}, Limit: work.Resources{Processors: processors}}}
+	c.Workspaces = list
 	v, ok := b.term().apply(context.Background(), &c)
 	b.is.True(ok)
 	b.is.Equal(v.Code, cell.OK)
@@ -114,12 +120,7 @@
 		b.limit(2000)
 		b.submit("one", tasks(8))
 		time.Sleep(300 * time.Millisecond)
-		var c job.Catalogue
-		b.state.View(func(v *job.View) { c = *v.Catalogue })
-		c.Version++
-		c.Workspaces = nil
-		_, ok := b.term().apply(context.Background(), &c)
-		b.is.True(ok)
+		b.setWorkspaces()
 		for range 40 {
 			time.Sleep(100 * time.Millisecond)
 			b.is.True(b.running() <= 2)
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -51,6 +51,7 @@
 			t.checkWorker(w, now)
 			t.logStops(w, now)
 		}
+		t.expireDoubts(now)
 		if now.Sub(t.stepsChecked) >= stepCheckInterval {
 			t.stepsChecked = now
 			t.dropSteps()
@@ -89,7 +90,7 @@
 	}
 	r.nextStopLog = now.Add(stopLogInterval)
 	t.emit(event.StopUnconfirmed, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
-		zap.Duration("since", now.Sub(r.stoppingSince)), zap.Bool("answered", !r.stopAnsweredAt.IsZero()), zap.Int("missed", r.worker.missed))
+		zap.Duration("since", now.Sub(r.stoppingSince)), zap.Bool("accepted", !r.stopAcceptedAt.IsZero()), zap.Int("missed", r.worker.missed))
 }
 
 // dropSteps drops the records of steps whose jobs are over. An answer or an end
@@ -114,8 +115,8 @@
 	switch {
 	case t.concludeLeave(w, now):
 		return
-	case len(w.runs) > 0 && now.After(w.leaseExpiry()) && w.missed > 0:
-		t.loseRuns(w, "the lease has expired and the worker does not answer")
+	case len(w.runs) > 0 && now.After(w.leaseExpiry()) && (w.missed > 0 || w.refuses):
+		t.loseRuns(w, "the lease has expired and the worker lists nothing")
 	case len(w.runs) == 0 && now.Sub(w.lastSeen) > silentWorkerTimeout:
 		t.removeWorker(w, "silent")
 		return
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -62,31 +62,12 @@
 	returns        map[string]*fit.Returns // by pool
 	stepsChecked   time.Time               // when dropSteps was last called
 	loadsAt        time.Time               // when loads were computed
+	doubts         map[string]*doubts      // by worker
 	waves          map[int64]*wave
 	lastPoolLog    time.Time            // when the usage of the pools was last logged
 	unanswered     map[string]time.Time // by worker; when an order last got no answer
 }
 
-// inbox collects the input of the next round.
-type inbox struct {
-	catalogue *job.Catalogue
-	workers   []job.Worker
-	gone      []job.Worker
-	ends      []job.End
-	settled   []job.Start // orphans that can no longer be executed
-	cancels   []job.ID
-	submits   []job.Job
-	waiters   []chan bool // receive whether the round was committed
-	acks      []acknowledgement
-}
-
-// acknowledgement says up to which number the ends of a worker are acknowledged
-// once the round is committed.
-type acknowledgement struct {
-	worker *worker
-	number int64
-}
-
 // stepState is the leader's in-memory record of a step.
 type stepState struct {
 	advice        fit.Advice
@@ -111,7 +92,7 @@
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*fit.Peak{},
 		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
-		waves: map[int64]*wave{}, unanswered: map[string]time.Time{},
+		doubts: map[string]*doubts{}, waves: map[int64]*wave{}, unanswered: map[string]time.Time{},
 	}
 }
 
@@ -224,13 +205,20 @@
 	for id, o := range reservations {
 		record, _, task := v.Find(id)
 		life := task.Life
-		if w == nil || w.Life != life {
-			// The worker's incarnation has ended, and its runs with it.
+		if w == nil {
 			t.inbox.ends = append(t.inbox.ends, job.End{Task: id, Run: o.Run, Worker: name, Life: life, Outcome: job.Lost})
 			continue
 		}
 		r := &run{id: id, number: o.Run, worker: w, spec: &record.Job.Steps[id.Step], committedAt: now, startResolvedAt: now, lastProgress: now,
 			urgent: record.Queue.Priority == 0, queue: queueKey(&record.Queue), resumed: true}
+		if w.Life != life {
+			// The next incarnation may execute it. The former one is only known by name.
+			r.worker = newWorker(w.Worker, now)
+			r.worker.Life = life
+			t.addRun(r)
+			t.stopFormer(w, r)
+			continue
+		}
 		t.addRun(r)
 		if record.Status.Final() || task.Done {
 			t.stop(r)
@@ -238,16 +226,6 @@
 	}
 }
 
-// adoptOrphans stops the runs on one worker that an earlier leader gave up.
-func (t *term) adoptOrphans(name string, orphans map[job.OrphanID]job.Orphan) {
-	w := t.workers[name]
-	for id := range orphans {
-		if w != nil && w.Life == id.Life {
-			t.stopOrphan(w, id.Task, id.Run, "an earlier leader gave it up")
-		}
-	}
-}
-
 // abandon tells everybody who waits for a round that the term is over.
 func (t *term) abandon() {
 	t.mu.Lock()
@@ -259,20 +237,6 @@
 	t.inbox = inbox{}
 }
 
-// enqueue adds input to the next round. It returns a channel that receives
-// whether the round was committed. The caller holds the lock.
-func (t *term) enqueue(add func(*inbox)) <-chan bool {
-	c := make(chan bool, 1)
-	if t.over {
-		c <- false
-		return c
-	}
-	add(&t.inbox)
-	t.inbox.waiters = append(t.inbox.waiters, c)
-	t.signal()
-	return c
-}
-
 // awaitCommit waits until a round was committed or failed, or until ctx ends. It
 // reports whether the round was committed.
 func (t *term) awaitCommit(ctx context.Context, c <-chan bool) bool {
--- a/internal/process/driver/fleet.go
+++ b/internal/process/driver/fleet.go
@@ -19,6 +19,9 @@
 	// presenceInterval is the interval at which an idle driver is asked whether it is
 	// there, and at which new members are looked for.
 	presenceInterval = 100 * time.Millisecond
+	// fetchInterval is the interval at which answers are fetched from a driver that
+	// cannot deliver them.
+	fetchInterval = 20 * time.Millisecond
 	// batchTimeout bounds the delivery of a batch to a driver. A driver that takes
 	// longer gets nothing until it answers.
 	batchTimeout = 250 * time.Millisecond
@@ -36,6 +39,7 @@
 	Peer    peer.Caller
 	Members func() []string // control processes
 	Leading func() bool
+	Changed func() <-chan struct{} // closed once Leading may have changed; nil if that is only polled
 	Log     event.Log
 }
 
@@ -105,9 +109,14 @@
 	tick := time.NewTicker(presenceInterval)
 	defer tick.Stop()
 	for {
+		var changed <-chan struct{}
+		if f.options.Changed != nil {
+			changed = f.options.Changed()
+		}
 		f.update(ctx, &senders)
 		select {
 		case <-tick.C:
+		case <-changed:
 		case <-ctx.Done():
 			return nil
 		}
@@ -156,7 +165,12 @@
 		err := f.options.Peer.Call(call, d.name, MethodDrive, batch{Session: f.session, Orders: orders}, &p)
 		cancel()
 		f.note(d, p.Zone, err)
-		wait(ctx, presenceInterval, d.wake)
+		pause := presenceInterval
+		if err == nil && p.Cut {
+			f.receive(d.name, p.Replies)
+			pause = fetchInterval
+		}
+		wait(ctx, pause, d.wake)
 	}
 }
 
--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -45,6 +45,10 @@
 	if !d.Advised || d.Advice.Paused || d.Advice.Queries >= maxQueries {
 		return
 	}
+	early := d.rank != onTime && !p.off.wideQueries
+	if early && !p.mayAskEarly(d) {
+		return
+	}
 	idle := d.Advice.Queries == 0
 	missing := queryFactor*float64(tasks) - p.expected(l, d)
 	workers, missing, fit := p.expiredTickets(l, d, missing)
@@ -56,7 +60,7 @@
 	if d.Spec.Gang && fit < len(d.Tasks) && !p.anyUnknown(d, workers) {
 		workers, needed = nil, 0 // the gang does not fit yet
 	}
-	p.ask(l, d, p.pad(l, d, workers), needed)
+	p.ask(l, d, p.pad(l, d, workers), needed, early)
 	idle = idle && len(workers) == 0
 	if explored := (idle || d.Spec.Gang) && p.explore(l, d); !explored && idle {
 		p.renewTickets(l, d)
@@ -112,7 +116,7 @@
 			workers = append(workers, w.ID)
 		}
 	}
-	for _, w := range l.allowed(d) {
+	for _, w := range p.allowedWorkers(l, d) {
 		if p.expiresSoon(d, w) {
 			add(w)
 		}
@@ -134,8 +138,8 @@
 
 // ask queries the advice service about workers and reserves the needed ones, which
 // come first, so that their capacity is still free when the answer arrives.
-func (p *planner) ask(l *inventory, d *Demand, workers []string, needed int) {
-	p.addQueries(d, workers, d.rank != onTime && !p.off.wideQueries)
+func (p *planner) ask(l *inventory, d *Demand, workers []string, needed int, early bool) {
+	p.addQueries(d, workers, early)
 	if d.rank != onTime {
 		return
 	}
@@ -162,15 +166,27 @@
 		p.plan.Queries = append(p.plan.Queries, Query{d, chunk, early})
 		p.asking = append(p.asking, chunk...)
 		p.queries++
+		switch {
+		case !early:
+		case d.Priority == 0 && p.cluster.Urgent > 0:
+			p.cluster.Urgent--
+		default:
+			p.cluster.Early--
+		}
 	}
 }
 
+// mayAskEarly reports whether an early query about a demand can be sent now.
+func (p *planner) mayAskEarly(d *Demand) bool {
+	return p.cluster.Early > 0 || d.Priority == 0 && p.cluster.Urgent > 0
+}
+
 // explore queries workers that are not known yet while few workers per task are
 // known to be allowed. Otherwise a gang of wide tasks that is limited to a handful
 // of workers would wait until all of them are free at once. It reports whether it
 // added a query.
 func (p *planner) explore(l *inventory, d *Demand) bool {
-	if d.rank != onTime || !p.mayReserve(l, d) {
+	if !p.mayAskEarly(d) || d.rank != onTime || !p.mayReserve(l, d) {
 		return false
 	}
 	allowed := d.allowedShare() * float64(len(d.Advice.Asked)+len(p.asking))
@@ -214,11 +230,11 @@
 // is slow. Otherwise each worker would be idle for the response time whenever it
 // becomes free.
 func (p *planner) renewTickets(l *inventory, d *Demand) {
-	if d.MinAnswerTime < slowAnswerTime || d.rank != onTime {
+	if !p.mayAskEarly(d) || d.MinAnswerTime < slowAnswerTime || d.rank != onTime {
 		return
 	}
 	var candidates []candidate
-	for _, w := range l.allowed(d) {
+	for _, w := range p.allowedWorkers(l, d) {
 		if p.expiresSoon(d, w) && p.reservable(d, w) {
 			candidates = append(candidates, p.evaluate(d, w, d.Spec.Reservation()))
 		}
@@ -230,16 +246,18 @@
 	p.addQueries(d, workers, true)
 }
 
-// allowed returns the workers that the advice service allows, ordered by ID.
-func (l *inventory) allowed(d *Demand) []*Worker {
-	var list []*Worker
-	for id, a := range d.Advice.Answers {
-		if w := l.named[id]; a.Allowed && w != nil {
-			list = append(list, w)
+// allowedWorkers returns the workers that the advice service allows for the demand
+// that is being planned, ordered by ID.
+func (p *planner) allowedWorkers(l *inventory, d *Demand) []*Worker {
+	if p.allowed == nil {
+		p.allowed = []*Worker{}
+		for _, id := range d.Advice.allowedNames() {
+			if w := l.named[id]; w != nil {
+				p.allowed = append(p.allowed, w)
+			}
 		}
 	}
-	slices.SortFunc(list, func(a, b *Worker) int { return a.order - b.order })
-	return list
+	return p.allowed
 }
 
 // expiredTickets returns allowed workers with an expired ticket on which tasks fit,
@@ -251,7 +269,7 @@
 		room   int
 	}
 	var list []expired
-	for _, w := range l.allowed(d) {
+	for _, w := range p.allowedWorkers(l, d) {
 		n := room(d, w)
 		fit += n
 		if n > 0 && !p.now.Before(d.Advice.Answers[w.ID].Expiry) && !d.Advice.Asked[w.ID] {
--- a/internal/version/fit/ask_test.go
+++ b/internal/version/fit/ask_test.go
@@ -33,6 +33,7 @@
 	is.True(!p.Queries[0].Early)
 
 	d.Deadline, d.Advice.Answers = now.Add(-time.Second), map[string]Answer{}
-	p = Decide(now, []*Demand{d}, Cluster{Workers: workers})
+	p = Decide(now, []*Demand{d}, Cluster{Workers: workers, Early: 1})
 	is.True(p.Queries[0].Early) // late work does not delay the queries of others
+	is.Equal(len(Decide(now, []*Demand{d}, Cluster{Workers: workers}).Queries), 0)
 }
--- a/internal/version/fit/clients.go
+++ b/internal/version/fit/clients.go
@@ -26,11 +26,10 @@
 // and would otherwise wait behind the long ones about wide tasks, and early queries
 // take only idle clients.
 func PickClient(now time.Time, clients []Client, q Query) int {
-	first := 0
-	if kept := max(minUrgentClients, int(urgentClientShare*float64(len(clients)))); q.Demand.Priority != 0 && len(clients) > 2*kept {
-		first = kept
+	first, best := 0, -1
+	if q.Demand.Priority != 0 {
+		first = keptClients(len(clients))
 	}
-	best := -1
 	for i := first; i < len(clients); i++ {
 		if best < 0 || clients[i].IdleAt.Before(clients[best].IdleAt) {
 			best = i
@@ -41,3 +40,28 @@
 	}
 	return best
 }
+
+// keptClients returns how many of the clients, the first ones, send queries for urgent
+// work only.
+func keptClients(clients int) int {
+	if kept := max(minUrgentClients, int(urgentClientShare*float64(clients))); clients > 2*kept {
+		return kept
+	}
+	return 0
+}
+
+// IdleClients returns the number of clients that can send early queries now for all
+// work, and of further ones that can for urgent work.
+func IdleClients(now time.Time, clients []Client) (others, urgent int) {
+	kept := keptClients(len(clients))
+	for i, c := range clients {
+		switch {
+		case c.IdleAt.After(now):
+		case i < kept:
+			urgent++
+		default:
+			others++
+		}
+	}
+	return others, urgent
+}
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -57,6 +57,7 @@
 	Free        work.Resources
 	Usable      bool           // accepts new tasks
 	WasSlow     bool           // was slow and has not shown normal speed since
+	Unanswering bool           // its latest order got no answer
 	TargetTasks int            // running tasks with a response time target
 	FillerTasks int            // running filler tasks
 	Releasing   work.Resources // reserved by runs that are being stopped
@@ -90,6 +91,32 @@
 	Asked   map[string]bool   // workers in the queries that are in flight
 	Queries int               // number of queries in flight
 	Paused  bool              // no query may be sent now
+
+	allowed []string // workers that are allowed, ordered by ID
+	covered int      // number of Answers that allowed covers
+}
+
+// Record adds the answer about a worker.
+func (a *Advice) Record(worker string, answer Answer) {
+	if old, ok := a.Answers[worker]; ok && old.Allowed != answer.Allowed {
+		a.covered = 0
+	}
+	a.Answers[worker] = answer
+}
+
+// allowedNames returns the workers that are allowed, ordered by ID. It is kept between
+// rounds: a step may have hundreds of answers.
+func (a *Advice) allowedNames() []string {
+	if a.covered != len(a.Answers) {
+		a.allowed, a.covered = a.allowed[:0], len(a.Answers)
+		for id, answer := range a.Answers {
+			if answer.Allowed {
+				a.allowed = append(a.allowed, id)
+			}
+		}
+		slices.Sort(a.allowed)
+	}
+	return a.allowed
 }
 
 // Demand is a step with waiting tasks.
@@ -188,6 +215,8 @@
 	Workers  []*Worker
 	Limits   map[string]*Limit         // by workspace
 	Headroom map[string]work.Resources // by pool; headroom that only urgent work and long-running or filler tasks may use
+	Early    int                       // number of early queries that can be sent now
+	Urgent   int                       // number of further ones for urgent work
 	Explain  bool                      // the plan tells what holds idle capacity
 }
 
@@ -225,8 +254,9 @@
 	pools   map[string]*inventory
 	plan    Plan
 	off     rules
-	asking  []string // workers in the queries of the demand that is being planned
-	queries int      // number of these queries
+	asking  []string  // workers in the queries of the demand that is being planned
+	queries int       // number of these queries
+	allowed []*Worker // workers that the demand that is being planned may use; see allowedWorkers
 }
 
 // rules names rules that can be switched off, for comparison only.
--- a/internal/version/fit/load_test.go
+++ b/internal/version/fit/load_test.go
@@ -371,7 +371,7 @@
 		if allowed {
 			good++
 		}
-		d.Advice.Answers[n] = Answer{Allowed: allowed, Ticket: "t", Expiry: a.at.Add(a.job.kind.valid - 80*time.Millisecond)}
+		d.Advice.Record(n, Answer{Allowed: allowed, Ticket: "t", Expiry: a.at.Add(a.job.kind.valid - 80*time.Millisecond)})
 	}
 	share := float64(good) / float64(len(a.names))
 	if old := r.shares[a.job.kind.name]; old > 0 {
@@ -416,7 +416,8 @@
 		k.Record(r.use[name], at)
 		headroom[name] = r.headroom(k, r.use[name], r.capacity[name])
 	}
-	p := decide(at, demands, Cluster{Workers: r.workers, Headroom: headroom}, r.off)
+	others, urgent := IdleClients(at, r.clients)
+	p := decide(at, demands, Cluster{Workers: r.workers, Headroom: headroom, Early: others, Urgent: urgent}, r.off)
 	for _, q := range p.Queries {
 		r.ask(q, byDemand[q.Demand], at)
 	}
--- a/internal/version/fit/place.go
+++ b/internal/version/fit/place.go
@@ -11,8 +11,11 @@
 	// data. The task takes about half as long again there, which costs more than a
 	// poor fit.
 	remoteRackPenalty = 2.0
-	// slowPenalty ranks a worker that was slow behind all others that fit.
-	slowPenalty = 4.0
+	// slowPenalty ranks a worker that was slow behind all others that fit, and
+	// unansweringPenalty one that may not answer any more behind these: a task whose
+	// start gets no answer cannot start elsewhere before the lease of the worker is over.
+	slowPenalty        = 4.0
+	unansweringPenalty = 8.0
 	// minCandidates and candidatesPerTask bound the workers that are compared for a
 	// demand. Those with the least free come first, so that the rest would seldom be
 	// chosen.
@@ -29,7 +32,7 @@
 		}
 		return
 	}
-	l.own, p.asking, p.queries = l.own[:0], nil, 0
+	l.own, p.asking, p.queries, p.allowed = l.own[:0], nil, 0, nil
 	switch {
 	case d.Prefetch:
 		p.queryEarly(l, d)
@@ -127,25 +130,25 @@
 func (p *planner) candidates(l *inventory, d *Demand) []*Worker {
 	var list []*Worker
 	if d.Advised {
-		for id, a := range d.Advice.Answers {
-			if w := l.named[id]; a.Allowed && p.now.Before(a.Expiry) && w != nil && fits(d, w) {
+		for _, w := range p.allowedWorkers(l, d) {
+			if fits(d, w) && p.now.Before(d.Advice.Answers[w.ID].Expiry) {
 				list = append(list, w)
 			}
 		}
-	} else {
-		for _, w := range l.racks[d.Spec.Rack] {
-			if d.Spec.Rack != "" && fits(d, w) {
-				list = append(list, w)
-			}
+		return list
+	}
+	for _, w := range l.racks[d.Spec.Rack] {
+		if d.Spec.Rack != "" && fits(d, w) {
+			list = append(list, w)
 		}
-		wanted := len(list) + max(minCandidates, candidatesPerTask*len(d.Tasks))
-		l.tightest(d.Spec.Reservation(), func(w *Worker) bool {
-			if fits(d, w) && (d.Spec.Rack == "" || w.Rack != d.Spec.Rack) {
-				list = append(list, w)
-			}
-			return len(list) < wanted
-		})
 	}
+	wanted := len(list) + max(minCandidates, candidatesPerTask*len(d.Tasks))
+	l.tightest(d.Spec.Reservation(), func(w *Worker) bool {
+		if fits(d, w) && (d.Spec.Rack == "" || w.Rack != d.Spec.Rack) {
+			list = append(list, w)
+		}
+		return len(list) < wanted
+	})
 	slices.SortFunc(list, func(a, b *Worker) int { return a.order - b.order })
 	return list
 }
@@ -177,6 +180,9 @@
 	if w.WasSlow {
 		s += slowPenalty
 	}
+	if w.Unanswering {
+		s += unansweringPenalty
+	}
 	return s
 }
 
--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -81,7 +81,8 @@
 type core struct {
 	name       string
 	identity   uint64
-	configured []string // names of the members in the settings
+	configured []string // names of the members in the settings of the start
+	founded    bool     // this replica is never the founder
 	random     *rand.Rand
 	log        event.Log
 	load       func() (disk.Snapshot, error) // reads the stored snapshot
@@ -115,7 +116,9 @@
 	termStart       uint64 // first entry of the leader's own term
 	leaseStart      time.Time
 	joinRequests    map[string]joinRequest // latest join request by name
+	shortage        shortage
 
+	joining  joining
 	incoming incomingSnapshot // snapshot being received
 	founding founding
 
@@ -137,7 +140,7 @@
 func newCore(options Options, identity uint64, contents disk.Contents, now time.Time) (*core, error) {
 	c := &core{
 		name: options.Name, identity: identity, configured: options.Members, random: options.Random, log: options.Log,
-		trailing: options.Trailing, open: options.Open, hooks: options.hooks, timing: newTiming(&options),
+		founded: options.Founded, trailing: options.Trailing, open: options.Open, hooks: options.hooks, timing: newTiming(&options),
 		term: max(contents.Hard.Term, contents.Snapshot.Term), vote: contents.Hard.Vote,
 		now: now, origin: now, lastContact: now, joinDue: now, joinRequests: map[string]joinRequest{},
 	}
@@ -151,7 +154,10 @@
 		}
 		c.entries.entries = e
 	}
-	c.commit, c.delivered, c.stable = s.Index, s.Index, c.entries.last()
+	// Entries that are known to be committed are applied at once, so that an election
+	// does not have to wait for them.
+	c.commit = max(s.Index, min(contents.Commit, c.entries.last()))
+	c.delivered, c.stable = s.Index, c.entries.last()
 	if s.Index > 0 {
 		m, err := decodeMembership(s.Membership)
 		if err != nil {
@@ -163,6 +169,7 @@
 	// The founder persists the membership last, when the founding is complete.
 	c.founding.confirmed = c.isFounder() && c.membership() != nil
 	c.initElectionTimer(options.Started)
+	c.learnContacts(options.Members)
 	return c, c.err
 }
 
@@ -273,10 +280,10 @@
 }
 
 // needsMembership reports whether this replica tries to found or join a group: it
-// is not a member, it has promised nothing to its group, or it is a non-voter
-// without a leader, which may have been added by a change that never committed.
+// is not a member, it has promised nothing to its group, or it knows no leader. In
+// the last case it may have been removed, or all members that it knows replaced.
 func (c *core) needsMembership() bool {
-	return !c.isMember() || c.promisedNothing() || !c.membership().isVoter(c.identity) && c.now.Sub(c.lastContact) >= c.electionMax
+	return !c.isMember() || c.promisedNothing() || c.leader == 0
 }
 
 // tick advances the time and runs what is due.
@@ -305,11 +312,14 @@
 // step handles a message.
 func (c *core) step(now time.Time, m Message) {
 	c.advanceClock(now)
+	if c.needsMembership() {
+		c.meet(m.FromName)
+	}
 	if m.To != 0 && m.To != c.identity && !c.hooks.noIdentity {
 		return
 	}
 	switch m.Type {
-	case Join, Report, ReportAnswer, Found, FoundAnswer:
+	case Join, JoinAnswer, Report, ReportAnswer, Found, FoundAnswer:
 		c.stepFounding(m)
 		return
 	}
@@ -322,10 +332,6 @@
 		return
 	}
 	if m.Type == PreVote {
-		if c.open && c.role == leader && s.member(m.From) == nil {
-			// It was removed while it was silent and does not know.
-			c.joinRequests[m.FromName] = joinRequest{m.From, c.now}
-		}
 		c.handlePreVote(m)
 		return
 	}
@@ -458,7 +464,7 @@
 	if c.firstUnsaved > 0 {
 		b.Entries = c.entries.between(c.firstUnsaved-1, c.entries.last())
 	}
-	b.Reset = c.pendingReset
+	b.Reset, b.Commit = c.pendingReset, c.commit
 	if c.pendingSnapshot != nil {
 		if err := store.SaveSnapshot(*c.pendingSnapshot); err != nil {
 			return err
