--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -64,6 +64,7 @@
 	Runs        []Run          // preemptible runs, which can resume from a checkpoint
 
 	reservedFor *Demand // only this demand may use the free capacity now
+	asked       bool    // reservedFor waits for the advice service's answer about the worker
 	order       int     // position in the pool
 	places      [indexes]place
 }
@@ -215,6 +216,7 @@
 	Limits   map[string]*Limit         // by workspace
 	Headroom map[string]work.Resources // by pool; headroom that only urgent work and long-running or filler tasks may use
 	Early    int                       // number of early queries that can be sent now
+	Urgent   int                       // number of further ones for urgent work
 	Explain  bool                      // the plan tells what holds idle capacity
 }
 
@@ -251,14 +253,25 @@
 	cluster Cluster
 	pools   map[string]*inventory
 	plan    Plan
+	off     rules
 	asking  []string  // workers in the queries of the demand that is being planned
 	queries int       // number of these queries
 	allowed []*Worker // workers that the demand that is being planned may use; see allowedWorkers
 }
 
+// rules names rules that can be switched off, for comparison only.
+type rules struct {
+	wideQueries bool // a query names many workers, and late work asks only idle clients
+	wholeGangs  bool // a gang preempts only if it then fits as a whole
+}
+
 // Decide plans one scheduling round.
 func Decide(now time.Time, demands []*Demand, cluster Cluster) Plan {
-	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers)}
+	return decide(now, demands, cluster, rules{})
+}
+
+func decide(now time.Time, demands []*Demand, cluster Cluster, off rules) Plan {
+	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers), off: off}
 	for _, d := range demands {
 		d.rank = d.rankAt(now)
 	}
