Choose the processes for a round's queries from one list

Cause: for each planned query the leader collected and sorted the names of all processes that can ask the advice service, hundreds of times a round in a backlog. Change: the list is made once a round.

--- a/internal/process/dispatch/advice.go
+++ b/internal/process/dispatch/advice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -37,9 +38,8 @@
 // queryAdvice sends a query through the process that is idle first, unless all
 // have too long a backlog. A query ahead of free capacity is sent only through
 // a process that is idle now. The caller holds the lock.
-func (t *term) queryAdvice(a fit.Query, now time.Time) {
-	s := t.step(a.Demand.Step)
-	name, client := t.pickAdviceClient(now, a.Demand.Priority == 0)
+func (t *term) queryAdvice(a fit.Query, clients []*adviceClient, now time.Time) {
+	client := pickAdviceClient(clients, a.Demand.Priority == 0)
 	if client == nil || client.idleAt.Sub(now) > maxAdviceBacklog || a.Early && client.idleAt.After(now) {
 		return
 	}
@@ -47,6 +47,7 @@
 	if q == nil {
 		return
 	}
+	s := t.step(a.Demand.Step)
 	expected := q.Base + time.Duration(len(a.Workers))*q.Each
 	client.idleAt = later(client.idleAt, now).Add(expected)
 	deadline := client.idleAt.Add(adviceTimeoutMargin)
@@ -54,7 +55,20 @@
 	for _, w := range a.Workers {
 		s.advice.Asked[w] = true
 	}
-	t.orders.Go(func() { t.sendQuery(s, a, name, client, q, deadline) })
+	t.orders.Go(func() { t.sendQuery(s, a, client, q, deadline) })
+}
+
+// liveClients returns the processes that can query the advice service, ordered by
+// name.
+func (t *term) liveClients(now time.Time) []*adviceClient {
+	var list []*adviceClient
+	for _, client := range t.adviceClients {
+		if now.Sub(client.lastPing) <= adviceClientTimeout {
+			list = append(list, client)
+		}
+	}
+	slices.SortFunc(list, func(a, b *adviceClient) int { return strings.Compare(a.name, b.name) })
+	return list
 }
 
 // idleClients returns the number of processes that can send a query ahead of free
@@ -72,25 +86,17 @@
 // pickAdviceClient returns the process that is idle first. If there are enough
 // processes, some are reserved for urgent work, whose queries are short and
 // would otherwise wait behind long ones.
-func (t *term) pickAdviceClient(now time.Time, urgent bool) (string, *adviceClient) {
-	var names []string
-	for n, client := range t.adviceClients {
-		if now.Sub(client.lastPing) <= adviceClientTimeout {
-			names = append(names, n)
-		}
-	}
-	slices.Sort(names)
-	if !urgent && len(names) > 2*urgentAdviceClients {
-		names = names[urgentAdviceClients:]
+func pickAdviceClient(clients []*adviceClient, urgent bool) *adviceClient {
+	if !urgent && len(clients) > 2*urgentAdviceClients {
+		clients = clients[urgentAdviceClients:]
 	}
-	var name string
 	var best *adviceClient
-	for _, n := range names {
-		if client := t.adviceClients[n]; best == nil || client.idleAt.Before(best.idleAt) {
-			name, best = n, client
+	for _, client := range clients {
+		if best == nil || client.idleAt.Before(best.idleAt) {
+			best = client
 		}
 	}
-	return name, best
+	return best
 }
 
 // adviceSettings returns the advice settings of a step's queue, or nil if the
@@ -106,12 +112,12 @@
 }
 
 // sendQuery sends a query through a process and records the answer.
-func (t *term) sendQuery(s *stepState, a fit.Query, name string, client *adviceClient, q *job.Advised, deadline time.Time) {
+func (t *term) sendQuery(s *stepState, a fit.Query, client *adviceClient, q *job.Advised, deadline time.Time) {
 	ctx, cancel := context.WithDeadline(t.ctx, deadline)
 	defer cancel()
 	var answer cell.Advice
 	sent := t.now()
-	err := t.dispatcher.options.Peer.Call(ctx, name, cell.MethodAdvise,
+	err := t.dispatcher.options.Peer.Call(ctx, client.name, cell.MethodAdvise,
 		cell.AdviceQuery{Step: a.Demand.Step.String(), Workers: a.Workers}, &answer)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -126,7 +132,7 @@
 	if err != nil {
 		s.adviceRetryAt = now.Add(adviceRetryDelay)
 		client.idleAt = later(client.idleAt, now)
-		t.emit(event.AdviceFailed, zap.Stringer("step", a.Demand.Step), zap.String("through", name), event.Cause(err))
+		t.emit(event.AdviceFailed, zap.Stringer("step", a.Demand.Step), zap.String("through", client.name), event.Cause(err))
 		t.signal()
 		return
 	}
@@ -134,7 +140,7 @@
 		client.idleAt = now
 	}
 	t.recordAdvice(s, a, q, answer, now)
-	t.emit(event.AdviceAsked, zap.Stringer("step", a.Demand.Step), zap.String("through", name),
+	t.emit(event.AdviceAsked, zap.Stringer("step", a.Demand.Step), zap.String("through", client.name),
 		zap.Int("workers", len(a.Workers)), zap.Int("good", len(answer.Tickets)), zap.Duration("took", now.Sub(sent)))
 	t.signal()
 }
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -44,8 +44,9 @@
 			plan.Starts[i].Demand.Prepare()
 		}
 	})
+	clients := t.liveClients(now)
 	for _, a := range plan.Queries {
-		t.queryAdvice(a, now)
+		t.queryAdvice(a, clients, now)
 	}
 	for _, id := range plan.Preemptions {
 		if r := t.runs[id]; r != nil {
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -963,7 +963,7 @@
 		made := current.step(d.Step)
 		current.recordAdvice(made, fit.Query{Demand: d, Workers: []string{"a"}}, q, cell.Advice{}, current.now())
 		current.mu.Unlock()
-		current.sendQuery(s, fit.Query{Demand: d, Workers: []string{"a"}}, "entry", &adviceClient{}, q, current.now())
+		current.sendQuery(s, fit.Query{Demand: d, Workers: []string{"a"}}, &adviceClient{name: "entry"}, q, current.now())
 		b.is.Equal(made.advice.Queries, 0) // the query belonged to the former record
 		time.Sleep(2 * stepCheckInterval)
 		current.mu.Lock()
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -80,6 +80,7 @@
 
 // adviceClient is a process that queries the advice service for the leader.
 type adviceClient struct {
+	name     string
 	lastPing time.Time
 	idleAt   time.Time // when its queries so far are expected to be answered
 }
@@ -259,7 +260,7 @@
 	defer t.mu.Unlock()
 	client := t.adviceClients[name]
 	if client == nil {
-		client = &adviceClient{}
+		client = &adviceClient{name: name}
 		t.adviceClients[name] = client
 	}
 	client.lastPing = t.now()
