Keep maintenance waves in the replicated state

An operator's wave has to survive the leader that acknowledged it, and the next leader has to know which VMs may have been told to begin.

Nothing proposes waves yet.

--- a/internal/version/job/command.go
+++ b/internal/version/job/command.go
@@ -44,11 +44,13 @@
 	Forget    time.Time  `cbor:"11,keyasint"`           // jobs that finished before this time are dropped
 	Settled   []Start    `cbor:"12,keyasint,omitempty"` // orphans that their workers can no longer execute
 	Orphans   []Start    `cbor:"13,keyasint,omitempty"` // runs that were given up and that their workers may still execute
+	Waves     []Wave     `cbor:"14,keyasint,omitempty"`
+	Steps     []WaveStep `cbor:"15,keyasint,omitempty"` // of the VMs of waves
 }
 
 // Empty reports whether the round changes nothing.
 func (r *Round) Empty() bool {
-	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans) == 0
+	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans)+len(r.Waves)+len(r.Steps) == 0
 }
 
 // Result is the outcome of applying a round.
--- a/internal/version/job/snapshot.go
+++ b/internal/version/job/snapshot.go
@@ -19,6 +19,7 @@
 	Over      []ID              `cbor:"6,keyasint"`
 	Orphans   []orphanRecord    `cbor:"7,keyasint,omitempty"`
 	Limits    limits            `cbor:"8,keyasint,omitempty"`
+	Waves     waves             `cbor:"9,keyasint"`
 }
 
 // Snapshot implements raft.StateMachine.
@@ -26,7 +27,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	v := &s.view
-	d := snapshot{Term: v.Term, Catalogue: v.Catalogue, Workers: v.Workers, Sequence: v.Sequence, Over: v.finished, Limits: v.Limits}
+	d := snapshot{Term: v.Term, Catalogue: v.Catalogue, Workers: v.Workers, Sequence: v.Sequence, Over: v.finished, Limits: v.Limits, Waves: v.Waves}
 	for _, r := range v.Jobs {
 		d.Jobs = append(d.Jobs, r)
 	}
@@ -49,6 +50,8 @@
 		v.Workers[id] = w
 	}
 	maps.Copy(v.Limits, d.Limits)
+	maps.Copy(v.Waves.Open, d.Waves.Open)
+	v.Waves.Finished = d.Waves.Finished
 	if v.Catalogue != nil {
 		v.addLimits(v.Catalogue) // snapshots of earlier builds have no limits
 	}
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -149,6 +149,7 @@
 	Used         map[string]work.Resources         // by workspace; total size of its runs and orphans
 	Limits       limits                            // by workspace; from the latest catalogue that contains it
 	Sequence     uint64
+	Waves        waves
 
 	finished []ID // finished jobs in the order in which they finished
 }
@@ -172,6 +173,7 @@
 	v.Workers, v.Reservations = map[string]Worker{}, map[string]map[TaskID]Reservation{}
 	v.Used, v.Changes = map[string]work.Resources{}, map[string]uint64{}
 	v.Orphans, v.Limits = map[string]map[OrphanID]Orphan{}, limits{}
+	v.Waves.Open = map[int64]*WaveRecord{}
 }
 
 // View calls read with the current state, which read must not retain or change.
@@ -229,6 +231,12 @@
 	for i := range r.Submits {
 		v.submit(&r.Submits[i], r.Now)
 	}
+	for i := range r.Waves {
+		v.addWave(&r.Waves[i])
+	}
+	for i := range r.Steps {
+		v.advance(&r.Steps[i])
+	}
 	result.Refused = make([]bool, len(r.Starts))
 	for i := range r.Starts {
 		result.Refused[i] = !v.start(&r.Starts[i])
