Carry out maintenance waves under the leader

While a wave is open, the leader lists the platform's VMs twice a second, plans, commits which VMs it is about to order down, plans again, and sends the orders that still hold. Orders carry the term as fencing token and are checked against the lease like those to workers. A new leader waits a holder's lease before its first order, counts what the former one may have ordered as down, and repeats it.

An accepted order alone does not end a worker: the platform also accepts one that it has carried out before, and the worker may be the next one by then. The worker that ran there when the order was committed is over once the platform lists the VM as down or with another worker.

Without the platform's VMs among the options, a wave is refused as before.

--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -274,7 +274,7 @@
 }
 
 // Upkeep sends a maintenance wave to the leader.
-func (l *Link) Upkeep(ctx context.Context, w Wave) (Verdict, error) {
+func (l *Link) Upkeep(ctx context.Context, w job.Wave) (Verdict, error) {
 	var v Verdict
 	err := l.callLeader(ctx, MethodUpkeep, w, &v)
 	return v, err
--- a/internal/connection/cell/message.go
+++ b/internal/connection/cell/message.go
@@ -144,14 +144,6 @@
 	Valid   time.Duration     `cbor:"2,keyasint"` // validity of the tickets; zero if not stated
 }
 
-// Wave is a set of VMs that need maintenance.
-type Wave struct {
-	Number   int64     `cbor:"1,keyasint"`
-	Machines []string  `cbor:"2,keyasint"`
-	Deadline time.Time `cbor:"3,keyasint"`
-	Limit    int       `cbor:"4,keyasint"` // maximum number of VMs down at the same time
-}
-
 // String returns the name of the outcome.
 func (c Code) String() string {
 	if c == 0 || int(c) > len(codeNames) {
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -50,6 +50,8 @@
 	ReportInterval time.Duration // interval between the reports of a worker
 	JobRetention   time.Duration // finished jobs are kept this long
 	MaxPoll        time.Duration // a listing waits at most this long for the end of a run
+	Maintenance    time.Duration // a VM is down this long for its maintenance
+	HolderLease    time.Duration // two processes must not order the maintenance of one VM within this
 }
 
 // Options configures a Dispatcher.
@@ -58,6 +60,7 @@
 	State    *job.State
 	Log      raft.Log
 	Upstream Upstream
+	VMs      VMs // nil if the platform offers no maintenance
 	Peer     peer.Caller
 	Timing   Timing
 	Members  func() []string  // names of the control processes
@@ -124,6 +127,7 @@
 	d.current.Store(t)
 	group.Go(func() error { t.runRounds(ctx); return nil })
 	group.Go(func() error { t.runChecks(ctx); return nil })
+	group.Go(func() error { t.runWaves(ctx); return nil })
 	d.waitForTermEnd(ctx, number)
 	d.current.Store(nil)
 	cancel()
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -126,6 +126,7 @@
 	refused   int      // starts that unhealthy workers refused
 	duplicate string   // a task that ran in two places at once
 	runTime   time.Duration
+	serving   bool // tasks are at work from their start on
 }
 
 func (h *fakeWorkers) clock(w *fakeWorker) time.Time {
@@ -293,7 +294,11 @@
 	w.listings++
 	l := Listing{Complete: true, Ended: slices.Clone(w.ended)}
 	for id, r := range w.running {
-		l.Running = append(l.Running, ListedRun{Task: id, Run: r.run, Percent: r.percent()})
+		percent := r.percent()
+		if h.serving {
+			percent = 100
+		}
+		l.Running = append(l.Running, ListedRun{Task: id, Run: r.run, Percent: percent})
 	}
 	return l, a, true
 }
@@ -310,6 +315,7 @@
 	log      *fakeLog
 	state    *job.State
 	workers  *fakeWorkers
+	vms      *fakeVMs
 	leader   *Dispatcher
 	stop     context.CancelFunc
 	done     chan struct{}
@@ -320,13 +326,15 @@
 	b := &testCluster{
 		is: is.New(t), state: job.New(), workers: &fakeWorkers{all: map[string]*fakeWorker{}, runTime: time.Second}, done: make(chan struct{}),
 	}
+	b.vms = newFakeVMs(b)
 	b.log = &fakeLog{machine: b.state, term: 1, leads: true, lease: time.Second, changed: make(chan struct{})}
 	var err error
 	b.leader, err = New(Options{
-		Name: "me", State: b.state, Log: b.log, Upstream: b.workers, Peer: unreachablePeers{}, Members: func() []string { return []string{"me"} },
+		Name: "me", State: b.state, Log: b.log, Upstream: b.workers, VMs: b.vms, Peer: unreachablePeers{}, Members: func() []string { return []string{"me"} },
 		Timing: Timing{
 			MaxLease: maxLease, StopTime: 900 * time.Millisecond, GangTime: 3 * time.Second,
 			ReportInterval: 1500 * time.Millisecond, JobRetention: time.Minute, MaxPoll: 2 * time.Second,
+			Maintenance: 2 * time.Second, HolderLease: 3 * time.Second,
 		},
 	})
 	b.is.NoErr(err)
--- a/internal/process/dispatch/inbox.go
+++ b/internal/process/dispatch/inbox.go
@@ -21,6 +21,8 @@
 	settled   []job.Start // orphans that can no longer be executed
 	cancels   []job.ID
 	submits   []job.Job
+	waves     []job.Wave
+	steps     []job.WaveStep
 	waiters   []chan bool // receive whether the input was committed
 	acks      []acknowledgement
 }
@@ -35,7 +37,7 @@
 // empty reports whether there is nothing to commit.
 func (n *inbox) empty() bool {
 	return n.catalogue == nil &&
-		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits) == 0
+		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps) == 0
 }
 
 // take removes and returns input of about size bytes. Waiters and
@@ -50,6 +52,8 @@
 	takeItems(&n.settled, &in.settled, &left, sizeOfRun)
 	takeItems(&n.cancels, &in.cancels, &left, func(id *job.ID) int { return runSize + len(*id) })
 	takeItems(&n.submits, &in.submits, &left, sizeOfJob)
+	takeItems(&n.waves, &in.waves, &left, sizeOfWave)
+	takeItems(&n.steps, &in.steps, &left, func(s *job.WaveStep) int { return runSize + len(s.VM) + len(s.Worker) })
 	rest := *n
 	rest.catalogue = nil
 	if !rest.empty() || n.catalogue != nil && !in.empty() && left < sizeOfCatalogue(n.catalogue) {
@@ -88,6 +92,14 @@
 	return n
 }
 
+func sizeOfWave(w *job.Wave) int {
+	n := runSize
+	for _, name := range w.VMs {
+		n += len(name) + 2
+	}
+	return n
+}
+
 func sizeOfCatalogue(c *job.Catalogue) int {
 	n := len(c.Document) + queueSize*(len(c.Queues)+len(c.Pools)+len(c.Workspaces))
 	for i := range c.Workspaces {
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -63,9 +63,11 @@
 	stepsChecked   time.Time               // when dropSteps was last called
 	loadsAt        time.Time               // when loads were computed
 	doubts         map[string]*doubts      // by worker
-	waves          map[int64]*wave
-	lastPoolLog    time.Time            // when the usage of the pools was last logged
-	unanswered     map[string]time.Time // by worker; when an order last got no answer
+	missing        map[string]time.Time    // by VM: since when the platform does not list it; used by runWaves only
+	begunAt        map[string]time.Time    // by VM: when its maintenance was accepted in this term; used by runWaves only
+	nextWaveLog    time.Time               // what holds the waves up is not logged before this; used by runWaves only
+	lastPoolLog    time.Time               // when the usage of the pools was last logged
+	unanswered     map[string]time.Time    // by worker; when an order last got no answer
 }
 
 // stepState is the leader's in-memory record of a step.
@@ -93,7 +95,7 @@
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*fit.Peak{},
 		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
-		doubts: map[string]*doubts{}, waves: map[int64]*wave{}, unanswered: map[string]time.Time{},
+		doubts: map[string]*doubts{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
 	}
 }
 
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -35,6 +35,9 @@
 const (
 	reasonOtherLife = "another incarnation answers under its id"
 	reasonNewLife   = "a newer incarnation reported itself"
+	// reasonMaintenance is the reason for the removal of a worker whose VM went down for
+	// its maintenance.
+	reasonMaintenance = "the maintenance of its VM has begun"
 )
 
 // worker is the leader's in-memory record of one incarnation of a worker.
@@ -64,6 +67,7 @@
 	avoidedUntil      time.Time       // no new tasks before this
 	wasSlow           bool            // was slow and has not shown normal speed since
 	committed         bool            // its incarnation is in the replicated state
+	cordoned          bool            // gets no new tasks before the maintenance of its VM
 	load              fit.Worker      // what runs on it
 	changes           uint64          // job.View.Changes when load was computed
 	stale             bool            // load has to be computed anew for another reason
@@ -127,7 +131,7 @@
 
 // usable reports whether the worker may get new tasks.
 func (w *worker) usable(now time.Time, every time.Duration) bool {
-	return !w.Draining && w.listed && !w.refuses && len(w.orphans) == 0 && w.leavesAt.IsZero() && !w.clockReading.IsZero() && !w.silent(now) &&
+	return !w.Draining && !w.cordoned && w.listed && !w.refuses && len(w.orphans) == 0 && w.leavesAt.IsZero() && !w.clockReading.IsZero() && !w.silent(now) &&
 		now.Sub(w.lastSeen) < maxMissedReports*every && !now.Before(w.avoidedUntil)
 }
 
--- a/internal/version/job/snapshot.go
+++ b/internal/version/job/snapshot.go
@@ -51,7 +51,7 @@
 	}
 	maps.Copy(v.Limits, d.Limits)
 	maps.Copy(v.Waves.Open, d.Waves.Open)
-	v.Waves.Finished = d.Waves.Finished
+	v.Waves.Closed = d.Waves.Closed
 	if v.Catalogue != nil {
 		v.addLimits(v.Catalogue) // snapshots of earlier builds have no limits
 	}
--- a/internal/version/job/wave.go
+++ b/internal/version/job/wave.go
@@ -35,10 +35,10 @@
 
 // Limits on waves. A wave is committed in one round.
 const (
-	maxWaveVMs       = 2000
-	maxVMName        = 64
-	maxOpenWaves     = 64
-	maxFinishedWaves = 256
+	maxWaveVMs     = 2000
+	maxVMName      = 64
+	maxOpenWaves   = 64
+	maxClosedWaves = 256
 )
 
 // Check returns an error if the wave cannot be carried out.
@@ -62,14 +62,18 @@
 	Stage  Stage       `cbor:"1,keyasint,omitempty"`
 	Worker string      `cbor:"2,keyasint,omitempty"` // that ran on it when the first order was decided; empty if none was known
 	Life   Incarnation `cbor:"3,keyasint,omitempty"`
+	Sent   bool        `cbor:"4,keyasint,omitempty"` // an order may have been sent
 }
 
-// WaveRecord is the state of an unfinished wave.
+// WaveRecord is the state of a wave until all its VMs are back.
 type WaveRecord struct {
 	Wave Wave              `cbor:"1,keyasint"`
 	VMs  map[string]WaveVM `cbor:"2,keyasint"`
 }
 
+// Finished reports whether the maintenance of each VM that stays has begun.
+func (r *WaveRecord) Finished() bool { return r.Count(Waiting, Ordered) == 0 }
+
 // Count returns the number of VMs in any of the stages.
 func (r *WaveRecord) Count(stages ...Stage) int {
 	n := 0
@@ -93,18 +97,18 @@
 
 // waves is the state of all waves.
 type waves struct {
-	Open     map[int64]*WaveRecord `cbor:"1,keyasint,omitempty"`
-	Finished []int64               `cbor:"2,keyasint,omitempty"` // the latest ones, in the order in which they finished
+	Open   map[int64]*WaveRecord `cbor:"1,keyasint,omitempty"`
+	Closed []int64               `cbor:"2,keyasint,omitempty"` // the latest ones, in the order in which they were closed
 }
 
-// WaveKnown reports whether a wave was added, and whether it is finished. Only the
-// latest finished waves are known.
+// WaveKnown reports whether a wave was added, and whether it is finished. Of the
+// waves whose VMs are all back, only the latest are known.
 func (v *View) WaveKnown(number int64) (known, finished bool) {
-	if v.Waves.Open[number] != nil {
-		return true, false
+	if r := v.Waves.Open[number]; r != nil {
+		return true, r.Finished()
 	}
-	finished = slices.Contains(v.Waves.Finished, number)
-	return finished, finished
+	closed := slices.Contains(v.Waves.Closed, number)
+	return closed, closed
 }
 
 // WavesFull reports whether no further wave can be added.
@@ -121,7 +125,7 @@
 	}
 	r.Wave.VMs = slices.Sorted(maps.Keys(r.VMs)) // each once
 	v.Waves.Open[w.Number] = r
-	v.finishWave(r)
+	v.closeWave(r)
 }
 
 // advance applies a step of a VM. Steps only go forward, except that a VM which left
@@ -133,25 +137,28 @@
 	}
 	m, ok := r.VMs[s.VM]
 	returns := m.Stage == Left && s.Stage == Waiting
-	if !ok || s.Stage <= m.Stage && !returns || s.Stage == Back && m.Stage != Begun {
+	if !ok || s.Stage <= m.Stage && !returns || s.Stage == Back && m.Stage != Begun || s.Stage == Left && m.Stage >= Begun {
 		return
 	}
 	m.Stage = s.Stage
-	if s.Stage == Ordered {
-		m.Worker, m.Life = s.Worker, s.Life
+	if returns && m.Sent {
+		m.Stage = Ordered
+	}
+	if s.Stage == Ordered && !m.Sent {
+		m.Worker, m.Life, m.Sent = s.Worker, s.Life, true
 	}
 	r.VMs[s.VM] = m
-	v.finishWave(r)
+	v.closeWave(r)
 }
 
-// finishWave finishes a wave once the maintenance of each VM that stays has begun.
-func (v *View) finishWave(r *WaveRecord) {
-	if r.Count(Waiting, Ordered) > 0 {
+// closeWave drops the record of a wave once each VM that stays is back.
+func (v *View) closeWave(r *WaveRecord) {
+	if r.Count(Waiting, Ordered, Begun) > 0 {
 		return
 	}
 	delete(v.Waves.Open, r.Wave.Number)
-	v.Waves.Finished = append(v.Waves.Finished, r.Wave.Number)
-	if over := len(v.Waves.Finished) - maxFinishedWaves; over > 0 {
-		v.Waves.Finished = slices.Clone(v.Waves.Finished[over:])
+	v.Waves.Closed = append(v.Waves.Closed, r.Wave.Number)
+	if over := len(v.Waves.Closed) - maxClosedWaves; over > 0 {
+		v.Waves.Closed = slices.Clone(v.Waves.Closed[over:])
 	}
 }
--- a/internal/version/job/wave_test.go
+++ b/internal/version/job/wave_test.go
@@ -41,16 +41,25 @@
 	m.state.View(func(v *View) {
 		r := v.Waves.Open[7]
 		is.Equal(len(r.VMs), 3)
-		is.Equal(r.VMs["x"], WaveVM{Stage: Begun, Worker: "a", Life: 1})
+		is.Equal(r.VMs["x"], WaveVM{Stage: Begun, Worker: "a", Life: 1, Sent: true})
 		is.Equal(r.VMs["y"].Stage, Waiting)
 		is.Equal(r.Wave.Deadline.UnixMilli(), w.Deadline.UnixMilli())
 	})
 	m.step(7, "y", Ordered)
+	m.step(7, "y", Left)
+	m.step(7, "y", Waiting)
+	m.state.View(func(v *View) { is.Equal(v.Waves.Open[7].VMs["y"].Stage, Ordered) })
 	_, finished = m.wave(7)
 	is.True(!finished) // the order may have been lost
 	m.step(7, "y", Begun)
 	_, finished = m.wave(7)
 	is.True(finished)
+	m.state.View(func(v *View) { is.Equal(v.Waves.Open[7].Count(Begun), 2) }) // what ran there has yet to be given up
+	m.step(7, "x", Back)
+	m.step(7, "y", Back)
+	m.state.View(func(v *View) { is.Equal(len(v.Waves.Open), 0) })
+	known, finished = m.wave(7)
+	is.True(known && finished)
 }
 
 // Guards against a wave that is sent again and begins anew, and against a VM whose
@@ -77,14 +86,14 @@
 func TestWavesAreBounded(t *testing.T) {
 	is := is.New(t)
 	m := newMachine(is)
-	for n := range int64(maxFinishedWaves + 10) {
+	for n := range int64(maxClosedWaves + 10) {
 		m.apply(Round{Waves: []Wave{{Number: n, Limit: 1}}}) // without VMs, it is finished at once
 	}
 	for n := range int64(maxOpenWaves + 10) {
 		m.apply(Round{Waves: []Wave{{Number: 1000 + n, VMs: []string{"x"}, Limit: 1}}})
 	}
 	m.state.View(func(v *View) {
-		is.Equal(len(v.Waves.Finished), maxFinishedWaves)
+		is.Equal(len(v.Waves.Closed), maxClosedWaves)
 		is.Equal(len(v.Waves.Open), maxOpenWaves)
 	})
 	known, _ := m.wave(9)
