--- a/internal/process/dispatch/wave.go
+++ b/internal/process/dispatch/wave.go
@@ -156,7 +156,7 @@
 		return
 	}
 	if steps := t.observeVMs(waves, listed); len(steps) > 0 {
-		if !t.commitSteps(ctx, steps) {
+		if !t.commitSteps(ctx, waves, steps) {
 			return
 		}
 		waves = t.openWaves()
@@ -167,7 +167,7 @@
 		return // the last order of the previous leader may be that recent
 	}
 	if steps := t.newOrders(waves, listed, plan); len(steps) > 0 {
-		if !t.commitSteps(ctx, steps) {
+		if !t.commitSteps(ctx, waves, steps) {
 			return
 		}
 		waves = t.openWaves()
@@ -187,8 +187,8 @@
 	return listed, err
 }
 
-// commitSteps commits steps of VMs.
-func (t *term) commitSteps(ctx context.Context, steps []job.WaveStep) bool {
+// commitSteps commits steps of VMs and reports whether it succeeded.
+func (t *term) commitSteps(ctx context.Context, waves []*job.WaveRecord, steps []job.WaveStep) bool {
 	t.mu.Lock()
 	committed := t.enqueue(func(n *inbox) { n.steps = append(n.steps, steps...) })
 	t.mu.Unlock()
@@ -209,6 +209,7 @@
 			t.emit(event.VMLeft, fields...)
 		}
 	}
+	t.logFinished(waves)
 	return true
 }
 
@@ -402,15 +403,15 @@
 			steps = append(steps, job.WaveStep{Wave: d.Wave, VM: d.VM, Stage: job.Begun})
 		}
 	}
-	if len(steps) > 0 && t.commitSteps(ctx, steps) {
-		t.logFinished(waves)
+	if len(steps) > 0 {
+		t.commitSteps(ctx, waves, steps)
 	}
 }
 
-// logFinished logs which of the waves are finished.
+// logFinished logs which of the waves, as they were before a commit, are finished.
 func (t *term) logFinished(waves []*job.WaveRecord) {
 	for _, w := range waves {
-		if t.waveState(w.Wave.Number).State == job.Completed {
+		if !w.Finished() && t.waveState(w.Wave.Number).State == job.Completed {
 			t.emit(event.WaveFinished, zap.Int64("wave", w.Wave.Number), zap.Duration("late", t.now().Sub(w.Wave.Deadline)))
 		}
 	}
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -1,12 +1,13 @@
 // Package fit decides which waiting tasks start on which workers, which queries
-// to send to the advice service, which runs to preempt, and which workers are
-// slow.
+// to send to the advice service, which runs to preempt, which workers are slow, and
+// which VMs of a wave begin their maintenance.
 //
 // # Usage
 //
 //	plan := fit.Decide(now, demands, fit.Cluster{Workers: workers, Limits: limits, Headroom: headroom})
 //	for _, s := range plan.Starts { ... }  // commit, then send to the workers
 //	for _, q := range plan.Queries { ... } // query the advice service
+//	plan := fit.PlanMaintenance(now, &fit.Maintenance{Waves: waves, VMs: vms, Services: services})
 //
 // Decide uses no clock, does no I/O and keeps no state between calls. Equal
 // arguments give equal plans. It updates the free amounts, counters and limits
