--- a/internal/cell/cell_test.go
+++ b/internal/cell/cell_test.go
@@ -277,10 +277,11 @@
 				time.Sleep(viewExpiry) // the VM's view expires meanwhile
 				h.NoErr(h.Processes[name].Signal(syscall.SIGCONT))
 			} else {
-				// The VM's view from before the cut expires at its deadline.
+				// The VM's view from before the cut expires at its deadline. Before that, a
+				// request fails if another VM owns the runner.
 				h.until("the view of the cut-off VM expires", func() bool {
 					_, err := at.Request(h.ctx, Service, "x", nil, true)
-					return err != nil
+					return code(err) == api.Stale
 				})
 			}
 			// From here on, no request with the key may be served.
@@ -316,14 +317,21 @@
 	before := a().Total + b().Total
 	for i := range 5 {
 		ctx := client.WithIdentity(h.ctx, fmt.Sprintf("order-%d", i))
-		first := make(chan error, 1)
+		attempt, stop := context.WithCancel(ctx)
+		first := make(chan struct{})
 		go func() {
-			_, err := h.At("vm-4", h.keys.Caller).Request(ctx, Orders, "order", []byte("one lorry"), false)
-			first <- err
+			defer close(first)
+			for attempt.Err() == nil { // again with the same identity if there was no leader
+				if _, err := h.At("vm-4", h.keys.Caller).Request(attempt, Orders, "order", []byte("one lorry"), false); err == nil {
+					return
+				}
+				time.Sleep(50 * time.Millisecond)
+			}
 		}()
 		h.until("the order is being run", func() bool { return a().Total+b().Total > before })
 		before++
 		h.NoErr(h.Processes["vm-4"].Kill())
+		stop()
 		<-first
 		for _, name := range []string{"vm-1", "vm-2", "vm-3"} {
 			_, err := h.At(name, h.keys.Caller).Request(ctx, Orders, "order", []byte("one lorry"), false)
@@ -389,8 +397,8 @@
 				mine := base
 				mine.Weight = int64(100*round + i + 1)
 				ctx := client.WithIdentity(h.ctx, fmt.Sprintf("race-%d-%d", round, i))
-				first, err := h.At(n.Name, h.Secret()).PutTeam(ctx, mine)
-				again, errAgain := h.At(n.Name, h.Secret()).PutTeam(ctx, mine)
+				first, err := putTeam(ctx, h.At(n.Name, h.Secret()), mine)
+				again, errAgain := putTeam(ctx, h.At(n.Name, h.Secret()), mine)
 				results[i] = err
 				if (err == nil) != (errAgain == nil) || first.Version != again.Version {
 					results[i] = errors.Newf("retry returned a different result: first %v, then %v", err, errAgain)
@@ -410,9 +418,33 @@
 	}
 }
 
+// putTeam changes a team. While there is no leader, the outcome is unknown, and the
+// same change is sent again.
+func putTeam(ctx context.Context, c *client.Client, t api.Team) (api.Changed, error) {
+	for {
+		v, err := c.PutTeam(ctx, t)
+		if code(err) != api.Timeout && code(err) != api.NoLeader || ctx.Err() != nil {
+			return v, err
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // Guards against a process that serves an old catalogue after it was down during
 // hundreds of changes.
 func TestMissedChanges(t *testing.T) {
+	t.Run("one leader", func(t *testing.T) { testMissedChanges(t, func(*harness) {}) })
+	t.Run("another leader before the last change", func(t *testing.T) {
+		testMissedChanges(t, func(h *harness) {
+			paused := h.Processes[h.leader()]
+			h.NoErr(paused.Signal(syscall.SIGSTOP))
+			time.Sleep(1200 * time.Millisecond)
+			h.NoErr(paused.Signal(syscall.SIGCONT))
+		})
+	})
+}
+
+func testMissedChanges(t *testing.T, beforeLast func(h *harness)) {
 	h := newHarness(t, 4)
 	h.NoErr(h.Processes["vm-4"].Kill())
 	behind := "vm-1"
@@ -424,6 +456,7 @@
 		_, err := h.Operator().PutTeam(h.ctx, api.Team{Name: fmt.Sprintf("team-%d", i), Weight: 1})
 		h.NoErr(err)
 	}
+	beforeLast(h)
 	changed, err := h.Operator().PutKey(h.ctx, api.Key{Name: "late", Team: Team, Role: "caller"})
 	h.NoErr(err)
 	h.NoErr(h.StartNode(behind))
--- a/internal/process/dispatch/advice.go
+++ b/internal/process/dispatch/advice.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,13 +18,6 @@
 	// adviceClientTimeout is how long after its last ping a process counts as
 	// able to query the advice service.
 	adviceClientTimeout = 1200 * time.Millisecond
-	// maxAdviceBacklog bounds the time that queries wait in one process. The
-	// advice service handles one query of a process at a time, and tickets
-	// expire.
-	maxAdviceBacklog = 400 * time.Millisecond
-	// urgentAdviceClients is the number of processes that send queries for
-	// urgent work only.
-	urgentAdviceClients = 2
 	// adviceTimeoutMargin is added to the expected response time.
 	adviceTimeoutMargin = 1500 * time.Millisecond
 	// allowedLearnRate is the weight of each answer in the moving average of the share
@@ -34,51 +28,40 @@
 	adviceRetryDelay = 100 * time.Millisecond
 )
 
-// queryAdvice sends a query through the process that is idle first, unless all
-// have too long a backlog. A query ahead of free capacity is sent only through
-// a process that is idle now. The caller holds the lock.
-func (t *term) queryAdvice(a fit.Query, now time.Time) {
-	s := t.step(a.Demand.Step)
-	name, client := t.pickAdviceClient(now, a.Demand.Priority == 0)
-	if client == nil || client.idleAt.Sub(now) > maxAdviceBacklog || a.Early && client.idleAt.After(now) {
+// queryAdvice sends a query, if one of the clients can send it soon, and updates the
+// list of clients. The caller holds the lock.
+func (t *term) queryAdvice(a fit.Query, clients []fit.Client, now time.Time) {
+	i := fit.PickClient(now, clients, a)
+	if i < 0 {
 		return
 	}
+	client := t.adviceClients[clients[i].Name]
 	q := t.adviceSettings(a.Demand.Step)
 	if q == nil {
 		return
 	}
+	s := t.step(a.Demand.Step)
 	expected := q.Base + time.Duration(len(a.Workers))*q.Each
 	client.idleAt = later(client.idleAt, now).Add(expected)
+	clients[i].IdleAt = client.idleAt
 	deadline := client.idleAt.Add(adviceTimeoutMargin)
 	s.advice.Queries++
 	for _, w := range a.Workers {
 		s.advice.Asked[w] = true
 	}
-	t.orders.Go(func() { t.sendQuery(s, a, name, client, q, deadline) })
+	t.orders.Go(func() { t.sendQuery(s, a, client, q, deadline) })
 }
 
-// pickAdviceClient returns the process that is idle first. If there are enough
-// processes, some are reserved for urgent work, whose queries are short and
-// would otherwise wait behind long ones.
-func (t *term) pickAdviceClient(now time.Time, urgent bool) (string, *adviceClient) {
-	var names []string
-	for n, client := range t.adviceClients {
-		if now.Sub(client.lastPing) <= adviceClientTimeout {
-			names = append(names, n)
-		}
-	}
-	slices.Sort(names)
-	if !urgent && len(names) > 2*urgentAdviceClients {
-		names = names[urgentAdviceClients:]
-	}
-	var name string
-	var best *adviceClient
-	for _, n := range names {
-		if client := t.adviceClients[n]; best == nil || client.idleAt.Before(best.idleAt) {
-			name, best = n, client
+// liveAdviceClients returns the processes that can send queries, ordered by name.
+func (t *term) liveAdviceClients(now time.Time) []fit.Client {
+	var clients []fit.Client
+	for n, c := range t.adviceClients {
+		if now.Sub(c.lastPing) <= adviceClientTimeout {
+			clients = append(clients, fit.Client{Name: n, IdleAt: c.idleAt})
 		}
 	}
-	return name, best
+	slices.SortFunc(clients, func(a, b fit.Client) int { return strings.Compare(a.Name, b.Name) })
+	return clients
 }
 
 // adviceSettings returns the advice settings of a step's queue, or nil if the
@@ -94,12 +77,12 @@
 }
 
 // sendQuery sends a query through a process and records the answer.
-func (t *term) sendQuery(s *stepState, a fit.Query, name string, client *adviceClient, q *job.Advised, deadline time.Time) {
+func (t *term) sendQuery(s *stepState, a fit.Query, client *adviceClient, q *job.Advised, deadline time.Time) {
 	ctx, cancel := context.WithDeadline(t.ctx, deadline)
 	defer cancel()
 	var answer cell.Advice
 	sent := t.now()
-	err := t.dispatcher.options.Peer.Call(ctx, name, cell.MethodAdvise,
+	err := t.dispatcher.options.Peer.Call(ctx, client.name, cell.MethodAdvise,
 		cell.AdviceQuery{Step: a.Demand.Step.String(), Workers: a.Workers}, &answer)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -114,7 +97,7 @@
 	if err != nil {
 		s.adviceRetryAt = now.Add(adviceRetryDelay)
 		client.idleAt = later(client.idleAt, now)
-		t.emit(event.AdviceFailed, zap.Stringer("step", a.Demand.Step), zap.String("through", name), event.Cause(err))
+		t.emit(event.AdviceFailed, zap.Stringer("step", a.Demand.Step), zap.String("through", client.name), event.Cause(err))
 		t.signal()
 		return
 	}
@@ -122,7 +105,7 @@
 		client.idleAt = now
 	}
 	t.recordAdvice(s, a, q, answer, now)
-	t.emit(event.AdviceAsked, zap.Stringer("step", a.Demand.Step), zap.String("through", name),
+	t.emit(event.AdviceAsked, zap.Stringer("step", a.Demand.Step), zap.String("through", client.name),
 		zap.Int("workers", len(a.Workers)), zap.Int("good", len(answer.Tickets)), zap.Duration("took", now.Sub(sent)))
 	t.signal()
 }
@@ -142,6 +125,6 @@
 	t.allowedShares[a.Demand.Queue] = max(share, minAllowedShare)
 	for _, w := range a.Workers {
 		ticket, allowed := answer.Tickets[w]
-		s.advice.Answers[w] = fit.Answer{Allowed: allowed, Ticket: ticket, Expiry: now.Add(valid - ticketMargin)}
+		s.advice.Record(w, fit.Answer{Allowed: allowed, Ticket: ticket, Expiry: now.Add(valid - ticketMargin)})
 	}
 }
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -61,14 +61,13 @@
 // poll lists a worker's runs, extends its lease and acknowledges its ended
 // runs, until it has none.
 func (t *term) poll(w *worker) {
-	for {
+	for t.awaitLease() {
 		t.mu.Lock()
 		if t.over || t.workers[w.ID] != w || w.idle() {
 			w.polling = false
 			t.mu.Unlock()
 			return
 		}
-		w.pollOnce = false
 		o := t.listOrder(w)
 		timeout := o.Wait + listTimeoutMargin
 		if t.lossy() {
@@ -76,27 +75,40 @@
 		}
 		target := w.Worker
 		t.mu.Unlock()
-		if !t.isLeading() {
-			sleep(t.ctx, orderRetryDelay)
-			if t.ctx.Err() != nil {
-				return
-			}
-			continue
-		}
 		sent := t.now()
 		listing, a := t.dispatcher.options.Upstream.List(t.permit(timeout), &target, o)
 		if committed := t.handleListing(w, sent, listing, a); committed != nil {
 			t.awaitCommit(t.ctx, committed)
 		}
+		if t.pausePolling(w, a) {
+			return
+		}
 		switch {
 		case o.Wait == 0:
 			sleep(t.ctx, unresolvedListWait) // polls again for what is not known yet
+		case a.Result == Refused:
+			sleep(t.ctx, refusalRetryDelay)
 		case a.Result != Accepted || len(listing.Ended) > 0:
 			sleep(t.ctx, minListInterval)
 		}
 	}
 }
 
+// pausePolling ends the loop of a worker that does not answer and is not known to
+// run anything. The loop starts again with the worker's next report.
+func (t *term) pausePolling(w *worker, a Answer) bool {
+	if a.Result == Accepted || a.Result == Undelivered {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(w.runs)+len(w.orphans) > 0 || w.acknowledged < w.lastEnd {
+		return false
+	}
+	w.polling = false
+	return true
+}
+
 // lossy reports whether orders to several workers got no answer recently. One
 // worker alone may be gone.
 func (t *term) lossy() bool {
@@ -108,8 +120,11 @@
 // listOrder returns the next listing order for a worker. It waits less if an
 // end, or the outcome of an order, is wanted soon.
 func (t *term) listOrder(w *worker) ListOrder {
-	o := ListOrder{Lease: w.extendLease(t.now(), t.leaseDuration()), Fence: t.number, Acknowledged: w.acknowledged}
 	now := t.now()
+	o := ListOrder{Lease: w.leaseEnd, Fence: t.number, Acknowledged: w.acknowledged}
+	if w.needsLease() {
+		o.Lease = w.extendLease(now, t.leaseDuration())
+	}
 	if len(w.runs) == 0 || w.silent(now) || w.clockReading.IsZero() {
 		return o
 	}
@@ -129,7 +144,7 @@
 			expected := overdueFactor * float64(t.baseline(r.queue).Expected(r.spec.Estimate))
 			o.Wait = min(o.Wait, max(r.startResolvedAt.Add(time.Duration(expected)).Sub(now), overdueListWait))
 		}
-		if r.startResolvedAt.IsZero() || !r.stopAnsweredAt.IsZero() {
+		if r.startResolvedAt.IsZero() || !r.stopAcceptedAt.IsZero() {
 			// The outcome of the order is needed soon, and possibly no run ends
 			// meanwhile.
 			o.Wait = min(o.Wait, unresolvedListWait)
@@ -149,10 +164,13 @@
 	if !t.handleAnswer(w, a) {
 		return nil
 	}
+	if a.Result == Refused {
+		w.refuses, w.pollOnce = true, true
+	}
 	if a.Result != Accepted {
 		return nil
 	}
-	w.listed = true
+	w.listed, w.pollOnce, w.refuses = true, false, false
 	present := map[job.TaskID]int{}
 	for _, listed := range l.Running {
 		present[listed.Task] = listed.Run
@@ -160,7 +178,7 @@
 	}
 	t.checkSpeed(w)
 	if l.Complete {
-		w.dropOrphans(sent, present)
+		t.dropOrphans(w, sent, present)
 	}
 	last := w.lastEnd
 	for _, e := range l.Ended {
@@ -186,7 +204,7 @@
 func (t *term) handleListedRun(w *worker, listed ListedRun, clock time.Time) {
 	r := w.runs[listed.Task]
 	if r == nil || r.number != listed.Run {
-		t.stopOrphan(w, listed.Task, listed.Run, "the worker lists an orphaned run")
+		t.addOrphan(w, listed.Task, listed.Run, "the worker lists an orphaned run")
 		return
 	}
 	if r.endQueued {
@@ -239,15 +257,15 @@
 }
 
 // loseMissing gives up runs that are absent from a listing although they should
-// be in it: the worker had answered their start, or their stop, before the
-// listing was requested.
+// be in it: the worker had answered their start, or accepted their stop, before
+// the listing was requested.
 func (t *term) loseMissing(w *worker, sent time.Time, present map[job.TaskID]int) {
 	for id, r := range w.runs {
 		if _, listed := present[id]; r.endQueued || listed {
 			continue
 		}
 		started := !r.startResolvedAt.IsZero() && r.startResolvedAt.Before(sent)
-		stopped := !r.stopAnsweredAt.IsZero() && r.stopAnsweredAt.Before(sent)
+		stopped := !r.stopAcceptedAt.IsZero() && r.stopAcceptedAt.Before(sent)
 		if started || stopped {
 			t.lose(r, "not listed by the worker")
 			t.stopGang(r)
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -40,8 +41,9 @@
 	ctx        context.Context
 	orders     sync.WaitGroup
 	wake       chan struct{}
-	nextRound  time.Time // no round is decided before this; used by runRounds only
-	lapsedAt   time.Time // when the lease was found lapsed; zero while it is held; used by runChecks only
+	nextRound  time.Time                                 // no round is decided before this; used by runRounds only
+	idle       atomic.Pointer[map[string]work.Resources] // see Dispatcher.Idle
+	lapsedAt   time.Time                                 // when the lease was found lapsed; zero while it is held; used by runChecks only
 
 	mu             sync.Mutex // guards the rest; taken before the state's lock
 	over           bool
@@ -51,38 +53,21 @@
 	steps          map[job.StepID]*stepState
 	adviceClients  map[string]*adviceClient
 	timeToDeadline map[job.ID]time.Duration  // from the due time to the deadline of the job
-	urgentPeaks    map[string]*peak          // by pool
+	urgentPeaks    map[string]*fit.Peak      // by pool
 	urgentUse      map[string]work.Resources // by pool; reserved by urgent runs
 	baselines      map[string]*fit.Baseline  // by queue
 	allowedShares  map[string]float64        // by queue; of the workers that were asked about
 	inbox          inbox
-	loads          map[string]*fit.Load // by pool
-	stepsChecked   time.Time            // when dropSteps was last called
-	loadsAt        time.Time            // when loads were computed
+	loads          map[string]*fit.Load    // by pool
+	returns        map[string]*fit.Returns // by pool
+	stepsChecked   time.Time               // when dropSteps was last called
+	loadsAt        time.Time               // when loads were computed
+	doubts         map[string]*doubts      // by worker
 	waves          map[int64]*wave
 	lastPoolLog    time.Time            // when the usage of the pools was last logged
 	unanswered     map[string]time.Time // by worker; when an order last got no answer
 }
 
-// inbox collects the input of the next round.
-type inbox struct {
-	catalogue *job.Catalogue
-	workers   []job.Worker
-	gone      []job.Worker
-	ends      []job.End
-	cancels   []job.ID
-	submits   []job.Job
-	waiters   []chan bool // receive whether the round was committed
-	acks      []acknowledgement
-}
-
-// acknowledgement says up to which number the ends of a worker are acknowledged
-// once the round is committed.
-type acknowledgement struct {
-	worker *worker
-	number int64
-}
-
 // stepState is the leader's in-memory record of a step.
 type stepState struct {
 	advice        fit.Advice
@@ -96,24 +81,19 @@
 
 // adviceClient is a process that queries the advice service for the leader.
 type adviceClient struct {
+	name     string
 	lastPing time.Time
 	idleAt   time.Time // when its queries so far are expected to be answered
 }
 
-// peak is the highest recent use of a pool by urgent work.
-type peak struct {
-	use work.Resources
-	at  time.Time
-}
-
 func newTerm(d *Dispatcher, number uint64) *term {
 	return &term{
 		dispatcher: d, number: number, began: d.options.Now(), wake: make(chan struct{}, 1),
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*stepState{},
-		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*peak{},
-		urgentUse: map[string]work.Resources{},
+		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*fit.Peak{},
+		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
-		waves: map[int64]*wave{}, unanswered: map[string]time.Time{},
+		doubts: map[string]*doubts{}, waves: map[int64]*wave{}, unanswered: map[string]time.Time{},
 	}
 }
 
@@ -136,6 +116,18 @@
 	return name == t.dispatcher.options.Name && number == t.number && t.now().Before(lease)
 }
 
+// awaitLease waits until this process may send orders. It reports whether the term
+// continues. The lease may lapse for a moment within a term, such as after a pause.
+func (t *term) awaitLease() bool {
+	for !t.isLeading() {
+		sleep(t.ctx, orderRetryDelay)
+		if t.ctx.Err() != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // signal wakes the loop that builds rounds.
 func (t *term) signal() {
 	select {
@@ -187,6 +179,9 @@
 		for name, reservations := range v.Reservations {
 			t.adoptRuns(v, name, reservations, now)
 		}
+		for name, orphans := range v.Orphans {
+			t.adoptOrphans(name, orphans)
+		}
 		t.emit(event.TermBegun, zap.Uint64("term", t.number), zap.Int("workers", len(v.Workers)),
 			zap.Int("runs", len(t.runs)), zap.Int("jobs", len(v.Active)))
 	})
@@ -211,13 +206,20 @@
 	for id, o := range reservations {
 		record, _, task := v.Find(id)
 		life := task.Life
-		if w == nil || w.Life != life {
-			// The worker's incarnation has ended, and its runs with it.
+		if w == nil {
 			t.inbox.ends = append(t.inbox.ends, job.End{Task: id, Run: o.Run, Worker: name, Life: life, Outcome: job.Lost})
 			continue
 		}
 		r := &run{id: id, number: o.Run, worker: w, spec: &record.Job.Steps[id.Step], committedAt: now, startResolvedAt: now, lastProgress: now,
 			urgent: record.Queue.Priority == 0, queue: queueKey(&record.Queue), resumed: true}
+		if w.Life != life {
+			// The next incarnation may execute it. The former one is only known by name.
+			r.worker = newWorker(w.Worker, now)
+			r.worker.Life = life
+			t.addRun(r)
+			t.stopFormer(w, r)
+			continue
+		}
 		t.addRun(r)
 		if record.Status.Final() || task.Done {
 			t.stop(r)
@@ -236,20 +238,6 @@
 	t.inbox = inbox{}
 }
 
-// enqueue adds input to the next round. It returns a channel that receives
-// whether the round was committed. The caller holds the lock.
-func (t *term) enqueue(add func(*inbox)) <-chan bool {
-	c := make(chan bool, 1)
-	if t.over {
-		c <- false
-		return c
-	}
-	add(&t.inbox)
-	t.inbox.waiters = append(t.inbox.waiters, c)
-	t.signal()
-	return c
-}
-
 // awaitCommit waits until a round was committed or failed, or until ctx ends. It
 // reports whether the round was committed.
 func (t *term) awaitCommit(ctx context.Context, c <-chan bool) bool {
@@ -267,7 +255,7 @@
 	defer t.mu.Unlock()
 	client := t.adviceClients[name]
 	if client == nil {
-		client = &adviceClient{}
+		client = &adviceClient{name: name}
 		t.adviceClients[name] = client
 	}
 	client.lastPing = t.now()
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -57,12 +57,14 @@
 	Free        work.Resources
 	Usable      bool           // accepts new tasks
 	WasSlow     bool           // was slow and has not shown normal speed since
+	Unanswering bool           // its latest order got no answer
 	TargetTasks int            // running tasks with a response time target
 	FillerTasks int            // running filler tasks
 	Releasing   work.Resources // reserved by runs that are being stopped
 	Runs        []Run          // preemptible runs, which can resume from a checkpoint
 
 	reservedFor *Demand // only this demand may use the free capacity now
+	asked       bool    // reservedFor waits for the advice service's answer about the worker
 	order       int     // position in the pool
 	places      [indexes]place
 }
@@ -89,6 +91,32 @@
 	Asked   map[string]bool   // workers in the queries that are in flight
 	Queries int               // number of queries in flight
 	Paused  bool              // no query may be sent now
+
+	allowed []string // workers that are allowed, ordered by ID
+	covered int      // number of Answers that allowed covers
+}
+
+// Record adds the answer about a worker.
+func (a *Advice) Record(worker string, answer Answer) {
+	if old, ok := a.Answers[worker]; ok && old.Allowed != answer.Allowed {
+		a.covered = 0
+	}
+	a.Answers[worker] = answer
+}
+
+// allowedNames returns the workers that are allowed, ordered by ID. It is kept between
+// rounds: a step may have hundreds of answers.
+func (a *Advice) allowedNames() []string {
+	if a.covered != len(a.Answers) {
+		a.allowed, a.covered = a.allowed[:0], len(a.Answers)
+		for id, answer := range a.Answers {
+			if answer.Allowed {
+				a.allowed = append(a.allowed, id)
+			}
+		}
+		slices.Sort(a.allowed)
+	}
+	return a.allowed
 }
 
 // Demand is a step with waiting tasks.
@@ -161,13 +189,15 @@
 type Query struct {
 	Demand  *Demand
 	Workers []string
-	Early   bool // no capacity is free yet; send only if an advice client is idle
+	Early   bool // no capacity is free yet, or the deadline is past; send only if an advice client is idle
 }
 
 // Block is the reason why tasks of a demand wait.
 type Block struct {
 	Demand *Demand
 	Reason string
+
+	started int // tasks that the same plan starts
 }
 
 // Reasons of a Block.
@@ -185,6 +215,9 @@
 	Workers  []*Worker
 	Limits   map[string]*Limit         // by workspace
 	Headroom map[string]work.Resources // by pool; headroom that only urgent work and long-running or filler tasks may use
+	Early    int                       // number of early queries that can be sent now
+	Urgent   int                       // number of further ones for urgent work
+	Explain  bool                      // the plan tells what holds idle capacity
 }
 
 // Limit is a workspace's resource limit and current usage.
@@ -210,7 +243,8 @@
 	Starts      []Start
 	Queries     []Query
 	Blocks      []Block
-	Preemptions []job.TaskID // runs to preempt
+	Preemptions []job.TaskID    // runs to preempt
+	Idle        map[string]Idle // by pool with waiting tasks, if Cluster.Explain is set
 }
 
 // planner holds the working state of one call of Decide.
@@ -219,13 +253,25 @@
 	cluster Cluster
 	pools   map[string]*inventory
 	plan    Plan
-	asking  []string // workers in the queries of the demand that is being planned
-	queries int      // number of these queries
+	off     rules
+	asking  []string  // workers in the queries of the demand that is being planned
+	queries int       // number of these queries
+	allowed []*Worker // workers that the demand that is being planned may use; see allowedWorkers
+}
+
+// rules names rules that can be switched off, for comparison only.
+type rules struct {
+	wideQueries bool // a query names many workers, and late work asks only idle clients
+	wholeGangs  bool // a gang preempts only if it then fits as a whole
 }
 
 // Decide plans one scheduling round.
 func Decide(now time.Time, demands []*Demand, cluster Cluster) Plan {
-	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers)}
+	return decide(now, demands, cluster, rules{})
+}
+
+func decide(now time.Time, demands []*Demand, cluster Cluster, off rules) Plan {
+	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers), off: off}
 	for _, d := range demands {
 		d.rank = d.rankAt(now)
 	}
@@ -233,6 +279,9 @@
 	for _, d := range demands {
 		p.schedule(d)
 	}
+	if cluster.Explain {
+		p.plan.Idle = p.explain()
+	}
 	return p.plan
 }
 
--- a/internal/version/fit/place.go
+++ b/internal/version/fit/place.go
@@ -11,8 +11,11 @@
 	// data. The task takes about half as long again there, which costs more than a
 	// poor fit.
 	remoteRackPenalty = 2.0
-	// slowPenalty ranks a worker that was slow behind all others that fit.
-	slowPenalty = 4.0
+	// slowPenalty ranks a worker that was slow behind all others that fit, and
+	// unansweringPenalty one that may not answer any more behind these: a task whose
+	// start gets no answer cannot start elsewhere before the lease of the worker is over.
+	slowPenalty        = 4.0
+	unansweringPenalty = 8.0
 	// minCandidates and candidatesPerTask bound the workers that are compared for a
 	// demand. Those with the least free come first, so that the rest would seldom be
 	// chosen.
@@ -25,11 +28,11 @@
 	l := p.pools[d.Pool]
 	if l == nil {
 		if !d.Prefetch {
-			p.block(d, NoSuitableWorker)
+			p.block(d, NoSuitableWorker, 0)
 		}
 		return
 	}
-	l.own, p.asking, p.queries = l.own[:0], nil, 0
+	l.own, p.asking, p.queries, p.allowed = l.own[:0], nil, 0, nil
 	switch {
 	case d.Prefetch:
 		p.queryEarly(l, d)
@@ -46,11 +49,11 @@
 	var candidates []*Worker
 	for n, index := range d.Tasks {
 		if !limit.allows(d.Spec.Size, 1) {
-			p.block(d, AtLimit)
+			p.block(d, AtLimit, n)
 			return
 		}
 		if !p.leavesHeadroom(l, d, 1) {
-			p.block(d, UrgentHeadroom)
+			p.block(d, UrgentHeadroom, n)
 			return
 		}
 		if n == 0 {
@@ -58,7 +61,7 @@
 		}
 		w := best(d, candidates)
 		if w == nil {
-			p.block(d, p.reason(l, d))
+			p.block(d, p.reason(l, d), n)
 			if d.rank == onTime && p.mayReserve(l, d) {
 				p.reserve(l, d, len(d.Tasks)-n)
 			}
@@ -79,9 +82,9 @@
 	return left.Processors >= p.cluster.Headroom[d.Pool].Processors || d.Spec.Filler
 }
 
-// block records why a demand waits.
-func (p *planner) block(d *Demand, reason string) {
-	p.plan.Blocks = append(p.plan.Blocks, Block{d, reason})
+// block records why a demand waits, of which some tasks are started.
+func (p *planner) block(d *Demand, reason string, started int) {
+	p.plan.Blocks = append(p.plan.Blocks, Block{d, reason, started})
 }
 
 // start adds a start to the plan and updates the free amounts, limits and
@@ -127,25 +130,25 @@
 func (p *planner) candidates(l *inventory, d *Demand) []*Worker {
 	var list []*Worker
 	if d.Advised {
-		for id, a := range d.Advice.Answers {
-			if w := l.named[id]; a.Allowed && p.now.Before(a.Expiry) && w != nil && fits(d, w) {
+		for _, w := range p.allowedWorkers(l, d) {
+			if fits(d, w) && p.now.Before(d.Advice.Answers[w.ID].Expiry) {
 				list = append(list, w)
 			}
 		}
-	} else {
-		for _, w := range l.racks[d.Spec.Rack] {
-			if d.Spec.Rack != "" && fits(d, w) {
-				list = append(list, w)
-			}
+		return list
+	}
+	for _, w := range l.racks[d.Spec.Rack] {
+		if d.Spec.Rack != "" && fits(d, w) {
+			list = append(list, w)
 		}
-		wanted := len(list) + max(minCandidates, candidatesPerTask*len(d.Tasks))
-		l.tightest(d.Spec.Reservation(), func(w *Worker) bool {
-			if fits(d, w) && (d.Spec.Rack == "" || w.Rack != d.Spec.Rack) {
-				list = append(list, w)
-			}
-			return len(list) < wanted
-		})
 	}
+	wanted := len(list) + max(minCandidates, candidatesPerTask*len(d.Tasks))
+	l.tightest(d.Spec.Reservation(), func(w *Worker) bool {
+		if fits(d, w) && (d.Spec.Rack == "" || w.Rack != d.Spec.Rack) {
+			list = append(list, w)
+		}
+		return len(list) < wanted
+	})
 	slices.SortFunc(list, func(a, b *Worker) int { return a.order - b.order })
 	return list
 }
@@ -177,6 +180,9 @@
 	if w.WasSlow {
 		s += slowPenalty
 	}
+	if w.Unanswering {
+		s += unansweringPenalty
+	}
 	return s
 }
 
@@ -203,12 +209,12 @@
 func (p *planner) placeGang(l *inventory, d *Demand) {
 	limit := p.cluster.Limits[d.Workspace]
 	if !limit.allows(d.Spec.Size, len(d.Tasks)) {
-		p.block(d, AtLimit)
+		p.block(d, AtLimit, 0)
 		return
 	}
 	chosen := p.fitGang(l, d)
 	if chosen == nil {
-		p.block(d, p.reason(l, d))
+		p.block(d, p.reason(l, d), 0)
 		if d.rank == onTime {
 			p.reserve(l, d, len(d.Tasks))
 		}
