--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -452,7 +452,7 @@
 
 // busyWorker returns the one of two workers that runs something.
 func (b *testCluster) busyWorker() string {
-	if len(b.workers.all["b"].running) > 0 {
+	if len(b.workers.worker("b").running) > 0 {
 		return "b"
 	}
 	return "a"
@@ -462,7 +462,7 @@
 // changes that worker a second later.
 func (b *testCluster) changeBusyWorker(change func(w *fakeWorker)) {
 	b.is.Helper()
-	b.workers.runTime = 20 * time.Second
+	b.workers.setRunTime(20 * time.Second)
 	b.submit("one", tasks(4))
 	time.Sleep(time.Second)
 	b.changeWorker(b.busyWorker(), change)
@@ -484,11 +484,11 @@
 		time.Sleep(4 * time.Second)
 		b.is.Equal(b.status("one"), job.Completed)
 		b.is.Equal(b.status("two"), job.Completed)
-		b.is.Equal(len(b.workers.starts), 15)
-		for _, w := range b.workers.all {
-			b.is.True(w.peakRuns <= 4) // four processors
+		b.is.Equal(len(b.workers.started()), 15)
+		for _, id := range []string{"a", "b"} {
+			b.is.True(b.workers.worker(id).peakRuns <= 4) // four processors
 		}
-		b.is.Equal(b.workers.duplicate, "")
+		b.is.Equal(b.workers.copied(), "")
 	})
 }
 
@@ -500,10 +500,10 @@
 		defer b.close()
 		b.changeBusyWorker(func(w *fakeWorker) { w.silent = true })
 		time.Sleep(3 * time.Second)
-		b.is.Equal(len(b.workers.starts), 4) // nothing starts elsewhere yet
+		b.is.Equal(len(b.workers.started()), 4) // nothing starts elsewhere yet
 		time.Sleep(5 * time.Second)
-		b.is.Equal(len(b.workers.starts), 8)
-		b.is.Equal(b.workers.duplicate, "")
+		b.is.Equal(len(b.workers.started()), 8)
+		b.is.Equal(b.workers.copied(), "")
 	})
 }
 
@@ -514,7 +514,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a", "b")
 		defer b.close()
-		b.workers.runTime = 8 * time.Second
+		b.workers.setRunTime(8 * time.Second)
 		s := tasks(4)
 		s.Copies = true
 		b.submit("one", s)
@@ -522,12 +522,12 @@
 		first := b.busyWorker()
 		b.changeWorker(first, func(w *fakeWorker) { w.silent = true })
 		time.Sleep(2600 * time.Millisecond)
-		b.is.Equal(len(b.workers.starts), 8) // before the lease has ended
+		b.is.Equal(len(b.workers.started()), 8) // before the lease has ended
 		b.changeWorker(first, func(w *fakeWorker) { w.silent = false })
 		b.submit("two", tasks(8))
 		time.Sleep(20 * time.Second)
 		b.is.Equal(b.status("two"), job.Completed)
-		b.is.True(b.workers.all[first].peakRuns <= 4)
+		b.is.True(b.workers.worker(first).peakRuns <= 4)
 	})
 }
 
@@ -558,14 +558,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		b.workers.runTime = 20 * time.Second
+		b.workers.setRunTime(20 * time.Second)
 		b.submit("one", tasks(2))
 		time.Sleep(time.Second)
 		b.changeWorker("a", func(w *fakeWorker) { w.silent = true })
 		time.Sleep(8 * time.Second)
 		b.changeWorker("a", func(w *fakeWorker) { w.silent = false })
 		time.Sleep(3 * time.Second)
-		b.is.Equal(len(b.workers.starts), 4)
+		b.is.Equal(len(b.workers.started()), 4)
 	})
 }
 
@@ -579,8 +579,8 @@
 		defer b.close()
 		b.changeBusyWorker(func(w *fakeWorker) { w.refusesConnections = true })
 		time.Sleep(7 * time.Second)
-		b.is.Equal(len(b.workers.starts), 8)
-		b.is.Equal(b.workers.duplicate, "")
+		b.is.Equal(len(b.workers.started()), 8)
+		b.is.Equal(b.workers.copied(), "")
 	})
 }
 
@@ -594,7 +594,7 @@
 		b.changeWorker("b", func(w *fakeWorker) { w.dropsAnswers = true })
 		b.submit("one", tasks(6))
 		time.Sleep(8 * time.Second)
-		b.is.Equal(b.workers.duplicate, "")
+		b.is.Equal(b.workers.copied(), "")
 		b.is.Equal(b.status("one"), job.Completed)
 	})
 }
@@ -610,7 +610,7 @@
 		time.Sleep(300 * time.Millisecond)
 		b.changeWorker("a", func(w *fakeWorker) { w.refusesCopies = false })
 		time.Sleep(8 * time.Second)
-		b.is.Equal(b.workers.duplicate, "")
+		b.is.Equal(b.workers.copied(), "")
 		b.is.Equal(b.status("one"), job.Completed)
 	})
 }
@@ -622,14 +622,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		b.workers.runTime = 3 * time.Second
+		b.workers.setRunTime(3 * time.Second)
 		b.submit("one", tasks(2))
 		time.Sleep(time.Second)
 		b.changeWorker("a", func(w *fakeWorker) { w.refusesConnections = true })
 		time.Sleep(300 * time.Millisecond)
 		b.add("a", 2)
 		time.Sleep(500 * time.Millisecond)
-		b.is.Equal(len(b.workers.starts), 4) // both again, in the new incarnation
+		b.is.Equal(len(b.workers.started()), 4) // both again, in the new incarnation
 		time.Sleep(4 * time.Second)
 		b.is.Equal(b.status("one"), job.Completed)
 	})
@@ -643,7 +643,7 @@
 		b.report("a", true)
 		b.submit("one", tasks(6))
 		time.Sleep(3 * time.Second)
-		b.is.Equal(b.workers.all["a"].peakRuns, 0)
+		b.is.Equal(b.workers.worker("a").peakRuns, 0)
 		b.is.Equal(b.status("one"), job.Completed)
 	})
 }
@@ -653,13 +653,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		b.workers.runTime = time.Minute
+		b.workers.setRunTime(time.Minute)
 		b.submit("one", tasks(3))
 		time.Sleep(time.Second)
 		_, ok := b.term().call(context.Background(), &cell.Call{Verb: cell.Cancel, Host: "h", Path: "/q/one", Key: "k"})
 		b.is.True(ok)
 		time.Sleep(1200 * time.Millisecond)
-		b.is.Equal(len(b.workers.all["a"].running), 0)
+		b.is.Equal(len(b.workers.worker("a").running), 0)
 		b.is.Equal(b.status("one"), job.Cancelled)
 	})
 }
@@ -671,14 +671,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		b.workers.runTime = time.Minute
+		b.workers.setRunTime(time.Minute)
 		b.submit("one", tasks(3))
 		time.Sleep(time.Second)
-		before := b.workers.all["a"].listings
+		before := b.workers.worker("a").listings
 		_, ok := b.term().call(context.Background(), &cell.Call{Verb: cell.Cancel, Host: "h", Path: "/q/one", Key: "k"})
 		b.is.True(ok)
 		time.Sleep(2 * time.Second)
-		b.is.True(b.workers.all["a"].listings-before < 20)
+		b.is.True(b.workers.worker("a").listings-before < 20)
 	})
 }
 
@@ -688,7 +688,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a", "b")
 		defer b.close()
-		b.workers.runTime = 4 * time.Second
+		b.workers.setRunTime(4 * time.Second)
 		b.submit("one", tasks(8))
 		time.Sleep(time.Second)
 		b.log.set(false, 2)
@@ -697,8 +697,8 @@
 		b.log.set(true, 3)
 		time.Sleep(6 * time.Second)
 		b.is.Equal(b.status("one"), job.Completed)
-		b.is.Equal(len(b.workers.starts), 8)
-		b.is.Equal(b.workers.all["a"].fence, uint64(3))
+		b.is.Equal(len(b.workers.started()), 8)
+		b.is.Equal(b.workers.worker("a").fence, uint64(3))
 	})
 }
 
@@ -715,7 +715,7 @@
 			Verb: cell.Submit, Host: "h", Path: "/q/one", Key: "k", Job: &job.Job{Steps: []job.Step{tasks(1)}},
 		})
 		time.Sleep(2 * time.Second)
-		b.is.Equal(len(b.workers.starts), 0)
+		b.is.Equal(len(b.workers.started()), 0)
 	})
 }
 
@@ -725,7 +725,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		b.workers.runTime = time.Minute
+		b.workers.setRunTime(time.Minute)
 		long := tasks(2)
 		long.Estimate = b.workers.runTime // a wrong estimate would itself make the worker look slow
 		b.submit("one", long)
@@ -801,7 +801,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		b.workers.runTime = 2 * time.Minute
+		b.workers.setRunTime(2 * time.Minute)
 		lasting := tasks(2)
 		lasting.Lasting, lasting.Checkpoints, lasting.Allowance = true, true, 1
 		b.submit("lasting", lasting)
@@ -809,13 +809,13 @@
 		saving.Checkpoints, saving.Estimate = true, b.workers.runTime
 		b.submit("saving", saving)
 		time.Sleep(time.Second)
-		b.is.Equal(len(b.workers.all["a"].running), 4) // as many as there are processors
+		b.is.Equal(len(b.workers.worker("a").running), 4) // as many as there are processors
 		urgent := tasks(4)
 		urgent.Estimate = b.workers.runTime
 		b.submitTo("/u/", "urgent", urgent)
 		time.Sleep(5 * time.Second)
 		running := map[job.ID]int{}
-		for id := range b.workers.all["a"].running {
+		for id := range b.workers.worker("a").running {
 			running[id.Job]++
 		}
 		b.is.Equal(running, map[job.ID]int{"lasting": 2, "urgent": 2})
@@ -839,11 +839,11 @@
 		time.Sleep(2 * time.Second) // the worker reports itself meanwhile
 		b.submit("one", tasks(4))
 		time.Sleep(2 * time.Second)
-		b.is.Equal(len(b.workers.starts), 0)
+		b.is.Equal(len(b.workers.started()), 0)
 		b.changeWorker("a", func(w *fakeWorker) { w.hidesRuns = false })
 		time.Sleep(6 * time.Second)
 		b.is.Equal(b.status("one"), job.Completed)
-		b.is.True(b.workers.all["a"].peakRuns <= 4)
+		b.is.True(b.workers.worker("a").peakRuns <= 4)
 	})
 }
 
@@ -853,7 +853,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		b.workers.runTime = 5 * time.Second
+		b.workers.setRunTime(5 * time.Second)
 		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts = true })
 		s := tasks(4)
 		s.Copies = true
@@ -864,9 +864,9 @@
 		b.submit("two", tasks(4))
 		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts = false })
 		time.Sleep(3 * time.Second)
-		b.is.Equal(len(b.workers.all["a"].running), 4)
+		b.is.Equal(len(b.workers.worker("a").running), 4)
 		b.workers.carryOutLate("a")
-		b.is.Equal(b.workers.all["a"].peakRuns, 4)
+		b.is.Equal(b.workers.worker("a").peakRuns, 4)
 	})
 }
 
@@ -895,7 +895,7 @@
 		current.mu.Unlock()
 		b.is.True(<-applied)
 		time.Sleep(500 * time.Millisecond)
-		b.is.Equal(b.workers.all["a"].peakRuns+b.workers.all["b"].peakRuns, 1)
+		b.is.Equal(b.workers.worker("a").peakRuns+b.workers.worker("b").peakRuns, 1)
 	})
 }
 
--- a/internal/process/dispatch/incarnation_test.go
+++ b/internal/process/dispatch/incarnation_test.go
@@ -15,13 +15,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		b.workers.runTime = 5 * time.Second
+		b.workers.setRunTime(5 * time.Second)
 		b.restart("a", 2)
 		b.submit("one", tasks(2))
 		time.Sleep(20 * time.Millisecond)
 		b.add("b", 1)
 		time.Sleep(3 * time.Second)
-		b.is.Equal(b.workers.duplicate, "")
+		b.is.Equal(b.workers.copied(), "")
 	})
 }
 
@@ -32,7 +32,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		b.workers.runTime = time.Minute
+		b.workers.setRunTime(time.Minute)
 		time.Sleep(30 * time.Second)
 		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts = true })
 		b.submit("one", tasks(2))
@@ -77,7 +77,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		b.workers.runTime = 5 * time.Second
+		b.workers.setRunTime(5 * time.Second)
 		b.restart("a", 2)
 		b.submit("one", tasks(2))
 		time.Sleep(20 * time.Millisecond)
@@ -89,10 +89,10 @@
 		time.Sleep(100 * time.Millisecond)
 		b.log.set(true, 3)
 		time.Sleep(time.Second)
-		b.is.Equal(b.workers.duplicate, "")
+		b.is.Equal(b.workers.copied(), "")
 		b.changeWorker("a", func(w *fakeWorker) { w.refusesStops = false })
 		time.Sleep(9 * time.Second)
-		b.is.Equal(b.workers.duplicate, "")
+		b.is.Equal(b.workers.copied(), "")
 		b.is.Equal(b.status("one"), job.Completed)
 	})
 }
--- a/internal/process/dispatch/lapse_test.go
+++ b/internal/process/dispatch/lapse_test.go
@@ -12,15 +12,9 @@
 
 // lapse lets the leader's lease end and regains it later, within the same term.
 func (b *testCluster) lapse(d time.Duration) {
-	b.setLease(-time.Millisecond)
+	b.log.setLease(-time.Millisecond)
 	time.Sleep(d)
-	b.setLease(time.Second)
-}
-
-func (b *testCluster) setLease(d time.Duration) {
-	b.log.mu.Lock()
-	defer b.log.mu.Unlock()
-	b.log.lease = d
+	b.log.setLease(time.Second)
 }
 
 func (b *testCluster) cancel(id string) {
@@ -36,7 +30,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		b.workers.runTime = time.Minute
+		b.workers.setRunTime(time.Minute)
 		b.submit("one", tasks(3))
 		time.Sleep(time.Second)
 		b.changeWorker("a", func(w *fakeWorker) { w.silent = true })
@@ -45,7 +39,7 @@
 		b.lapse(350 * time.Millisecond)
 		b.changeWorker("a", func(w *fakeWorker) { w.silent = false })
 		time.Sleep(1500 * time.Millisecond)
-		b.is.Equal(len(b.workers.all["a"].running), 0)
+		b.is.Equal(len(b.workers.worker("a").running), 0)
 	})
 }
 
--- a/internal/process/dispatch/leave_test.go
+++ b/internal/process/dispatch/leave_test.go
@@ -20,13 +20,13 @@
 		busy := b.busyWorker()
 		b.term().leave(&cell.Leave{Worker: busy})
 		time.Sleep(5 * time.Second)
-		b.is.Equal(b.workers.duplicate, "")
-		b.is.Equal(len(b.workers.starts), 4)
+		b.is.Equal(b.workers.copied(), "")
+		b.is.Equal(len(b.workers.started()), 4)
 		b.submit("two", tasks(8))
 		time.Sleep(25 * time.Second)
 		b.is.Equal(b.status("one"), job.Completed)
 		b.is.Equal(b.status("two"), job.Running) // on both workers, half of it after the first job
-		b.is.Equal(b.workers.all[busy].peakRuns, 4)
+		b.is.Equal(b.workers.worker(busy).peakRuns, 4)
 	})
 }
 
@@ -41,6 +41,6 @@
 		b.term().leave(&cell.Leave{Worker: busy})
 		b.changeWorker(busy, func(w *fakeWorker) { w.refusesConnections = true })
 		time.Sleep(time.Second)
-		b.is.Equal(len(b.workers.starts), 8)
+		b.is.Equal(len(b.workers.started()), 8)
 	})
 }
--- a/internal/process/dispatch/refusal_test.go
+++ b/internal/process/dispatch/refusal_test.go
@@ -12,7 +12,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		b.workers.runTime = time.Minute
+		b.workers.setRunTime(time.Minute)
 		b.submit("one", tasks(3))
 		time.Sleep(time.Second)
 		b.changeWorker("a", func(w *fakeWorker) { w.refusesStops = true })
@@ -31,14 +31,14 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a", "b")
 		defer b.close()
-		b.workers.runTime = 10 * time.Second
+		b.workers.setRunTime(10 * time.Second)
 		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts, w.refusesStops = true, true })
 		b.submit("one", tasks(2))
 		time.Sleep(300 * time.Millisecond)
 		b.report("a", true) // further starts go to the other worker
 		time.Sleep(1200 * time.Millisecond)
 		b.workers.carryOutLate("a")
-		b.is.Equal(b.workers.duplicate, "")
+		b.is.Equal(b.workers.copied(), "")
 	})
 }
 
@@ -48,7 +48,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		b.workers.runTime = 5 * time.Second
+		b.workers.setRunTime(5 * time.Second)
 		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts, w.refusesStops = true, true })
 		s := tasks(4)
 		s.Copies = true
@@ -59,6 +59,6 @@
 		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts = false })
 		time.Sleep(2 * time.Second)
 		b.workers.carryOutLate("a")
-		b.is.True(b.workers.all["a"].peakRuns <= 4)
+		b.is.True(b.workers.worker("a").peakRuns <= 4)
 	})
 }
--- a/internal/process/dispatch/speed_test.go
+++ b/internal/process/dispatch/speed_test.go
@@ -48,7 +48,7 @@
 		time.Sleep(2 * time.Second)
 		b.is.Equal(b.startsOn("a"), before)
 		b.is.Equal(b.status("five"), job.Completed)
-		b.is.Equal(b.workers.duplicate, "")
+		b.is.Equal(b.workers.copied(), "")
 	})
 }
 
@@ -58,11 +58,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a", "b", "c")
 		defer b.close()
-		b.workers.runTime = 30 * time.Second
+		b.workers.setRunTime(30 * time.Second)
 		b.submit("one", tasks(1)) // estimated at a second
 		time.Sleep(70 * time.Second)
 		b.is.Equal(b.status("one"), job.Completed)
-		b.is.True(len(b.workers.starts) <= 2)
-		b.is.Equal(b.workers.duplicate, "")
+		b.is.True(len(b.workers.started()) <= 2)
+		b.is.Equal(b.workers.copied(), "")
 	})
 }
--- a/internal/process/dispatch/stray_test.go
+++ b/internal/process/dispatch/stray_test.go
@@ -44,7 +44,7 @@
 // their worker off.
 func (b *testCluster) copies() (cut string) {
 	b.limit(4000)
-	b.workers.runTime = 20 * time.Second
+	b.workers.setRunTime(20 * time.Second)
 	s := tasks(4)
 	s.Copies, s.Estimate = true, b.workers.runTime
 	b.submit("one", s)
