Wait for the copies of orders to end before a test counts them

TestCopiesAreBounded failed once beside others under the race detector, and once in 300 runs alone (1 copy counted in place of 0): a copy is uncounted when its goroutine ends, shortly after its answer is taken. The test waits for that now, with the same check; 300 runs passed.

--- a/internal/process/driver/hedge_test.go
+++ b/internal/process/driver/hedge_test.go
@@ -81,6 +81,7 @@
 			orders.Go(func() { h.Start(always(orderTimeout), worker(1), dispatch.StartOrder{}) })
 		}
 		orders.Wait()
+		synctest.Wait() // a copy is counted until its goroutine has ended
 		is.True(u.copies <= 500+2*maxHedges)
 		is.Equal(h.(hedged).hedges.Load(), int64(0))
 	})
