--- a/internal/process/dispatch/advice.go
+++ b/internal/process/dispatch/advice.go
@@ -28,29 +28,28 @@
 	adviceRetryDelay = 100 * time.Millisecond
 )
 
-// queryAdvice sends a query, if a process can send it soon. The caller holds the
-// lock.
-func (t *term) queryAdvice(a fit.Query, now time.Time) {
-	s := t.step(a.Demand.Step)
-	clients := t.liveAdviceClients(now)
+// queryAdvice sends a query, if one of the clients can send it soon, and updates the
+// list of clients. The caller holds the lock.
+func (t *term) queryAdvice(a fit.Query, clients []fit.Client, now time.Time) {
 	i := fit.PickClient(now, clients, a)
 	if i < 0 {
 		return
 	}
-	name := clients[i].Name
-	client := t.adviceClients[name]
+	client := t.adviceClients[clients[i].Name]
 	q := t.adviceSettings(a.Demand.Step)
 	if q == nil {
 		return
 	}
+	s := t.step(a.Demand.Step)
 	expected := q.Base + time.Duration(len(a.Workers))*q.Each
 	client.idleAt = later(client.idleAt, now).Add(expected)
+	clients[i].IdleAt = client.idleAt
 	deadline := client.idleAt.Add(adviceTimeoutMargin)
 	s.advice.Queries++
 	for _, w := range a.Workers {
 		s.advice.Asked[w] = true
 	}
-	t.orders.Go(func() { t.sendQuery(s, a, name, client, q, deadline) })
+	t.orders.Go(func() { t.sendQuery(s, a, client, q, deadline) })
 }
 
 // liveAdviceClients returns the processes that can send queries, ordered by name.
@@ -78,12 +77,12 @@
 }
 
 // sendQuery sends a query through a process and records the answer.
-func (t *term) sendQuery(s *stepState, a fit.Query, name string, client *adviceClient, q *job.Advised, deadline time.Time) {
+func (t *term) sendQuery(s *stepState, a fit.Query, client *adviceClient, q *job.Advised, deadline time.Time) {
 	ctx, cancel := context.WithDeadline(t.ctx, deadline)
 	defer cancel()
 	var answer cell.Advice
 	sent := t.now()
-	err := t.dispatcher.options.Peer.Call(ctx, name, cell.MethodAdvise,
+	err := t.dispatcher.options.Peer.Call(ctx, client.name, cell.MethodAdvise,
 		cell.AdviceQuery{Step: a.Demand.Step.String(), Workers: a.Workers}, &answer)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -98,7 +97,7 @@
 	if err != nil {
 		s.adviceRetryAt = now.Add(adviceRetryDelay)
 		client.idleAt = later(client.idleAt, now)
-		t.emit(event.AdviceFailed, zap.Stringer("step", a.Demand.Step), zap.String("through", name), event.Cause(err))
+		t.emit(event.AdviceFailed, zap.Stringer("step", a.Demand.Step), zap.String("through", client.name), event.Cause(err))
 		t.signal()
 		return
 	}
@@ -106,7 +105,7 @@
 		client.idleAt = now
 	}
 	t.recordAdvice(s, a, q, answer, now)
-	t.emit(event.AdviceAsked, zap.Stringer("step", a.Demand.Step), zap.String("through", name),
+	t.emit(event.AdviceAsked, zap.Stringer("step", a.Demand.Step), zap.String("through", client.name),
 		zap.Int("workers", len(a.Workers)), zap.Int("good", len(answer.Tickets)), zap.Duration("took", now.Sub(sent)))
 	t.signal()
 }
