Serve what a workspace submits beyond its weight after what others submit within theirs

A workspace that floods a full pool took the places of others in proportion to its submissions: deadlines alone decide the order. The leader keeps the counts for a term. Where there is room, nothing changes for them.

--- a/internal/process/dispatch/admit.go
+++ b/internal/process/dispatch/admit.go
@@ -23,6 +23,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.now()
+	t.noteShare(j, now)
 	l := t.loads[q.Pool]
 	if l == nil || now.Sub(t.began) < discoveryTime || j.Repeat > 0 {
 		return cell.Verdict{}, false
@@ -33,7 +34,7 @@
 	for i := range j.Steps {
 		steps = append(steps, &fit.Demand{
 			Spec: &j.Steps[i], Priority: q.Priority, Deadline: now.Add(timeToDeadline), Expiry: now.Add(expiryFactor * timeToDeadline),
-			CriticalPath: criticalPathFrom(j, i),
+			CriticalPath: criticalPathFrom(j, i), Beyond: t.beyond[j.ID],
 		})
 	}
 	v := l.Admit(now, steps, path)
@@ -47,6 +48,27 @@
 	return cell.Verdict{Code: cell.Busy, Message: v.Reason, Wait: v.RetryAfter}, v.Refused
 }
 
+// noteShare records whether a job is beyond the weight of its workspace. The caller
+// holds the lock.
+func (t *term) noteShare(j *job.Job, now time.Time) {
+	weight := 0.0
+	t.state().View(func(v *job.View) {
+		for i := range v.Catalogue.Workspaces {
+			if w := &v.Catalogue.Workspaces[i]; w.Name == j.Workspace {
+				weight = w.Weight
+			}
+		}
+	})
+	s := t.shares[j.Workspace]
+	if s == nil {
+		s = &fit.Share{}
+		t.shares[j.Workspace] = s
+	}
+	if s.Beyond(weight, now) {
+		t.beyond[j.ID] = true
+	}
+}
+
 // updateLoads computes the load of each pool, at intervals. The caller holds the
 // lock.
 func (t *term) updateLoads(v *job.View, cluster fit.Cluster, demands []*fit.Demand, now time.Time) {
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -137,6 +137,7 @@
 		Workspace: r.Job.Workspace, Payload: r.Job.Payload, Placed: map[string]int{}, Progress: p, Prefetch: prefetch,
 	}
 	d.Deadline, d.Expiry = t.deadlines(r, number)
+	d.Beyond = t.beyond[r.Job.ID]
 	d.CriticalPath = criticalPathFrom(&r.Job, index)
 	for i := range p.Tasks {
 		switch k := &p.Tasks[i]; {
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -107,6 +107,11 @@
 				delete(t.timeToDeadline, id)
 			}
 		}
+		for id := range t.beyond {
+			if v.Active[id] == nil {
+				delete(t.beyond, id)
+			}
+		}
 	})
 }
 
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -60,6 +60,8 @@
 	inbox          inbox
 	loads          map[string]*fit.Load    // by pool
 	returns        map[string]*fit.Returns // by pool
+	shares         map[string]*fit.Share   // by workspace
+	beyond         map[job.ID]bool         // jobs beyond the weight of their workspace
 	stepsChecked   time.Time               // when dropSteps was last called
 	loadsAt        time.Time               // when loads were computed
 	doubts         map[string]*doubts      // by worker
@@ -92,6 +94,7 @@
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*stepState{},
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*fit.Peak{},
 		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
+		shares: map[string]*fit.Share{}, beyond: map[job.ID]bool{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
 		doubts: map[string]*doubts{}, waves: map[int64]*wave{}, unanswered: map[string]time.Time{},
 	}
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -132,6 +132,7 @@
 	Sequence      uint64        // position of the job in order of acceptance
 	Tasks         []int         // indices of the waiting tasks
 	Workspace     string        // of the job; its limit applies
+	Beyond        bool          // the job is beyond the weight of its workspace; see Share
 	Payload       string        // of the job
 	Progress      *job.Progress
 	Placed        map[string]int  // running tasks of the step by worker
@@ -290,6 +291,7 @@
 
 const (
 	onTime  rank = iota // can still meet its deadline
+	excess              // likewise, but beyond the weight of its workspace
 	late                // misses its deadline, which lowers its value
 	expired             // the result is no longer needed
 )
@@ -302,7 +304,12 @@
 // minimum remaining run time would end after its deadline.
 func (d *Demand) rankAt(now time.Time) rank {
 	switch {
-	case d.Spec.Lasting || !now.Add(time.Duration(certainShare*float64(d.CriticalPath))).After(d.Deadline):
+	case d.Spec.Lasting:
+		return onTime
+	case !now.Add(time.Duration(certainShare * float64(d.CriticalPath))).After(d.Deadline):
+		if d.Beyond {
+			return excess
+		}
 		return onTime
 	case !now.After(d.Expiry):
 		return late
--- a/internal/version/fit/load_replay_test.go
+++ b/internal/version/fit/load_replay_test.go
@@ -1,6 +1,7 @@
 package fit
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -131,3 +132,40 @@
 		t.Errorf("%d callers served in time, before %d", after.inTime, before.inTime)
 	}
 }
+
+// Replays a burst of one workspace alone on pools of half the size. Guards against
+// other workspaces that are served worse because of it.
+func TestReplayFloodOfOneWorkspace(t *testing.T) {
+	play := func(weights map[string]float64) (offices served) {
+		l := readLoad(t, "burst.txt")
+		for i := range l.pools {
+			l.pools[i].workers /= 2
+		}
+		n := 0
+		l.jobs = slices.DeleteFunc(l.jobs, func(j *recordedJob) bool { // the other workspace keeps to its usual rate
+			s := j.at.Sub(now).Seconds()
+			if j.workspace != "offices" || s < 4 || s > 11 {
+				return false
+			}
+			n++
+			return n%3 != 0
+		})
+		r := newLoadReplay(l)
+		r.weights = weights
+		r.play()
+		for _, j := range r.jobs {
+			if j.workspace == "offices" {
+				offices.asked++
+				if !j.done.IsZero() && j.done.Sub(j.at) <= j.objective() {
+					offices.inTime++
+				}
+			}
+		}
+		return offices
+	}
+	after, before := play(map[string]float64{"removals": 7, "offices": 3}), play(nil)
+	t.Logf("%d asked; in time %d, before %d", after.asked, after.inTime, before.inTime)
+	if after.inTime <= before.inTime {
+		t.Errorf("%d callers served in time, before %d", after.inTime, before.inTime)
+	}
+}
--- a/internal/version/fit/load_test.go
+++ b/internal/version/fit/load_test.go
@@ -129,9 +129,10 @@
 	headroom func(k *Peak, use, capacity work.Resources) work.Resources
 	pick     func(now time.Time, clients []Client, q Query) int
 
-	admission  bool      // jobs are admitted, and callers that are refused retry
-	oldReturns bool      // without Returns
-	gone, back time.Time // no leader from gone to back; the next one knows no answers
+	weights    map[string]float64 // of workspaces, in submissions a second
+	admission  bool               // jobs are admitted, and callers that are refused retry
+	oldReturns bool               // without Returns
+	gone, back time.Time          // no leader from gone to back; the next one knows no answers
 
 	workers   []*Worker
 	capacity  map[string]work.Resources
@@ -144,6 +145,7 @@
 	shares    map[string]float64        // of allowed workers, by kind
 	loads     map[string]*Load
 	returns   map[string]*Returns
+	spaces    map[string]*Share // by workspace
 	retries   []playedRetry
 	refused   map[string]int // callers that gave up, by kind
 	calls     int            // attempts of all callers
@@ -164,6 +166,7 @@
 type playedJob struct {
 	*recordedJob
 	accepted time.Time
+	beyond   bool
 	number   int
 	step     int       // that is being done
 	demand   *Demand   // of the current step
@@ -193,7 +196,7 @@
 func newLoadReplay(l *recordedLoad) *loadReplay {
 	r := &loadReplay{
 		load: l, headroom: func(k *Peak, use, capacity work.Resources) work.Resources { return k.Headroom(use, capacity) }, pick: PickClient,
-		returns: map[string]*Returns{}, refused: map[string]int{},
+		returns: map[string]*Returns{}, spaces: map[string]*Share{}, refused: map[string]int{},
 		capacity: map[string]work.Resources{}, peaks: map[string]*Peak{}, use: map[string]work.Resources{}, shares: map[string]float64{},
 	}
 	for _, p := range l.pools {
@@ -260,6 +263,10 @@
 func (r *loadReplay) submit(j *recordedJob, at time.Time, attempt int) {
 	r.calls++
 	n := &playedJob{recordedJob: j, accepted: at, number: len(r.jobs), step: -1}
+	if r.spaces[j.workspace] == nil {
+		r.spaces[j.workspace] = &Share{}
+	}
+	n.beyond = r.spaces[j.workspace].Beyond(r.weights[j.workspace], at)
 	r.nextStep(n, at)
 	if l := r.loads[j.kind.pool]; l != nil && r.admission {
 		if r.oldReturns {
@@ -321,7 +328,7 @@
 			Gang: strings.Contains(j.flags, "g"), Checkpoints: strings.Contains(j.flags, "c"),
 		},
 		Deadline: j.accepted.Add(length), Expiry: j.accepted.Add(expiryFactor * length), CriticalPath: path, Sequence: uint64(j.number),
-		Workspace: j.workspace, Placed: map[string]int{}, Progress: &job.Progress{Tasks: make([]job.Task, len(tasks))},
+		Workspace: j.workspace, Beyond: j.beyond, Placed: map[string]int{}, Progress: &job.Progress{Tasks: make([]job.Task, len(tasks))},
 	}
 	if j.kind.allowed > 0 {
 		d.Advised, d.MinAnswerTime = true, j.kind.base
