--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -14,20 +14,27 @@
 //
 // # Order
 //
-// Demands that can meet their deadline come first, then those past it, then
+// Demands that can meet their deadline come first, then those of them that are
+// beyond the weight of their workspace, then those past their deadline, then
 // expired ones whose result nobody needs any more. Without this order, work that
-// is already late would make everything behind it late too under overload.
+// is already late would make everything behind it late too under overload, and one
+// workspace could take the places of the others.
 // Within a rank, urgent work and long-running tasks come first, then demands are
 // ordered by deadline, with a head start for each higher priority.
 // A gang that does not fit reserves the workers where it would fit soonest, so
 // that smaller work behind it cannot starve it. After a delay, it preempts runs
-// of lower priority that have checkpoints.
+// of lower priority that have checkpoints, if it then fits as a whole.
 //
 // # Headroom
 //
 // Urgent work is short and has little slack, so it cannot wait for long tasks to
-// end. Work of lower priority leaves Cluster.Headroom free in a pool; the leader
-// derives it from the recent peak usage of urgent work.
+// end. Work of lower priority leaves Cluster.Headroom free in a pool; it is derived
+// from the recent peak usage of urgent work (see Peak).
+//
+// # Patterns of load
+//
+// docs/policy.md names the pattern of load that each rule answers. The tests replay
+// recorded loads under the rules as they are and with one rule changed back.
 package fit
 
 import (
