Read the fake VMs' orders under their lock

The race detector reported the wave tests' own read beside a late order of the leader. With the lock, nine runs of these tests under the race detector reported nothing.

--- a/internal/process/dispatch/wave_test.go
+++ b/internal/process/dispatch/wave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -62,6 +63,13 @@
 	change()
 }
 
+// sent returns the orders so far.
+func (f *fakeVMs) sent() []fakeOrder {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.orders)
+}
+
 func (f *fakeVMs) List(context.Context) ([]VM, error) {
 	time.Sleep(3 * time.Millisecond)
 	f.mu.Lock()
@@ -274,7 +282,7 @@
 		b.begin(1, 2, 0, "a", "b")
 		time.Sleep(10 * time.Second)
 		b.is.Equal(b.waveState(1), job.Running)
-		for _, o := range b.vms.orders {
+		for _, o := range b.vms.sent() {
 			b.is.Equal(o.vm, "vm-b")
 		}
 	})
@@ -290,7 +298,7 @@
 		b.vms.change(func() { b.vms.loses = true })
 		b.begin(1, 1, time.Minute, "a", "b", "c")
 		time.Sleep(2 * time.Second)
-		b.is.Equal(b.vms.orders[0].vm, "vm-a")
+		b.is.Equal(b.vms.sent()[0].vm, "vm-a")
 		b.log.set(false, 1)
 		time.Sleep(200 * time.Millisecond)
 		b.vms.change(func() { b.vms.loses = false })
@@ -300,7 +308,7 @@
 		b.is.Equal(b.vms.peakDown, 1)
 		last := map[string]fakeOrder{}
 		first := true
-		for _, o := range b.vms.orders {
+		for _, o := range b.vms.sent() {
 			if p, ok := last[o.vm]; ok && o.of != p.of {
 				b.is.True(o.at.Sub(p.at) >= 3*time.Second)
 			}
