--- a/internal/version/job/wave.go
+++ b/internal/version/job/wave.go
@@ -144,7 +144,7 @@
 	if returns && m.Sent {
 		m.Stage = Ordered
 	}
-	if s.Stage == Ordered && !m.Sent {
+	if s.Stage == Ordered {
 		m.Worker, m.Life, m.Sent = s.Worker, s.Life, true
 	}
 	r.VMs[s.VM] = m
