--- a/internal/connection/plain/plain.go
+++ b/internal/connection/plain/plain.go
@@ -43,6 +43,8 @@
 const (
 	// DefaultTimeout bounds a call whose context has no deadline.
 	DefaultTimeout = 2 * time.Second
+	// maxTimeout bounds a call whatever the caller states.
+	maxTimeout = time.Hour
 	// dialTimeout bounds the opening of a connection. A VM in the same region
 	// answers within a few milliseconds, a partitioned one not at all.
 	dialTimeout = 300 * time.Millisecond
@@ -304,6 +306,16 @@
 	return string(fasthttp.AppendUint(nil, int(max(1, d.Milliseconds()))))
 }
 
+// parseTimeout returns the time that a caller waits, or DefaultTimeout if the text
+// states none.
+func parseTimeout(text []byte) time.Duration {
+	n, err := fasthttp.ParseUint(text)
+	if err != nil {
+		return DefaultTimeout
+	}
+	return time.Duration(min(int64(n), maxTimeout.Milliseconds())) * time.Millisecond
+}
+
 // serve handles the requests of other processes.
 func (n *Node) serve(c *fasthttp.RequestCtx) {
 	name, path := string(c.Request.Header.Peek(nameHeader)), string(c.Path())
@@ -315,11 +327,7 @@
 		c.SetStatusCode(fasthttp.StatusNotFound)
 		return
 	}
-	timeout, err := fasthttp.ParseUint(c.Request.Header.Peek(timeoutHeader))
-	if err != nil {
-		timeout = int(DefaultTimeout.Milliseconds())
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(timeout)*time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), parseTimeout(c.Request.Header.Peek(timeoutHeader)))
 	defer cancel()
 	value, err := n.handle(ctx, name, path[len(callPath):], c.PostBody())
 	if err != nil {
