--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -97,6 +97,7 @@
 	late               []StartOrder
 	refusesCopies      bool // executes starts, but answers that a second copy of them was refused
 	refusesStops       bool // is unhealthy: answers stops, but does nothing
+	unhealthy          bool // answers all orders, but does nothing
 	slowdown           int  // factor by which new tasks take longer; zero means one
 	listings           int
 	peakRuns           int
@@ -122,6 +123,7 @@
 	mu        sync.Mutex
 	all       map[string]*fakeWorker
 	starts    []string // task, run and worker of each start that was executed
+	refused   int      // starts that unhealthy workers refused
 	duplicate string   // a task that ran in two places at once
 	runTime   time.Duration
 }
@@ -176,6 +178,9 @@
 		return nil, Answer{Result: Unanswered}, false
 	}
 	h.endDueRuns(w)
+	if w.unhealthy {
+		return nil, Answer{Result: Refused, Reason: ReasonOther}, false
+	}
 	return w, Answer{Result: Accepted, Clock: h.clock(w), Life: w.life}, true
 }
 
@@ -184,6 +189,9 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	w, a, ok := h.contact(target.ID)
+	if a.Result == Refused {
+		h.refused++
+	}
 	if !ok {
 		return a
 	}
@@ -584,6 +592,41 @@
 	})
 }
 
+// Guards against tasks that wait for the lease of a worker to which no copy of their
+// start could be sent, as after the replacement of many workers.
+func TestUnsentStartsAreRepeatedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b")
+		defer b.close()
+		b.changeWorker("a", func(w *fakeWorker) { w.refusesConnections = true })
+		b.submit("one", tasks(4)) // fit on one worker
+		time.Sleep(400 * time.Millisecond)
+		b.is.Equal(len(b.workers.all["b"].running), 4)
+		b.is.Equal(b.workers.duplicate, "")
+	})
+}
+
+// Guards against runs that are given up because their worker refuses connections
+// although an earlier copy of their start may be carried out.
+func TestStartSentBeforeARefusalIsStoppedFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b")
+		defer b.close()
+		b.workers.runTime = 3 * time.Second
+		b.changeWorker("a", func(w *fakeWorker) { w.dropsAnswers = true })
+		b.submit("one", tasks(4)) // fit on one worker
+		time.Sleep(40 * time.Millisecond)
+		b.is.True(len(b.workers.all["a"].running) > 0)
+		b.changeWorker("a", func(w *fakeWorker) { w.refusesConnections, w.dropsAnswers = true, false })
+		time.Sleep(2 * time.Second)
+		b.is.Equal(b.workers.duplicate, "")
+		b.changeWorker("a", func(w *fakeWorker) { w.refusesConnections = false })
+		time.Sleep(10 * time.Second)
+		b.is.Equal(b.workers.duplicate, "")
+		b.is.Equal(b.status("one"), job.Completed)
+	})
+}
+
 // Guards against a start that is executed but not answered, and is repeated
 // elsewhere while its run executes.
 func TestStartWithoutAnswer(t *testing.T) {
@@ -920,7 +963,7 @@
 		made := current.step(d.Step)
 		current.recordAdvice(made, fit.Query{Demand: d, Workers: []string{"a"}}, q, cell.Advice{}, current.now())
 		current.mu.Unlock()
-		current.sendQuery(s, fit.Query{Demand: d, Workers: []string{"a"}}, "entry", &adviceClient{}, q, current.now())
+		current.sendQuery(s, fit.Query{Demand: d, Workers: []string{"a"}}, &adviceClient{name: "entry"}, q, current.now())
 		b.is.Equal(made.advice.Queries, 0) // the query belonged to the former record
 		time.Sleep(2 * stepCheckInterval)
 		current.mu.Lock()
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -53,15 +53,18 @@
 	steps          map[job.StepID]*stepState
 	adviceClients  map[string]*adviceClient
 	timeToDeadline map[job.ID]time.Duration  // from the due time to the deadline of the job
-	urgentPeaks    map[string]*peak          // by pool
+	urgentPeaks    map[string]*fit.Peak      // by pool
 	urgentUse      map[string]work.Resources // by pool; reserved by urgent runs
 	baselines      map[string]*fit.Baseline  // by queue
 	allowedShares  map[string]float64        // by queue; of the workers that were asked about
 	inbox          inbox
-	loads          map[string]*fit.Load // by pool
-	stepsChecked   time.Time            // when dropSteps was last called
-	loadsAt        time.Time            // when loads were computed
-	doubts         map[string]*doubts   // by worker
+	loads          map[string]*fit.Load    // by pool
+	returns        map[string]*fit.Returns // by pool
+	shares         map[string]*fit.Share   // by workspace
+	beyond         map[job.ID]bool         // jobs beyond the weight of their workspace
+	stepsChecked   time.Time               // when dropSteps was last called
+	loadsAt        time.Time               // when loads were computed
+	doubts         map[string]*doubts      // by worker
 	waves          map[int64]*wave
 	lastPoolLog    time.Time            // when the usage of the pools was last logged
 	unanswered     map[string]time.Time // by worker; when an order last got no answer
@@ -80,22 +83,18 @@
 
 // adviceClient is a process that queries the advice service for the leader.
 type adviceClient struct {
+	name     string
 	lastPing time.Time
 	idleAt   time.Time // when its queries so far are expected to be answered
 }
 
-// peak is the highest recent use of a pool by urgent work.
-type peak struct {
-	use work.Resources
-	at  time.Time
-}
-
 func newTerm(d *Dispatcher, number uint64) *term {
 	return &term{
 		dispatcher: d, number: number, began: d.options.Now(), wake: make(chan struct{}, 1),
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*stepState{},
-		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*peak{},
-		urgentUse: map[string]work.Resources{},
+		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*fit.Peak{},
+		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
+		shares: map[string]*fit.Share{}, beyond: map[job.ID]bool{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
 		doubts: map[string]*doubts{}, waves: map[int64]*wave{}, unanswered: map[string]time.Time{},
 	}
@@ -259,7 +258,7 @@
 	defer t.mu.Unlock()
 	client := t.adviceClients[name]
 	if client == nil {
-		client = &adviceClient{}
+		client = &adviceClient{name: name}
 		t.adviceClients[name] = client
 	}
 	client.lastPing = t.now()
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -14,20 +14,27 @@
 //
 // # Order
 //
-// Demands that can meet their deadline come first, then those past it, then
+// Demands that can meet their deadline come first, then those of them that are
+// beyond the weight of their workspace, then those past their deadline, then
 // expired ones whose result nobody needs any more. Without this order, work that
-// is already late would make everything behind it late too under overload.
+// is already late would make everything behind it late too under overload, and one
+// workspace could take the places of the others.
 // Within a rank, urgent work and long-running tasks come first, then demands are
 // ordered by deadline, with a head start for each higher priority.
 // A gang that does not fit reserves the workers where it would fit soonest, so
 // that smaller work behind it cannot starve it. After a delay, it preempts runs
-// of lower priority that have checkpoints.
+// of lower priority that have checkpoints, if it then fits as a whole.
 //
 // # Headroom
 //
 // Urgent work is short and has little slack, so it cannot wait for long tasks to
-// end. Work of lower priority leaves Cluster.Headroom free in a pool; the leader
-// derives it from the recent peak usage of urgent work.
+// end. Work of lower priority leaves Cluster.Headroom free in a pool; it is derived
+// from the recent peak usage of urgent work (see Peak).
+//
+// # Patterns of load
+//
+// docs/policy.md names the pattern of load that each rule answers. The tests replay
+// recorded loads under the rules as they are and with one rule changed back.
 package fit
 
 import (
@@ -57,12 +64,14 @@
 	Free        work.Resources
 	Usable      bool           // accepts new tasks
 	WasSlow     bool           // was slow and has not shown normal speed since
+	Unanswering bool           // its latest order got no answer
 	TargetTasks int            // running tasks with a response time target
 	FillerTasks int            // running filler tasks
 	Releasing   work.Resources // reserved by runs that are being stopped
 	Runs        []Run          // preemptible runs, which can resume from a checkpoint
 
 	reservedFor *Demand // only this demand may use the free capacity now
+	asked       bool    // reservedFor waits for the advice service's answer about the worker
 	order       int     // position in the pool
 	places      [indexes]place
 }
@@ -89,6 +98,32 @@
 	Asked   map[string]bool   // workers in the queries that are in flight
 	Queries int               // number of queries in flight
 	Paused  bool              // no query may be sent now
+
+	allowed []string // workers that are allowed, ordered by ID
+	covered int      // number of Answers that allowed covers
+}
+
+// Record adds the answer about a worker.
+func (a *Advice) Record(worker string, answer Answer) {
+	if old, ok := a.Answers[worker]; ok && old.Allowed != answer.Allowed {
+		a.covered = 0
+	}
+	a.Answers[worker] = answer
+}
+
+// allowedNames returns the workers that are allowed, ordered by ID. It is kept between
+// rounds: a step may have hundreds of answers.
+func (a *Advice) allowedNames() []string {
+	if a.covered != len(a.Answers) {
+		a.allowed, a.covered = a.allowed[:0], len(a.Answers)
+		for id, answer := range a.Answers {
+			if answer.Allowed {
+				a.allowed = append(a.allowed, id)
+			}
+		}
+		slices.Sort(a.allowed)
+	}
+	return a.allowed
 }
 
 // Demand is a step with waiting tasks.
@@ -104,6 +139,7 @@
 	Sequence      uint64        // position of the job in order of acceptance
 	Tasks         []int         // indices of the waiting tasks
 	Workspace     string        // of the job; its limit applies
+	Beyond        bool          // the job is beyond the weight of its workspace; see Share
 	Payload       string        // of the job
 	Progress      *job.Progress
 	Placed        map[string]int  // running tasks of the step by worker
@@ -188,6 +224,7 @@
 	Limits   map[string]*Limit         // by workspace
 	Headroom map[string]work.Resources // by pool; headroom that only urgent work and long-running or filler tasks may use
 	Early    int                       // number of early queries that can be sent now
+	Urgent   int                       // number of further ones for urgent work
 	Explain  bool                      // the plan tells what holds idle capacity
 }
 
@@ -224,14 +261,25 @@
 	cluster Cluster
 	pools   map[string]*inventory
 	plan    Plan
+	off     rules
 	asking  []string  // workers in the queries of the demand that is being planned
 	queries int       // number of these queries
 	allowed []*Worker // workers that the demand that is being planned may use; see allowedWorkers
 }
 
+// rules names rules that can be switched off, for comparison only.
+type rules struct {
+	wideQueries bool // a query names many workers, and late work asks only idle clients
+	wholeGangs  bool // a gang preempts only if it then fits as a whole
+}
+
 // Decide plans one scheduling round.
 func Decide(now time.Time, demands []*Demand, cluster Cluster) Plan {
-	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers)}
+	return decide(now, demands, cluster, rules{})
+}
+
+func decide(now time.Time, demands []*Demand, cluster Cluster, off rules) Plan {
+	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers), off: off}
 	for _, d := range demands {
 		d.rank = d.rankAt(now)
 	}
@@ -250,6 +298,7 @@
 
 const (
 	onTime  rank = iota // can still meet its deadline
+	excess              // likewise, but beyond the weight of its workspace
 	late                // misses its deadline, which lowers its value
 	expired             // the result is no longer needed
 )
@@ -262,7 +311,12 @@
 // minimum remaining run time would end after its deadline.
 func (d *Demand) rankAt(now time.Time) rank {
 	switch {
-	case d.Spec.Lasting || !now.Add(time.Duration(certainShare*float64(d.CriticalPath))).After(d.Deadline):
+	case d.Spec.Lasting:
+		return onTime
+	case !now.Add(time.Duration(certainShare * float64(d.CriticalPath))).After(d.Deadline):
+		if d.Beyond {
+			return excess
+		}
 		return onTime
 	case !now.After(d.Expiry):
 		return late
