--- a/internal/process/driver/driver_test.go
+++ b/internal/process/driver/driver_test.go
@@ -418,3 +418,14 @@
 	is.True(r.drop("b") && r.drop("d"))
 	is.Equal(r.choose("w", "", 1000), "") // one driver is too few
 }
+
+// Guards against an order that is handed to a driver although the permission for it
+// has ended meanwhile.
+func TestNoOrdersWithoutAPermit(t *testing.T) {
+	run(t, func(is *is.I, f *testFleet) {
+		a := f.Stop(dispatch.Permit{Timeout: time.Second, Valid: func() bool { return false }}, worker(1), dispatch.StopOrder{Task: task(1), Run: 3})
+		is.Equal(a.Result, dispatch.Undelivered)
+		time.Sleep(time.Second)
+		is.Equal(f.all.senders("stop w001 j.0.0.1 3 0"), nil)
+	})
+}
