--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -14,20 +14,27 @@
 //
 // # Order
 //
-// Demands that can meet their deadline come first, then those past it, then
+// Demands that can meet their deadline come first, then those of them that are
+// beyond the weight of their workspace, then those past their deadline, then
 // expired ones whose result nobody needs any more. Without this order, work that
-// is already late would make everything behind it late too under overload.
+// is already late would make everything behind it late too under overload, and one
+// workspace could take the places of the others.
 // Within a rank, urgent work and long-running tasks come first, then demands are
 // ordered by deadline, with a head start for each higher priority.
 // A gang that does not fit reserves the workers where it would fit soonest, so
 // that smaller work behind it cannot starve it. After a delay, it preempts runs
-// of lower priority that have checkpoints.
+// of lower priority that have checkpoints, if it then fits as a whole.
 //
 // # Headroom
 //
 // Urgent work is short and has little slack, so it cannot wait for long tasks to
-// end. Work of lower priority leaves Cluster.Headroom free in a pool; the leader
-// derives it from the recent peak usage of urgent work.
+// end. Work of lower priority leaves Cluster.Headroom free in a pool; it is derived
+// from the recent peak usage of urgent work (see Peak).
+//
+// # Patterns of load
+//
+// docs/policy.md names the pattern of load that each rule answers. The tests replay
+// recorded loads under the rules as they are and with one rule changed back.
 package fit
 
 import (
@@ -132,6 +139,7 @@
 	Sequence      uint64        // position of the job in order of acceptance
 	Tasks         []int         // indices of the waiting tasks
 	Workspace     string        // of the job; its limit applies
+	Beyond        bool          // the job is beyond the weight of its workspace; see Share
 	Payload       string        // of the job
 	Progress      *job.Progress
 	Placed        map[string]int  // running tasks of the step by worker
@@ -290,6 +298,7 @@
 
 const (
 	onTime  rank = iota // can still meet its deadline
+	excess              // likewise, but beyond the weight of its workspace
 	late                // misses its deadline, which lowers its value
 	expired             // the result is no longer needed
 )
@@ -302,7 +311,12 @@
 // minimum remaining run time would end after its deadline.
 func (d *Demand) rankAt(now time.Time) rank {
 	switch {
-	case d.Spec.Lasting || !now.Add(time.Duration(certainShare*float64(d.CriticalPath))).After(d.Deadline):
+	case d.Spec.Lasting:
+		return onTime
+	case !now.Add(time.Duration(certainShare * float64(d.CriticalPath))).After(d.Deadline):
+		if d.Beyond {
+			return excess
+		}
 		return onTime
 	case !now.After(d.Expiry):
 		return late
