--- a/internal/version/job/snapshot.go
+++ b/internal/version/job/snapshot.go
@@ -42,6 +42,9 @@
 	if err := codec.Decode(b, &d); err != nil {
 		return errors.Wrap(err, "decode snapshot")
 	}
+	if err := d.check(); err != nil {
+		return errors.Wrap(err, "snapshot")
+	}
 	v := View{}
 	v.init()
 	v.Term, v.Catalogue, v.Sequence, v.finished = d.Term, d.Catalogue, d.Sequence, d.Over
@@ -82,3 +85,36 @@
 		}
 	}
 }
+
+// check returns an error if the parts of the snapshot do not fit together.
+func (d *snapshot) check() error {
+	known := map[ID]bool{}
+	for i, r := range d.Jobs {
+		if r == nil || r.Job.ID == "" || known[r.Job.ID] || r.Status > Cancelled {
+			return errors.Newf("job %d has no record, no ID, the ID of another job or an unknown state", i)
+		}
+		known[r.Job.ID] = true
+		if err := r.check(); err != nil {
+			return errors.Wrapf(err, "job %s", r.Job.ID)
+		}
+	}
+	return nil
+}
+
+// check returns an error if the state of the job does not fit its steps.
+func (r *Record) check() error {
+	if err := r.Job.Check(); err != nil {
+		return err
+	}
+	for number, o := range r.Open {
+		if o == nil || number < 0 || number >= r.Job.Occurrences() || len(o.Steps) != len(r.Job.Steps) {
+			return errors.Newf("occurrence %d is out of range or has other steps than the job", number)
+		}
+		for i := range o.Steps {
+			if p, n := &o.Steps[i], r.Job.Steps[i].Count; len(p.Tasks) != n || p.Left < 0 || p.Left > n {
+				return errors.Newf("step %d has %d tasks and %d left, want %d", i, len(p.Tasks), p.Left, n)
+			}
+		}
+	}
+	return nil
+}
