Bound the turns of a wave with a huge limit

The planner counts at most as many places as there are VMs; the new lines of the test failed before.

--- a/internal/process/dispatch/malformed_test.go
+++ b/internal/process/dispatch/malformed_test.go
@@ -55,9 +55,12 @@
 			nil, []cell.Report{{}}, report(job.Worker{ID: "w"}), report(job.Worker{ID: "w", Pool: "p", Capacity: huge, Life: math.MaxInt64}),
 			report(job.Worker{ID: "w", Pool: "p", Capacity: negative, Life: math.MinInt64, Draining: true}),
 		},
-		cell.MethodLeave:  {nil, cell.Leave{}, cell.Leave{Worker: "a", Life: math.MaxInt64}},
-		cell.MethodUpkeep: {nil, cell.Wave{}},
-		cell.MethodWave:   {nil, int64(math.MinInt64), int64(math.MaxInt64)},
+		cell.MethodLeave: {nil, cell.Leave{}, cell.Leave{Worker: "a", Life: math.MaxInt64}},
+		cell.MethodUpkeep: {
+			nil, job.Wave{}, job.Wave{Number: math.MinInt64, VMs: []string{""}, Limit: 1}, job.Wave{VMs: []string{"vm-a"}, Limit: -1},
+			job.Wave{Number: math.MaxInt64, VMs: []string{"vm-a", "vm-b", "vm-a"}, Limit: math.MaxInt}, job.Wave{Limit: 1},
+		},
+		cell.MethodWave: {nil, int64(math.MinInt64), int64(math.MaxInt64)},
 	}
 }
 
--- a/internal/version/fit/wave.go
+++ b/internal/version/fit/wave.go
@@ -159,9 +159,10 @@
 
 // choose fills the places of a wave that are free.
 func (u *upkeep) choose(w *job.WaveRecord) {
-	free := w.Wave.Limit - w.Count(job.Ordered, job.Begun)
+	limit := max(1, min(w.Wave.Limit, len(w.Wave.VMs)))
+	free := limit - w.Count(job.Ordered, job.Begun)
 	waiting := w.Count(job.Waiting)
-	rounds := (waiting + w.Wave.Limit - 1) / w.Wave.Limit
+	rounds := (waiting + limit - 1) / limit
 	latest := w.Wave.Deadline.Add(-time.Duration(rounds) * (u.m.Time + slotOverhead))
 	for _, c := range u.candidates(w) {
 		if u.blocked(c.vm) {
--- a/internal/version/fit/wave_test.go
+++ b/internal/version/fit/wave_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -76,6 +77,10 @@
 	late := now.Add(20*time.Second - 2*(maintenanceTime+slotOverhead))
 	is.Equal(PlanMaintenance(late.Add(-time.Millisecond), m).Downs, nil)
 	is.Equal(PlanMaintenance(late, m).Downs, []Down{{1, "b"}})
+	m.Waves = []*job.WaveRecord{openWave(math.MaxInt, 20*time.Second, "a", "b")}
+	last := now.Add(20*time.Second - maintenanceTime - slotOverhead) // for a single turn
+	is.Equal(len(PlanMaintenance(last.Add(-time.Millisecond), m).Downs), 0)
+	is.Equal(PlanMaintenance(last, m).Downs, []Down{{1, "b"}})
 	m.Waves = []*job.WaveRecord{openWave(1, 0, "a")}
 	p = PlanMaintenance(late, m)
 	is.Equal(p.Stops, []job.TaskID{saver.Task}) // its checkpoint first
