--- a/internal/process/dispatch/permit_test.go
+++ b/internal/process/dispatch/permit_test.go
@@ -36,10 +36,14 @@
 		defer b.close()
 		b.add("a", 2)
 		time.Sleep(time.Second)
-		b.term().leave(&cell.Leave{Worker: "a", Life: 1})
-		time.Sleep(5 * time.Second)
-		b.submit("one", tasks(2))
-		time.Sleep(3 * time.Second)
-		b.is.Equal(b.status("one"), job.Completed)
+		leaving := func(life job.Incarnation) bool {
+			m := b.term()
+			m.leave(&cell.Leave{Worker: "a", Life: life})
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			return !m.workers["a"].leavesAt.IsZero()
+		}
+		b.is.True(!leaving(1))
+		b.is.True(leaving(2))
 	})
 }
