--- /dev/null
+++ b/internal/process/dispatch/cluster_test.go
@@ -0,0 +1,485 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/raft"
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
+)
+
+// fakeLog is a raft.Log of a single replica. It commits at once and leads until
+// it is told otherwise.
+type fakeLog struct {
+	mu      sync.Mutex
+	machine raft.StateMachine
+	index   uint64
+	term    uint64
+	leads   bool
+	lease   time.Duration
+	changed chan struct{}
+}
+
+func (l *fakeLog) Propose(_ context.Context, command []byte) (any, error) {
+	time.Sleep(4 * time.Millisecond) // a disk sync
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.leads {
+		return nil, raft.ErrNotLeader
+	}
+	if len(command) > raft.MaxCommand {
+		return nil, raft.ErrTooLarge
+	}
+	l.index++
+	return l.machine.Apply(l.index, command), nil
+}
+
+func (l *fakeLog) Leader() (string, uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.leads {
+		return "", l.term
+	}
+	return "me", l.term
+}
+
+func (l *fakeLog) Lease() time.Time {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.leads {
+		return time.Time{}
+	}
+	return time.Now().Add(l.lease)
+}
+
+func (l *fakeLog) Changed() <-chan struct{} {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.changed
+}
+
+func (l *fakeLog) set(leads bool, term uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.leads, l.term = leads, term
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// fakeWorker simulates a worker.
+type fakeWorker struct {
+	life               job.Incarnation
+	since              time.Time
+	running            map[job.TaskID]*fakeRun
+	ended              []EndedRun
+	number             int64
+	stopped            map[job.TaskID]int // highest run that was stopped or ended
+	lease              time.Time          // on its clock
+	fence              uint64
+	silent             bool // answers nothing
+	dropsAnswers       bool // executes starts but does not answer them
+	refusesConnections bool // nothing listens
+	loses              bool // the process that should send orders to it does not
+	hidesRuns          bool // answers no listing
+	delaysStarts       bool // answers no start and carries it out only with carryOutLate
+	late               []StartOrder
+	refusesCopies      bool // executes starts, but answers that a second copy of them was refused
+	refusesStops       bool // is unhealthy: answers stops, but does nothing
+	unhealthy          bool // answers all orders, but does nothing
+	slowdown           int  // factor by which new tasks take longer; zero means one
+	listings           int
+	peakRuns           int
+}
+
+type fakeRun struct {
+	run   int
+	began time.Time
+	ends  time.Time
+	stop  time.Time
+}
+
+func (h *fakeRun) percent() int {
+	return int(100 * time.Since(h.began) / h.ends.Sub(h.began))
+}
+
+// maxLease is the longest lease that a simulated worker grants.
+const maxLease = 6 * time.Second
+
+// fakeWorkers is an Upstream of simulated workers. A task runs for a second
+// unless runTime is changed, a stop takes 0.9 s.
+type fakeWorkers struct {
+	mu        sync.Mutex
+	all       map[string]*fakeWorker
+	starts    []string // task, run and worker of each start that was executed
+	refused   int      // starts that unhealthy workers refused
+	duplicate string   // a task that ran in two places at once
+	runTime   time.Duration
+	serving   bool // tasks are at work from their start on
+}
+
+func (h *fakeWorkers) clock(w *fakeWorker) time.Time {
+	return time.UnixMilli(1000).Add(time.Since(w.since))
+}
+
+// extendLease extends the lease of a worker, which shortens one that is too long.
+func (h *fakeWorkers) extendLease(w *fakeWorker, end time.Time) {
+	if longest := h.clock(w).Add(maxLease); end.After(longest) {
+		end = longest
+	}
+	if end.After(w.lease) {
+		w.lease = end
+	}
+}
+
+// endDueRuns ends the runs of a worker that are done, stopped or without a
+// lease.
+func (h *fakeWorkers) endDueRuns(w *fakeWorker) {
+	now := time.Now()
+	for id, r := range w.running {
+		switch {
+		case !r.stop.IsZero() && !now.Before(r.stop):
+			h.end(w, id, r, job.Stopped)
+		case h.clock(w).After(w.lease):
+			h.end(w, id, r, job.LeaseExpired)
+		case !now.Before(r.ends):
+			h.end(w, id, r, job.Done)
+		}
+	}
+}
+
+func (h *fakeWorkers) end(w *fakeWorker, id job.TaskID, r *fakeRun, o job.Outcome) {
+	w.number++
+	w.ended = append(w.ended, EndedRun{Number: w.number, Task: id, Run: r.run, Outcome: o})
+	w.stopped[id] = max(w.stopped[id], r.run)
+	delete(w.running, id)
+}
+
+// contact returns the worker that answers under an ID, or else the result of
+// the failed attempt.
+func (h *fakeWorkers) contact(id string) (*fakeWorker, Answer, bool) {
+	w := h.all[id]
+	switch {
+	case w == nil || w.refusesConnections:
+		return nil, Answer{Result: NotSent}, false
+	case w.loses:
+		return nil, Answer{Result: Undelivered}, false
+	case w.silent:
+		return nil, Answer{Result: Unanswered}, false
+	}
+	h.endDueRuns(w)
+	if w.unhealthy {
+		return nil, Answer{Result: Refused, Reason: ReasonOther}, false
+	}
+	return w, Answer{Result: Accepted, Clock: h.clock(w), Life: w.life}, true
+}
+
+func (h *fakeWorkers) Start(_ Permit, target *job.Worker, o StartOrder) Answer {
+	time.Sleep(2 * time.Millisecond)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w, a, ok := h.contact(target.ID)
+	if a.Result == Refused {
+		h.refused++
+	}
+	if !ok {
+		return a
+	}
+	if w.delaysStarts {
+		w.late = append(w.late, o)
+		return Answer{Result: Unanswered}
+	}
+	refuse := func(r Reason) Answer { a.Result, a.Reason = Refused, r; return a }
+	switch {
+	case o.Fence < w.fence:
+		return refuse(ReasonStaleLeader)
+	case o.Run <= w.stopped[o.Task]:
+		return refuse(ReasonRunEnded)
+	case !o.Lease.After(h.clock(w)):
+		return refuse(ReasonLeaseExpired)
+	}
+	w.fence = max(w.fence, o.Fence)
+	h.extendLease(w, o.Lease)
+	if w.running[o.Task] == nil {
+		for id, other := range h.all {
+			h.endDueRuns(other)
+			if other.running[o.Task] != nil {
+				h.duplicate = fmt.Sprintf("%s on %s and %s", o.Task, id, target.ID)
+			}
+		}
+		w.running[o.Task] = &fakeRun{run: o.Run, began: time.Now(), ends: time.Now().Add(h.runTime * time.Duration(max(1, w.slowdown)))}
+		w.peakRuns = max(w.peakRuns, len(w.running))
+		h.starts = append(h.starts, fmt.Sprintf("%s run %d on %s", o.Task, o.Run, target.ID))
+	}
+	if w.dropsAnswers {
+		return Answer{Result: Unanswered}
+	}
+	if w.refusesCopies {
+		a.Repeated = true
+		return refuse(ReasonOther)
+	}
+	return a
+}
+
+// carryOutLate carries out the starts that a worker has delayed.
+func (h *fakeWorkers) carryOutLate(id string) {
+	h.mu.Lock()
+	w := h.all[id]
+	late := w.late
+	w.late, w.delaysStarts = nil, false
+	h.mu.Unlock()
+	for _, o := range late {
+		h.Start(Permit{}, &job.Worker{ID: id}, o)
+	}
+}
+
+func (h *fakeWorkers) Stop(_ Permit, target *job.Worker, o StopOrder) Answer {
+	time.Sleep(2 * time.Millisecond)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w, a, ok := h.contact(target.ID)
+	if !ok {
+		return a
+	}
+	if w.refusesStops {
+		a.Result, a.Reason = Refused, ReasonOther
+		return a
+	}
+	w.fence = max(w.fence, o.Fence)
+	if r := w.running[o.Task]; r != nil && r.run == o.Run && r.stop.IsZero() {
+		r.stop = time.Now().Add(900 * time.Millisecond)
+	} else {
+		w.stopped[o.Task] = max(w.stopped[o.Task], o.Run)
+	}
+	return a
+}
+
+func (h *fakeWorkers) List(_ Permit, target *job.Worker, o ListOrder) (Listing, Answer) {
+	deadline := time.Now().Add(o.Wait)
+	for {
+		time.Sleep(2 * time.Millisecond)
+		if l, a, over := h.list(target.ID, o, !time.Now().Before(deadline)); over {
+			return l, a
+		}
+	}
+}
+
+func (h *fakeWorkers) list(id string, o ListOrder, over bool) (Listing, Answer, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	w, a, ok := h.contact(id)
+	if !ok {
+		return Listing{}, a, true
+	}
+	if w.hidesRuns {
+		return Listing{}, Answer{Result: Unanswered}, true
+	}
+	w.fence = max(w.fence, o.Fence)
+	h.extendLease(w, o.Lease)
+	w.ended = slices.DeleteFunc(w.ended, func(e EndedRun) bool { return e.Number <= o.Acknowledged })
+	if len(w.ended) == 0 && !over {
+		return Listing{}, a, false
+	}
+	w.listings++
+	l := Listing{Complete: true, Ended: slices.Clone(w.ended)}
+	for id, r := range w.running {
+		percent := r.percent()
+		if h.serving {
+			percent = 100
+		}
+		l.Running = append(l.Running, ListedRun{Task: id, Run: r.run, Percent: percent})
+	}
+	return l, a, true
+}
+
+func (h *fakeWorkers) Throttle(Permit, *job.Worker, ThrottleOrder) Answer {
+	return Answer{Result: Accepted}
+}
+
+func (h *fakeWorkers) Forget(*job.Worker) {}
+
+// testCluster is a leader with simulated workers, in virtual time.
+type testCluster struct {
+	is       *is.I
+	log      *fakeLog
+	state    *job.State
+	workers  *fakeWorkers
+	vms      *fakeVMs
+	leader   *Dispatcher
+	stop     context.CancelFunc
+	done     chan struct{}
+	sequence int64
+}
+
+func newTestCluster(t *testing.T, workers ...string) *testCluster {
+	b := &testCluster{
+		is: is.New(t), state: job.New(), workers: &fakeWorkers{all: map[string]*fakeWorker{}, runTime: time.Second}, done: make(chan struct{}),
+	}
+	b.vms = newFakeVMs(b)
+	b.log = &fakeLog{machine: b.state, term: 1, leads: true, lease: time.Second, changed: make(chan struct{})}
+	var err error
+	b.leader, err = New(Options{
+		Name: "me", State: b.state, Log: b.log, Upstream: b.workers, VMs: b.vms, Peer: unreachablePeers{}, Members: func() []string { return []string{"me"} },
+		Timing: Timing{
+			MaxLease: maxLease, StopTime: 900 * time.Millisecond, GangTime: 3 * time.Second,
+			ReportInterval: 1500 * time.Millisecond, JobRetention: time.Minute, MaxPoll: 2 * time.Second,
+			Maintenance: 2 * time.Second, HolderLease: 3 * time.Second,
+		},
+	})
+	b.is.NoErr(err)
+	ctx, stop := context.WithCancel(context.Background())
+	b.stop = stop
+	go func() {
+		defer close(b.done)
+		if err := b.leader.Run(ctx); err != nil {
+			t.Error(err)
+		}
+	}()
+	time.Sleep(100 * time.Millisecond)
+	b.apply()
+	for _, w := range workers {
+		b.add(w, 1)
+	}
+	go b.reportLoop(ctx)
+	time.Sleep(50 * time.Millisecond)
+	return b
+}
+
+// unreachablePeers is a peer.Caller whose calls all time out.
+type unreachablePeers struct{}
+
+func (unreachablePeers) Call(context.Context, string, string, any, any) error {
+	return context.DeadlineExceeded
+}
+
+func (b *testCluster) close() {
+	b.stop()
+	<-b.done
+}
+
+func (b *testCluster) term() *term { return b.leader.current.Load() }
+
+func (b *testCluster) apply() {
+	v, ok := b.term().apply(context.Background(), &job.Catalogue{
+		Version: 1, Pools: []job.Pool{{Name: "p"}}, Workspaces: []job.Workspace{{Name: "depot", Keys: []string{"k"}}},
+		Queues: []job.Queue{
+			{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Priority: 1, Attempts: 3, Stretch: 4, Target: 3 * time.Second},
+			{Name: "u", Host: "h", Prefix: "/u/", Pool: "p", Attempts: 3, Stretch: 4, Target: 3 * time.Second},
+		},
+	})
+	b.is.True(ok)
+	b.is.Equal(v.Code, cell.OK)
+}
+
+// add starts an incarnation of a worker and reports it.
+func (b *testCluster) add(id string, life job.Incarnation) {
+	b.restart(id, life)
+	b.report(id, false)
+}
+
+// restart starts an incarnation of a worker, which has not reported itself yet.
+func (b *testCluster) restart(id string, life job.Incarnation) {
+	b.workers.mu.Lock()
+	defer b.workers.mu.Unlock()
+	b.workers.all[id] = &fakeWorker{life: life, since: time.Now(), running: map[job.TaskID]*fakeRun{}, stopped: map[job.TaskID]int{}}
+}
+
+func (b *testCluster) report(id string, draining bool) {
+	b.workers.mu.Lock()
+	w := b.workers.all[id]
+	b.sequence++
+	r := cell.Report{Sequence: b.sequence, Clock: b.workers.clock(w), Remaining: 2000, Worker: job.Worker{
+		ID: id, Pool: "p", Life: w.life, Draining: draining,
+		Capacity: work.Resources{Processors: 4000, Memory: 16 << 30},
+	}}
+	b.workers.mu.Unlock()
+	if t := b.term(); t != nil {
+		t.reports(context.Background(), []cell.Report{r})
+	}
+}
+
+// reportLoop sends the reports of all workers that are not cut off.
+func (b *testCluster) reportLoop(ctx context.Context) {
+	draining := map[string]bool{}
+	for ctx.Err() == nil {
+		sleep(ctx, 1500*time.Millisecond)
+		b.workers.mu.Lock()
+		var ids []string
+		for id, w := range b.workers.all {
+			if !w.silent && !w.refusesConnections {
+				ids = append(ids, id)
+			}
+		}
+		b.workers.mu.Unlock()
+		slices.Sort(ids)
+		for _, id := range ids {
+			if t := b.term(); t != nil {
+				t.mu.Lock()
+				w := t.workers[id]
+				draining[id] = w != nil && w.Draining
+				t.mu.Unlock()
+			}
+			b.report(id, draining[id])
+		}
+	}
+}
+
+func (b *testCluster) submit(id string, s job.Step) {
+	b.is.Helper()
+	b.submitTo("/q/", id, s)
+}
+
+// submitTo submits a job to a queue. The queue with the prefix /u/ is urgent.
+func (b *testCluster) submitTo(prefix, id string, s job.Step) {
+	b.is.Helper()
+	v, ok := b.term().call(context.Background(), &cell.Call{
+		Verb: cell.Submit, Host: "h", Path: prefix + id, Key: "k", Job: &job.Job{Steps: []job.Step{s}},
+	})
+	b.is.True(ok)
+	b.is.Equal(v.Code, cell.OK)
+}
+
+func (b *testCluster) status(id string) job.Status {
+	var s job.Status
+	b.state.View(func(v *job.View) {
+		if r := v.Jobs[job.ID(id)]; r != nil {
+			s = r.Status
+		}
+	})
+	return s
+}
+
+func (b *testCluster) changeWorker(id string, change func(w *fakeWorker)) {
+	b.workers.mu.Lock()
+	defer b.workers.mu.Unlock()
+	change(b.workers.all[id])
+}
+
+// busyWorker returns the one of two workers that runs something.
+func (b *testCluster) busyWorker() string {
+	if len(b.workers.worker("b").running) > 0 {
+		return "b"
+	}
+	return "a"
+}
+
+// changeBusyWorker starts four tasks of 20 s, which fill one worker, and
+// changes that worker a second later.
+func (b *testCluster) changeBusyWorker(change func(w *fakeWorker)) {
+	b.is.Helper()
+	b.workers.setRunTime(20 * time.Second)
+	b.submit("one", tasks(4))
+	time.Sleep(time.Second)
+	b.changeWorker(b.busyWorker(), change)
+}
+
+func tasks(n int) job.Step {
+	return job.Step{Count: n, Size: work.Resources{Processors: 1000, Memory: 1 << 30}, Estimate: time.Second}
+}
--- a/internal/process/dispatch/malformed_test.go
+++ b/internal/process/dispatch/malformed_test.go
@@ -16,13 +16,13 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
-// messageHandlers is a peer.Mux that keeps the handlers by method.
-type messageHandlers map[string]peer.Handler
+// handlers is a peer.Mux whose handlers are called directly.
+type handlers map[string]peer.Handler
 
-func (h messageHandlers) Handle(method string, handler peer.Handler) { h[method] = handler }
+func (h handlers) Handle(method string, handler peer.Handler) { h[method] = handler }
 
 // receive passes an encoded message to the handler of a method.
-func (h messageHandlers) receive(method string, body []byte) (any, error) {
+func (h handlers) receive(method string, body []byte) (any, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	return h[method](ctx, "10.0.0.9", func(into any) error { return cbor.Unmarshal(body, into) })
@@ -70,7 +70,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
 		defer b.close()
-		h := messageHandlers{}
+		h := handlers{}
 		b.leader.Register(h)
 		b.submit("one", tasks(2))
 		_, _ = h.receive(method, body)
