--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -24,6 +24,13 @@
 // replicated state and from the workers. The number of the term is the fencing
 // token of the leader's orders. Before each order the leader checks the lease of
 // its replica, so that a leader that was paused sends nothing.
+//
+// # Runs that may still execute
+//
+// An order without an answer may be carried out later, and a refused one proves
+// nothing. A run counts as over only on proof; see docs/design.md, 8. A run that is
+// given up before is an orphan (orphan.go), and what a worker's next incarnation might
+// carry out is a doubt (doubt.go).
 package dispatch
 
 import (
