--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -273,10 +273,10 @@
 	return l.callLeader(ctx, MethodLeave, m, nil)
 }
 
-// Upkeep sends a maintenance wave to the leader.
-func (l *Link) Upkeep(ctx context.Context, w job.Wave) (Verdict, error) {
+// Maintain sends a maintenance wave to the leader.
+func (l *Link) Maintain(ctx context.Context, w job.Wave) (Verdict, error) {
 	var v Verdict
-	err := l.callLeader(ctx, MethodUpkeep, w, &v)
+	err := l.callLeader(ctx, MethodMaintain, w, &v)
 	return v, err
 }
 
--- a/internal/connection/cell/message.go
+++ b/internal/connection/cell/message.go
@@ -11,17 +11,17 @@
 // Methods that processes of a cell serve to each other, with the process that
 // serves each.
 const (
-	MethodWho     = "who"     // any control process: return the leader
-	MethodPing    = "ping"    // leader: heartbeat of a process
-	MethodCall    = "call"    // leader: a caller's call
-	MethodApply   = "apply"   // leader: apply an operator's catalogue
-	MethodRead    = "read"    // leader: return the catalogue in effect
-	MethodReports = "reports" // leader: status reports of workers
-	MethodLeave   = "leave"   // leader: a worker is shutting down
-	MethodUpkeep  = "upkeep"  // leader: an operator's maintenance wave
-	MethodWave    = "wave"    // leader: return the progress of a wave
-	MethodAdvise  = "advise"  // any process: query the advice service on behalf of the leader
-	MethodRelay   = "relay"   // any process: forward a call to the leader
+	MethodWho      = "who"      // any control process: return the leader
+	MethodPing     = "ping"     // leader: heartbeat of a process
+	MethodCall     = "call"     // leader: a caller's call
+	MethodApply    = "apply"    // leader: apply an operator's catalogue
+	MethodRead     = "read"     // leader: return the catalogue in effect
+	MethodReports  = "reports"  // leader: status reports of workers
+	MethodLeave    = "leave"    // leader: a worker is shutting down
+	MethodMaintain = "maintain" // leader: an operator's maintenance wave
+	MethodWave     = "wave"     // leader: return the progress of a wave
+	MethodAdvise   = "advise"   // any process: query the advice service on behalf of the leader
+	MethodRelay    = "relay"    // any process: forward a call to the leader
 )
 
 // CodeNotLeader is the code of the peer.RemoteError that a process returns if
--- a/internal/process/dispatch/malformed_test.go
+++ b/internal/process/dispatch/malformed_test.go
@@ -56,7 +56,7 @@
 			report(job.Worker{ID: "w", Pool: "p", Capacity: negative, Life: math.MinInt64, Draining: true}),
 		},
 		cell.MethodLeave: {nil, cell.Leave{}, cell.Leave{Worker: "a", Life: math.MaxInt64}},
-		cell.MethodUpkeep: {
+		cell.MethodMaintain: {
 			nil, job.Wave{}, job.Wave{Number: math.MinInt64, VMs: []string{""}, Limit: 1}, job.Wave{VMs: []string{"vm-a"}, Limit: -1},
 			job.Wave{Number: math.MaxInt64, VMs: []string{"vm-a", "vm-b", "vm-a"}, Limit: math.MaxInt}, job.Wave{Limit: 1},
 		},
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -36,7 +36,7 @@
 		t.leave(m)
 		return cell.Receipt{Leader: d.options.Name}, true
 	}))
-	mux.Handle(cell.MethodUpkeep, whileLeading(d, func(t *term, ctx context.Context, _ string, w *job.Wave) (cell.Verdict, bool) {
+	mux.Handle(cell.MethodMaintain, whileLeading(d, func(t *term, ctx context.Context, _ string, w *job.Wave) (cell.Verdict, bool) {
 		return t.addWave(ctx, w)
 	}))
 	mux.Handle(cell.MethodWave, whileLeading(d, func(t *term, _ context.Context, _ string, number *int64) (cell.Verdict, bool) {
--- a/internal/version/fit/wave.go
+++ b/internal/version/fit/wave.go
@@ -81,8 +81,8 @@
 	waitsForReturn      = "it is not up"
 )
 
-// upkeep is the state of one planning.
-type upkeep struct {
+// maintenancePlanner is the state of one planning.
+type maintenancePlanner struct {
 	now  time.Time
 	m    *Maintenance
 	plan MaintenancePlan
@@ -101,14 +101,14 @@
 // It counts as away from the first order on, since an order without an answer may be
 // carried out at any time.
 func PlanMaintenance(now time.Time, m *Maintenance) MaintenancePlan {
-	u := &upkeep{
+	p := &maintenancePlanner{
 		now: now, m: m, busy: map[string]bool{}, away: map[job.StepID]map[job.TaskID]bool{},
 		plan: MaintenancePlan{Cordon: map[string]bool{}, Waits: map[string]string{}},
 	}
 	for id, s := range m.Services {
-		u.away[id] = map[job.TaskID]bool{}
+		p.away[id] = map[job.TaskID]bool{}
 		for task := range s.Away {
-			u.away[id][task] = true
+			p.away[id][task] = true
 		}
 	}
 	waves := slices.Clone(m.Waves)
@@ -116,36 +116,36 @@
 		return cmp.Or(a.Wave.Deadline.Compare(b.Wave.Deadline), cmp.Compare(a.Wave.Number, b.Wave.Number))
 	})
 	for _, w := range waves {
-		u.repeat(w)
+		p.repeat(w)
 	}
 	for _, w := range waves {
-		u.choose(w)
+		p.choose(w)
 	}
-	return u.plan
+	return p.plan
 }
 
 // repeat plans the orders of a wave that may have been sent.
-func (u *upkeep) repeat(w *job.WaveRecord) {
+func (p *maintenancePlanner) repeat(w *job.WaveRecord) {
 	for _, name := range w.Wave.VMs {
 		stage := w.VMs[name].Stage
 		if stage == job.Begun {
-			u.busy[name] = true
+			p.busy[name] = true
 		}
 		if stage != job.Ordered {
 			continue
 		}
-		u.busy[name] = true
-		v := u.m.VMs[name]
+		p.busy[name] = true
+		v := p.m.VMs[name]
 		if v == nil {
 			continue // it left, or its worker is not listed yet
 		}
-		u.cordon(v)
-		if u.permitted(v) {
-			u.plan.Downs = append(u.plan.Downs, Down{w.Wave.Number, name})
+		p.cordon(v)
+		if p.permitted(v) {
+			p.plan.Downs = append(p.plan.Downs, Down{w.Wave.Number, name})
 		} else {
-			u.plan.Waits[name] = waitsForService
+			p.plan.Waits[name] = waitsForService
 		}
-		u.take(v)
+		p.take(v)
 	}
 }
 
@@ -158,44 +158,44 @@
 }
 
 // choose fills the places of a wave that are free.
-func (u *upkeep) choose(w *job.WaveRecord) {
+func (p *maintenancePlanner) choose(w *job.WaveRecord) {
 	limit := max(1, min(w.Wave.Limit, len(w.Wave.VMs)))
 	free := limit - w.Count(job.Ordered, job.Begun)
 	waiting := w.Count(job.Waiting)
 	rounds := (waiting + limit - 1) / limit
-	latest := w.Wave.Deadline.Add(-time.Duration(rounds) * (u.m.Time + slotOverhead))
-	for _, c := range u.candidates(w) {
-		if u.blocked(c.vm) {
-			u.plan.Waits[c.name] = waitsForService // not cordoned: the tasks that are away may need it
+	latest := w.Wave.Deadline.Add(-time.Duration(rounds) * (p.m.Time + slotOverhead))
+	for _, c := range p.candidates(w) {
+		if p.blocked(c.vm) {
+			p.plan.Waits[c.name] = waitsForService // not cordoned: the tasks that are away may need it
 			continue
 		}
 		if free <= 0 {
 			continue
 		}
 		free--
-		u.busy[c.name] = true
-		u.cordon(c.vm)
-		if wait := u.prepare(c.vm, !u.now.Before(latest)); wait != "" {
-			u.plan.Waits[c.name] = wait
+		p.busy[c.name] = true
+		p.cordon(c.vm)
+		if wait := p.prepare(c.vm, !p.now.Before(latest)); wait != "" {
+			p.plan.Waits[c.name] = wait
 			continue
 		}
-		u.take(c.vm)
-		u.plan.Downs = append(u.plan.Downs, Down{w.Wave.Number, c.name})
+		p.take(c.vm)
+		p.plan.Downs = append(p.plan.Downs, Down{w.Wave.Number, c.name})
 	}
 }
 
 // candidates returns the waiting VMs of a wave that are up, those that can begin
 // soonest first.
-func (u *upkeep) candidates(w *job.WaveRecord) []turn {
+func (p *maintenancePlanner) candidates(w *job.WaveRecord) []turn {
 	var all []turn
 	for _, name := range w.Wave.VMs {
-		v := u.m.VMs[name]
+		v := p.m.VMs[name]
 		switch {
-		case w.VMs[name].Stage != job.Waiting || u.busy[name] || v == nil:
+		case w.VMs[name].Stage != job.Waiting || p.busy[name] || v == nil:
 		case !v.Up:
-			u.plan.Waits[name] = waitsForReturn
+			p.plan.Waits[name] = waitsForReturn
 		default:
-			c := turn{name: name, vm: v, blocked: u.blocked(v)}
+			c := turn{name: name, vm: v, blocked: p.blocked(v)}
 			for i := range v.Runs {
 				if !v.Runs[i].Lasting && !v.Runs[i].Checkpoints {
 					c.left = max(c.left, v.Runs[i].Left)
@@ -223,7 +223,7 @@
 
 // prepare stops what has to go on elsewhere before a VM goes down. It returns why the
 // VM has to wait, or "" if it can go down now.
-func (u *upkeep) prepare(v *VM, late bool) string {
+func (p *maintenancePlanner) prepare(v *VM, late bool) string {
 	if !late && slices.ContainsFunc(v.Runs, func(r VMRun) bool { return !r.Lasting && !r.Checkpoints && !r.StopLate }) {
 		return waitsForRuns
 	}
@@ -235,13 +235,13 @@
 		}
 		wait = waitsForCheckpoints
 		if !r.Stopping {
-			u.plan.Stops = append(u.plan.Stops, r.Task)
+			p.plan.Stops = append(p.plan.Stops, r.Task)
 		}
 	}
-	if !u.permitted(v) {
-		for _, r := range u.movable(v) {
-			u.plan.Stops = append(u.plan.Stops, r.Task)
-			u.away[r.Task.StepID()][r.Task] = true
+	if !p.permitted(v) {
+		for _, r := range p.movable(v) {
+			p.plan.Stops = append(p.plan.Stops, r.Task)
+			p.away[r.Task.StepID()][r.Task] = true
 		}
 		return waitsForService
 	}
@@ -262,18 +262,18 @@
 // permitted reports whether the allowances of the long-running steps permit that a VM
 // goes down. Its tasks that are not at work yet count as well, as they may be by the
 // time that the order arrives.
-func (u *upkeep) permitted(v *VM) bool {
+func (p *maintenancePlanner) permitted(v *VM) bool {
 	for id, runs := range lasting(v) {
-		s := u.m.Services[id]
+		s := p.m.Services[id]
 		if s == nil {
 			return false
 		}
 		if s.Gang && s.Tasks > s.maxAway() {
 			return false
 		}
-		away := len(u.away[id])
+		away := len(p.away[id])
 		for _, r := range runs {
-			if !u.away[id][r.Task] {
+			if !p.away[id][r.Task] {
 				away++
 			}
 		}
@@ -285,21 +285,21 @@
 }
 
 // blocked reports whether nothing can be done now to take a VM down.
-func (u *upkeep) blocked(v *VM) bool { return !u.permitted(v) && len(u.movable(v)) == 0 }
+func (p *maintenancePlanner) blocked(v *VM) bool { return !p.permitted(v) && len(p.movable(v)) == 0 }
 
 // movable returns the long-running runs to stop now on a VM that has more of a step
 // than may be away at once.
-func (u *upkeep) movable(v *VM) []*VMRun {
+func (p *maintenancePlanner) movable(v *VM) []*VMRun {
 	var all []*VMRun
 	for id, runs := range lasting(v) {
-		s := u.m.Services[id]
+		s := p.m.Services[id]
 		if s == nil || s.Gang || len(runs) <= s.maxAway() {
 			continue
 		}
 		slices.SortFunc(runs, func(a, b *VMRun) int { return cmp.Compare(a.Task.Index, b.Task.Index) })
-		free := s.maxAway() - len(u.away[id])
+		free := s.maxAway() - len(p.away[id])
 		for _, r := range runs {
-			if free > 0 && !u.away[id][r.Task] && !r.Stopping {
+			if free > 0 && !p.away[id][r.Task] && !r.Stopping {
 				all = append(all, r)
 				free--
 			}
@@ -310,20 +310,20 @@
 }
 
 // take counts the long-running tasks on a VM as away.
-func (u *upkeep) take(v *VM) {
+func (p *maintenancePlanner) take(v *VM) {
 	for id, runs := range lasting(v) {
-		if u.away[id] == nil {
-			u.away[id] = map[job.TaskID]bool{}
+		if p.away[id] == nil {
+			p.away[id] = map[job.TaskID]bool{}
 		}
 		for _, r := range runs {
-			u.away[id][r.Task] = true
+			p.away[id][r.Task] = true
 		}
 	}
 }
 
 // cordon has the worker on a VM get no new tasks.
-func (u *upkeep) cordon(v *VM) {
+func (p *maintenancePlanner) cordon(v *VM) {
 	if v.Worker != "" {
-		u.plan.Cordon[v.Worker] = true
+		p.plan.Cordon[v.Worker] = true
 	}
 }
