--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -27,8 +27,8 @@
 	mux.Handle(cell.MethodApply, whileLeading(d, func(t *term, ctx context.Context, _ string, c *job.Catalogue) (cell.Verdict, bool) {
 		return t.apply(ctx, c)
 	}))
-	mux.Handle(cell.MethodRead, whileLeading(d, func(t *term, _ context.Context, _ string, _ *cell.Who) (cell.Document, bool) {
-		return t.read(), true
+	mux.Handle(cell.MethodRead, whileLeading(d, func(t *term, _ context.Context, name string, _ *cell.Who) (cell.Document, bool) {
+		return t.read(name), true
 	}))
 	mux.Handle(cell.MethodReports, whileLeading(d, func(t *term, ctx context.Context, _ string, r *[]cell.Report) (cell.Receipts, bool) {
 		return t.reports(ctx, *r), true
@@ -59,7 +59,10 @@
 			return nil, d.notLeaderError()
 		}
 		answer, ok := serve(t, ctx, name, &request)
-		if !ok || !t.isLeading() {
+		if leading := t.isLeading(); !ok || !leading {
+			if !leading {
+				t.emit(event.AnswerWithheld, zap.Uint64("term", t.number), zap.String("peer", name))
+			}
 			return nil, &peer.RemoteError{Code: cell.CodeUnsettled, Message: "the outcome is not known"}
 		}
 		return answer, nil
@@ -214,7 +217,7 @@
 // apply puts an operator's catalogue into effect. A catalogue that is not newer
 // than the current one is acknowledged and changes nothing.
 func (t *term) apply(ctx context.Context, c *job.Catalogue) (cell.Verdict, bool) {
-	for {
+	for applied := false; ; applied = true {
 		current := uint64(0)
 		t.state().View(func(v *job.View) {
 			if v.Catalogue != nil {
@@ -222,6 +225,9 @@
 			}
 		})
 		if current >= c.Version {
+			if !applied {
+				t.emit(event.CatalogueKept, zap.Uint64("version", c.Version), zap.Uint64("current", current))
+			}
 			return cell.Verdict{Code: cell.OK}, true
 		}
 		t.mu.Lock()
@@ -238,13 +244,15 @@
 	}
 }
 
-func (t *term) read() cell.Document {
+// read returns the catalogue in force to the process that asks for it.
+func (t *term) read(name string) cell.Document {
 	var d cell.Document
 	t.state().View(func(v *job.View) {
 		if v.Catalogue != nil {
 			d = cell.Document{Version: v.Catalogue.Version, Body: v.Catalogue.Document}
 		}
 	})
+	t.emit(event.CatalogueRead, zap.Uint64("version", d.Version), zap.Uint64("term", t.number), zap.String("peer", name))
 	return d
 }
 
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -29,6 +29,8 @@
 	WorkerResized    = define(925, zapcore.InfoLevel, "worker resized", "A worker reports another capacity or other labels than before; nothing is stopped for it, and nothing starts beyond it.")
 	TaskGivenUp      = define(919, zapcore.WarnLevel, "task given up", "Workers crashed under the task, the last one while nothing else had started on it; its job has failed.")
 	CatalogueInForce = define(920, zapcore.InfoLevel, "catalogue in force", "The operator's change is committed and in force on every process.")
+	CatalogueKept    = define(926, zapcore.InfoLevel, "catalogue kept", "The operator's change was acknowledged and changes nothing, since a version that is not lower is in force; the line has both.")
+	CatalogueRead    = define(922, zapcore.InfoLevel, "catalogue read", "The leader answered a read of the catalogue for the process given; the line has the version and the term.")
 	CatalogueRefused = define(921, zapcore.WarnLevel, "catalogue refused", "The operator's change is invalid; the line has every finding.")
 	TermBegun        = define(930, zapcore.InfoLevel, "leader takes over", "This process leads the cell from now on; the line has what it took over.")
 	TermEnded        = define(931, zapcore.WarnLevel, "leader steps down", "This process no longer leads the cell.")
