--- a/internal/version/raft/core_test.go
+++ b/internal/version/raft/core_test.go
@@ -136,6 +136,22 @@
 	return o[0], o[1]
 }
 
+// Guards against a leader that is suspended and has, after the wake, what was left of
+// its lease before, while another replica leads (rule CONFIG).
+func TestSuspendedLeaderKeepsNoLease(t *testing.T) {
+	is := is.New(t)
+	for seed := range uint64(100) {
+		s := newSimulation(seed, Options{}, "a", "b", "c")
+		s.steadyClocks = true
+		l := s.elect()
+		s.suspend(l.name)
+		s.run(3 * time.Second)
+		s.wake(l)
+		s.run(2 * time.Second)
+		is.Equal(s.violation, "")
+	}
+}
+
 // Guards against an answer before the sync: a committed entry would be lost when
 // the replicas that hold it crash.
 func TestGuardSync(t *testing.T) {
--- a/internal/version/raft/simulation_test.go
+++ b/internal/version/raft/simulation_test.go
@@ -45,6 +45,7 @@
 	duplicateRate  float64 // share of packets duplicated
 	delayRate      float64 // share of packets delayed by up to 3 s
 	alignElections bool    // make election timeouts end at the same time
+	steadyClocks   bool    // the clocks of nodes stand still while these are suspended
 	lastIdentity   uint64
 	disks          map[uint64]*diskRecord // by identity
 	checkedChanges map[*Membership]bool
@@ -85,6 +86,8 @@
 	applied     uint64
 	checkedTerm uint64 // latest term checked for leader completeness
 	paused      bool
+	suspendedAt time.Duration // the VM has been suspended since then; zero if it is not
+	lag         time.Duration // what its steady clock did not count of former suspensions
 }
 
 var epoch = time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
@@ -143,10 +146,26 @@
 		s.leases[n.core.term] = min(s.leases[n.core.term], s.now)
 	}
 	delete(s.checked, n.core)
-	n.core, n.paused = nil, false
+	s.wake(n)
+	n.core = nil
 	n.store.Crash()
 }
 
+// suspend suspends the VM of a node. Unlike a paused process, it may find after the
+// wake that its clock has stood still.
+func (s *simulation) suspend(name string) {
+	if n := s.nodes[name]; !n.paused {
+		n.paused, n.suspendedAt = true, s.now
+	}
+}
+
+func (s *simulation) wake(n *node) {
+	if s.steadyClocks && n.suspendedAt > 0 {
+		n.lag += s.now - n.suspendedAt
+	}
+	n.paused, n.suspendedAt = false, 0
+}
+
 // replaceDisk starts a replica on an empty disk.
 func (s *simulation) replaceDisk(name string) {
 	n := s.nodes[name]
@@ -154,7 +173,8 @@
 	s.lastIdentity++
 	s.disks[s.lastIdentity] = &diskRecord{name: name}
 	n.store = disk.NewMemory(s.lastIdentity)
-	n.core, n.paused = nil, false
+	s.wake(n)
+	n.core = nil
 	s.start(name)
 }
 
@@ -228,11 +248,11 @@
 
 // localTime returns the time by a node's own clock.
 func (s *simulation) localTime(n *node) time.Time {
-	return epoch.Add(time.Duration(float64(s.now) * n.clockRate))
+	return epoch.Add(time.Duration(float64(s.now-n.lag) * n.clockRate))
 }
 
 func (s *simulation) globalTime(n *node, t time.Time) time.Duration {
-	return time.Duration(float64(t.Sub(epoch))/n.clockRate) + 1
+	return time.Duration(float64(t.Sub(epoch))/n.clockRate) + n.lag + 1
 }
 
 func (s *simulation) send(from, to string, m Message) {
@@ -320,7 +340,7 @@
 	s.checkNode(n)
 	if c := n.core; s.alignElections {
 		t := (s.globalTime(n, c.electionDeadline) + 499*time.Millisecond).Truncate(500 * time.Millisecond)
-		c.electionDeadline = epoch.Add(time.Duration(float64(t) * n.clockRate))
+		c.electionDeadline = epoch.Add(time.Duration(float64(t-n.lag) * n.clockRate))
 	}
 	if n.applied >= n.core.snapshot.Index+20 {
 		s.compact(n)
