Count suspensions in views, allotments, drivers' permissions and the stand-in's lease

The same cause elsewhere:

- an entry VM's view of the catalogue (withdrawn keys were accepted for up to 3 s after the wake) and its allotments of limits and runners, which the leader may have given to others;
- a driver's permission to send an order of a leader that may be deposed;

Whether a view is valid is asked of the link (Directory.Valid), since routing and health checks keep Go's clock for callers' deadlines. The first request of a team waits until its deadline on that clock; by the other one it was refused at once after a suspension.

Tests, each failing with the former clock put back: TestSuspendedViewExpires, TestAllotmentAfterASuspension, TestSuspendedDriverSendsNothingOld, TestSuspendedWorkerStopsItsTasks. Checks of balancer and route use Valid with the same deadlines as before.

Left on Go's clock, because they only seem to last longer: what the leader knows of workers' leases, sessions of entry VMs, the wait of a new leader before it orders VMs down, time-outs of calls.

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -35,6 +35,10 @@
 // best counts. A single one is too low if the thread was preempted during it.
 const initialReadings = 3
 
+// resolution is the least by which Suspended grows. Readings vary by some microseconds;
+// margins of leases are far longer.
+const resolution = time.Millisecond
+
 // lead returns how far the boot-time clock is ahead of the monotonic clock, or a little
 // less: what passes between the two readings is subtracted. Tests replace it.
 var lead = readLead
@@ -58,12 +62,12 @@
 }
 
 // Suspended returns for how long the VM was suspended since the start of the process.
-// It never decreases.
+// It never decreases, and leaves out less than a millisecond.
 func Suspended() time.Duration {
 	latest := int64(lead() - offset)
 	for {
 		known := suspended.Load()
-		if latest <= known {
+		if latest-known < int64(resolution) {
 			return time.Duration(known)
 		}
 		if suspended.CompareAndSwap(known, latest) {
--- a/internal/connection/control/link.go
+++ b/internal/connection/control/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -39,6 +38,6 @@
 	Key(secret string) (work.Key, error)
 	Entry(name string) (work.Entry, error)
 	Team(name string) (work.Team, error)
-	// Deadline returns the time until which the view is valid.
-	Deadline() time.Time
+	// Valid reports whether the view is valid now. It is checked again after each wait.
+	Valid() bool
 }
--- a/internal/connection/control/link_test.go
+++ b/internal/connection/control/link_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"reflect"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/boottime"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/state"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
@@ -203,6 +206,32 @@
 	})
 }
 
+// Guards against an entry VM that was suspended and serves from a view, with keys that
+// were withdrawn meanwhile, although its steady clock has not moved.
+func TestSuspendedViewExpires(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		var suspended atomic.Int64
+		g := &fakeGroup{leader: "c1", term: 1, version: 1}
+		l := newLink(t, g, func(o *Options) {
+			o.Now = func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }
+		})
+		withRunning(t, l, func() {
+			time.Sleep(time.Second)
+			is.True(l.Valid())
+			suspended.Store(int64(GrantValidity))
+			is.True(!l.Valid())
+			_, err := l.Key("secret")
+			is.Equal(err, ErrStale)
+			time.Sleep(time.Second) // renewed
+			is.True(l.Valid())
+		})
+		o := Options{Name: "entry-1", Peer: g, Candidates: []string{"c1"}}
+		is.NoErr(o.validate())
+		is.Equal(reflect.ValueOf(o.Now).Pointer(), reflect.ValueOf(boottime.Now).Pointer())
+	})
+}
+
 // Guards against grants that are applied out of order: those of an earlier term,
 // for another renewal, or with an older catalogue (I10). With the check disabled
 // each of them is applied.
--- a/internal/connection/control/options.go
+++ b/internal/connection/control/options.go
@@ -27,6 +27,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/boottime"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 )
@@ -94,8 +95,11 @@
 	Teams      Teams    // may be nil
 	Runners    Runners  // may be nil
 	Workers    Workers  // may be nil
-	Now        func() time.Time
-	Log        event.Log
+	// Now returns the time on a clock that counts suspensions of the VM, by which the
+	// leader may have given the entry VM's allotments and runners to others. It
+	// defaults to boottime.Now.
+	Now func() time.Time
+	Log event.Log
 }
 
 func (o *Options) validate() error {
@@ -108,7 +112,7 @@
 		return errors.New("control: no control replica is configured")
 	}
 	if o.Now == nil {
-		o.Now = time.Now
+		o.Now = boottime.Now
 	}
 	return nil
 }
--- a/internal/connection/control/renew.go
+++ b/internal/connection/control/renew.go
@@ -260,7 +260,7 @@
 func (l *Link) logStale() {
 	stale := l.deadline.Load() != 0 && l.checkDeadline() != nil
 	if stale && !l.staleLogged {
-		l.options.Log.Emit(event.LinkStale, zap.Time("deadline", l.Deadline()))
+		l.options.Log.Emit(event.LinkStale, zap.Duration("since", l.options.Now().Sub(l.Deadline())))
 	}
 	l.staleLogged = stale
 }
@@ -276,8 +276,11 @@
 	return nil
 }
 
-// Deadline returns the time until which the view is valid, or the zero time
-// before the first grant.
+// Valid implements Directory.
+func (l *Link) Valid() bool { return l.checkDeadline() == nil }
+
+// Deadline returns the time until which the view is valid by Options.Now, or the zero
+// time before the first grant.
 func (l *Link) Deadline() time.Time {
 	d := l.deadline.Load()
 	if d == 0 {
--- a/internal/connection/upstream/allotment.go
+++ b/internal/connection/upstream/allotment.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/boottime"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/control"
 	"github.com/rosemaryloft/rosemaryloft/internal/shard"
 )
@@ -65,11 +66,13 @@
 	noWaitUntil     time.Time // until then no request waits for a first allotment
 }
 
-// NewAllotments returns Allotments without any grant. The function refused, if
-// not nil, is called after a request was refused for lack of allotment.
+// NewAllotments returns Allotments without any grant. Deadlines of grants are times of
+// now, which has to count suspensions of the VM and defaults to boottime.Now. The
+// function refused, if not nil, is called after a request was refused for lack of
+// allotment.
 func NewAllotments(now func() time.Time, refused func()) *Allotments {
 	if now == nil {
-		now = time.Now
+		now = boottime.Now
 	}
 	if refused == nil {
 		refused = func() {}
@@ -114,7 +117,7 @@
 
 // TakeOrWait is like Take, but waits for a grant if the team has neither an
 // allotment nor a request in flight on this entry VM, at most for maxFirstWait
-// and until the given time. Without this, each request of a team that sends few
+// and until the given time on the clock of time.Now. Without this, each request of a team that sends few
 // requests would be refused.
 func (a *Allotments) TakeOrWait(team string, limit int64, until time.Time) error {
 	next := a.nextGrant()
@@ -122,7 +125,7 @@
 	if !errors.Is(err, ErrLimited) || !a.mayAwaitFirst(team) {
 		return err
 	}
-	timer := time.NewTimer(min(maxFirstWait, until.Sub(a.now())))
+	timer := time.NewTimer(min(maxFirstWait, time.Until(until)))
 	defer timer.Stop()
 	for {
 		select {
--- a/internal/connection/upstream/allotment_test.go
+++ b/internal/connection/upstream/allotment_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/matryer/is"
 	"pgregory.net/rapid"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/boottime"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/control"
 )
 
@@ -56,6 +58,29 @@
 	is.Equal(a.Take("t", 10), ErrLimited) // until it is granted again
 }
 
+// Guards against the use of an allotment after a suspension of the VM, and against
+// requests that are refused at once since then because their deadline is on the clock of
+// time.Now.
+func TestAllotmentAfterASuspension(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		suspended := time.Duration(0)
+		a := NewAllotments(func() time.Time { return time.Now().Add(suspended) }, nil)
+		a.Grant([]control.TeamGrant{{Team: "t", Granted: 2}}, a.now().Add(3*time.Second))
+		is.NoErr(a.Take("t", 5))
+		suspended = time.Hour
+		is.Equal(a.Take("t", 5), ErrExpired)
+		a.Release("t")
+		a.Uses(nil)
+		a.Grant(nil, a.now().Add(3*time.Second))
+		time.AfterFunc(50*time.Millisecond, func() {
+			a.Grant([]control.TeamGrant{{Team: "t", Granted: 1}}, a.now().Add(3*time.Second))
+		})
+		is.NoErr(a.TakeOrWait("t", 5, time.Now().Add(time.Minute)))
+		is.Equal(reflect.ValueOf(NewAllotments(nil, nil).now).Pointer(), reflect.ValueOf(boottime.Now).Pointer())
+	})
+}
+
 // Guards against a team that sends few requests being refused each time, and
 // against requests that wait although other entry VMs use up the team's limit.
 func TestTakeFirst(t *testing.T) {
--- a/internal/process/daemon/metric.go
+++ b/internal/process/daemon/metric.go
@@ -6,6 +6,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/boottime"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/metric"
 	"github.com/rosemaryloft/rosemaryloft/pkg/api"
 )
@@ -15,10 +16,10 @@
 	d.metrics.Gauge("peers_expected", func() any { return len(d.peer.Peers()) })
 	d.metrics.Gauge("peers_connected", func() any { return d.peer.Connected() })
 	if d.entry != nil {
-		d.metrics.Gauge("entry", func() any { return d.entry.gauges(time.Now()) })
+		d.metrics.Gauge("entry", func() any { return d.entry.gauges(boottime.Now()) })
 	}
 	if d.control != nil {
-		d.metrics.Gauge("control", func() any { return d.control.gauges(time.Now()) })
+		d.metrics.Gauge("control", func() any { return d.control.gauges(boottime.Now()) })
 		d.metrics.Gauge("leading", func() any { return d.control.leaderGauges(d.metrics) })
 	}
 }
--- a/internal/process/driver/driver_test.go
+++ b/internal/process/driver/driver_test.go
@@ -120,11 +120,22 @@
 	mu    sync.Mutex
 	sent  map[string][]string // senders, by order
 	delay time.Duration       // of the sending process, before it checks the permit
+
+	suspended time.Duration // what the clock of each VM has counted of suspensions
+	suspends  time.Duration // the sending VM is suspended for this long before it checks the permit
+}
+
+// now returns the time on a clock that counts suspensions.
+func (r *record) now() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Now().Add(r.suspended)
 }
 
 func (r recorder) send(p dispatch.Permit, what string) dispatch.Answer {
 	r.all.mu.Lock()
 	delay := r.all.delay
+	r.all.suspended += r.all.suspends
 	r.all.mu.Unlock()
 	time.Sleep(delay)
 	if !p.Valid() {
@@ -206,7 +217,7 @@
 		})
 		f.Register(endpoint{n, "a"})
 		for i, name := range []string{"b", "c", "d"} {
-			NewServer(ServerOptions{Zone: fmt.Sprintf("z%d", i), Upstream: recorder{name, all}, Peer: endpoint{n, name}}).Register(endpoint{n, name})
+			NewServer(ServerOptions{Zone: fmt.Sprintf("z%d", i), Upstream: recorder{name, all}, Peer: endpoint{n, name}, Now: all.now}).Register(endpoint{n, name})
 		}
 		ctx, cancel := context.WithCancel(t.Context())
 		var running sync.WaitGroup
@@ -334,6 +345,19 @@
 	})
 }
 
+// Guards against a driver whose VM was suspended and that sends orders whose time has
+// passed, although its steady clock has not moved.
+func TestSuspendedDriverSendsNothingOld(t *testing.T) {
+	run(t, func(is *is.I, f *testFleet) {
+		f.all.mu.Lock()
+		f.all.suspends = 3 * time.Second
+		f.all.mu.Unlock()
+		a := f.Stop(always(orderTimeout), worker(1), dispatch.StopOrder{Task: task(1), Run: 1})
+		is.Equal(a.Result, dispatch.Undelivered)
+		is.Equal(f.all.senders("stop w001 j.0.0.1 1 0"), nil)
+	})
+}
+
 // Guards against a process that no longer leads and still hands out orders, and
 // against answers to it that keep callers waiting.
 func TestNoOrdersAfterTheTerm(t *testing.T) {
--- a/internal/process/driver/server.go
+++ b/internal/process/driver/server.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/boottime"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/dispatch"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
@@ -30,6 +31,9 @@
 	Upstream dispatch.Upstream
 	Peer     peer.Caller
 	Log      event.Log
+	// Now returns the time on a clock that counts suspensions of the VM, after which
+	// the leader may be another one. It defaults to boottime.Now.
+	Now func() time.Time
 }
 
 // Server sends the orders of leaders to workers.
@@ -60,6 +64,9 @@
 
 // NewServer returns a Server.
 func NewServer(options ServerOptions) *Server {
+	if options.Now == nil {
+		options.Now = boottime.Now
+	}
 	return &Server{options: options, sessions: map[session]*outbox{}}
 }
 
@@ -70,7 +77,7 @@
 		if err := decode(&b); err != nil {
 			return nil, &peer.RemoteError{Code: peer.CodeMalformed, Message: err.Error()}
 		}
-		received := time.Now()
+		received := s.options.Now()
 		from := session{name, b.Session}
 		for i := range b.Orders {
 			s.accept(from, &b.Orders[i], received)
@@ -119,7 +126,7 @@
 	if err != nil {
 		return newReply(o.Number, dispatch.Answer{Result: dispatch.Undelivered, Error: err}, nil), true
 	}
-	p := dispatch.Permit{Timeout: o.Timeout, Valid: func() bool { return time.Now().Before(deadline) }}
+	p := dispatch.Permit{Timeout: o.Timeout, Valid: func() bool { return s.options.Now().Before(deadline) }}
 	u := s.options.Upstream
 	var a dispatch.Answer
 	var l *dispatch.Listing
@@ -155,7 +162,7 @@
 		s.sessions[to] = b
 	}
 	b.replies = append(b.replies, r)
-	now := time.Now()
+	now := s.options.Now()
 	if b.cut && now.Before(b.callAt) {
 		if !now.Before(b.dropAt) || len(b.replies) > maxHeld {
 			b.replies = nil // the leader sends the orders again or stops their runs
@@ -207,7 +214,7 @@
 func (s *Server) keep(to session, b *outbox, list []reply) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
+	now := s.options.Now()
 	if b.cut && !now.Before(b.dropAt) {
 		delete(s.sessions, to) // the leader is gone
 		return
--- a/internal/request/balancer/balancer.go
+++ b/internal/request/balancer/balancer.go
@@ -16,8 +16,6 @@
 package balancer
 
 import (
-	"time"
-
 	"github.com/valyala/fasthttp"
 	"github.com/valyala/fasthttp/expvarhandler"
 
@@ -30,7 +28,6 @@
 type Options struct {
 	Directory control.Directory // nil for a process without the entry role
 	Draining  func() bool       // nil means never
-	Now       func() time.Time  // nil means time.Now
 }
 
 // Health is the body of the answers to /health and /ready.
@@ -47,9 +44,6 @@
 	if options.Draining == nil {
 		options.Draining = func() bool { return false }
 	}
-	if options.Now == nil {
-		options.Now = time.Now
-	}
 	return &Adapter{options: options}
 }
 
@@ -92,7 +86,7 @@
 	switch {
 	case a.options.Draining():
 		return Health{Reason: "the process is shutting down"}
-	case a.options.Directory != nil && !a.options.Directory.Deadline().After(a.options.Now()):
+	case a.options.Directory != nil && !a.options.Directory.Valid():
 		return Health{Reason: "there is no valid view of the catalogue"}
 	}
 	return Health{Ready: true}
--- a/internal/request/balancer/balancer_test.go
+++ b/internal/request/balancer/balancer_test.go
@@ -13,10 +13,10 @@
 
 type directory struct {
 	control.Directory
-	deadline time.Time
+	deadline, now time.Time
 }
 
-func (d directory) Deadline() time.Time { return d.deadline }
+func (d directory) Valid() bool { return d.now.Before(d.deadline) }
 
 // Guards against a load balancer that sends requests to a process that would
 // refuse them all, and against restarting a process that is only draining.
@@ -34,7 +34,7 @@
 	} {
 		is := is.New(t)
 		a := New(Options{
-			Directory: directory{deadline: c.deadline}, Draining: func() bool { return c.draining }, Now: func() time.Time { return now },
+			Directory: directory{deadline: c.deadline, now: now}, Draining: func() bool { return c.draining },
 		})
 		var ctx fasthttp.RequestCtx
 		ctx.Request.SetRequestURI("/ready")
--- a/internal/request/route/cell_test.go
+++ b/internal/request/route/cell_test.go
@@ -271,7 +271,7 @@
 
 func (v *vm) Entry(name string) (work.Entry, error) {
 	e, ok := v.cell.state.Entry(name)
-	if !time.Now().Before(v.Deadline()) {
+	if !v.Valid() {
 		return e, control.ErrStale
 	}
 	if !ok {
@@ -285,10 +285,10 @@
 	return t, nil
 }
 
-func (v *vm) Deadline() time.Time {
+func (v *vm) Valid() bool {
 	v.cell.mu.Lock()
 	defer v.cell.mu.Unlock()
-	return v.deadline
+	return time.Now().Before(v.deadline)
 }
 
 func (c *cell) dial(address string, _ time.Duration) (net.Conn, error) {
--- a/internal/request/route/route.go
+++ b/internal/request/route/route.go
@@ -186,9 +186,10 @@
 }
 
 // checkView returns an error if the catalogue view has expired. It is called
-// again after each wait, because the process may have been paused meanwhile.
+// again after each wait, because the process may have been paused or the VM suspended
+// meanwhile.
 func (r *Router) checkView() *api.Error {
-	if !r.options.Now().Before(r.options.Directory.Deadline()) && !r.hooks.ignoreViewExpiry {
+	if !r.options.Directory.Valid() && !r.hooks.ignoreViewExpiry {
 		return r.staleError()
 	}
 	return nil
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -246,6 +246,27 @@
 	})
 }
 
+// Guards against a worker whose VM was suspended and whose tasks run on beside those
+// that were started elsewhere since, because its timers and its steady clock stood still.
+func TestSuspendedWorkerStopsItsTasks(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		suspended := time.Duration(0)
+		w := NewWorker(WorkerOptions{Name: "w", Now: func() time.Time { return time.Now().Add(suspended) }})
+		w.nextPoll(time.Now())
+		w.carryOut(&api.Orders{Sequence: 1, Lease: 15000, Starts: []api.Start{{Job: 1, Token: 1}}}, w.options.Now())
+		time.Sleep(time.Second)
+		synctest.Wait()
+		is.Equal(w.Running(), 1)
+		suspended = time.Minute
+		time.Sleep(leaseCheckInterval)
+		synctest.Wait()
+		is.Equal(w.Running(), 0)
+		is.Equal(w.Stats().Expired, 1)
+		w.stopAll("stopped")
+	})
+}
+
 // Guards against a lease that is counted from the response, or from a poll other than
 // the latest.
 func TestLeaseStart(t *testing.T) {
--- a/internal/standin/worker.go
+++ b/internal/standin/worker.go
@@ -14,6 +14,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/boottime"
 	"github.com/rosemaryloft/rosemaryloft/pkg/api"
 )
 
@@ -26,6 +27,9 @@
 	pollTimeout = 6 * time.Second
 	// failDelay is the run time of a task that fails at once.
 	failDelay = 10 * time.Millisecond
+	// leaseCheckInterval bounds how long after a suspension of the VM, during which
+	// timers stand still, tasks run on without a lease.
+	leaseCheckInterval = 200 * time.Millisecond
 )
 
 // WorkerOptions configures a Worker.
@@ -41,8 +45,11 @@
 	Lag         time.Duration // age of the reported usage
 	Client      *Client       // may be shared by several workers; nil creates a new one
 	Dial        fasthttp.DialFunc
-	Fail        bool      // fail every task at once
-	Log         io.Writer // receives a Record as a line of JSON for each start and end of a run; may be nil
+	Fail        bool // fail every task at once
+	// Now returns the time on a clock that counts suspensions of the VM, by which the
+	// lease is measured. It defaults to boottime.Now.
+	Now func() time.Time
+	Log io.Writer // receives a Record as a line of JSON for each start and end of a run; may be nil
 }
 
 // Record is one line of WorkerOptions.Log.
@@ -109,6 +116,9 @@
 	if options.Interval == 0 {
 		options.Interval = pollInterval
 	}
+	if options.Now == nil {
+		options.Now = boottime.Now
+	}
 	if options.Client == nil {
 		options.Client = NewClient(options.Entries, options.Key, options.Dial)
 	}
@@ -172,8 +182,8 @@
 // poll sends one poll or leave and carries out the orders in the response. It reports
 // whether there were any.
 func (w *Worker) poll(kind string) (bool, error) {
-	sent := time.Now()
-	body := w.nextPoll(sent)
+	sent := w.options.Now()
+	body := w.nextPoll(time.Now())
 	var orders api.Orders
 	if err := w.client.Post("/v1/workers/"+w.options.Name+"/"+kind, body, &orders, pollTimeout); err != nil {
 		return false, err
@@ -252,18 +262,26 @@
 	if w.expiry != nil {
 		w.expiry.Stop()
 	}
-	w.expiry = time.AfterFunc(time.Until(lease), w.expire)
+	w.awaitExpiry()
+}
+
+// awaitExpiry has expire called at the end of the lease, or earlier.
+func (w *Worker) awaitExpiry() {
+	w.expiry = time.AfterFunc(min(w.lease.Sub(w.options.Now()), leaseCheckInterval), w.expire)
 }
 
 func (w *Worker) expire() {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stopIfExpired()
+	if w.options.Now().Before(w.lease) {
+		w.awaitExpiry()
+	}
 }
 
 // stopIfExpired stops every task if the lease has expired.
 func (w *Worker) stopIfExpired() {
-	if time.Now().Before(w.lease) {
+	if w.options.Now().Before(w.lease) {
 		return
 	}
 	w.stats.Expired += len(w.tasks)
@@ -292,7 +310,7 @@
 		w.stats.Stale++
 		return
 	}
-	if !time.Now().Before(w.lease) {
+	if !w.options.Now().Before(w.lease) {
 		return
 	}
 	w.tokens[id] = s.Token
@@ -313,7 +331,7 @@
 		r.timer = time.AfterFunc(after, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
-			if !time.Now().Before(w.lease) {
+			if !w.options.Now().Before(w.lease) {
 				outcome, r.expired = "stopped", true // the process was paused until after its lease expired
 			}
 			w.end(id, s.Token, outcome)
--- a/internal/version/raft/status.go
+++ b/internal/version/raft/status.go
@@ -14,8 +14,8 @@
 	Applied  uint64
 	First    uint64 // first entry in the log
 	Last     uint64
-	Snapshot uint64 // last entry covered by the stored snapshot
-	Lease    time.Time
+	Snapshot uint64    // last entry covered by the stored snapshot
+	Lease    time.Time // of Options.Now
 	Members  []MemberStatus
 	Retired  []string // names removed by an operator, which may not join
 }
