Let no entry of another writer spoil a list, and refuse amounts out of range

Amounts at the limits of their types were taken: memory came out as -1 MB, or as nothing, a limit of 2^44 MB as no limit, sequence 2^63-1 made later reports of the same ID look old, and a port of 0 registered a worker.

Cause: lists were decoded as one value, and numbers were not compared with what can be meant.

What an unread entry might say of ours is kept: a row that names a task keeps its run from being taken for gone, an entry that names a VM keeps it from counting as one that has left. A report with a megabyte of labels would have been a log entry that is too large. Event 927 counts unread entries.

--- a/internal/connection/cell/message.go
+++ b/internal/connection/cell/message.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
@@ -113,6 +114,25 @@
 	Remaining int64      `cbor:"4,keyasint"` // minimum time in milliseconds that a draining worker keeps running
 }
 
+// maxSequence is the largest number of a report, some centuries of them. A later one of the
+// same incarnation would look old beside a larger number.
+const maxSequence = 1 << 33
+
+// Check returns an error if the report cannot be of a worker.
+func (r *Report) Check() error {
+	if err := r.Worker.Check(); err != nil {
+		return err
+	}
+	clock := int64(0)
+	if !r.Clock.IsZero() {
+		clock = r.Clock.UnixMilli()
+	}
+	if r.Sequence <= 0 || r.Sequence > maxSequence || clock < 0 || clock > job.MaxStamp {
+		return errors.Newf("worker %q: report %d with clock %d", r.Worker.ID, r.Sequence, clock)
+	}
+	return nil
+}
+
 // Receipt is the answer to a Report.
 type Receipt struct {
 	Leader string
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -172,10 +172,19 @@
 	}
 	w.listed, w.pollOnce, w.refuses = true, false, false
 	present := map[job.TaskID]int{}
+	unread := 0
 	for _, listed := range l.Running {
+		if listed.Run == Unread {
+			unread++
+			if _, ok := present[listed.Task]; !ok {
+				present[listed.Task] = Unread
+			}
+			continue
+		}
 		present[listed.Task] = listed.Run
 		t.handleListedRun(w, listed, a.Clock)
 	}
+	t.noteUnread(w.ID, unread)
 	t.checkSpeed(w)
 	if l.Complete {
 		t.dropOrphans(w, sent, present)
@@ -198,6 +207,13 @@
 	return t.enqueue(func(n *inbox) { n.acks = append(n.acks, ack) })
 }
 
+// noteUnread logs entries of a list that cannot be read.
+func (t *term) noteUnread(list string, entries int) {
+	if entries > 0 {
+		t.emit(event.EntriesUnread, zap.String("list", list), zap.Int("entries", entries))
+	}
+}
+
 // handleListedRun processes a run that a worker lists, and stops it if the leader
 // does not know it: its start was carried out late, or it was given up and
 // continued.
--- a/internal/process/dispatch/orphan.go
+++ b/internal/process/dispatch/orphan.go
@@ -55,7 +55,8 @@
 // dropOrphans drops the orphans that the worker can no longer execute.
 func (t *term) dropOrphans(w *worker, sent time.Time, present map[job.TaskID]int) {
 	for key, r := range w.orphans {
-		if !r.stopAcceptedAt.IsZero() && r.stopAcceptedAt.Before(sent) && present[key.task] != key.run {
+		listed, ok := present[key.task]
+		if !r.stopAcceptedAt.IsZero() && r.stopAcceptedAt.Before(sent) && !(ok && (listed == key.run || listed == Unread)) {
 			r.endQueued = true // ends the resending of the stop
 			delete(w.orphans, key)
 			if r.former != nil {
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -265,14 +265,20 @@
 func (t *term) reports(ctx context.Context, list []cell.Report) cell.Receipts {
 	a := cell.Receipts{Leader: t.dispatcher.options.Name, Taken: make([]bool, len(list))}
 	commits := make([]<-chan bool, len(list))
+	refused := make([]bool, len(list))
 	t.mu.Lock()
 	for i := range list {
+		if err := list[i].Check(); err != nil {
+			t.emit(event.WorkerReport, event.Cause(err)) // passed on by a process of another build
+			refused[i] = true
+			continue
+		}
 		commits[i] = t.handleReport(&list[i])
 	}
 	a.Spread = len(t.workers) >= spreadWorkers
 	t.mu.Unlock()
 	for i, c := range commits {
-		a.Taken[i] = c == nil || t.awaitCommit(ctx, c)
+		a.Taken[i] = !refused[i] && (c == nil || t.awaitCommit(ctx, c))
 	}
 	return a
 }
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -175,6 +175,11 @@
 	t.state().View(func(v *job.View) {
 		for _, w := range v.Workers {
 			m := newWorker(w, now)
+			if err := m.Check(); err != nil {
+				// Stored by an earlier build, which took what it was told.
+				t.emit(event.WorkerReport, event.Cause(err))
+				m.Capacity = work.Resources{}
+			}
 			m.inheritedLeaseEnd = now.Add(time.Duration(float64(t.timing().MaxLease)/minClockRate) + leaseExpiryMargin)
 			t.workers[w.ID], t.sorted = m, nil
 		}
--- a/internal/process/dispatch/upstream.go
+++ b/internal/process/dispatch/upstream.go
@@ -100,6 +100,10 @@
 	Checkpoint string
 }
 
+// Unread is the run number of a row of a listing that cannot be read. The task that the row
+// names, if any, may still run or have ended.
+const Unread = -1
+
 // Listing is a worker's report about its runs.
 type Listing struct {
 	_        struct{} `cbor:",toarray"`
--- a/internal/process/dispatch/wave.go
+++ b/internal/process/dispatch/wave.go
@@ -40,6 +40,7 @@
 	Name   string
 	Worker string // ID of the worker that runs on it; empty if none is known
 	Up     bool   // in service
+	Unread bool   // its entry cannot be read; Name may be empty, and the rest is not set
 }
 
 // VMs are the VMs that workers run on.
@@ -181,9 +182,16 @@
 	defer cancel()
 	list, err := t.dispatcher.options.VMs.List(ctx)
 	listed := make(map[string]VM, len(list))
+	unread := 0
 	for _, m := range list {
-		listed[m.Name] = m
+		if m.Unread {
+			unread++
+		}
+		if known, ok := listed[m.Name]; !ok || known.Unread {
+			listed[m.Name] = m
+		}
 	}
+	t.noteUnread("list of VMs", unread)
 	return listed, err
 }
 
@@ -248,6 +256,9 @@
 		return job.Left, gone && record.Stage < job.Begun
 	}
 	delete(t.missing, name)
+	if m.Unread {
+		return 0, false
+	}
 	switch record.Stage {
 	case job.Left:
 		return job.Waiting, true
@@ -277,7 +288,7 @@
 	t.state().View(func(v *job.View) {
 		for _, w := range waves {
 			for _, name := range w.Wave.VMs {
-				if l, ok := listed[name]; ok && m.VMs[name] == nil {
+				if l, ok := listed[name]; ok && !l.Unread && m.VMs[name] == nil {
 					m.VMs[name] = t.describeVM(v, m, l, now)
 				}
 			}
--- a/internal/process/dispatch/wave_test.go
+++ b/internal/process/dispatch/wave_test.go
@@ -33,6 +33,7 @@
 	afterList    func()
 	orders       []fakeOrder
 	problem      string
+	unread       map[string]bool // VMs whose entries cannot be read
 }
 
 type fakeVM struct {
@@ -84,7 +85,12 @@
 	}
 	var list []VM
 	for name, m := range f.vms {
-		list = append(list, VM{Name: name, Worker: m.worker, Up: !m.down})
+		if !f.unread[name] {
+			list = append(list, VM{Name: name, Worker: m.worker, Up: !m.down})
+		}
+	}
+	for name := range f.unread {
+		list = append(list, VM{Name: name, Unread: true})
 	}
 	return list, nil
 }
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -29,6 +29,7 @@
 	WorkerResized    = define(925, zapcore.InfoLevel, "worker resized", "A worker reports another capacity or other labels than before; nothing is stopped for it, and nothing starts beyond it.")
 	TaskGivenUp      = define(919, zapcore.WarnLevel, "task given up", "Workers crashed under the task, the last one while nothing else had started on it; its job has failed.")
 	CatalogueInForce = define(920, zapcore.InfoLevel, "catalogue in force", "The operator's change is committed and in force on every process.")
+	EntriesUnread    = define(927, zapcore.WarnLevel, "entries not read", "Entries of a list cannot be read, such as those of another writer; the others are used. The line has the worker, or the list of VMs, and the number of such entries.")
 	CatalogueKept    = define(926, zapcore.InfoLevel, "catalogue kept", "The operator's change was acknowledged and changes nothing, since a version that is not lower is in force; the line has both.")
 	CatalogueRead    = define(922, zapcore.InfoLevel, "catalogue read", "The leader answered a read of the catalogue for the process given; the line has the version and the term.")
 	CatalogueRefused = define(921, zapcore.WarnLevel, "catalogue refused", "The operator's change is invalid; the line has every finding.")
--- a/internal/version/job/model.go
+++ b/internal/version/job/model.go
@@ -149,8 +149,8 @@
 	tasks := 0
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		if s.Count < 1 || s.Size.Processors < 0 || s.Size.Memory < 0 || s.Size.Accelerators < 0 {
-			return errors.Newf("step %d has no tasks or a negative size", i)
+		if s.Count < 1 || !s.Size.Representable() {
+			return errors.Newf("step %d has no tasks, or a negative or too large size", i)
 		}
 		tasks += s.Count
 		for _, a := range s.After {
@@ -231,6 +231,38 @@
 	Sequence int64          `cbor:"10,keyasint,omitempty"` // number of the report that says this; rises within an incarnation
 }
 
+// Limits of what a worker says of itself. One that says more is none: its sums with
+// others, or its record in the log, would be too large.
+const (
+	maxText   = 256 // bytes of a name or a label
+	maxLabels = 64
+	// MaxStamp is the largest time in milliseconds that a worker gives, some centuries.
+	MaxStamp = 1 << 43
+)
+
+// Check returns an error if no worker can be as described.
+func (w *Worker) Check() error {
+	if w.ID == "" || w.Pool == "" || len(w.Labels) > maxLabels {
+		return errors.Newf("worker %q of pool %q with %d labels", shortened(w.ID), shortened(w.Pool), len(w.Labels))
+	}
+	for _, s := range append([]string{w.ID, w.Pool, w.Zone, w.Rack}, w.Labels...) {
+		if len(s) > maxText {
+			return errors.Newf("worker %q: a text of %d bytes", shortened(w.ID), len(s))
+		}
+	}
+	switch a := w.Address.Addr(); {
+	case w.Address.Port() == 0, a.IsUnspecified(), a.IsMulticast():
+		return errors.Newf("worker %q: address %s", w.ID, w.Address)
+	case !w.Capacity.Representable():
+		return errors.Newf("worker %q: capacity %+v", w.ID, w.Capacity)
+	case w.Life < 0 || w.Life > MaxStamp:
+		return errors.Newf("worker %q: started at %d", w.ID, w.Life)
+	}
+	return nil
+}
+
+func shortened(s string) string { return s[:min(len(s), maxText)] }
+
 // Status is the state of a job.
 type Status uint8
 
--- a/internal/work/resources.go
+++ b/internal/work/resources.go
@@ -59,3 +59,13 @@
 	}
 	return share
 }
+
+// maxAmount is the largest amount of one resource of a worker or a task. Sums over 2^15 of
+// them can be represented.
+const maxAmount = 1 << 47
+
+// Representable reports whether no field is negative or larger than any worker can have.
+func (r Resources) Representable() bool {
+	limit := Resources{maxAmount, maxAmount, maxAmount}
+	return Resources{}.Fits(r) && r.Fits(limit)
+}
