--- a/internal/boottime/boottime_test.go
+++ b/internal/boottime/boottime_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -31,8 +32,8 @@
 func TestWatchReportsEachSuspension(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		stood := time.Duration(0)
-		lead = func() time.Duration { return offset + stood }
+		var stood atomic.Int64
+		lead = func() time.Duration { return offset + time.Duration(stood.Load()) }
 		defer func() { lead = readLead; suspended.Store(0) }()
 		ctx, cancel := context.WithCancel(t.Context())
 		var reports []time.Duration
@@ -41,7 +42,7 @@
 		for _, d := range []time.Duration{0, 2 * time.Second, time.Millisecond, 0, 3 * time.Second} {
 			time.Sleep(time.Second)
 			synctest.Wait()
-			stood += d
+			stood.Add(int64(d))
 		}
 		time.Sleep(time.Second)
 		cancel()
