--- a/cmd/rosemaryctl/cell.go
+++ b/cmd/rosemaryctl/cell.go
@@ -129,12 +129,20 @@
 func (c *undrainCommand) Run(s *session) error { return s.printDone(s.Client.Undrain(s, c.Worker)) }
 
 type explainCommand struct {
-	Job uint64 `arg:""`
+	Job string   `arg:"" help:"Job; with --log, a job or a request."`
+	Log []string `help:"Logs of a cell on the platform. Explains what became of the job or request by them, without asking the cell." type:"existingfile" placeholder:"FILE"`
 }
 
 // Run prints the explanation of the job's state.
 func (c *explainCommand) Run(s *session) error {
-	x, err := s.Client.Explain(s, c.Job)
+	if len(c.Log) > 0 {
+		return explainFromLogs(s, c.Job, c.Log)
+	}
+	job, err := strconv.ParseUint(c.Job, 10, 64)
+	if err != nil {
+		return usageError("job %q: want a number, or --log", c.Job)
+	}
+	x, err := s.Client.Explain(s, job)
 	if err != nil {
 		return err
 	}
--- a/cmd/rosemaryctl/command.go
+++ b/cmd/rosemaryctl/command.go
@@ -40,6 +40,7 @@
 	Drain     drainCommand     `cmd:"" help:"Keep new tasks from a worker."`
 	Undrain   undrainCommand   `cmd:"" help:"Let a worker get new tasks again."`
 	Explain   explainCommand   `cmd:"" help:"Tell why a job is where it is."`
+	Report    reportCommand    `cmd:"" help:"Sum up logs of a cell on the platform."`
 	Jobs      jobsCommand      `cmd:"" help:"Submit and follow jobs."`
 	Authority authorityCommand `cmd:"" help:"The private authority and the certificates of processes."`
 	Check     checkCommand     `cmd:"" help:"Check a settings file of rosemaryloftd."`
