Share the suspended time of another test without a race

go test -race ./internal/... failed only in TestWatchReportsEachSuspension, mended before, and in TestSuspendedWorkerStopsItsTasks; both pass now, and all other packages passed in that run.

--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -251,14 +252,14 @@
 func TestSuspendedWorkerStopsItsTasks(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		suspended := time.Duration(0)
-		w := NewWorker(WorkerOptions{Name: "w", Now: func() time.Time { return time.Now().Add(suspended) }})
+		var suspended atomic.Int64
+		w := NewWorker(WorkerOptions{Name: "w", Now: func() time.Time { return time.Now().Add(time.Duration(suspended.Load())) }})
 		w.nextPoll(time.Now())
 		w.carryOut(&api.Orders{Sequence: 1, Lease: 15000, Starts: []api.Start{{Job: 1, Token: 1}}}, w.options.Now())
 		time.Sleep(time.Second)
 		synctest.Wait()
 		is.Equal(w.Running(), 1)
-		suspended = time.Minute
+		suspended.Store(int64(time.Minute))
 		time.Sleep(leaseCheckInterval)
 		synctest.Wait()
 		is.Equal(w.Running(), 0)
