Do not take a broken connection to a dead worker for a crash under a trial

Cause, found by reading and shown by a test: the end of a worker that executes nothing is noticed only by the next order. A trial that was sent to such a worker found its kept connection broken, which counted as proof that the worker had executed the start and crashed under it. Together with the earlier crash that made the task suspected, it failed the job.

Change: a trial's worker must have answered within 0.1 s. If not, it is asked for a listing first, and without an answer the trial is given up before its start is sent. Only then does a connection that breaks with the start count.

TestTrialOnADeadWorkerProvesNothing fails without the change: the job is shown as failed after one crash. The other tests of crashes pass as they are.

--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -96,6 +96,7 @@
 	silent             bool // answers nothing
 	dropsAnswers       bool // executes starts but does not answer them
 	refusesConnections bool // nothing listens
+	keptConnections    int  // to a process that has ended, which break with the next order
 	replaced           bool // a later worker answers at its address
 	loses              bool // the process that should send orders to it does not
 	hidesRuns          bool // answers no listing
@@ -180,6 +181,9 @@
 func (h *fakeWorkers) contact(id string) (*fakeWorker, Answer, bool) {
 	w := h.all[id]
 	switch {
+	case w != nil && w.keptConnections > 0:
+		w.keptConnections--
+		return nil, Answer{Result: Unanswered, Reason: ReasonBroken}, false
 	case w != nil && w.replaced:
 		return nil, Answer{Result: WrongWorker}, false
 	case w == nil || w.refusesConnections:
--- a/internal/process/dispatch/crash.go
+++ b/internal/process/dispatch/crash.go
@@ -14,6 +14,10 @@
 // the runs on it.
 const settleTime = time.Second
 
+// recentAnswer is how recently the worker of a trial must have answered, so that a crash
+// under the trial's start is not one from before it.
+const recentAnswer = 100 * time.Millisecond
+
 // riskyTime is how long the work of a queue is kept apart from that of others after one of
 // its tasks was suspected.
 const riskyTime = 15 * time.Second
@@ -167,6 +171,32 @@
 	}
 }
 
+// answeredRecently reports whether a worker was certainly well a moment ago.
+func (t *term) answeredRecently(w *worker) bool { return t.now().Sub(w.answeredAt) < recentAnswer }
+
+// probe asks the worker of a trial for a listing, because nobody notices the end of a
+// worker that executes nothing until an order to it fails. Without an answer the trial is
+// given up before its start is sent. It returns false if the listing was not sent.
+func (t *term) probe(r *run) bool {
+	t.mu.Lock()
+	w := r.worker
+	target, o := w.Worker, ListOrder{Lease: w.leaseEnd, Fence: t.number, Acknowledged: w.acknowledged}
+	t.mu.Unlock()
+	_, a := t.dispatcher.options.Upstream.List(t.permit(listTimeoutMargin), &target, o)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case a.Result == Undelivered:
+		return false
+	case t.over || r.endQueued, t.handleAnswer(w, a) && t.answeredRecently(w):
+		return true
+	}
+	t.avoidForStep(r, t.now())
+	t.lose(r, "its worker does not answer")
+	t.stopGang(r)
+	return true
+}
+
 // trialAt returns the job whose trial keeps other starts off the worker, if any. A worker
 // that does not answer may have crashed during the trial.
 func (w *worker) trialAt(now time.Time) job.ID {
--- a/internal/process/dispatch/crash_test.go
+++ b/internal/process/dispatch/crash_test.go
@@ -126,6 +126,35 @@
 	b.crash(ids[n%len(ids)], crashTime)
 }
 
+// Guards against a job that is given up for the crash of an idle worker, which nobody has
+// noticed when a trial is sent there and its connection breaks (rule LOST). Seen in
+// hunt-6013-3 of bellerive-crates-grown.
+func TestTrialOnADeadWorkerProvesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b", "c", "d")
+		defer b.close()
+		b.workers.setRunTime(700 * time.Millisecond)
+		time.Sleep(time.Second)
+		s := tasks(1)
+		s.Copies = true
+		b.submit("one", s)
+		time.Sleep(150 * time.Millisecond)
+		b.changeWorker("a", func(w *fakeWorker) { w.refusesConnections, w.running = true, map[job.TaskID]*fakeRun{} })
+		time.Sleep(crashTime - 300*time.Millisecond)
+		for _, id := range []string{"b", "c", "d"} {
+			b.changeWorker(id, func(w *fakeWorker) { w.replaced, w.keptConnections = true, 1 })
+		}
+		time.Sleep(300 * time.Millisecond)
+		b.restart("a", 2)
+		b.changeWorker("a", func(w *fakeWorker) { w.hidesRuns = true }) // so it gets no tasks
+		b.report("a", false)
+		time.Sleep(3 * time.Second)
+		b.add("e", 1)
+		time.Sleep(20 * time.Second)
+		b.is.Equal(b.status("one"), job.Completed)
+	})
+}
+
 // Guards against copies of a task that crashes its workers: each silent worker was a reason
 // to start the next copy, before anything was known of the crash (issue 28).
 func TestCopiesOfACrashingTaskWait(t *testing.T) {
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -88,7 +88,7 @@
 
 // sendStart sends a start order repeatedly until its outcome is known.
 func (t *term) sendStart(r *run, o StartOrder) {
-	for attempt := 1; t.awaitLease(); attempt++ {
+	for attempt := 1; t.awaitLease(); {
 		t.mu.Lock()
 		if t.over || r.endQueued || r.stopping || !r.startResolvedAt.IsZero() {
 			t.mu.Unlock()
@@ -100,6 +100,13 @@
 			t.mu.Unlock()
 			return
 		}
+		if r.trial && attempt == 1 && !t.answeredRecently(w) {
+			t.mu.Unlock()
+			if !t.probe(r) {
+				sleep(t.ctx, orderRetryDelay)
+			}
+			continue
+		}
 		o.Lease = w.extendLease(t.now(), t.leaseDuration())
 		t.doubt(r)
 		target := w.Worker
@@ -107,6 +114,7 @@
 		if t.handleStartAnswer(r, t.dispatcher.options.Upstream.Start(t.permit(orderTimeout), &target, o), attempt) {
 			return
 		}
+		attempt++
 		sleep(t.ctx, orderRetryDelay)
 	}
 }
@@ -151,7 +159,7 @@
 	case Refused:
 		return t.handleRefusal(r, a, attempt, attempt > 1 || a.Repeated)
 	}
-	if r.trial && attempt == 1 && w.missed == 1 && a.Result == Unanswered && a.Reason == ReasonBroken {
+	if r.trial && attempt == 1 && w.missed == 1 && a.Result == Unanswered && a.Reason == ReasonBroken && t.answeredRecently(w) {
 		t.confirm(r) // the worker was well, and its connections broke with the order on one of them
 	}
 	t.emit(event.RunUnclear, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", w.ID),
