--- a/internal/process/dispatch/odd_test.go
+++ b/internal/process/dispatch/odd_test.go
@@ -43,7 +43,7 @@
 				b.list(id, l)
 			}
 			time.Sleep(2 * time.Second)
-			b.is.Equal(len(b.workers.starts) == 1, listed) // without the row it is gone
+			b.is.Equal(len(b.workers.started()) == 1, listed) // without the row it is gone
 		})
 	}
 }
