--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -29,15 +29,25 @@
 	"context"
 	"sync/atomic"
 	"time"
-)
 
-// initialReadings is the number of readings at the start of the process, of which the
-// best counts. A single one is too low if the thread was preempted during it.
-const initialReadings = 3
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+)
 
-// resolution is the least by which Suspended grows. Readings vary by some microseconds;
-// margins of leases are far longer.
-const resolution = time.Millisecond
+const (
+	// initialReadings is the number of readings at the start of the process, of which
+	// the best counts. A single one is too low if the thread was preempted during it.
+	initialReadings = 3
+	// resolution is the least by which Suspended grows. Readings vary by some
+	// microseconds; margins of leases are far longer.
+	resolution = time.Millisecond
+	// watchInterval is the time between two looks for a suspension.
+	watchInterval = 250 * time.Millisecond
+	// minReported is the shortest suspension that is logged. Slewing of the clocks
+	// stays far below it.
+	minReported = 20 * time.Millisecond
+)
 
 // lead returns how far the boot-time clock is ahead of the monotonic clock, or a little
 // less: what passes between the two readings is subtracted. Tests replace it.
@@ -76,16 +86,14 @@
 	}
 }
 
-const (
-	// watchInterval is the time between two looks for a suspension.
-	watchInterval = 250 * time.Millisecond
-	// minReported is the shortest suspension that is reported. Slewing of the clocks
-	// stays far below it.
-	minReported = 20 * time.Millisecond
-)
+// Watch logs each suspension of the VM until ctx ends.
+func Watch(ctx context.Context, log event.Log) error {
+	watch(ctx, func(length time.Duration) { log.Emit(event.VMSuspended, zap.Duration("length", length)) })
+	return nil
+}
 
-// Watch calls report with the length of each suspension of the VM until ctx ends.
-func Watch(ctx context.Context, report func(d time.Duration)) error {
+// watch calls report with the length of each suspension.
+func watch(ctx context.Context, report func(length time.Duration)) {
 	tick := time.NewTicker(watchInterval)
 	defer tick.Stop()
 	reported := Suspended()
@@ -93,7 +101,7 @@
 		select {
 		case <-tick.C:
 		case <-ctx.Done():
-			return nil
+			return
 		}
 		if total := Suspended(); total-reported >= minReported {
 			report(total - reported)
--- a/internal/boottime/boottime_test.go
+++ b/internal/boottime/boottime_test.go
@@ -37,8 +37,11 @@
 		defer func() { lead = readLead; suspended.Store(0) }()
 		ctx, cancel := context.WithCancel(t.Context())
 		var reports []time.Duration
-		done := make(chan error)
-		go func() { done <- Watch(ctx, func(d time.Duration) { reports = append(reports, d) }) }()
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			watch(ctx, func(d time.Duration) { reports = append(reports, d) })
+		}()
 		for _, d := range []time.Duration{0, 2 * time.Second, time.Millisecond, 0, 3 * time.Second} {
 			time.Sleep(time.Second)
 			synctest.Wait()
@@ -46,7 +49,7 @@
 		}
 		time.Sleep(time.Second)
 		cancel()
-		is.NoErr(<-done)
+		<-done
 		is.Equal(reports, []time.Duration{2 * time.Second, 3*time.Second + time.Millisecond})
 	})
 }
--- a/internal/connection/upstream/allotment.go
+++ b/internal/connection/upstream/allotment.go
@@ -117,8 +117,8 @@
 
 // TakeOrWait is like Take, but waits for a grant if the team has neither an
 // allotment nor a request in flight on this entry VM, at most for maxFirstWait
-// and until the given time on the clock of time.Now. Without this, each request of a team that sends few
-// requests would be refused.
+// and until the given time, which is one of time.Now. Without this, each request of a
+// team that sends few requests would be refused.
 func (a *Allotments) TakeOrWait(team string, limit int64, until time.Time) error {
 	next := a.nextGrant()
 	err := a.Take(team, limit)
--- a/internal/process/daemon/daemon.go
+++ b/internal/process/daemon/daemon.go
@@ -115,10 +115,6 @@
 	return adapters
 }
 
-func (d *Daemon) logSuspension(length time.Duration) {
-	d.log.Emit(event.VMSuspended, zap.Duration("length", length))
-}
-
 // Run runs all roles until ctx ends or one of them fails.
 func (d *Daemon) Run(ctx context.Context) error {
 	run, stop := context.WithCancel(context.WithoutCancel(ctx))
@@ -126,7 +122,7 @@
 	group, run := errgroup.WithContext(run)
 	group.Go(func() error { return d.store.Run(run) })
 	group.Go(func() error { return d.peer.Run(run) })
-	group.Go(func() error { return boottime.Watch(run, d.logSuspension) })
+	group.Go(func() error { return boottime.Watch(run, d.log) })
 	if d.control != nil {
 		d.control.start(run, group)
 	}
--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -96,7 +96,7 @@
 	silent             bool // answers nothing
 	dropsAnswers       bool // executes starts but does not answer them
 	refusesConnections bool // nothing listens
-	keptConnections    int  // to a process that has ended, which break with the next order
+	keptConnections    int  // idle ones to a process that has ended; each breaks with an order
 	replaced           bool // a later worker answers at its address
 	loses              bool // the process that should send orders to it does not
 	hidesRuns          bool // answers no listing
--- a/internal/process/dispatch/crash.go
+++ b/internal/process/dispatch/crash.go
@@ -174,9 +174,9 @@
 // answeredRecently reports whether a worker was certainly well a moment ago.
 func (t *term) answeredRecently(w *worker) bool { return t.now().Sub(w.answeredAt) < recentAnswer }
 
-// probe asks the worker of a trial for a listing, because nobody notices the end of a
-// worker that executes nothing until an order to it fails. Without an answer the trial is
-// given up before its start is sent. It returns false if the listing was not sent.
+// probe asks the worker of a trial for a listing, because the end of a worker that executes
+// nothing shows only when an order to it fails. Without an answer the trial is given up
+// before its start is sent. It returns false if the listing was not sent.
 func (t *term) probe(r *run) bool {
 	t.mu.Lock()
 	w := r.worker
--- a/internal/process/dispatch/crash_test.go
+++ b/internal/process/dispatch/crash_test.go
@@ -126,8 +126,8 @@
 	b.crash(ids[n%len(ids)], crashTime)
 }
 
-// Guards against a job that is given up for the crash of an idle worker, which nobody has
-// noticed when a trial is sent there and its connection breaks (rule LOST). Seen in
+// Guards against a job that is given up for the crash of an idle worker, which is not
+// known yet when a trial is sent there and its connection breaks (rule LOST). Seen in
 // hunt-6013-3 of bellerive-crates-grown.
 func TestTrialOnADeadWorkerProvesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -176,7 +176,7 @@
 		for _, w := range v.Workers {
 			m := newWorker(w, now)
 			if err := m.Check(); err != nil {
-				// Stored by an earlier build, which took what it was told.
+				// Stored by an earlier build, which did not check reports.
 				t.emit(event.WorkerReport, event.Cause(err))
 				m.Capacity = work.Resources{}
 			}
