--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 # library only. The cell itself is built by the command of the deploy file.
 set -eu
 cd "$(dirname "$0")"
-GOWORK=off GOPROXY=off go build -o bin/stand ./stand
+GOWORK=off GOPROXY=off go build -o standin .
--- a/review/stand/main.go
+++ b/review/main.go
@@ -1,7 +1,7 @@
-// Command stand runs the cases of the review. Each starts the processes of a cell, plays
+// Command standin runs the cases of the review. Each starts the processes of a cell, plays
 // requesters, runners and the platform for it, and checks one rule.
 //
-//	stand CASE FOLDER ROOT
+//	standin CASE FOLDER ROOT
 //
 // FOLDER is the folder of the case, where record.txt is written, and ROOT that of the
 // repository. It exits with 1 if the rule was broken, 0 if it held, and 2 if the case
@@ -28,7 +28,7 @@
 
 func play() int {
 	if len(os.Args) != 4 || cases[os.Args[1]] == nil {
-		fmt.Fprintln(os.Stderr, "usage: stand CASE FOLDER ROOT")
+		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER ROOT")
 		return 2
 	}
 	r, err := newRecord(filepath.Join(os.Args[2], "record.txt"))
