--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -245,7 +245,10 @@
 // Call sends a caller's call to the leader.
 func (l *Link) Call(ctx context.Context, call Call) (Verdict, error) {
 	var v Verdict
-	err := l.callLeader(ctx, MethodCall, call, &v)
+	err := l.callLeader(ctx, MethodCall, &call, &v)
+	if err == nil && v.Code == Unclear {
+		err = ErrUnknown
+	}
 	return v, err
 }
 
@@ -293,6 +296,9 @@
 	started, maybeExecuted := time.Now(), false
 	relays := l.chooseRelays()
 	for {
+		if c, ok := request.(*Call); ok {
+			c.Resent = maybeExecuted
+		}
 		l.mu.Lock()
 		changed := l.changed
 		l.mu.Unlock()
--- a/internal/connection/cell/link_test.go
+++ b/internal/connection/cell/link_test.go
@@ -27,6 +27,7 @@
 	outdated  map[string][]string // members that a process lists which is cut off from the others
 	unsettled bool                // the leader loses its lease before it answers calls
 	reports   [][]Report
+	resent    []bool // of each call, whether an earlier copy may have been carried out
 }
 
 func (c *fakeCell) Call(ctx context.Context, to, method string, request, response any) error {
@@ -37,6 +38,9 @@
 		return peer.ErrNotSent
 	}
 	c.calls[method+" "+to]++
+	if call, ok := request.(*Call); ok {
+		c.resent = append(c.resent, call.Resent)
+	}
 	if c.loseAnswers[to] && method == MethodCall {
 		return peer.ErrUnknown
 	}
@@ -69,6 +73,9 @@
 		}
 		if v, ok := response.(*Verdict); ok {
 			*v = Verdict{Code: OK}
+			if c.resent[len(c.resent)-1] {
+				v.Code = Unclear
+			}
 		}
 		return nil
 	}
@@ -318,6 +325,32 @@
 	})
 }
 
+// Guards against a caller that is told that its job never runs although an earlier copy of
+// the call was accepted: a later copy was refused, because the queue was removed meanwhile.
+func TestRefusedCopyOfAnAcceptedCallIsUnknown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, l, stop := newLink(t, "a")
+		defer stop()
+		time.Sleep(time.Second)
+		c.mu.Lock()
+		c.loseAnswers["a"] = true
+		c.mu.Unlock()
+		time.AfterFunc(3*time.Millisecond, func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.loseAnswers["a"] = false
+		})
+		ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+		defer cancel()
+		_, err := l.Call(ctx, Call{Verb: Submit})
+		is.True(errors.Is(err, ErrUnknown))
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		is.Equal(c.resent, []bool{false, true})
+	})
+}
+
 // Guards against a call to the leader for each of a thousand workers' reports, and
 // against one of them that decides the outcome of the others.
 func TestReportsTravelTogether(t *testing.T) {
--- a/internal/connection/cell/message.go
+++ b/internal/connection/cell/message.go
@@ -75,6 +75,7 @@
 	Path    string   `cbor:"4,keyasint"`           // path of the queue, with the job's ID if any
 	Key     string   `cbor:"5,keyasint,omitempty"` // empty if the caller presented none
 	Job     *job.Job `cbor:"6,keyasint,omitempty"` // for Submit, without ID and path
+	Resent  bool     `cbor:"7,keyasint,omitempty"` // an earlier copy of this call may have been carried out
 }
 
 // Code is the outcome of a call.
@@ -89,6 +90,7 @@
 	Invalid          // the request violates a rule, which Message states
 	Busy             // not accepted and will not run; retry after Wait
 	NoJob            // no job with the ID
+	Unclear          // refused, but an earlier copy of the call was accepted
 )
 
 // Verdict is the answer to a Call.
@@ -172,4 +174,4 @@
 	return codeNames[c-1]
 }
 
-var codeNames = [...]string{"ok", "unready", "no queue", "bad key", "invalid", "busy", "no job"}
+var codeNames = [...]string{"ok", "unready", "no queue", "bad key", "invalid", "busy", "no job", "unclear"}
--- a/internal/process/dispatch/admit.go
+++ b/internal/process/dispatch/admit.go
@@ -18,10 +18,8 @@
 const loadInterval = 40 * time.Millisecond
 
 // checkAdmission reports whether a job is refused, with the verdict that tells
-// the caller when to retry. Repeated jobs are never refused.
+// the caller when to retry. Repeated jobs are never refused. The caller holds the lock.
 func (t *term) checkAdmission(j *job.Job, q *job.Queue) (cell.Verdict, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
 	now := t.now()
 	t.noteShare(j, now)
 	l := t.loads[q.Pool]
--- a/internal/process/dispatch/inbox.go
+++ b/internal/process/dispatch/inbox.go
@@ -141,6 +141,9 @@
 	if t.over {
 		return
 	}
+	for i := range in.submits {
+		t.unsettled = append(t.unsettled, keyOf(&in.submits[i]))
+	}
 	n := &t.inbox
 	n.workers = append(in.workers, n.workers...)
 	n.gone = append(in.gone, n.gone...)
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -100,6 +100,7 @@
 // handleCommitted carries out the consequences of a committed round.
 func (t *term) handleCommitted(r *job.Round, in inbox, starts []fit.Start, result job.Result) {
 	t.mu.Lock()
+	t.settleAdmitted(r.Submits)
 	for i := range r.Ends {
 		t.removeRun(&r.Ends[i])
 		t.markStale(r.Ends[i].Worker)
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -84,13 +84,12 @@
 	var v cell.Verdict
 	var target callTarget
 	t.state().View(func(view *job.View) { v = t.lookup(view, c, &target) })
-	if v.Code != cell.OK {
+	switch {
+	case c.Verb == cell.Submit:
+		return t.submit(ctx, c, &target, v)
+	case v.Code != cell.OK:
 		return t.logRefusal(c, target.id, v), true
-	}
-	switch c.Verb {
-	case cell.Submit:
-		return t.submit(ctx, c, &target)
-	case cell.Cancel:
+	case c.Verb == cell.Cancel:
 		return t.cancel(ctx, c, &target)
 	}
 	return v, true
@@ -159,47 +158,6 @@
 	return "", false
 }
 
-// logRefusal logs a refused submission or key and returns the verdict.
-func (t *term) logRefusal(c *cell.Call, id job.ID, v cell.Verdict) cell.Verdict {
-	if c.Verb == cell.Submit || v.Code == cell.BadKey {
-		t.emit(event.JobRefused, zap.String("request", c.Request), zap.String("job", string(id)), zap.String("path", c.Path),
-			zap.Stringer("code", v.Code), zap.String("reason", v.Message), zap.Duration("wait", v.Wait))
-	}
-	return v
-}
-
-func (t *term) submit(ctx context.Context, c *cell.Call, target *callTarget) (cell.Verdict, bool) {
-	if target.exists {
-		return cell.Verdict{Code: cell.OK, State: target.status}, true
-	}
-	if c.Job == nil || target.id == "" || strings.ContainsAny(string(target.id), "./") {
-		return t.logRefusal(c, target.id, cell.Verdict{Code: cell.Invalid, Message: "no job, or an id that is not one word"}), true
-	}
-	j := *c.Job
-	j.ID, j.Host, j.Prefix, j.Workspace = target.id, target.queue.Host, target.queue.Prefix, target.workspace
-	if err := j.Check(); err != nil {
-		return t.logRefusal(c, target.id, cell.Verdict{Code: cell.Invalid, Message: err.Error()}), true
-	}
-	if v, refused := t.checkAdmission(&j, &target.queue); refused {
-		return t.logRefusal(c, target.id, v), true
-	}
-	t.mu.Lock()
-	committed := t.enqueue(func(n *inbox) { n.submits = append(n.submits, j) })
-	t.mu.Unlock()
-	if !t.awaitCommit(ctx, committed) {
-		return cell.Verdict{}, false
-	}
-	// The same round may have applied a catalogue without the queue.
-	stored := false
-	t.state().View(func(v *job.View) { stored = v.Jobs[j.ID] != nil })
-	if !stored {
-		return t.logRefusal(c, target.id, cell.Verdict{Code: cell.NoQueue}), true
-	}
-	t.emit(event.JobAccepted, zap.String("request", c.Request), zap.String("job", string(j.ID)), zap.String("queue", target.queue.Name),
-		zap.String("workspace", j.Workspace), zap.Int("steps", len(j.Steps)), zap.Int("tasks", j.Steps[0].Count))
-	return cell.Verdict{Code: cell.OK}, true
-}
-
 func (t *term) cancel(ctx context.Context, c *cell.Call, target *callTarget) (cell.Verdict, bool) {
 	if target.status.Final() {
 		return cell.Verdict{Code: cell.OK, State: target.status}, true
--- /dev/null
+++ b/internal/process/dispatch/submit.go
@@ -0,0 +1,119 @@
+package dispatch
+
+import (
+	"context"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+)
+
+// A submission may reach the leader in several copies: its process sends it again when a
+// connection breaks, and the caller may do so through another process. All copies get
+// answers that agree: what one of them has put into a round is not refused to another.
+
+// callKey identifies a submission across its copies, whatever queue its path belongs to.
+func callKey(host, path string) string { return host + path }
+
+// keyOf returns the callKey of a job's submission.
+func keyOf(j *job.Job) string { return callKey(j.Host, j.Prefix+string(j.ID)) }
+
+// submit serves a submission. The verdict of lookup says whether its queue and key are
+// known.
+func (t *term) submit(ctx context.Context, c *cell.Call, target *callTarget, found cell.Verdict) (cell.Verdict, bool) {
+	t.mu.Lock()
+	v, committed := t.admit(c, target, found)
+	t.mu.Unlock()
+	if committed == nil {
+		return t.logRefusal(c, target.id, v), true
+	}
+	if !t.awaitCommit(ctx, committed) {
+		return cell.Verdict{}, false
+	}
+	// The same round may have applied a catalogue without the queue.
+	stored := false
+	t.state().View(func(v *job.View) { stored = v.Jobs[target.id] != nil })
+	if !stored {
+		return t.logRefusal(c, target.id, cell.Verdict{Code: cell.NoQueue}), true
+	}
+	t.emit(event.JobAccepted, zap.String("request", c.Request), zap.String("job", string(target.id)), zap.String("queue", target.queue.Name),
+		zap.String("workspace", target.workspace), zap.Int("steps", len(c.Job.Steps)), zap.Int("tasks", c.Job.Steps[0].Count))
+	return cell.Verdict{Code: cell.OK}, true
+}
+
+// admit puts a submission into the next round and returns a channel that receives
+// whether the round was committed, or a nil channel and the answer. The caller holds the
+// lock, so that no other copy is decided on meanwhile.
+func (t *term) admit(c *cell.Call, target *callTarget, found cell.Verdict) (cell.Verdict, <-chan bool) {
+	stored, status := t.findStored(c, target, found)
+	key := callKey(c.Host, c.Path)
+	switch {
+	case found.Code != cell.OK && (stored || t.admitted[key]) && c.Resent:
+		// An earlier copy was accepted when its queue and key were still known.
+		return cell.Verdict{Code: cell.Unclear}, nil
+	case found.Code != cell.OK:
+		return found, nil
+	case stored:
+		return cell.Verdict{Code: cell.OK, State: status}, nil
+	case c.Job == nil || target.id == "" || strings.ContainsAny(string(target.id), "./"):
+		return cell.Verdict{Code: cell.Invalid, Message: "no job, or an id that is not one word"}, nil
+	}
+	j := *c.Job
+	j.ID, j.Host, j.Prefix, j.Workspace = target.id, target.queue.Host, target.queue.Prefix, target.workspace
+	if err := j.Check(); err != nil {
+		return cell.Verdict{Code: cell.Invalid, Message: err.Error()}, nil
+	}
+	if t.admitted[key] {
+		t.emit(event.CopyJoined, zap.String("request", c.Request), zap.String("job", string(target.id)))
+	} else if v, refused := t.checkAdmission(&j, &target.queue); refused {
+		return v, nil
+	}
+	t.admitted[key] = true
+	return cell.Verdict{}, t.enqueue(func(n *inbox) { n.submits = append(n.submits, j) })
+}
+
+// findStored reports whether the job of a call is stored, and its status. Its queue may
+// have left the catalogue.
+func (t *term) findStored(c *cell.Call, target *callTarget, found cell.Verdict) (stored bool, status job.Status) {
+	t.state().View(func(v *job.View) {
+		if r := v.Jobs[target.id]; r != nil && found.Code == cell.OK {
+			stored, status = true, r.Status
+			return
+		}
+		for i := range len(c.Path) {
+			if c.Path[i] != '/' {
+				continue
+			}
+			r := v.Jobs[job.ID(c.Path[i+1:])]
+			if r != nil && r.Job.Host == c.Host && r.Job.Prefix == c.Path[:i+1] {
+				stored, status = true, r.Status
+			}
+		}
+	})
+	return stored, status
+}
+
+// settleAdmitted forgets the submissions of a committed round: the state knows them now,
+// or never will. That holds for earlier rounds that were not committed as well, since the
+// log keeps the order of a leader's rounds.
+func (t *term) settleAdmitted(submits []job.Job) {
+	for i := range submits {
+		delete(t.admitted, keyOf(&submits[i]))
+	}
+	for _, key := range t.unsettled {
+		delete(t.admitted, key)
+	}
+	t.unsettled = nil
+}
+
+// logRefusal logs a refused submission or key and returns the verdict.
+func (t *term) logRefusal(c *cell.Call, id job.ID, v cell.Verdict) cell.Verdict {
+	if v.Code != cell.OK && c.Verb == cell.Submit || v.Code == cell.BadKey {
+		t.emit(event.JobRefused, zap.String("request", c.Request), zap.String("job", string(id)), zap.String("path", c.Path),
+			zap.Stringer("code", v.Code), zap.String("reason", v.Message), zap.Duration("wait", v.Wait))
+	}
+	return v
+}
