--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -35,6 +35,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/boottime"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/contact"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
@@ -87,6 +88,7 @@
 	leader       atomic.Pointer[string]
 	lastAnswered atomic.Int64 // Unix nanoseconds of the last answered ping; zero if none
 	lostAt       atomic.Int64 // Unix nanoseconds at which the last known leader was lost
+	reading      atomic.Pointer[reading]
 	wake         chan struct{}
 	reporter     reporter
 
@@ -163,6 +165,7 @@
 		return
 	}
 	l.lastAnswered.Store(time.Now().UnixNano())
+	l.noteMark(name, a.Mark)
 	l.updateMembers(a)
 }
 
@@ -229,6 +232,7 @@
 			}
 			l.updateMembers(a) // the leader may not be among the candidates yet
 			if a.Name == name {
+				l.noteMark(name, a.Mark)
 				l.setLeader(name)
 			}
 		}()
@@ -245,6 +249,9 @@
 // Call sends a caller's call to the leader.
 func (l *Link) Call(ctx context.Context, call Call) (Verdict, error) {
 	var v Verdict
+	if call.Arrived.IsZero() {
+		call.Arrived = boottime.Now()
+	}
 	err := l.callLeader(ctx, MethodCall, &call, &v)
 	if err == nil && v.Code == Unclear {
 		err = ErrUnknown
@@ -296,9 +303,6 @@
 	started, maybeExecuted := time.Now(), false
 	relays := l.chooseRelays()
 	for {
-		if c, ok := request.(*Call); ok {
-			c.Resent = maybeExecuted
-		}
 		l.mu.Lock()
 		changed := l.changed
 		l.mu.Unlock()
@@ -306,7 +310,7 @@
 		if name == "" && len(relays) > 0 {
 			to := relays[0]
 			relays = relays[1:]
-			err := l.relay(ctx, to, method, request, response)
+			err := l.relay(ctx, to, method, request, response, maybeExecuted)
 			if err == nil || isLeaderAnswer(err) {
 				return err
 			}
@@ -323,33 +327,56 @@
 			}
 			return callError(maybeExecuted)
 		}
-		err := l.attempt(ctx, name, method, request, response)
+		err := l.stamp(ctx, request, maybeExecuted, func(ctx context.Context) (*reading, error) { return l.readLeader(ctx, name) })
 		if err == nil {
-			return nil
-		}
-		switch {
-		case isLeaderAnswer(err):
-			return err
-		case !notExecuted(err):
-			maybeExecuted = true
+			if err = l.attempt(ctx, name, method, request, response); err == nil || isLeaderAnswer(err) {
+				return err
+			}
+			maybeExecuted = maybeExecuted || !notExecuted(err)
 		}
-		if ctx.Err() != nil {
+		if ctx.Err() != nil || isExpired(err) {
 			return callError(maybeExecuted)
 		}
 		l.dropLeader(name, err)
 	}
 }
 
+// stamp prepares a call for its next copy. Other requests are sent as they are: a late one
+// changes nothing, since the leader compares their versions, sequences or incarnations.
+func (l *Link) stamp(ctx context.Context, request any, resent bool, read func(context.Context) (*reading, error)) error {
+	c, ok := request.(*Call)
+	if !ok {
+		return nil
+	}
+	r, err := read(ctx)
+	if err != nil {
+		return err
+	}
+	now := boottime.Now()
+	deadline := now.Add(MaxCallAge)
+	if d, ok := ctx.Deadline(); ok {
+		deadline = now.Add(time.Until(d))
+	}
+	c.Resent, c.Stamp = resent, r.stamp(c.Arrived, deadline)
+	return nil
+}
+
 // isLeaderAnswer reports whether an error is the leader's answer to a call.
 func isLeaderAnswer(err error) bool {
 	var r *peer.RemoteError
-	return errors.As(err, &r) && r.Code != CodeNotLeader && r.Code != CodeUnsettled
+	return errors.As(err, &r) && r.Code != CodeNotLeader && r.Code != CodeUnsettled && r.Code != CodeExpired
+}
+
+// isExpired reports whether the leader did not execute a call because it came too late.
+func isExpired(err error) bool {
+	var r *peer.RemoteError
+	return errors.As(err, &r) && r.Code == CodeExpired
 }
 
 // notExecuted reports whether an error proves that the call was not executed.
 func notExecuted(err error) bool {
 	var r *peer.RemoteError
-	return errors.As(err, &r) && r.Code == CodeNotLeader || errors.Is(err, peer.ErrNotSent)
+	return errors.As(err, &r) && (r.Code == CodeNotLeader || r.Code == CodeExpired) || errors.Is(err, peer.ErrNotSent)
 }
 
 // callError returns the error of a call that ended without an answer.
@@ -383,7 +410,10 @@
 
 // relay sends a call to the leader through another process. It returns the
 // leader's error, ErrNoLeader or ErrUnknown, or an error of the encoding.
-func (l *Link) relay(ctx context.Context, to, method string, request, response any) error {
+func (l *Link) relay(ctx context.Context, to, method string, request, response any, resent bool) error {
+	if err := l.stamp(ctx, request, resent, func(ctx context.Context) (*reading, error) { return l.readThrough(ctx, to) }); err != nil {
+		return ErrNoLeader
+	}
 	body, err := cbor.Marshal(request)
 	if err != nil {
 		return errors.Wrap(err, "encode request")
@@ -415,6 +445,7 @@
 
 // Register registers the methods that each process serves.
 func (l *Link) Register(mux peer.Mux) {
+	mux.Handle(MethodMark, func(context.Context, string, peer.Decode) (any, error) { return l.serveMark() })
 	mux.Handle(MethodRelay, func(ctx context.Context, _ string, decode peer.Decode) (any, error) {
 		var r Relay
 		if err := decode(&r); err != nil {
--- a/internal/connection/cell/link_test.go
+++ b/internal/connection/cell/link_test.go
@@ -270,21 +270,7 @@
 				return Verdict{Code: OK, Message: c.Path}, nil
 			}}
 		ctx, cancel := context.WithCancel(context.Background())
-		var links []*Link
-		var work sync.WaitGroup
-		for _, name := range []string{"one", "two"} {
-			l := New(Options{Name: name, Seeds: []string{"core"}, Peer: fakeNetwork{name, all, cut}})
-			all[name] = map[string]peer.Handler{}
-			l.Register(handlerMap(all[name]))
-			links = append(links, l)
-		}
-		for _, l := range links {
-			work.Go(func() {
-				if err := l.Run(ctx); err != nil {
-					t.Error(err)
-				}
-			})
-		}
+		links, done := runLinks(ctx, t, all, cut, "one", "two")
 		time.Sleep(time.Second)
 		cut.add("one core")
 		time.Sleep(time.Second)
@@ -297,9 +283,31 @@
 		_, err = links[0].Call(ctx, Call{Path: "/x"})
 		is.True(errors.Is(err, ErrNoLeader))
 		cancel()
+		done()
+	})
+}
+
+// runLinks runs processes that know the control process "core" until ctx ends. The returned
+// function waits for all their goroutines.
+func runLinks(ctx context.Context, t *testing.T, all map[string]map[string]peer.Handler, cut *cuts, names ...string) (links []*Link, done func()) {
+	var work sync.WaitGroup
+	for _, name := range names {
+		l := New(Options{Name: name, Seeds: []string{"core"}, Peer: fakeNetwork{name, all, cut}})
+		all[name] = map[string]peer.Handler{}
+		l.Register(handlerMap(all[name]))
+		links = append(links, l)
+	}
+	for _, l := range links {
+		work.Go(func() {
+			if err := l.Run(ctx); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	return links, func() {
 		work.Wait()
 		time.Sleep(time.Second)
-	})
+	}
 }
 
 // Guards against reporting a call as not executed although the leader committed
--- a/internal/connection/cell/message.go
+++ b/internal/connection/cell/message.go
@@ -23,6 +23,7 @@
 	MethodWave     = "wave"     // leader: return the progress of a wave
 	MethodAdvise   = "advise"   // any process: query the advice service on behalf of the leader
 	MethodRelay    = "relay"    // any process: forward a call to the leader
+	MethodMark     = "mark"     // any process: return its reading of the leader's clock
 )
 
 // CodeNotLeader is the code of the peer.RemoteError that a process returns if
@@ -35,14 +36,19 @@
 // was known. The call may have been executed.
 const CodeUnsettled = "unsettled"
 
+// CodeExpired is the code of the peer.RemoteError that a leader returns if a call
+// arrived too late. The call was not executed.
+const CodeExpired = "expired"
+
 // Who asks a control process for the leader.
 type Who struct{}
 
-// Leader is the answer to Who and Ping.
+// Leader is the answer to Who, Ping and MethodMark.
 type Leader struct {
 	Name    string   `cbor:"1,keyasint,omitempty"` // empty if unknown
 	Members []string `cbor:"2,keyasint,omitempty"` // control processes
 	Linked  []string `cbor:"3,keyasint,omitempty"` // processes that reached the leader recently
+	Mark    Mark     `cbor:"4,keyasint"`           // of the leader's clock, if it answers itself
 }
 
 // Relay is a call to the leader from a process that cannot reach it.
@@ -69,13 +75,15 @@
 
 // Call is a caller's call about a job or a queue.
 type Call struct {
-	Request string   `cbor:"1,keyasint"` // ID for the logs
-	Verb    Verb     `cbor:"2,keyasint"`
-	Host    string   `cbor:"3,keyasint"`
-	Path    string   `cbor:"4,keyasint"`           // path of the queue, with the job's ID if any
-	Key     string   `cbor:"5,keyasint,omitempty"` // empty if the caller presented none
-	Job     *job.Job `cbor:"6,keyasint,omitempty"` // for Submit, without ID and path
-	Resent  bool     `cbor:"7,keyasint,omitempty"` // an earlier copy of this call may have been carried out
+	Request string    `cbor:"1,keyasint"` // ID for the logs
+	Verb    Verb      `cbor:"2,keyasint"`
+	Host    string    `cbor:"3,keyasint"`
+	Path    string    `cbor:"4,keyasint"`           // path of the queue, with the job's ID if any
+	Key     string    `cbor:"5,keyasint,omitempty"` // empty if the caller presented none
+	Job     *job.Job  `cbor:"6,keyasint,omitempty"` // for Submit, without ID and path
+	Resent  bool      `cbor:"7,keyasint,omitempty"` // an earlier copy of this call may have been carried out
+	Stamp   Stamp     `cbor:"8,keyasint"`
+	Arrived time.Time `cbor:"-"` // earliest time, on the boot-time clock, at which it may have arrived here; zero for now
 }
 
 // Code is the outcome of a call.
--- a/internal/process/dispatch/admit.go
+++ b/internal/process/dispatch/admit.go
@@ -17,14 +17,14 @@
 // Jobs that are accepted meanwhile are added to them.
 const loadInterval = 40 * time.Millisecond
 
-// checkAdmission reports whether a job is refused, with the verdict that tells
-// the caller when to retry. Repeated jobs are never refused. The caller holds the lock.
-func (t *term) checkAdmission(j *job.Job, q *job.Queue) (cell.Verdict, bool) {
+// checkAdmission returns whether a job is accepted, or when its caller may retry. Repeated
+// jobs are never refused. The caller holds the lock.
+func (t *term) checkAdmission(j *job.Job, q *job.Queue) cell.Verdict {
 	now := t.now()
 	t.noteShare(j, now)
 	l := t.loads[q.Pool]
 	if l == nil || now.Sub(t.began) < discoveryTime || j.Repeat > 0 {
-		return cell.Verdict{}, false
+		return cell.Verdict{Code: cell.OK}
 	}
 	path := criticalPath(j)
 	timeToDeadline := q.Target + time.Duration(q.Stretch*float64(path))
@@ -36,14 +36,15 @@
 		})
 	}
 	v := l.Admit(now, steps, path)
-	if !v.Refused {
-		for i, d := range steps {
-			if len(j.Steps[i].After) == 0 {
-				l.AddWaiting(d, d.Spec.Count, now)
-			}
+	if v.Refused {
+		return cell.Verdict{Code: cell.Busy, Message: v.Reason, Wait: v.RetryAfter}
+	}
+	for i, d := range steps {
+		if len(j.Steps[i].After) == 0 {
+			l.AddWaiting(d, d.Spec.Count, now)
 		}
 	}
-	return cell.Verdict{Code: cell.Busy, Message: v.Reason, Wait: v.RetryAfter}, v.Refused
+	return cell.Verdict{Code: cell.OK}
 }
 
 // noteShare records whether a job is beyond the weight of its workspace. The caller
--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -338,6 +339,8 @@
 	stop     context.CancelFunc
 	done     chan struct{}
 	sequence int64
+
+	suspended atomic.Int64 // how long the leader's VM was suspended, in nanoseconds
 }
 
 func newTestCluster(t *testing.T, workers ...string) *testCluster {
@@ -349,6 +352,7 @@
 	var err error
 	b.leader, err = New(Options{
 		Name: "me", State: b.state, Log: b.log, Upstream: b.workers, VMs: b.vms, Peer: unreachablePeers{}, Members: func() []string { return []string{"me"} },
+		Clock: func() time.Time { return time.Now().Add(time.Duration(b.suspended.Load())) },
 		Timing: Timing{
 			MaxLease: maxLease, StopTime: 900 * time.Millisecond, GangTime: 3 * time.Second,
 			ReportInterval: 1500 * time.Millisecond, JobRetention: time.Minute, MaxPoll: 2 * time.Second,
@@ -388,11 +392,15 @@
 
 func (b *testCluster) term() *term { return b.leader.current.Load() }
 
-func (b *testCluster) apply() {
+func (b *testCluster) apply() { b.addQueue(1, "/q/") }
+
+// addQueue applies a version of the catalogue with an urgent queue and another one.
+func (b *testCluster) addQueue(version uint64, prefix string) {
+	b.is.Helper()
 	v, ok := b.term().apply(context.Background(), &job.Catalogue{
-		Version: 1, Pools: []job.Pool{{Name: "p"}}, Workspaces: []job.Workspace{{Name: "depot", Keys: []string{"k"}}},
+		Version: version, Pools: []job.Pool{{Name: "p"}}, Workspaces: []job.Workspace{{Name: "depot", Keys: []string{"k"}}},
 		Queues: []job.Queue{
-			{Name: "q", Host: "h", Prefix: "/q/", Pool: "p", Priority: 1, Attempts: 3, Stretch: 4, Target: 3 * time.Second},
+			{Name: "q", Host: "h", Prefix: prefix, Pool: "p", Priority: 1, Attempts: 3, Stretch: 4, Target: 3 * time.Second},
 			{Name: "u", Host: "h", Prefix: "/u/", Pool: "p", Attempts: 3, Stretch: 4, Target: 3 * time.Second},
 		},
 	})
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -27,6 +27,12 @@
 // times are of Options.Now, which may stand still while the VM is suspended: they bound
 // what workers may still do, which then only seems to last longer.
 //
+// # Copies of calls
+//
+// A call may arrive in several copies, some of them after its caller got an answer. Each
+// copy is for one term and ends at a time of this leader's clock (late.go). All copies of a
+// submission get answers that agree (submit.go).
+//
 // # Runs that may still execute
 //
 // An order without an answer may be carried out later, and a refused one proves
@@ -44,6 +50,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/boottime"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
@@ -74,6 +81,7 @@
 	Timing   Timing
 	Members  func() []string  // names of the control processes
 	Now      func() time.Time // with a monotonic clock reading; defaults to time.Now
+	Clock    func() time.Time // counts suspensions of the VM; defaults to boottime.Now
 	Events   event.Log
 }
 
@@ -91,6 +99,9 @@
 	if options.Now == nil {
 		options.Now = time.Now
 	}
+	if options.Clock == nil {
+		options.Clock = boottime.Now
+	}
 	options.Upstream = timedUpstream{options.Upstream, options.Events}
 	return &Dispatcher{options: options}, nil
 }
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -47,7 +47,8 @@
 
 // whileLeading returns a handler that serves a method while this process leads.
 // The answer is sent only if the term still holds after it was computed, so
-// that it is not older than what another leader has committed.
+// that it is not older than what another leader has committed. A request that carries a
+// stamp is served only while it is valid.
 func whileLeading[Q, A any](d *Dispatcher, serve func(t *term, ctx context.Context, name string, request *Q) (A, bool)) peer.Handler {
 	return func(ctx context.Context, name string, decode peer.Decode) (any, error) {
 		var request Q
@@ -58,6 +59,11 @@
 		if t == nil {
 			return nil, d.notLeaderError()
 		}
+		if s, ok := any(&request).(stamped); ok {
+			if err := t.checkStamp(s.Validity()); err != nil {
+				return nil, err
+			}
+		}
 		answer, ok := serve(t, ctx, name, &request)
 		if leading := t.isLeading(); !ok || !leading {
 			if !leading {
@@ -72,11 +78,16 @@
 // who names the leader. This process names itself only while it can answer
 // calls, so that other processes do not poll it in the meantime.
 func (d *Dispatcher) who() (any, error) {
-	name, _ := d.options.Log.Leader()
-	if t := d.current.Load(); name == d.options.Name && (t == nil || !t.isLeading()) {
-		name = ""
+	a := cell.Leader{Members: d.options.Members()}
+	a.Name, _ = d.options.Log.Leader()
+	if a.Name == d.options.Name {
+		if t := d.current.Load(); t == nil || !t.isLeading() {
+			a.Name = ""
+		} else {
+			a.Mark = t.mark()
+		}
 	}
-	return cell.Leader{Name: name, Members: d.options.Members()}, nil
+	return a, nil
 }
 
 // call serves a call from a caller.
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -11,9 +12,15 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
+// forgottenWait is the time after which a caller may try again whose submission cannot be
+// told from one that was refused. It is above the uncertainty about when it was issued.
+const forgottenWait = time.Second
+
 // A submission may reach the leader in several copies: its process sends it again when a
 // connection breaks, and the caller may do so through another process. All copies get
-// answers that agree: what one of them has put into a round is not refused to another.
+// answers that agree: what one of them has put into a round is not refused to another, and
+// what was refused to one is refused to all that were issued before. A caller that tries
+// again after the refusal is decided on anew.
 
 // callKey identifies a submission across its copies, whatever queue its path belongs to.
 func callKey(host, path string) string { return host + path }
@@ -21,6 +28,10 @@
 // keyOf returns the callKey of a job's submission.
 func keyOf(j *job.Job) string { return callKey(j.Host, j.Prefix+string(j.ID)) }
 
+// refusalKey identifies a submission and the key that came with it, so that a refusal for
+// a wrong key does not meet the copies with the right one.
+func refusalKey(c *cell.Call) string { return callKey(c.Host, c.Path) + "\x00" + c.Key }
+
 // submit serves a submission. The verdict of lookup says whether its queue and key are
 // known.
 func (t *term) submit(ctx context.Context, c *cell.Call, target *callTarget, found cell.Verdict) (cell.Verdict, bool) {
@@ -33,46 +44,82 @@
 	if !t.awaitCommit(ctx, committed) {
 		return cell.Verdict{}, false
 	}
-	// The same round may have applied a catalogue without the queue.
-	stored := false
-	t.state().View(func(v *job.View) { stored = v.Jobs[target.id] != nil })
-	if !stored {
-		return t.logRefusal(c, target.id, cell.Verdict{Code: cell.NoQueue}), true
+	if v := t.outcome(c, target); v.Code != cell.OK {
+		return t.logRefusal(c, target.id, v), true
 	}
 	t.emit(event.JobAccepted, zap.String("request", c.Request), zap.String("job", string(target.id)), zap.String("queue", target.queue.Name),
 		zap.String("workspace", target.workspace), zap.Int("steps", len(c.Job.Steps)), zap.Int("tasks", c.Job.Steps[0].Count))
 	return cell.Verdict{Code: cell.OK}, true
 }
 
+// outcome returns the answer to a submission whose round is committed. The same round may
+// have applied a catalogue without the queue.
+func (t *term) outcome(c *cell.Call, target *callTarget) cell.Verdict {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	stored := false
+	t.state().View(func(v *job.View) { stored = v.Jobs[target.id] != nil })
+	if stored {
+		return cell.Verdict{Code: cell.OK}
+	}
+	v := cell.Verdict{Code: cell.NoQueue}
+	t.refusals.add(refusalKey(c), v, t.clock())
+	return v
+}
+
 // admit puts a submission into the next round and returns a channel that receives
 // whether the round was committed, or a nil channel and the answer. The caller holds the
 // lock, so that no other copy is decided on meanwhile.
 func (t *term) admit(c *cell.Call, target *callTarget, found cell.Verdict) (cell.Verdict, <-chan bool) {
+	key, now := callKey(c.Host, c.Path), t.clock()
 	stored, status := t.findStored(c, target, found)
-	key := callKey(c.Host, c.Path)
+	accepted := stored || t.admitted[key]
 	switch {
-	case found.Code != cell.OK && (stored || t.admitted[key]) && c.Resent:
+	case c.Stamp.Term != 0 && expired(&c.Stamp, now): // this process was paused since checkStamp
+		return cell.Verdict{Code: cell.Unclear}, nil
+	case found.Code != cell.OK && accepted && c.Resent:
 		// An earlier copy was accepted when its queue and key were still known.
 		return cell.Verdict{Code: cell.Unclear}, nil
-	case found.Code != cell.OK:
-		return found, nil
-	case stored:
+	case found.Code == cell.OK && stored:
 		return cell.Verdict{Code: cell.OK, State: status}, nil
-	case c.Job == nil || target.id == "" || strings.ContainsAny(string(target.id), "./"):
-		return cell.Verdict{Code: cell.Invalid, Message: "no job, or an id that is not one word"}, nil
 	}
-	j := *c.Job
-	j.ID, j.Host, j.Prefix, j.Workspace = target.id, target.queue.Host, target.queue.Prefix, target.workspace
-	if err := j.Check(); err != nil {
-		return cell.Verdict{Code: cell.Invalid, Message: err.Error()}, nil
+	if !accepted && c.Stamp.Term != 0 {
+		if v, refused := t.refusals.find(refusalKey(c), c.Stamp.Issued); refused {
+			t.emit(event.CopyRefused, zap.String("request", c.Request), zap.String("job", string(target.id)), zap.Stringer("code", v.Code))
+			return v, nil
+		}
+		if t.refusals.forgotten(c.Stamp.Issued) {
+			found = cell.Verdict{Code: cell.Busy, Message: "too many submissions are refused", Wait: forgottenWait}
+		}
 	}
-	if t.admitted[key] {
+	j, v := t.check(c, target, found)
+	if v.Code == cell.OK && !t.admitted[key] {
+		v = t.checkAdmission(j, &target.queue)
+	} else if v.Code == cell.OK {
 		t.emit(event.CopyJoined, zap.String("request", c.Request), zap.String("job", string(target.id)))
-	} else if v, refused := t.checkAdmission(&j, &target.queue); refused {
+	}
+	if v.Code != cell.OK {
+		t.refusals.add(refusalKey(c), v, now)
 		return v, nil
 	}
 	t.admitted[key] = true
-	return cell.Verdict{}, t.enqueue(func(n *inbox) { n.submits = append(n.submits, j) })
+	return v, t.enqueue(func(n *inbox) { n.submits = append(n.submits, *j) })
+}
+
+// check returns the job of a submission, or the reason why it cannot be accepted.
+func (t *term) check(c *cell.Call, target *callTarget, found cell.Verdict) (*job.Job, cell.Verdict) {
+	if found.Code != cell.OK {
+		return nil, found
+	}
+	if c.Job == nil || target.id == "" || strings.ContainsAny(string(target.id), "./") {
+		return nil, cell.Verdict{Code: cell.Invalid, Message: "no job, or an id that is not one word"}
+	}
+	j := *c.Job
+	j.ID, j.Host, j.Prefix, j.Workspace = target.id, target.queue.Host, target.queue.Prefix, target.workspace
+	if err := j.Check(); err != nil {
+		return nil, cell.Verdict{Code: cell.Invalid, Message: err.Error()}
+	}
+	return &j, cell.Verdict{Code: cell.OK}
 }
 
 // findStored reports whether the job of a call is stored, and its status. Its queue may
@@ -111,7 +158,7 @@
 
 // logRefusal logs a refused submission or key and returns the verdict.
 func (t *term) logRefusal(c *cell.Call, id job.ID, v cell.Verdict) cell.Verdict {
-	if v.Code != cell.OK && c.Verb == cell.Submit || v.Code == cell.BadKey {
+	if v.Code == cell.BadKey || c.Verb == cell.Submit && v.Code != cell.OK && v.Code != cell.Unclear {
 		t.emit(event.JobRefused, zap.String("request", c.Request), zap.String("job", string(id)), zap.String("path", c.Path),
 			zap.Stringer("code", v.Code), zap.String("reason", v.Message), zap.Duration("wait", v.Wait))
 	}
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -38,6 +38,7 @@
 	dispatcher *Dispatcher
 	number     uint64
 	began      time.Time
+	clockBegan time.Time // began, on Options.Clock
 	ctx        context.Context
 	orders     sync.WaitGroup
 	wake       chan struct{}
@@ -58,21 +59,22 @@
 	baselines      map[string]*fit.Baseline  // by queue
 	allowedShares  map[string]float64        // by queue; of the workers that were asked about
 	inbox          inbox
-	admitted       map[string]bool         // by callKey: submissions in a round that is not committed yet
-	unsettled      []string                // those of admitted whose round failed and may be committed all the same
-	loads          map[string]*fit.Load    // by pool
-	returns        map[string]*fit.Returns // by pool
-	shares         map[string]*fit.Share   // by workspace
-	beyond         map[job.ID]bool         // jobs beyond the weight of their workspace
-	stepsChecked   time.Time               // when dropSteps was last called
-	loadsAt        time.Time               // when loads were computed
-	doubts         map[string]*doubts      // by worker
-	missing        map[string]time.Time    // by VM: since when the platform does not list it; used by runWaves only
-	begunAt        map[string]time.Time    // by VM: when its maintenance was accepted in this term; used by runWaves only
-	nextWaveLog    time.Time               // what holds the waves up is not logged before this; used by runWaves only
-	lastPoolLog    time.Time               // when the usage of the pools was last logged
-	unanswered     map[string]time.Time    // by worker; when an order last got no answer
-	risky          map[string]time.Time    // by queue: until when its work is kept apart, because its tasks crash their workers
+	admitted       map[string]bool                // by callKey: submissions in a round that is not committed yet
+	unsettled      []string                       // those of admitted whose round failed and may be committed all the same
+	refusals       refusals[string, cell.Verdict] // by refusalKey
+	loads          map[string]*fit.Load           // by pool
+	returns        map[string]*fit.Returns        // by pool
+	shares         map[string]*fit.Share          // by workspace
+	beyond         map[job.ID]bool                // jobs beyond the weight of their workspace
+	stepsChecked   time.Time                      // when dropSteps was last called
+	loadsAt        time.Time                      // when loads were computed
+	doubts         map[string]*doubts             // by worker
+	missing        map[string]time.Time           // by VM: since when the platform does not list it; used by runWaves only
+	begunAt        map[string]time.Time           // by VM: when its maintenance was accepted in this term; used by runWaves only
+	nextWaveLog    time.Time                      // what holds the waves up is not logged before this; used by runWaves only
+	lastPoolLog    time.Time                      // when the usage of the pools was last logged
+	unanswered     map[string]time.Time           // by worker; when an order last got no answer
+	risky          map[string]time.Time           // by queue: until when its work is kept apart, because its tasks crash their workers
 }
 
 // stepState is the leader's in-memory record of a step.
@@ -95,7 +97,7 @@
 
 func newTerm(d *Dispatcher, number uint64) *term {
 	return &term{
-		dispatcher: d, number: number, began: d.options.Now(), wake: make(chan struct{}, 1),
+		dispatcher: d, number: number, began: d.options.Now(), clockBegan: d.options.Clock(), wake: make(chan struct{}, 1),
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*stepState{},
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*fit.Peak{},
 		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
@@ -269,7 +271,7 @@
 		t.adviceClients[name] = client
 	}
 	client.lastPing = t.now()
-	return cell.Leader{Name: t.dispatcher.options.Name, Members: t.dispatcher.options.Members(), Linked: t.recentClients()}
+	return cell.Leader{Name: t.dispatcher.options.Name, Members: t.dispatcher.options.Members(), Linked: t.recentClients(), Mark: t.mark()}
 }
 
 var _ raft.StateMachine = (*job.State)(nil)
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -8,6 +8,8 @@
 	JobAccepted      = define(900, zapcore.InfoLevel, "job accepted", "The job is stored and will run; the line has its queue, workspace and steps.")
 	JobRefused       = define(901, zapcore.InfoLevel, "job refused", "The job was not stored and never runs; the line has the reason and the time to come back.")
 	CopyJoined       = define(928, zapcore.InfoLevel, "copy joined", "Another copy of a submission arrived before the first one was stored, such as after a broken connection; it gets the same answer.")
+	CopyRefused      = define(929, zapcore.InfoLevel, "copy refused", "A copy of a submission arrived after another one had been refused; it gets the same answer, so that the job never runs.")
+	CopyDropped      = define(936, zapcore.InfoLevel, "late copy dropped", "A call arrived after its deadline or was sent to the leader of an earlier term; it is not carried out. Its process has sent another copy or has answered its caller.")
 	JobCancelled     = define(902, zapcore.InfoLevel, "job cancelled", "The job starts nothing more and its runs are stopped.")
 	JobFinished      = define(903, zapcore.InfoLevel, "job over", "The job took its final state.")
 	TasksStarted     = define(904, zapcore.InfoLevel, "tasks started", "Starts of one step were committed in one round; the line has their workers and how long the step waited.")
