--- a/internal/connection/cell/message.go
+++ b/internal/connection/cell/message.go
@@ -99,6 +99,7 @@
 	Busy             // not accepted and will not run; retry after Wait
 	NoJob            // no job with the ID
 	Unclear          // refused, but an earlier copy of the call was accepted
+	Withdrawn        // not accepted, since the job was cancelled before
 )
 
 // Verdict is the answer to a Call.
@@ -182,4 +183,4 @@
 	return codeNames[c-1]
 }
 
-var codeNames = [...]string{"ok", "unready", "no queue", "bad key", "invalid", "busy", "no job", "unclear"}
+var codeNames = [...]string{"ok", "unready", "no queue", "bad key", "invalid", "busy", "no job", "unclear", "withdrawn"}
--- a/internal/process/dispatch/inbox.go
+++ b/internal/process/dispatch/inbox.go
@@ -22,6 +22,7 @@
 	orphans   []job.Start // runs that were given up and may still be executed
 	settled   []job.Start // orphans that can no longer be executed
 	cancels   []job.ID
+	withdrawn []job.Withdrawal
 	submits   []job.Job
 	waves     []job.Wave
 	steps     []job.WaveStep
@@ -39,7 +40,7 @@
 // empty reports whether there is nothing to commit.
 func (n *inbox) empty() bool {
 	return n.catalogue == nil &&
-		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed) == 0
+		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn) == 0
 }
 
 // take removes and returns input of about size bytes. Waiters and
@@ -56,6 +57,7 @@
 	takeItems(&n.orphans, &in.orphans, &left, sizeOfRun)
 	takeItems(&n.settled, &in.settled, &left, sizeOfRun)
 	takeItems(&n.cancels, &in.cancels, &left, func(id *job.ID) int { return runSize + len(*id) })
+	takeItems(&n.withdrawn, &in.withdrawn, &left, func(w *job.Withdrawal) int { return runSize + len(w.ID) + len(w.Workspace) })
 	takeItems(&n.submits, &in.submits, &left, sizeOfJob)
 	takeItems(&n.waves, &in.waves, &left, sizeOfWave)
 	takeItems(&n.steps, &in.steps, &left, func(s *job.WaveStep) int { return runSize + len(s.VM) + len(s.Worker) })
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -137,7 +137,7 @@
 	if r := v.Jobs[target.id]; r != nil {
 		target.exists, target.status = true, r.Status
 	}
-	if c.Verb != cell.Submit && !target.exists {
+	if c.Verb != cell.Submit && c.Verb != cell.Cancel && !target.exists {
 		return cell.Verdict{Code: cell.NoJob}
 	}
 	return cell.Verdict{Code: cell.OK, State: target.status}
@@ -170,6 +170,9 @@
 }
 
 func (t *term) cancel(ctx context.Context, c *cell.Call, target *callTarget) (cell.Verdict, bool) {
+	if !target.exists {
+		return t.withdraw(ctx, c, target)
+	}
 	if target.status.Final() {
 		return cell.Verdict{Code: cell.OK, State: target.status}, true
 	}
@@ -183,6 +186,37 @@
 	return cell.Verdict{Code: cell.OK, State: job.Cancelled}, true
 }
 
+// withdrawWait is the time after which a caller may cancel again whose cancellation was
+// refused because too many unknown jobs are cancelled.
+const withdrawWait = time.Second
+
+// withdraw serves the cancellation of a job that is not known. Copies of its submission may
+// still be under way, which are refused from now on, by the next leaders too.
+func (t *term) withdraw(ctx context.Context, c *cell.Call, target *callTarget) (cell.Verdict, bool) {
+	if target.id.Check() != nil {
+		return cell.Verdict{Code: cell.NoJob}, true
+	}
+	t.mu.Lock()
+	committed := t.enqueue(func(n *inbox) {
+		n.withdrawn = append(n.withdrawn, job.Withdrawal{ID: target.id, Workspace: target.workspace})
+	})
+	t.mu.Unlock()
+	if !t.awaitCommit(ctx, committed) {
+		return cell.Verdict{}, false
+	}
+	v := cell.Verdict{Code: cell.Busy, Message: "too many cancellations of unknown jobs", Wait: withdrawWait}
+	t.state().View(func(view *job.View) {
+		switch r := view.Jobs[target.id]; {
+		case r != nil: // a copy was accepted just before
+			v = cell.Verdict{Code: cell.OK, State: r.Status}
+		case view.Withdrawn(target.id):
+			v = cell.Verdict{Code: cell.NoJob}
+		}
+	})
+	t.emit(event.JobWithdrawn, zap.String("request", c.Request), zap.String("job", string(target.id)), zap.Stringer("code", v.Code))
+	return v, true
+}
+
 // apply puts an operator's catalogue into effect. A catalogue that is not newer
 // than the current one is acknowledged and changes nothing.
 func (t *term) apply(ctx context.Context, c *job.Catalogue) (cell.Verdict, bool) {
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -53,7 +52,7 @@
 }
 
 // outcome returns the answer to a submission whose round is committed. The same round may
-// have applied a catalogue without the queue.
+// have applied a catalogue without the queue, or withdrawn the job.
 func (t *term) outcome(c *cell.Call, target *callTarget) cell.Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -63,6 +62,9 @@
 		return cell.Verdict{Code: cell.OK}
 	}
 	v := cell.Verdict{Code: cell.NoQueue}
+	if t.withdrawn(target.id) {
+		v.Code = cell.Withdrawn
+	}
 	t.refusals.add(refusalKey(c), v, t.clock())
 	return v
 }
@@ -106,13 +108,26 @@
 	return v, t.enqueue(func(n *inbox) { n.submits = append(n.submits, *j) })
 }
 
+// withdrawn reports whether a job was cancelled before it was known.
+func (t *term) withdrawn(id job.ID) bool {
+	yes := false
+	t.state().View(func(v *job.View) { yes = v.Withdrawn(id) })
+	return yes
+}
+
 // check returns the job of a submission, or the reason why it cannot be accepted.
 func (t *term) check(c *cell.Call, target *callTarget, found cell.Verdict) (*job.Job, cell.Verdict) {
 	if found.Code != cell.OK {
 		return nil, found
 	}
-	if c.Job == nil || target.id == "" || strings.ContainsAny(string(target.id), "./") {
-		return nil, cell.Verdict{Code: cell.Invalid, Message: "no job, or an id that is not one word"}
+	if c.Job == nil {
+		return nil, cell.Verdict{Code: cell.Invalid, Message: "no job"}
+	}
+	if err := target.id.Check(); err != nil {
+		return nil, cell.Verdict{Code: cell.Invalid, Message: err.Error()}
+	}
+	if t.withdrawn(target.id) {
+		return nil, cell.Verdict{Code: cell.Withdrawn}
 	}
 	j := *c.Job
 	j.ID, j.Host, j.Prefix, j.Workspace = target.id, target.queue.Host, target.queue.Prefix, target.workspace
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -11,6 +11,7 @@
 	CopyRefused      = define(929, zapcore.InfoLevel, "copy refused", "A copy of a submission arrived after another one had been refused; it gets the same answer, so that the job never runs.")
 	CopyDropped      = define(936, zapcore.InfoLevel, "late copy dropped", "A call arrived after its deadline or was sent to the leader of an earlier term; it is not carried out. Its process has sent another copy or has answered its caller.")
 	JobCancelled     = define(902, zapcore.InfoLevel, "job cancelled", "The job starts nothing more and its runs are stopped.")
+	JobWithdrawn     = define(937, zapcore.InfoLevel, "job withdrawn", "A job that is not known was cancelled; a submission of it that arrives later is refused. With the code \"busy\" there are too many of these, and the caller has to cancel again.")
 	JobFinished      = define(903, zapcore.InfoLevel, "job over", "The job took its final state.")
 	TasksStarted     = define(904, zapcore.InfoLevel, "tasks started", "Starts of one step were committed in one round; the line has their workers and how long the step waited.")
 	RunRefused       = define(905, zapcore.InfoLevel, "start refused by worker", "The worker refused a start for the reason given; the task waits again.")
--- a/internal/version/job/command.go
+++ b/internal/version/job/command.go
@@ -31,28 +31,29 @@
 // Round is the only command of the replicated log. It holds everything that the
 // leader decided and learned since the previous round.
 type Round struct {
-	Term      uint64     `cbor:"1,keyasint"` // of the leader that proposed the round
-	Now       time.Time  `cbor:"2,keyasint"`
-	Lead      bool       `cbor:"3,keyasint,omitempty"` // first round of the term; rounds of earlier terms are refused from now on
-	Catalogue *Catalogue `cbor:"4,keyasint,omitempty"`
-	Workers   []Worker   `cbor:"5,keyasint,omitempty"` // new or changed
-	Gone      []Worker   `cbor:"6,keyasint,omitempty"` // incarnations that have ended
-	Ends      []End      `cbor:"7,keyasint,omitempty"`
-	Cancels   []ID       `cbor:"8,keyasint,omitempty"`
-	Submits   []Job      `cbor:"9,keyasint,omitempty"`
-	Starts    []Start    `cbor:"10,keyasint,omitempty"`
-	Forget    time.Time  `cbor:"11,keyasint"`           // jobs that finished before this time are dropped
-	Settled   []Start    `cbor:"12,keyasint,omitempty"` // orphans that their workers can no longer execute
-	Orphans   []Start    `cbor:"13,keyasint,omitempty"` // runs that were given up and that their workers may still execute
-	Waves     []Wave     `cbor:"14,keyasint,omitempty"`
-	Steps     []WaveStep `cbor:"15,keyasint,omitempty"` // of the VMs of waves
-	Crashes   []Crash    `cbor:"16,keyasint,omitempty"`
-	Confirmed []Start    `cbor:"17,keyasint,omitempty"` // trials that their workers execute
+	Term      uint64       `cbor:"1,keyasint"` // of the leader that proposed the round
+	Now       time.Time    `cbor:"2,keyasint"`
+	Lead      bool         `cbor:"3,keyasint,omitempty"` // first round of the term; rounds of earlier terms are refused from now on
+	Catalogue *Catalogue   `cbor:"4,keyasint,omitempty"`
+	Workers   []Worker     `cbor:"5,keyasint,omitempty"` // new or changed
+	Gone      []Worker     `cbor:"6,keyasint,omitempty"` // incarnations that have ended
+	Ends      []End        `cbor:"7,keyasint,omitempty"`
+	Cancels   []ID         `cbor:"8,keyasint,omitempty"`
+	Submits   []Job        `cbor:"9,keyasint,omitempty"`
+	Starts    []Start      `cbor:"10,keyasint,omitempty"`
+	Forget    time.Time    `cbor:"11,keyasint"`           // jobs that finished before this time are dropped
+	Settled   []Start      `cbor:"12,keyasint,omitempty"` // orphans that their workers can no longer execute
+	Orphans   []Start      `cbor:"13,keyasint,omitempty"` // runs that were given up and that their workers may still execute
+	Waves     []Wave       `cbor:"14,keyasint,omitempty"`
+	Steps     []WaveStep   `cbor:"15,keyasint,omitempty"` // of the VMs of waves
+	Crashes   []Crash      `cbor:"16,keyasint,omitempty"`
+	Confirmed []Start      `cbor:"17,keyasint,omitempty"` // trials that their workers execute
+	Withdrawn []Withdrawal `cbor:"18,keyasint,omitempty"` // cancellations of jobs that are not known
 }
 
 // Empty reports whether the round changes nothing.
 func (r *Round) Empty() bool {
-	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans)+len(r.Waves)+len(r.Steps)+len(r.Crashes)+len(r.Confirmed) == 0
+	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans)+len(r.Waves)+len(r.Steps)+len(r.Crashes)+len(r.Confirmed)+len(r.Withdrawn) == 0
 }
 
 // Result is the outcome of applying a round.
--- a/internal/version/job/snapshot.go
+++ b/internal/version/job/snapshot.go
@@ -11,15 +11,16 @@
 
 // snapshot is the encoded form of View.
 type snapshot struct {
-	Term      uint64            `cbor:"1,keyasint"`
-	Catalogue *Catalogue        `cbor:"2,keyasint"`
-	Jobs      []*Record         `cbor:"3,keyasint"`
-	Workers   map[string]Worker `cbor:"4,keyasint"`
-	Sequence  uint64            `cbor:"5,keyasint"`
-	Over      []ID              `cbor:"6,keyasint"`
-	Orphans   []orphanRecord    `cbor:"7,keyasint,omitempty"`
-	Limits    limits            `cbor:"8,keyasint,omitempty"`
-	Waves     waves             `cbor:"9,keyasint"`
+	Term      uint64             `cbor:"1,keyasint"`
+	Catalogue *Catalogue         `cbor:"2,keyasint"`
+	Jobs      []*Record          `cbor:"3,keyasint"`
+	Workers   map[string]Worker  `cbor:"4,keyasint"`
+	Sequence  uint64             `cbor:"5,keyasint"`
+	Over      []ID               `cbor:"6,keyasint"`
+	Orphans   []orphanRecord     `cbor:"7,keyasint,omitempty"`
+	Limits    limits             `cbor:"8,keyasint,omitempty"`
+	Waves     waves              `cbor:"9,keyasint"`
+	Withdrawn []withdrawalRecord `cbor:"10,keyasint,omitempty"`
 }
 
 // Snapshot implements raft.StateMachine.
@@ -32,7 +33,7 @@
 		d.Jobs = append(d.Jobs, r)
 	}
 	slices.SortFunc(d.Jobs, func(a, b *Record) int { return int(int64(a.Sequence) - int64(b.Sequence)) })
-	d.Orphans = v.orphanRecords()
+	d.Orphans, d.Withdrawn = v.orphanRecords(), v.withdrawn.order
 	b, err := codec.Encode(d)
 	return b, errors.Wrap(err, "encode snapshot")
 }
@@ -71,6 +72,9 @@
 	for _, o := range d.Orphans {
 		v.putOrphan(o.Worker, o.ID, o.Orphan)
 	}
+	for _, r := range d.Withdrawn {
+		v.withdrawn.add(r)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.view = v
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -158,7 +158,8 @@
 	Sequence     uint64
 	Waves        waves
 
-	finished []ID // finished jobs in the order in which they finished
+	withdrawn withdrawals
+	finished  []ID // finished jobs in the order in which they finished
 }
 
 // State is the state machine of jobs.
@@ -181,6 +182,7 @@
 	v.Used, v.Changes = map[string]work.Resources{}, map[string]uint64{}
 	v.Orphans, v.Limits = map[string]map[OrphanID]Orphan{}, limits{}
 	v.Waves.Open = map[int64]*WaveRecord{}
+	v.withdrawn.init()
 }
 
 // View calls read with the current state, which read must not retain or change.
@@ -241,6 +243,9 @@
 	for _, id := range r.Cancels {
 		v.cancel(id, r.Now, &result)
 	}
+	for i := range r.Withdrawn {
+		v.withdraw(&r.Withdrawn[i], r.Now, &result)
+	}
 	for i := range r.Submits {
 		v.submit(&r.Submits[i], r.Now)
 	}
@@ -255,6 +260,7 @@
 		result.Refused[i] = !v.start(&r.Starts[i], r.Now)
 	}
 	v.dropFinished(r.Forget)
+	v.withdrawn.drop(earlier(r.Forget, r.Now.Add(-minWithdrawn)))
 	return result
 }
 
@@ -296,10 +302,10 @@
 	return nil
 }
 
-// submit adds a job. It ignores jobs that are already known or whose queue does
-// not exist.
+// submit adds a job. It ignores jobs that are already known or withdrawn, or whose queue
+// does not exist.
 func (v *View) submit(j *Job, now time.Time) {
-	if v.Jobs[j.ID] != nil || v.Catalogue == nil {
+	if v.Jobs[j.ID] != nil || v.Withdrawn(j.ID) || v.Catalogue == nil {
 		return
 	}
 	q := v.Catalogue.Queue(j.Host, j.Prefix)
