--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -302,6 +302,9 @@
 func (l *Link) callLeader(ctx context.Context, method string, request, response any) error {
 	started, maybeExecuted := time.Now(), false
 	relays := l.chooseRelays()
+	if ctx.Err() != nil {
+		return ErrNoLeader
+	}
 	for {
 		l.mu.Lock()
 		changed := l.changed
