--- a/model/run.sh
+++ b/model/run.sh
@@ -42,7 +42,7 @@
   for guard in "$@"; do check "$name" 1 "${bounds[@]}" "-D$guard"; done
 }
 
-for name in "${@:-log lease intent allotment driver}"; do
+for name in "${@:-log lease intent allotment driver copies}"; do
   for one in $name; do
     case $one in
       log) specification log -DTERMS=2 -DLENGTH=3 -DLOSSES=1 -- NO_IDENTITY NO_SYNC NO_UPTODATE NO_SERIAL ;;
@@ -50,6 +50,7 @@
       intent) specification intent -DATTEMPTS=3 -- NO_INTENT NO_DUPLICATE LATE_INTENT RETRY_SENT REFUSE_SENT NO_HOLDER ;;
       allotment) specification allotment -DLIMIT=2 -- NO_HOLD NO_RECORD NO_TAKEOVER NO_SHRINK NO_EXPIRE NO_ORDER ;;
       driver) specification driver -DRUNS=3 -DTERMS=2 -- NO_FENCE NO_STOP NO_NUMBER NO_DEADLINE NO_SENT NO_MEMORY ;;
+      copies) specification copies -DATTEMPTS=2 -DTERMS=2 -- NO_JOIN NO_MEMORY NO_TERM NO_EXPIRY NO_RESENT NO_WITHDRAW NO_PAUSE ;;
       *) echo "model: no specification called $one" >&2; exit 2 ;;
     esac
   done
