--- a/internal/connection/control/client.go
+++ b/internal/connection/control/client.go
@@ -14,7 +14,7 @@
 // unknown outcome is retried only if the command is idempotent.
 func (l *Link) Propose(ctx context.Context, command state.Command) (state.Result, error) {
 	var result state.Result
-	err := l.call(ctx, MethodPropose, Proposal{Command: command}, &result, idempotent(&command))
+	err := l.call(ctx, MethodPropose, &Proposal{Command: command}, &result, idempotent(&command))
 	if err != nil {
 		return state.Result{}, err
 	}
@@ -50,6 +50,9 @@
 		if ctx.Err() != nil {
 			return callError(maybeCommitted, errors.CombineErrors(ctx.Err(), lastErr))
 		}
+		if p, ok := request.(*Proposal); ok {
+			p.Resent = maybeCommitted
+		}
 		err := l.attempt(ctx, search.current, method, request, response, retry)
 		if err == nil {
 			search.succeeded()
--- a/internal/connection/control/link_test.go
+++ b/internal/connection/control/link_test.go
@@ -33,6 +33,7 @@
 	sent        []time.Time
 	renewals    []Renewal
 	commits     int
+	resent      []bool        // of each proposal
 	loseAnswers int           // number of proposals to commit without an answer
 	delay       time.Duration // duration of each call
 }
@@ -59,6 +60,7 @@
 		g.renew(request.(*Renewal), response.(*Grant))
 	case MethodPropose:
 		g.commits++
+		g.resent = append(g.resent, request.(*Proposal).Resent)
 		if g.loseAnswers > 0 {
 			g.loseAnswers--
 			return peer.ErrUnknown
@@ -410,6 +412,9 @@
 					is.Equal(c.group.commits, c.commits)
 				}
 				is.True(time.Since(begin) <= 5*time.Second)
+				for i, resent := range c.group.resent {
+					is.Equal(resent, i > 0)
+				}
 			})
 		})
 	}
--- a/internal/connection/control/message.go
+++ b/internal/connection/control/message.go
@@ -165,7 +165,10 @@
 }
 
 // Proposal asks the leader to commit a command.
-type Proposal struct{ Command state.Command }
+type Proposal struct {
+	Command state.Command
+	Resent  bool // an earlier copy may be committed, now or later
+}
 
 // Query asks the leader for a list or an explanation.
 type Query struct {
--- a/internal/process/leader/leader_test.go
+++ b/internal/process/leader/leader_test.go
@@ -408,6 +408,30 @@
 	})
 }
 
+// Guards against a job that runs although its submission was refused with "ran": "no": an
+// earlier copy of the command arrives when a worker has room for it.
+func TestCopyOfARefusedSubmissionIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g := newGroup(t, 0)
+		defer g.close()
+		propose := func(p control.Proposal) state.Result {
+			r, err := call[state.Result](g.replicas[0], control.MethodPropose, "", p, 0, 0)
+			is.NoErr(err)
+			return *r
+		}
+		c := state.Command{Request: "r", Submit: &state.Submit{Job: work.Job{Entry: "batch", Team: "a", Size: processors(5)}, Count: 1}}
+		g.a.poll(0, workerReport(1, 1))
+		is.Equal(propose(control.Proposal{Command: c, Resent: true}).Code, state.Infeasible)
+		larger := workerReport(1, 1)
+		larger.Worker.Name, larger.Worker.Capacity = "v", processors(8)
+		g.a.poll(0, larger)
+		is.Equal(propose(control.Proposal{Command: c}).Code, state.Infeasible) // the copy that was held up
+		c.Request = "another"
+		is.Equal(propose(control.Proposal{Command: c}).Code, state.OK)
+	})
+}
+
 // BenchmarkRenew serves renewals of 7 entry VMs that carry polls of 7,800
 // workers with 30,000 running tasks.
 func BenchmarkRenew(b *testing.B) {
--- a/internal/process/leader/propose.go
+++ b/internal/process/leader/propose.go
@@ -13,7 +13,8 @@
 
 // propose commits a command of a caller or an operator. Commands that only the
 // leader issues are refused. A job that can never run is refused without writing
-// a log entry.
+// a log entry, unless an earlier copy of the command may still arrive: the log then
+// keeps the refusal, and the copy gets it too.
 func (l *Leader) propose(ctx context.Context, _ string, p *control.Proposal) (any, error) {
 	t := l.activeTerm.Load()
 	if t == nil {
@@ -24,8 +25,10 @@
 	if !allowedFromOthers(&c) {
 		return state.Result{Code: state.Invalid, Message: "only the leader issues this command"}, nil
 	}
-	if r, known := t.state().Preview(c); known {
-		return t.answerIfLeading(control.MethodPropose, r)
+	if !p.Resent {
+		if r, known := t.state().Preview(c); known {
+			return t.answerIfLeading(control.MethodPropose, r)
+		}
 	}
 	r, err := t.commitCommand(ctx, c)
 	switch {
