--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -52,14 +52,18 @@
 }
 
 // outcome returns the answer to a submission whose round is committed. The same round may
-// have applied a catalogue without the queue, or withdrawn the job.
+// have applied a catalogue without the queue, or withdrawn the job. Then another copy may
+// still be accepted if it waits for a later round.
 func (t *term) outcome(c *cell.Call, target *callTarget) cell.Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	stored := false
 	t.state().View(func(v *job.View) { stored = v.Jobs[target.id] != nil })
-	if stored {
+	switch {
+	case stored:
 		return cell.Verdict{Code: cell.OK}
+	case t.admitted[callKey(c.Host, c.Path)] > 0:
+		return cell.Verdict{Code: cell.Unclear}
 	}
 	v := cell.Verdict{Code: cell.NoQueue}
 	if t.withdrawn(target.id) {
@@ -75,7 +79,7 @@
 func (t *term) admit(c *cell.Call, target *callTarget, found cell.Verdict) (cell.Verdict, <-chan bool) {
 	key, now := callKey(c.Host, c.Path), t.clock()
 	stored, status := t.findStored(c, target, found)
-	accepted := stored || t.admitted[key]
+	accepted := stored || t.admitted[key] > 0
 	switch {
 	case c.Stamp.Term != 0 && expired(&c.Stamp, now): // this process was paused since checkStamp
 		return cell.Verdict{Code: cell.Unclear}, nil
@@ -95,7 +99,7 @@
 		}
 	}
 	j, v := t.check(c, target, found)
-	if v.Code == cell.OK && !t.admitted[key] {
+	if v.Code == cell.OK && t.admitted[key] == 0 {
 		v = t.checkAdmission(j, &target.queue)
 	} else if v.Code == cell.OK {
 		t.emit(event.CopyJoined, zap.String("request", c.Request), zap.String("job", string(target.id)))
@@ -104,7 +108,7 @@
 		t.refusals.add(refusalKey(c), v, now)
 		return v, nil
 	}
-	t.admitted[key] = true
+	t.admitted[key]++
 	return v, t.enqueue(func(n *inbox) { n.submits = append(n.submits, *j) })
 }
 
@@ -158,17 +162,20 @@
 	return stored, status
 }
 
-// settleAdmitted forgets the submissions of a committed round: the state knows them now,
-// or never will. That holds for earlier rounds that were not committed as well, since the
-// log keeps the order of a leader's rounds.
+// settleAdmitted forgets the copies in a committed round: the state knows them now, or
+// never will. That holds for earlier rounds that were not committed as well, since the
+// log keeps the order of a leader's rounds. Other copies may wait for a later round.
 func (t *term) settleAdmitted(submits []job.Job) {
+	settled := t.unsettled
+	t.unsettled = nil
 	for i := range submits {
-		delete(t.admitted, keyOf(&submits[i]))
+		settled = append(settled, keyOf(&submits[i]))
 	}
-	for _, key := range t.unsettled {
-		delete(t.admitted, key)
+	for _, key := range settled {
+		if t.admitted[key]--; t.admitted[key] <= 0 {
+			delete(t.admitted, key)
+		}
 	}
-	t.unsettled = nil
 }
 
 // logRefusal logs a refused submission or key and returns the verdict.
--- a/internal/process/dispatch/submit_test.go
+++ b/internal/process/dispatch/submit_test.go
@@ -76,7 +76,7 @@
 		j := submission("one").Job
 		j.ID, j.Host, j.Prefix = "one", "h", "/q/"
 		term.mu.Lock()
-		term.admitted["h/q/one"] = true
+		term.admitted["h/q/one"] = 1
 		term.mu.Unlock()
 		term.requeue(inbox{submits: []job.Job{*j}})
 		v, ok := term.call(context.Background(), submission("one"))
@@ -87,3 +87,41 @@
 		b.is.Equal(len(term.admitted), 0)
 	})
 }
+
+// Guards against a copy that is refused although another one still waits for its commit: the
+// round with the first copy removed the queue, and the round with the second one adds it
+// again (seed 4 of TestAnswersHoldForAllCopies, in one run of many).
+func TestCopyThatWaitsIsKnownAfterARefusedRound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		term := b.term()
+		c := submission("one")
+		c.Resent = true
+		target := callTarget{queue: job.Queue{Host: "h", Prefix: "/q/", Pool: "p"}, id: "one", workspace: "depot"}
+		// enqueue puts a catalogue and a copy into one round.
+		enqueue := func(version uint64, prefix string) <-chan bool {
+			term.mu.Lock()
+			defer term.mu.Unlock()
+			term.enqueue(func(n *inbox) {
+				n.catalogue = &job.Catalogue{
+					Version: version, Pools: []job.Pool{{Name: "p"}}, Workspaces: []job.Workspace{{Name: "depot", Keys: []string{"k"}}},
+					Queues: []job.Queue{{Name: "q", Host: "h", Prefix: prefix, Pool: "p"}},
+				}
+			})
+			_, committed := term.admit(c, &target, cell.Verdict{Code: cell.OK})
+			return committed
+		}
+		first := enqueue(2, "/none/")
+		time.Sleep(time.Millisecond) // the round is under way
+		second := enqueue(3, "/q/")
+		b.is.True(<-first)
+		b.is.Equal(term.outcome(c, &target).Code, cell.Unclear) // of the first copy
+		v, ok := term.call(context.Background(), c)
+		b.is.True(ok)
+		b.is.Equal(v.Code, cell.Unclear)
+		b.is.True(<-second)
+		time.Sleep(time.Second)
+		b.is.True(len(b.workers.started()) > 0)
+	})
+}
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -59,8 +59,8 @@
 	baselines      map[string]*fit.Baseline  // by queue
 	allowedShares  map[string]float64        // by queue; of the workers that were asked about
 	inbox          inbox
-	admitted       map[string]bool                // by callKey: submissions in a round that is not committed yet
-	unsettled      []string                       // those of admitted whose round failed and may be committed all the same
+	admitted       map[string]int                 // by callKey: copies of submissions that wait for the commit of a round
+	unsettled      []string                       // keys of copies whose round failed and may be committed all the same
 	refusals       refusals[string, cell.Verdict] // by refusalKey
 	loads          map[string]*fit.Load           // by pool
 	returns        map[string]*fit.Returns        // by pool
@@ -104,7 +104,7 @@
 		shares: map[string]*fit.Share{}, beyond: map[job.ID]bool{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
 		doubts: map[string]*doubts{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
-		risky: map[string]time.Time{}, admitted: map[string]bool{},
+		risky: map[string]time.Time{}, admitted: map[string]int{},
 	}
 }
 
