--- a/internal/process/dispatch/late_test.go
+++ b/internal/process/dispatch/late_test.go
@@ -76,6 +76,33 @@
 	})
 }
 
+// Guards against a copy that is accepted after another one of the same call was refused as
+// one from before a refusal: their stamps differ by what their process does not know of the
+// leader's clock (seed 20 of TestAnswersHoldForAllCopies, in one run of many).
+func TestEachRefusalCounts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		c := submission("one")
+		c.Path = "/new/one"
+		c.Stamp = b.stampNow()
+		v, err := b.deliver(c)
+		b.is.NoErr(err)
+		b.is.Equal(v.Code, cell.NoQueue)
+		b.addQueue(2, "/new/")
+		time.Sleep(100 * time.Millisecond)
+		later := *c
+		later.Stamp = b.stampNow()
+		time.Sleep(10 * time.Millisecond)
+		v, err = b.deliver(c)
+		b.is.NoErr(err)
+		b.is.Equal(v.Code, cell.NoQueue)
+		v, err = b.deliver(&later)
+		b.is.NoErr(err)
+		b.is.Equal(v.Code, cell.NoQueue)
+	})
+}
+
 // Guards against a submission that runs after a 404: the queue was added between the two
 // copies.
 func TestCopyFromBeforeAMissingQueueIsRefused(t *testing.T) {
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -91,6 +91,7 @@
 	}
 	if !accepted && c.Stamp.Term != 0 {
 		if v, refused := t.refusals.find(refusalKey(c), c.Stamp.Issued); refused {
+			t.refusals.add(refusalKey(c), v, now) // the stamps of other copies may be later
 			t.emit(event.CopyRefused, zap.String("request", c.Request), zap.String("job", string(target.id)), zap.Stringer("code", v.Code))
 			return v, nil
 		}
