--- a/model/copies.pml
+++ b/model/copies.pml
@@ -13,6 +13,8 @@
  * Guards, each removed by defining:
  *   NO_JOIN     a copy is decided on although another one waits for its commit
  *   NO_MEMORY   a leader forgets what it refused
+ *   NO_RECORD   a refusal that is repeated counts only for copies from before the first one
+ *   NO_WAITING  a copy whose round did not store the job is refused while another one waits
  *   NO_TERM     a copy is carried out by the leader of a later term
  *   NO_EXPIRY   a copy is carried out after the deadline of its attempt
  *   NO_RESENT   a copy is refused for its queue although an earlier one was accepted
@@ -42,11 +44,13 @@
 
 /* Memory of the leader. */
 byte term = 1;
-bit pending;          /* the job waits for its commit */
-bit joined[4];        /* attempts that wait for it */
+bit queued[4];        /* attempts with a copy that waits for the next round */
+bit flight[4];        /* attempts with a copy in the round that is not committed yet */
+byte waiting;         /* number of attempts in either */
+bit cancelling, cancelflight; /* the cancellation, likewise */
 byte refused;         /* attempts up to this one were issued before a refusal */
 
-bit cancelling;       /* the cancellation is answered */
+bit over;             /* the cancellation is answered */
 
 inline answer(a, no) {
 	if
@@ -54,32 +58,46 @@
 	:: else
 	fi
 }
+inline enqueue(a) {
+	sent[a] = 1;
+	if
+	:: !queued[a] -> queued[a] = 1; waiting++
+	:: else
+	fi
+}
 inline refuse(a) { refused = issued; answer(a, 1) }
 
-/* ends the round with the submission: it is stored or not */
-inline settle(yes) {
-	pending = 0; stored = (stored || yes);
-	for (a : 1 .. ATTEMPTS) {
-		if
-		:: joined[a] && yes -> answer(a, 0)
-		:: joined[a] && !yes -> refuse(a)
-		:: else
-		fi;
-		joined[a] = 0
-	}
+/* applies the round: cancellations come first */
+inline apply() {
+	if
+	:: cancelflight && stored -> cancelled = 1
+	:: cancelflight && !stored -> withdrawn = 1
+	:: else
+	fi;
+	for (a : 1 .. ATTEMPTS) { stored = (stored || (flight[a] && known && !withdrawn)) }
 	a = 0
 }
 
 #ifdef NO_JOIN
 #define waits false
 #else
-#define waits pending
+#define waits (waiting > 0)
 #endif
 #ifdef NO_MEMORY
 #define remembered(a) false
 #else
 #define remembered(a) (refused >= (a))
 #endif
+#ifdef NO_RECORD
+#define again(a) answer(a, 1)
+#else
+#define again(a) refuse(a)
+#endif
+#ifdef NO_WAITING
+#define others false
+#else
+#define others waits
+#endif
 #ifdef NO_TERM
 #define by_term(t) true
 #else
@@ -93,7 +111,7 @@
 #ifdef NO_RESENT
 #define unclear(a) false
 #else
-#define unclear(a) (sent[a] && (stored || pending))
+#define unclear(a) (sent[a] && (stored || waits))
 #endif
 #ifdef NO_PAUSE
 #define fresh(a) true
@@ -106,7 +124,7 @@
 	do
 	/* the caller sends an attempt: the first one, or after a refusal or none to an earlier one */
 	:: atomic {
-		issued < ATTEMPTS && !cancelling && !(issued > 0 && answered[issued] && !denied[issued]) ->
+		issued < ATTEMPTS && !over && !cancelling && !cancelflight && !(issued > 0 && answered[issued] && !denied[issued]) ->
 		issued++; unread[issued] = 1
 	}
 	/* an entry VM reads it */
@@ -140,53 +158,64 @@
 			:: !known && !unclear(a) -> refuse(a)
 			:: known && stored -> answer(a, 0)
 			:: known && !stored && withdrawn -> refuse(a)
-			:: known && !stored && !withdrawn && waits -> joined[a] = 1; sent[a] = 1
-			:: known && !stored && !withdrawn && !waits && remembered(a) -> answer(a, 1)
+			:: known && !stored && !withdrawn && waits -> enqueue(a)
+			:: known && !stored && !withdrawn && !waits && remembered(a) -> again(a)
+			/* its stamp is too early by what its process does not know of the clock */
+			:: known && !stored && !withdrawn && !waits && remembered(a - 1) -> again(a)
 			:: known && !stored && !withdrawn && !waits && !remembered(a) ->
 				if
-				:: pending = 1; joined[a] = 1; sent[a] = 1
+				:: enqueue(a)
 				:: refuse(a)
 				fi
 			fi
 		:: else
 		fi; a = 0; t = 0
 	}
-	/* the round commits */
-	:: atomic { pending -> settle(1) }
+	/* the next round leaves */
+	:: atomic {
+		!cancelflight && !flight[1] && !flight[2] && !flight[3] && (waiting > 0 || cancelling) ->
+		cancelflight = cancelling; cancelling = 0;
+		for (a : 1 .. ATTEMPTS) { flight[a] = queued[a]; queued[a] = 0 } a = 0
+	}
+	/* it commits */
+	:: atomic {
+		cancelflight || flight[1] || flight[2] || flight[3] ->
+		apply(); over = (over || cancelflight); cancelflight = 0;
+		for (a : 1 .. ATTEMPTS) { waiting = waiting - flight[a] }
+		for (a : 1 .. ATTEMPTS) {
+			if
+			:: flight[a] && (stored || others) -> answer(a, 0)
+			:: flight[a] && !stored && !others -> refuse(a)
+			:: else
+			fi
+		}
+		for (a : 1 .. ATTEMPTS) { flight[a] = 0 } a = 0
+	}
 	/* the next leader; the round commits before it serves, or never */
 	:: atomic {
 		term < TERMS -> term++;
 		if
-		:: pending -> stored = 1
+		:: apply()
 		:: true
 		fi;
-		pending = 0; refused = 0;
-		for (a : 1 .. ATTEMPTS) { joined[a] = 0 } a = 0
+		waiting = 0; refused = 0; cancelling = 0; cancelflight = 0;
+		for (a : 1 .. ATTEMPTS) { flight[a] = 0; queued[a] = 0 } a = 0
 	}
 	/* the catalogue changes */
 	:: atomic { known = !known }
-	/* the caller gives up and cancels; the answer follows the commit. A submission that
-	 * waits is in an earlier round, or in the same one, which applies the cancellation first */
+	/* the caller gives up and cancels, perhaps again */
 	:: atomic {
-		issued > 0 && !cancelling ->
+		issued > 0 && !over && !cancelling && !cancelflight ->
 #ifdef NO_WITHDRAW
-		cancelled = stored;
+		cancelled = stored; over = 1
 #else
-		if
-		:: pending -> settle(1)
-		:: pending -> settle(0)
-		:: else
-		fi;
-		if
-		:: stored -> cancelled = 1
-		:: else -> withdrawn = 1
-		fi;
-#endif
 		cancelling = 1
+#endif
 	}
-	/* the withdrawn ID is forgotten, when no copy is under way that is not too old */
+	/* the withdrawn ID is forgotten, when each copy under way is too old; it is kept far longer
+	 * than a copy waits for a round */
 	:: atomic {
-		withdrawn && cancelling ->
+		withdrawn && over && waiting == 0 ->
 		t = 1;
 		for (a : 1 .. ATTEMPTS) { if :: a <= issued && !late[a] -> t = 0 :: else fi }
 		if :: t == 1 -> withdrawn = 0 :: else fi;
@@ -199,7 +228,7 @@
 
 active proctype monitor() {
 	atomic {
-		stored && !cancelled && cancelling -> assert(false)
+		stored && !cancelled && over -> assert(false)
 	}
 }
 
--- a/model/run.sh
+++ b/model/run.sh
@@ -50,7 +50,7 @@
       intent) specification intent -DATTEMPTS=3 -- NO_INTENT NO_DUPLICATE LATE_INTENT RETRY_SENT REFUSE_SENT NO_HOLDER ;;
       allotment) specification allotment -DLIMIT=2 -- NO_HOLD NO_RECORD NO_TAKEOVER NO_SHRINK NO_EXPIRE NO_ORDER ;;
       driver) specification driver -DRUNS=3 -DTERMS=2 -- NO_FENCE NO_STOP NO_NUMBER NO_DEADLINE NO_SENT NO_MEMORY ;;
-      copies) specification copies -DATTEMPTS=2 -DTERMS=2 -- NO_JOIN NO_MEMORY NO_TERM NO_EXPIRY NO_RESENT NO_WITHDRAW NO_PAUSE ;;
+      copies) specification copies -DATTEMPTS=2 -DTERMS=2 -- NO_JOIN NO_MEMORY NO_RECORD NO_WAITING NO_TERM NO_EXPIRY NO_RESENT NO_WITHDRAW NO_PAUSE ;;
       *) echo "model: no specification called $one" >&2; exit 2 ;;
     esac
   done
