--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -46,6 +46,7 @@
 		}
 		result, ok := t.commit(ctx, r)
 		if !ok {
+			t.dropFaulty(&in)
 			t.requeue(in)
 			if ctx.Err() == nil {
 				sleep(ctx, commitRetryDelay)
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
@@ -136,7 +137,7 @@
 	}
 	j := *c.Job
 	j.ID, j.Host, j.Prefix, j.Workspace = target.id, target.queue.Host, target.queue.Prefix, target.workspace
-	if err := j.Check(); err != nil {
+	if err := errors.CombineErrors(j.Check(), holds(job.Round{Submits: []job.Job{j}})); err != nil {
 		return nil, cell.Verdict{Code: cell.Invalid, Message: err.Error()}
 	}
 	return &j, cell.Verdict{Code: cell.OK}
--- a/internal/version/job/command.go
+++ b/internal/version/job/command.go
@@ -64,9 +64,13 @@
 	GivenUp    []Crash // those that ended the job of their task
 }
 
-// Encode encodes a round for the log.
+// Encode encodes a round for the log. It fails if Decode would, because a round that no
+// replica can decode is not applied.
 func Encode(r Round) ([]byte, error) {
 	b, err := codec.Encode(r)
+	if err == nil {
+		_, err = Decode(b)
+	}
 	return b, errors.Wrap(err, "encode round")
 }
 
--- a/internal/version/job/model.go
+++ b/internal/version/job/model.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/cockroachdb/errors"
 
@@ -37,7 +38,7 @@
 // ParseTask parses the format of TaskID.String.
 func ParseTask(name string) (TaskID, error) {
 	parts := strings.Split(name, ".")
-	if len(parts) != 4 || parts[0] == "" {
+	if len(parts) != 4 || ID(parts[0]).Check() != nil {
 		return TaskID{}, errors.Newf("%q is not a valid task ID", name)
 	}
 	var n [3]int
@@ -135,8 +136,15 @@
 	maxSteps       = 64
 	maxTasks       = 20_000
 	maxOccurrences = 100_000
+	maxPayload     = 16 << 10 // bytes
 )
 
+// Limits on the times of a repeating job. Later ones cannot be encoded, or overflow.
+var earliestDue, latestDue = time.Unix(0, 0), time.Date(9000, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// maxRepeatTime is the longest time from the first occurrence to the last one.
+const maxRepeatTime = 100 * 365 * 24 * time.Hour
+
 // Check returns an error if the job cannot be accepted. Steps may only wait for
 // earlier steps, so that there are no cycles.
 func (j *Job) Check() error {
@@ -146,12 +154,24 @@
 	if j.Repeat < 0 || j.Repeat > maxOccurrences || j.Repeat > 0 && j.Every < 0 {
 		return errors.Newf("%d occurrences", j.Repeat)
 	}
+	if j.Repeat > 0 && (j.First.Before(earliestDue) || j.First.After(latestDue) || j.Every > maxRepeatTime/time.Duration(j.Repeat)) {
+		return errors.Newf("%d occurrences, the first one due at Unix second %d and then each %s", j.Repeat, j.First.Unix(), j.Every)
+	}
+	if len(j.Payload) > maxPayload || !utf8.ValidString(j.Payload) {
+		return errors.Newf("a payload of %d bytes, or one that is not UTF-8", len(j.Payload))
+	}
 	tasks := 0
 	for i := range j.Steps {
 		s := &j.Steps[i]
 		if s.Count < 1 || !s.Size.Representable() {
 			return errors.Newf("step %d has no tasks, or a negative or too large size", i)
 		}
+		if err := checkTexts(s.Label, s.Rack, s.Image); err != nil {
+			return errors.Wrapf(err, "step %d", i)
+		}
+		if len(s.After) > i {
+			return errors.Newf("step %d waits for %d steps", i, len(s.After))
+		}
 		tasks += s.Count
 		for _, a := range s.After {
 			if a < 0 || a >= i {
@@ -245,10 +265,8 @@
 	if w.ID == "" || w.Pool == "" || len(w.Labels) > maxLabels {
 		return errors.Newf("worker %q of pool %q with %d labels", shortened(w.ID), shortened(w.Pool), len(w.Labels))
 	}
-	for _, s := range append([]string{w.ID, w.Pool, w.Zone, w.Rack}, w.Labels...) {
-		if len(s) > maxText {
-			return errors.Newf("worker %q: a text of %d bytes", shortened(w.ID), len(s))
-		}
+	if err := checkTexts(append([]string{w.ID, w.Pool, w.Zone, w.Rack}, w.Labels...)...); err != nil {
+		return errors.Wrapf(err, "worker %q", shortened(w.ID))
 	}
 	switch a := w.Address.Addr(); {
 	case w.Address.Port() == 0, a.IsUnspecified(), a.IsMulticast():
@@ -261,6 +279,17 @@
 	return nil
 }
 
+// checkTexts returns an error if a name or a label is too long or not UTF-8, which the
+// decoder of the log refuses.
+func checkTexts(texts ...string) error {
+	for _, s := range texts {
+		if len(s) > maxText || !utf8.ValidString(s) {
+			return errors.Newf("a text of %d bytes, or one that is not UTF-8: %q", len(s), shortened(s))
+		}
+	}
+	return nil
+}
+
 func shortened(s string) string { return s[:min(len(s), maxText)] }
 
 // Status is the state of a job.
