--- /dev/null
+++ b/internal/process/dispatch/identity.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+)
+
+// A report proves nothing about its sender: it may be of another writer. So no worker is
+// removed, or replaced by its next incarnation, before an answer at its address shows that it
+// has ended.
+
+// checkFormer looks at a worker whose address a new one reports. If another process answers
+// there, it has ended. The caller holds the lock.
+func (t *term) checkFormer(w *worker) {
+	target, o := w.Worker, ListOrder{Lease: w.leaseEnd, Fence: t.number, Acknowledged: w.acknowledged}
+	t.orders.Go(func() {
+		_, a := t.dispatcher.options.Upstream.List(t.permit(listTimeoutMargin), &target, o)
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		if a.Result == WrongWorker && !t.over {
+			t.removeWorker(w, reasonOtherWorker)
+		}
+	})
+}
+
+// checkClaim looks at a worker of which a report says that a later incarnation runs. If that
+// one answers, it takes the place of the known one. The caller holds the lock.
+func (t *term) checkClaim(w *worker, r *cell.Report) {
+	_, checking := t.claims[w.ID]
+	t.claims[w.ID] = *r
+	if checking {
+		return
+	}
+	target := r.Worker
+	t.orders.Go(func() {
+		_, a := t.dispatcher.options.Upstream.List(t.permit(listTimeoutMargin), &target, ListOrder{Fence: t.number})
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		claim := t.claims[w.ID]
+		delete(t.claims, w.ID)
+		if t.over || t.workers[w.ID] != w {
+			return
+		}
+		if (a.Result == Accepted || a.Result == Refused) && (a.Life == 0 || a.Life == claim.Worker.Life) {
+			t.removeWorker(w, reasonNewLife)
+			t.addWorker(&claim, t.now())
+			return
+		}
+		t.emit(event.IdentityUnproved, zap.String("worker", w.ID), zap.Int64("life", int64(claim.Worker.Life)), zap.Int64("known", int64(w.Life)),
+			zap.Int64("answers", int64(a.Life)), event.Cause(a.Error))
+	})
+}
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -299,8 +299,8 @@
 	case w != nil && r.Worker.Life < w.Life, w != nil && r.Worker.Life == w.Life && r.Sequence <= w.Sequence:
 		return nil // out of order
 	case w != nil && r.Worker.Life > w.Life:
-		t.removeWorker(w, reasonNewLife)
-		w = nil
+		t.checkClaim(w, r)
+		return nil
 	}
 	if w == nil {
 		return t.addWorker(r, now)
@@ -357,7 +357,7 @@
 	if w.Draining {
 		w.drainDeadline = now.Add(time.Duration(r.Remaining) * time.Millisecond)
 	}
-	t.removeFormer(w)
+	t.checkFormers(w)
 	t.workers[w.ID], t.sorted = w, nil
 	t.returnWorker(w)
 	t.settleDoubts(w)
@@ -368,12 +368,12 @@
 	return t.enqueue(func(n *inbox) { n.workers = append(n.workers, w.Worker) })
 }
 
-// removeFormer removes the worker that had the address of a new one, if any. Its own late
-// report must not remove the new one.
-func (t *term) removeFormer(w *worker) {
+// checkFormers looks at the workers that had the address of a new one, if any. Their own
+// late reports must not remove the new one.
+func (t *term) checkFormers(w *worker) {
 	for _, o := range t.workers {
 		if o.ID != w.ID && o.Address == w.Address && o.Life < w.Life {
-			t.removeWorker(o, reasonOtherWorker)
+			t.checkFormer(o)
 		}
 	}
 }
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -58,6 +58,7 @@
 	urgentUse      map[string]work.Resources // by pool; reserved by urgent runs
 	baselines      map[string]*fit.Baseline  // by queue
 	allowedShares  map[string]float64        // by queue; of the workers that were asked about
+	claims         map[string]cell.Report    // by worker: a report of a later incarnation that is being checked
 	inbox          inbox
 	admitted       map[string]int                 // by callKey: copies of submissions that wait for the commit of a round
 	unsettled      []string                       // keys of copies whose round failed and may be committed all the same
@@ -104,7 +105,7 @@
 		shares: map[string]*fit.Share{}, beyond: map[job.ID]bool{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
 		doubts: map[string]*doubts{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
-		risky: map[string]time.Time{}, admitted: map[string]int{},
+		risky: map[string]time.Time{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
 	}
 }
 
