--- a/internal/process/dispatch/faulty.go
+++ b/internal/process/dispatch/faulty.go
@@ -6,17 +6,26 @@
 
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/raft"
 )
 
 // A round that cannot be encoded, or decoded again, fails with everything in it. What is put
 // back into the next rounds would make these fail too, without an end.
 
-// holds returns an error if the log cannot hold a round. Nothing that waits for an answer
-// enters a round without this check.
-func holds(r job.Round) error {
+const (
+	// maxItem is the largest encoded size of an entry of a round, which has others beside it.
+	maxItem = maxRoundInput / 4
+	// maxCatalogue is that of a catalogue, which has a round of its own if it is large. It
+	// leaves room for the rest of a round.
+	maxCatalogue = raft.MaxCommand - 16<<10
+)
+
+// holds returns an error if the log cannot hold a round, or the round is larger than limit.
+// No submission and no catalogue enters a round without this check.
+func holds(r job.Round, limit int) error {
 	b, err := job.Encode(r)
-	if err == nil && len(b) > maxRoundInput {
-		err = errors.Newf("%d bytes are more than %d", len(b), maxRoundInput)
+	if err == nil && len(b) > limit {
+		err = errors.Newf("%d bytes are more than %d", len(b), limit)
 	}
 	return err
 }
@@ -35,12 +44,12 @@
 
 // dropItems drops the items that no round can hold.
 func dropItems[T any](t *term, kind string, items *[]T, round func([]T) job.Round) {
-	if holds(round(*items)) == nil {
+	if _, err := job.Encode(round(*items)); err == nil {
 		return
 	}
 	var kept []T
 	for _, i := range *items {
-		if err := holds(round([]T{i})); err != nil {
+		if err := holds(round([]T{i}), maxItem); err != nil {
 			t.emit(event.EntryDropped, zap.String("kind", kind), zap.Any("entry", i), event.Cause(err))
 			continue
 		}
--- a/internal/process/dispatch/faulty_test.go
+++ b/internal/process/dispatch/faulty_test.go
@@ -49,9 +49,15 @@
 			b.is.True(ok)
 			b.is.Equal(v.Code, cell.Invalid)
 		}
-		v, ok := b.term().apply(context.Background(), &job.Catalogue{Version: 2, Document: []byte(strings.Repeat("x", maxRoundInput))})
+		v, ok := b.term().apply(context.Background(), &job.Catalogue{Version: 2, Document: []byte(strings.Repeat("x", maxCatalogue))})
 		b.is.True(ok)
 		b.is.Equal(v.Code, cell.Invalid)
+		v, ok = b.term().apply(context.Background(), &job.Catalogue{
+			Version: 2, Document: []byte(strings.Repeat("x", maxCatalogue-1000)), Pools: []job.Pool{{Name: "p"}},
+			Workspaces: []job.Workspace{{Name: "depot", Keys: []string{"k"}}}, Queues: []job.Queue{{Name: "q", Host: "h", Prefix: "/q/", Pool: "p"}},
+		})
+		b.is.True(ok)
+		b.is.Equal(v.Code, cell.OK)
 		b.submit("three", tasks(1))
 	})
 }
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -220,7 +220,7 @@
 // apply puts an operator's catalogue into effect. A catalogue that is not newer
 // than the current one is acknowledged and changes nothing.
 func (t *term) apply(ctx context.Context, c *job.Catalogue) (cell.Verdict, bool) {
-	if err := holds(job.Round{Catalogue: c}); err != nil {
+	if err := holds(job.Round{Catalogue: c}, maxCatalogue); err != nil {
 		t.emit(event.CatalogueRefused, zap.Uint64("version", c.Version), event.Cause(err))
 		return cell.Verdict{Code: cell.Invalid, Message: err.Error()}, true
 	}
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -137,7 +137,7 @@
 	}
 	j := *c.Job
 	j.ID, j.Host, j.Prefix, j.Workspace = target.id, target.queue.Host, target.queue.Prefix, target.workspace
-	if err := errors.CombineErrors(j.Check(), holds(job.Round{Submits: []job.Job{j}})); err != nil {
+	if err := errors.CombineErrors(j.Check(), holds(job.Round{Submits: []job.Job{j}}, maxItem)); err != nil {
 		return nil, cell.Verdict{Code: cell.Invalid, Message: err.Error()}
 	}
 	return &j, cell.Verdict{Code: cell.OK}
