--- a/internal/connection/cell/link_test.go
+++ b/internal/connection/cell/link_test.go
@@ -333,8 +333,8 @@
 	})
 }
 
-// Guards against a caller that is told that its job never runs although an earlier copy of
-// the call was accepted: a later copy was refused, because the queue was removed meanwhile.
+// Guards against a refusal ("never runs") of a job although an earlier copy of the call was
+// accepted: a later copy was refused, because the queue was removed meanwhile.
 func TestRefusedCopyOfAnAcceptedCallIsUnknown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/internal/process/dispatch/copies_test.go
+++ b/internal/process/dispatch/copies_test.go
@@ -59,8 +59,8 @@
 		fmt.Sprintf(format, arguments...))
 }
 
-// hold begins a cut of a link, given as "from to", or a pause of a process. The returned
-// function ends it.
+// hold cuts a link, given as "from to", or pauses a process, until the returned function is
+// called.
 func (n *heldNetwork) hold(what string) (release func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -265,7 +265,7 @@
 	time.Sleep(length)
 }
 
-// changeLeader ends the present term and begins the next one.
+// changeLeader ends the present term and starts the next one.
 func (r *copyRun) changeLeader(term uint64) {
 	r.log.set(false, term)
 	time.Sleep(time.Duration(rand.IntN(800)) * time.Millisecond)
--- a/internal/process/dispatch/late_test.go
+++ b/internal/process/dispatch/late_test.go
@@ -65,7 +65,7 @@
 		v, err = b.deliver(held)
 		b.is.NoErr(err)
 		b.is.Equal(v.Code, cell.Busy)
-		time.Sleep(time.Second) // the caller waits as told, and tries again
+		time.Sleep(time.Second) // the caller waits for Retry-After, and tries again
 		again := submission("one")
 		again.Stamp = b.stampNow()
 		v, err = b.deliver(again)
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -12,8 +12,8 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
-// forgottenWait is the time after which a caller may try again whose submission cannot be
-// told from one that was refused. It is above the uncertainty about when it was issued.
+// forgottenWait is the time after which a caller may try again whose submission may be a
+// copy of a refused one. It is above the uncertainty about when it was issued.
 const forgottenWait = time.Second
 
 // A submission may reach the leader in several copies: its process sends it again when a
--- a/internal/process/dispatch/submit_test.go
+++ b/internal/process/dispatch/submit_test.go
@@ -43,7 +43,7 @@
 }
 
 // Guards against a refusal for a withdrawn key, or for a queue that is gone, of a
-// submission whose first copy was accepted before: its caller is told that it never runs.
+// submission whose first copy was accepted before: the refusal says that it never runs.
 func TestRefusalAfterAnAcceptedCopyIsUnclear(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newTestCluster(t, "a")
