--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -134,8 +134,13 @@
 	if c.Verb == cell.Pending || target.id == "" {
 		return cell.Verdict{Code: cell.OK, Pending: v.Pending(q.Host, q.Prefix)}
 	}
-	if r := v.Jobs[target.id]; r != nil {
-		target.exists, target.status = true, r.Status
+	r := v.Jobs[target.id]
+	if r == nil {
+		// Its own queue was removed, and an outer one matches its path now.
+		r = findByPath(v, c.Host, c.Path)
+	}
+	if r != nil {
+		target.id, target.exists, target.status = r.Job.ID, true, r.Status
 	}
 	if c.Verb != cell.Submit && c.Verb != cell.Cancel && !target.exists {
 		return cell.Verdict{Code: cell.NoJob}
@@ -156,6 +161,20 @@
 	return best
 }
 
+// findByPath returns the job that was submitted with a path, or nil. Its queue may have left
+// the catalogue since.
+func findByPath(v *job.View, host, path string) *job.Record {
+	for i := range len(path) {
+		if path[i] != '/' {
+			continue
+		}
+		if r := v.Jobs[job.ID(path[i+1:])]; r != nil && r.Job.Host == host && r.Job.Prefix == path[:i+1] {
+			return r
+		}
+	}
+	return nil
+}
+
 // workspaceOfKey returns the name of the workspace that has a key.
 func workspaceOfKey(c *job.Catalogue, key string) (string, bool) {
 	if key == "" {
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -151,14 +151,8 @@
 			stored, status = true, r.Status
 			return
 		}
-		for i := range len(c.Path) {
-			if c.Path[i] != '/' {
-				continue
-			}
-			r := v.Jobs[job.ID(c.Path[i+1:])]
-			if r != nil && r.Job.Host == c.Host && r.Job.Prefix == c.Path[:i+1] {
-				stored, status = true, r.Status
-			}
+		if r := findByPath(v, c.Host, c.Path); r != nil {
+			stored, status = true, r.Status
 		}
 	})
 	return stored, status
--- a/internal/process/dispatch/withdraw_test.go
+++ b/internal/process/dispatch/withdraw_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
 // Guards against a job that starts after its cancellation was answered: its submission was
@@ -67,3 +68,26 @@
 		b.is.Equal(len(term.admitted), 0)
 	})
 }
+
+// Guards against a job that nobody can read or cancel any more, and that runs on, because its
+// queue was removed while an outer one stays (rules LOST and UNASKED).
+func TestJobOfARemovedInnerQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.workers.setRunTime(time.Minute)
+		b.addQueue(2, "/u/inner/")
+		b.submitTo("/u/inner/", "one", tasks(2))
+		time.Sleep(time.Second)
+		b.is.Equal(b.running(), 2)
+		b.addQueue(3, "/q/")
+		v, ok := b.term().call(context.Background(), &cell.Call{Verb: cell.Status, Host: "h", Path: "/u/inner/one", Key: "k"})
+		b.is.True(ok)
+		b.is.Equal(v, cell.Verdict{Code: cell.OK, State: job.Running})
+		v, ok = b.term().call(context.Background(), &cell.Call{Verb: cell.Cancel, Host: "h", Path: "/u/inner/one", Key: "k"})
+		b.is.True(ok)
+		b.is.Equal(v.Code, cell.OK)
+		time.Sleep(2 * time.Second)
+		b.is.Equal(b.running(), 0)
+	})
+}
