--- a/internal/version/job/snapshot.go
+++ b/internal/version/job/snapshot.go
@@ -110,7 +110,7 @@
 
 // check returns an error if the state of the job does not fit its steps.
 func (r *Record) check() error {
-	if err := r.Job.Check(); err != nil {
+	if err := r.Job.checkSteps(); err != nil {
 		return err
 	}
 	for number, o := range r.Open {
--- a/internal/version/job/withdraw_test.go
+++ b/internal/version/job/withdraw_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -89,3 +90,20 @@
 		is.True(id.Check() != nil)
 	}
 }
+
+// Guards against a replica that does not start because a job which an earlier build accepted
+// is beyond a limit of this one.
+func TestSnapshotWithAJobOfAnEarlierBuild(t *testing.T) {
+	is := is.New(t)
+	j := Job{ID: ID(fmt.Sprintf("%0200d", 1)), Host: "h", Prefix: "/s/", Payload: strings.Repeat("x", maxPayload+1), Steps: []Step{{Count: 1}}}
+	is.True(j.Check() != nil)
+	m := newMachine(is)
+	m.apply(Round{Submits: []Job{j}})
+	b, err := m.state.Snapshot()
+	is.NoErr(err)
+	is.NoErr(m.state.Restore(b))
+	is.Equal(m.record(j.ID).Job.ID, j.ID)
+	id, err := ParseTask(string(j.ID) + ".0.0.0")
+	is.NoErr(err)
+	is.Equal(id.Job, j.ID)
+}
