--- a/internal/process/dispatch/crash.go
+++ b/internal/process/dispatch/crash.go
@@ -56,6 +56,7 @@
 // term's lock.
 func (t *term) recordCrash(w *worker, reason string) {
 	runs, evidence := t.assess(w, w.heardAt)
+	l := t.addLoss(w, runs, evidence)
 	if len(runs) == 0 {
 		return
 	}
@@ -64,13 +65,14 @@
 		if r.startedAt.After(runs[latest].startedAt) {
 			latest = i
 		}
+		if l.cleared[i] || !evidence[i].Suspected && !evidence[i].Confirmed {
+			continue
+		}
 		if evidence[i].Suspected {
 			suspects++
 			t.noteRisk(r.queue, t.now())
 		}
-		if evidence[i].Suspected || evidence[i].Confirmed {
-			t.inbox.crashes = append(t.inbox.crashes, job.Crash{Task: r.id, Run: r.number, Evidence: evidence[i]})
-		}
+		t.inbox.crashes = append(t.inbox.crashes, job.Crash{Task: r.id, Run: r.number, Evidence: evidence[i]})
 	}
 	t.emit(event.WorkerCrashed, zap.String("worker", w.ID), zap.String("reason", reason), zap.Int("runs", len(runs)), zap.Int("suspects", suspects),
 		zap.Stringer("latest", runs[latest].id), zap.Int("run", runs[latest].number), zap.Bool("confirmed", runs[latest].confirmed),
@@ -97,8 +99,9 @@
 // crashed; if that shows later, the runs are counted then.
 func (t *term) suspectRuns(w *worker) {
 	runs, evidence := t.assess(w, w.heardAt)
+	common := t.silentInCommon(w, runs, evidence)
 	for i, r := range runs {
-		if evidence[i].Suspected && !r.endQueued {
+		if evidence[i].Suspected && !common[i] && !r.endQueued {
 			evidence[i].Confirmed = false
 			t.inbox.crashes = append(t.inbox.crashes, job.Crash{Task: r.id, Run: r.number, Evidence: evidence[i]})
 		}
--- a/internal/process/dispatch/crash_test.go
+++ b/internal/process/dispatch/crash_test.go
@@ -296,3 +296,105 @@
 		b.is.Equal(b.status("one"), job.Completed)
 	})
 }
+
+// crashAll crashes all workers that are up.
+func (b *testCluster) crashAll(down time.Duration) {
+	b.workers.mu.Lock()
+	var ids []string
+	for id, w := range b.workers.all {
+		if !w.refusesConnections && !w.replaced {
+			ids = append(ids, id)
+		}
+	}
+	b.workers.mu.Unlock()
+	for _, id := range ids {
+		b.crash(id, down)
+	}
+}
+
+// workerNames returns n names of workers.
+func workerNames(n int) []string {
+	var names []string
+	for i := range n {
+		names = append(names, fmt.Sprintf("%c%c", 'a'+i/10, 'a'+i%10))
+	}
+	return names
+}
+
+// longestTrialWait is how long a task may wait after the workers are back for which there is
+// room: a round, the time for which other steps avoid its worker, and the longest trial.
+const longestTrialWait = 3 * time.Second
+
+// Guards against jobs that are given up, or wait for trials, because all workers crash again
+// and again (rule LOST, review/5).
+func TestCrashesOfAllWorkersFailNoJob(t *testing.T) {
+	for name, jobs := range map[string]int{"idle pool": 12, "busy pool": 160} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestCluster(t, workerNames(35)...)
+				defer b.close()
+				b.workers.setRunTime(700 * time.Millisecond)
+				lasting := tasks(6)
+				lasting.Lasting = true
+				for i := range 4 {
+					b.submit(fmt.Sprint("lasting", i), lasting)
+				}
+				for i := range 3 {
+					time.AfterFunc(3*time.Second+time.Duration(i)*2*time.Second, func() { b.crashAll(1500 * time.Millisecond) })
+				}
+				for i := range jobs {
+					b.submitTo("/u/", fmt.Sprint("job", i), tasks(6))
+					time.Sleep(12 * time.Second / time.Duration(jobs))
+				}
+				time.Sleep(longestTrialWait)
+				for i := range jobs {
+					b.is.Equal(b.status(fmt.Sprint("job", i)), job.Completed)
+				}
+				for i := range 4 {
+					b.is.Equal(b.status(fmt.Sprint("lasting", i)), job.Running)
+				}
+				b.is.Equal(b.workers.copied(), "")
+			})
+		})
+	}
+}
+
+// Guards against a job that is given up because idle workers, of whose crashes the leader
+// hears later, crashed with the one of its trial (rule LOST, review/5).
+func TestCrashWithIdleWorkersIsNoEvidence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, workerNames(12)...)
+		defer b.close()
+		b.workers.setRunTime(5 * time.Second)
+		started := 0
+		b.workers.onStart = func(string, StartOrder) {
+			if started++; started <= 4 {
+				time.AfterFunc(200*time.Millisecond, func() { b.crashAll(1500 * time.Millisecond) })
+			}
+		}
+		b.submit("one", tasks(1))
+		time.Sleep(30 * time.Second)
+		b.is.Equal(b.status("one"), job.Completed)
+	})
+}
+
+// Guards against jobs whose tasks crash many workers at one time, such as those of a faulty
+// image, and that go on because all workers seem to crash alike (rule BUDGET).
+func TestJobsThatCrashWorkersTogetherAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, workerNames(12)...)
+		defer b.close()
+		for i := range 6 {
+			b.changeWorker(workerNames(12)[i], func(w *fakeWorker) { w.processors = 1000 })
+		}
+		b.crashing(func(id job.TaskID) bool { return strings.HasPrefix(string(id.Job), "killer") })
+		for i := range 10 {
+			go b.submit(fmt.Sprint("killer", i), tasks(1))
+		}
+		time.Sleep(40 * time.Second)
+		for i := range 10 {
+			b.is.Equal(b.status(fmt.Sprint("killer", i)), job.Failed)
+			b.is.True(b.startsOf(job.TaskID{Job: job.ID(fmt.Sprint("killer", i))}) <= maxKillerStarts)
+		}
+	})
+}
--- a/internal/process/dispatch/inbox.go
+++ b/internal/process/dispatch/inbox.go
@@ -18,6 +18,8 @@
 	gone      []job.Worker
 	crashes   []job.Crash
 	confirmed []job.Start // trials that their workers execute
+	cleared   []job.Start // runs whose workers crashed in common with others
+	faulty    []job.Start // runs whose tasks are given up
 	ends      []job.End
 	orphans   []job.Start // runs that were given up and may still be executed
 	settled   []job.Start // orphans that can no longer be executed
@@ -40,7 +42,7 @@
 // empty reports whether there is nothing to commit.
 func (n *inbox) empty() bool {
 	return n.catalogue == nil &&
-		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn) == 0
+		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn)+len(n.cleared)+len(n.faulty) == 0
 }
 
 // take removes and returns input of about size bytes. Waiters and
@@ -53,6 +55,8 @@
 	takeItems(&n.confirmed, &in.confirmed, &left, sizeOfRun)
 	// Before the ends, so that a task does not start again before its crash is known.
 	takeItems(&n.crashes, &in.crashes, &left, func(c *job.Crash) int { return runSize + len(c.Task.Job) })
+	takeItems(&n.cleared, &in.cleared, &left, sizeOfRun)
+	takeItems(&n.faulty, &in.faulty, &left, sizeOfRun)
 	takeItems(&n.ends, &in.ends, &left, func(e *job.End) int { return runSize + len(e.Task.Job) + len(e.Worker) + len(e.Saved) })
 	takeItems(&n.orphans, &in.orphans, &left, sizeOfRun)
 	takeItems(&n.settled, &in.settled, &left, sizeOfRun)
@@ -151,6 +155,7 @@
 	n.gone = append(in.gone, n.gone...)
 	n.crashes = append(in.crashes, n.crashes...)
 	n.confirmed = append(in.confirmed, n.confirmed...)
+	n.cleared = append(in.cleared, n.cleared...)
 	n.ends = append(in.ends, n.ends...)
 	n.orphans = append(in.orphans, n.orphans...)
 	n.settled = append(in.settled, n.settled...)
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -67,12 +67,12 @@
 	r := job.Round{
 		Catalogue: in.catalogue, Workers: in.workers, Gone: in.gone, Ends: in.ends, Cancels: in.cancels, Submits: in.submits,
 		Crashes: in.crashes, Confirmed: in.confirmed, Orphans: in.orphans, Settled: in.settled, Waves: in.waves, Steps: in.steps,
-		Withdrawn: in.withdrawn,
+		Withdrawn: in.withdrawn, Cleared: in.cleared, Faulty: in.faulty,
 	}
 	if t.over || !t.isLeading() {
 		return r, in, nil
 	}
-	if in.catalogue != nil || len(in.crashes) > 0 {
+	if in.catalogue != nil || len(in.crashes)+len(in.cleared) > 0 {
 		// What starts is decided under the new limits, or with the crashes known, in the
 		// next round.
 		return r, in, nil
@@ -140,8 +140,7 @@
 		}
 	}
 	for i := range result.GivenUp {
-		c := &result.GivenUp[i]
-		t.emit(event.TaskGivenUp, zap.Stringer("task", c.Task), zap.Int("run", c.Run), zap.Duration("age", c.Evidence.Age))
+		t.emit(event.TaskGivenUp, zap.Stringer("task", result.GivenUp[i].Task), zap.Int("run", result.GivenUp[i].Run))
 	}
 	for _, id := range result.Ended {
 		t.finishJob(id)
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -108,6 +108,11 @@
 				delete(t.timeToDeadline, id)
 			}
 		}
+		for id := range t.verdicts {
+			if v.Active[id.Job] == nil {
+				delete(t.verdicts, id)
+			}
+		}
 		for id := range t.beyond {
 			if v.Active[id] == nil {
 				delete(t.beyond, id)
--- /dev/null
+++ b/internal/version/crash/common.go
@@ -0,0 +1,66 @@
+package crash
+
+import "time"
+
+const (
+	// A crash is in common if at least minCommon other workers, and commonShare of them
+	// all, crashed within commonTime of it.
+	minCommon   = 2
+	commonShare = 0.05
+	commonTime  = 100 * time.Millisecond
+	// massShare is the share of the workers whose crash at one time is in common for a
+	// while after others were.
+	massShare = 0.5
+)
+
+// Loss is the crash of a worker, at some time between two.
+type Loss struct {
+	From, To time.Time
+	Runs     []Evidence // about all runs that the worker may have executed
+}
+
+// Common reports whether a worker crashed in common with others that had no run like one of
+// its own, so that its crash is no evidence against that run. All are the crashes in its pool
+// lately, and up says since when each worker is known that is up.
+//
+// Runs that started together, such as those of a job or of a faulty image, may crash many
+// workers at one time. These have runs of the same age, and do not count.
+func (l *Loss) Common(run int, all []*Loss, up []time.Time) bool {
+	return l.countsAs(commonShare, all, up, func(o *Loss) bool { return !o.hasLike(&l.Runs[run]) })
+}
+
+// Mass reports whether a large part of a pool crashed at about the same time as a worker,
+// whatever they ran. All workers that crashed in common start their tasks again together,
+// so that these look alike in the next such crash.
+func (l *Loss) Mass(all []*Loss, up []time.Time) bool {
+	return l.countsAs(massShare, all, up, func(*Loss) bool { return true })
+}
+
+// countsAs reports whether at least a share of the workers that were known at the time crashed
+// with one, and match.
+func (l *Loss) countsAs(share float64, all []*Loss, up []time.Time, match func(*Loss) bool) bool {
+	hit := 0
+	for _, o := range all {
+		if o != l && !o.From.After(l.To.Add(commonTime)) && !l.From.After(o.To.Add(commonTime)) && match(o) {
+			hit++
+		}
+	}
+	known := hit
+	for _, since := range up {
+		if !since.After(l.To) {
+			known++
+		}
+	}
+	return hit >= minCommon && float64(hit) >= share*float64(known)
+}
+
+// hasLike reports whether a run on the worker had about the same age as another one when
+// their workers crashed.
+func (l *Loss) hasLike(e *Evidence) bool {
+	for i := range l.Runs {
+		if e.alike(&l.Runs[i]) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/version/crash/common_test.go
@@ -0,0 +1,58 @@
+package crash
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const ms = time.Millisecond
+
+// lost returns the crash of a worker at a time after another one, with runs of given ages.
+func lost(after time.Duration, ages ...time.Duration) *Loss {
+	crashed := at.Add(after)
+	return &Loss{From: crashed, To: crashed, Runs: Assess(crashed, crashed, exposures(ages...))}
+}
+
+// times returns n crashes like one.
+func times(n int, l *Loss) []*Loss {
+	var list []*Loss
+	for range n {
+		c := *l
+		list = append(list, &c)
+	}
+	return list
+}
+
+// Guards against a task that is held responsible for the crash of all workers (rule LOST,
+// review/5), and against tasks that go on for ever because those like them crash other
+// workers, one by one or all at once.
+func TestCrashesInCommon(t *testing.T) {
+	unknown := &Loss{To: at.Add(time.Second)}
+	for name, c := range map[string]struct {
+		others       []*Loss
+		steady       int
+		common, mass bool
+	}{
+		"all at once, idle or with other runs": {append(times(4, lost(2*ms)), lost(-3*ms, 400*ms, 900*ms)), 0, true, true},
+		"some at once":                         {times(3, lost(0)), 30, true, false},
+		"two of many at once":                  {times(2, lost(0, 2000*ms)), 60, false, false},
+		"one by one":                           {[]*Loss{lost(150 * ms), lost(-150 * ms), lost(400 * ms), lost(-700 * ms)}, 0, false, false},
+		"one other":                            {times(1, lost(0)), 3, false, false},
+		"each with a task that just started":   {times(8, lost(2*ms, 12*ms, 3000*ms)), 4, false, true},
+		"idle, at times not known":             {times(2, unknown), 10, true, false},
+		"none":                                 {nil, 0, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := lost(0, 10*ms)
+			all, up := append(c.others, l), make([]time.Time, c.steady)
+			for range 50 {
+				up = append(up, at.Add(time.Second)) // the next incarnations
+			}
+			is.Equal(l.Common(0, all, up), c.common)
+			is.Equal(l.Mass(all, up), c.mass)
+		})
+	}
+}
--- a/internal/version/crash/crash.go
+++ b/internal/version/crash/crash.go
@@ -22,6 +22,14 @@
 //
 // A task whose runs are older when their workers crash is not suspected at first. It
 // starts as a trial once two of its runs had about the same age, or after three crashes.
+//
+// # Crashes in common
+//
+// What crashes workers with and without a task alike is not the task. If enough other
+// workers crashed at about the same time, without a run like that of the task, the crash
+// says nothing about it: Loss reports this, and Record.Clear takes the evidence back.
+// Crashes of idle workers are known late, so a task that looks faulty is given up only
+// after a while.
 package crash
 
 import (
@@ -53,7 +61,7 @@
 	trialFactor = 2
 	minTrial    = 250 * time.Millisecond
 	maxTrial    = 3 * time.Second
-	// maxRecorded bounds the crashes and the trials of a task that are kept.
+	// maxRecorded bounds the crashes, the trials and the cleared runs of a task that are kept.
 	maxRecorded = 16
 )
 
@@ -121,6 +129,7 @@
 	Crashes   []Crash `cbor:"1,keyasint,omitempty"` // at most maxRecorded
 	Trials    []int   `cbor:"2,keyasint,omitempty"` // runs that started as trials
 	Confirmed int     `cbor:"3,keyasint,omitempty"` // latest trial that a worker has answered that it executes
+	Cleared   []int   `cbor:"4,keyasint,omitempty"` // runs whose workers crashed in common with others
 }
 
 // Crash is the evidence about one run.
@@ -131,9 +140,12 @@
 	Evidence Evidence
 }
 
-// Add adds the evidence about a run. The same evidence may be added twice: a new leader
-// may find a crash that its predecessor has recorded.
-func (r *Record) Add(run int, e Evidence) {
+// Add adds the evidence about a run, and reports whether there was none. The same evidence
+// may be added twice: a new leader may find a crash that its predecessor has recorded.
+func (r *Record) Add(run int, e Evidence) bool {
+	if slices.Contains(r.Cleared, run) {
+		return false
+	}
 	c := Crash{Run: run, Evidence: e}
 	c.Tried = e.Confirmed && e.Alone && e.Age <= r.TrialTime() && slices.Contains(r.Trials, run)
 	i := slices.IndexFunc(r.Crashes, func(o Crash) bool { return o.Run == run })
@@ -145,6 +157,16 @@
 	default:
 		r.Crashes = append(r.Crashes, c)
 	}
+	return i < 0
+}
+
+// Clear takes back the evidence about a run whose worker crashed in common with others.
+func (r *Record) Clear(run int) {
+	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return c.Run == run })
+	if !slices.Contains(r.Cleared, run) {
+		r.Cleared = append(r.Cleared, run)
+		r.Cleared = r.Cleared[max(0, len(r.Cleared)-maxRecorded):]
+	}
 }
 
 // merge takes over further evidence about the same run: another one of its gang's workers
@@ -197,7 +219,7 @@
 func (r *Record) alike() bool {
 	for i := range r.Crashes {
 		for k := range i {
-			if a, b := &r.Crashes[i], &r.Crashes[k]; confirmed(a) && confirmed(b) && similar(a, b) {
+			if a, b := &r.Crashes[i], &r.Crashes[k]; confirmed(a) && confirmed(b) && a.Evidence.alike(&b.Evidence) {
 				return true
 			}
 		}
@@ -219,17 +241,16 @@
 	}
 	for i := range r.Crashes {
 		c := &r.Crashes[i]
-		if c.Tried && r.count(func(o *Crash) bool { return o != c && (o.Tried || confirmed(o) && similar(o, c)) }) > 0 {
+		if c.Tried && r.count(func(o *Crash) bool { return o != c && (o.Tried || confirmed(o) && o.Evidence.alike(&c.Evidence)) }) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
-// similar reports whether two runs had about the same age when their workers crashed.
-func similar(a, b *Crash) bool {
-	x, y := a.Evidence, b.Evidence
-	return float64(x.Age) <= likeFactor*float64(y.Most+ageMargin) && float64(y.Age) <= likeFactor*float64(x.Most+ageMargin)
+// alike reports whether two runs had about the same age when their workers crashed.
+func (e *Evidence) alike(o *Evidence) bool {
+	return float64(e.Age) <= likeFactor*float64(o.Most+ageMargin) && float64(o.Age) <= likeFactor*float64(e.Most+ageMargin)
 }
 
 // Repeated reports whether the task is given up by a scheduler without trials.
--- a/internal/version/job/command.go
+++ b/internal/version/job/command.go
@@ -49,11 +49,13 @@
 	Crashes   []Crash      `cbor:"16,keyasint,omitempty"`
 	Confirmed []Start      `cbor:"17,keyasint,omitempty"` // trials that their workers execute
 	Withdrawn []Withdrawal `cbor:"18,keyasint,omitempty"` // cancellations of jobs that are not known
+	Cleared   []Start      `cbor:"19,keyasint,omitempty"` // runs whose workers crashed in common with others
+	Faulty    []Start      `cbor:"20,keyasint,omitempty"` // runs whose tasks are given up if they still look faulty
 }
 
 // Empty reports whether the round changes nothing.
 func (r *Round) Empty() bool {
-	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans)+len(r.Waves)+len(r.Steps)+len(r.Crashes)+len(r.Confirmed)+len(r.Withdrawn) == 0
+	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans)+len(r.Waves)+len(r.Steps)+len(r.Crashes)+len(r.Confirmed)+len(r.Withdrawn)+len(r.Cleared)+len(r.Faulty) == 0
 }
 
 // Result is the outcome of applying a round.
@@ -61,7 +63,7 @@
 	Superseded bool    // a later term has begun, so nothing was applied
 	Refused    []bool  // for each of Starts, whether it was not applied
 	Ended      []ID    // jobs that reached a final state
-	GivenUp    []Crash // those that ended the job of their task
+	GivenUp    []Start // those of Faulty that ended the job of their task
 }
 
 // Encode encodes a round for the log. It fails if Decode would, because a round that no
--- a/internal/version/job/crash.go
+++ b/internal/version/job/crash.go
@@ -57,9 +57,12 @@
 // Crashed reports whether there is any evidence that a worker crashed under a task.
 func (p *Progress) Crashed(s *Step, t *Task) bool { return *p.crashes(s, t) != nil }
 
-// crash records the crash of a worker under a run, which may have ended meanwhile. The
-// job fails if the task is given up.
-func (v *View) crash(c *Crash, now time.Time, result *Result) {
+// Faulty reports whether a task looks faulty and is to be given up. Until then it does not
+// start.
+func (p *Progress) Faulty(s *Step, t *Task) bool { return (*p.crashes(s, t)).Faulty() }
+
+// crash records the crash of a worker under a run, which may have ended meanwhile.
+func (v *View) crash(c *Crash) {
 	r, o, t := v.Find(c.Task)
 	if t == nil || r.Status.Final() || t.Done || c.Run > t.Run {
 		return
@@ -70,8 +73,25 @@
 		*record = &crash.Record{}
 	}
 	(*record).Add(c.Run, c.Evidence)
-	if (*record).Faulty() {
-		result.GivenUp = append(result.GivenUp, *c)
-		v.finishJob(r, Failed, now, result)
+}
+
+// clear takes back the evidence about a run.
+func (v *View) clear(s *Start) {
+	r, o, t := v.Find(s.Task)
+	if t == nil || r.Status.Final() || t.Done {
+		return
+	}
+	if c := *o.Steps[s.Task.Step].crashes(&r.Job.Steps[s.Task.Step], t); c != nil {
+		c.Clear(s.Run)
+	}
+}
+
+// giveUp fails the job of a task that still looks faulty.
+func (v *View) giveUp(s *Start, now time.Time, result *Result) {
+	r, o, t := v.Find(s.Task)
+	if t == nil || r.Status.Final() || t.Done || !o.Steps[s.Task.Step].Faulty(&r.Job.Steps[s.Task.Step], t) {
+		return
 	}
+	result.GivenUp = append(result.GivenUp, *s)
+	v.finishJob(r, Failed, now, result)
 }
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -228,7 +228,13 @@
 		v.confirm(&r.Confirmed[i])
 	}
 	for i := range r.Crashes {
-		v.crash(&r.Crashes[i], r.Now, &result)
+		v.crash(&r.Crashes[i])
+	}
+	for i := range r.Cleared {
+		v.clear(&r.Cleared[i])
+	}
+	for i := range r.Faulty {
+		v.giveUp(&r.Faulty[i], r.Now, &result)
 	}
 	for i := range r.Ends {
 		v.end(&r.Ends[i], r.Now, &result)
@@ -328,13 +334,14 @@
 	if o == nil || s.Task.Index < 0 || s.Task.Index >= len(o.Steps[s.Task.Step].Tasks) || !r.Ready(o, s.Task.Step) {
 		return false
 	}
-	t := &o.Steps[s.Task.Step].Tasks[s.Task.Index]
+	p := &o.Steps[s.Task.Step]
+	t := &p.Tasks[s.Task.Index]
 	w, ok := v.Workers[s.Worker]
-	if !ok || w.Life != s.Life || t.Done || t.Worker != "" || s.Run <= t.Run {
+	if !ok || w.Life != s.Life || t.Done || t.Worker != "" || s.Run <= t.Run || p.Faulty(&r.Job.Steps[s.Task.Step], t) {
 		return false
 	}
 	t.Run, t.Worker, t.Life, t.StartedMS = s.Run, s.Worker, s.Life, now.UnixMilli()
-	if c := *o.Steps[s.Task.Step].crashes(&r.Job.Steps[s.Task.Step], t); c != nil {
+	if c := *p.crashes(&r.Job.Steps[s.Task.Step], t); c != nil {
 		c.Started(s.Run)
 	}
 	r.Unscheduled = false
