--- a/internal/version/state/snapshot.go
+++ b/internal/version/state/snapshot.go
@@ -36,6 +36,7 @@
 	Intents   []intentSnapshot
 	Operators []*storedResult
 	Callers   []*storedResult
+	Boots     []*boot `cbor:",omitempty"`
 }
 
 type jobSnapshot struct {
@@ -62,7 +63,7 @@
 	defer s.mu.RUnlock()
 	m := snapshotContents{
 		Format: snapshotFormat, Index: s.index, Now: s.now, Term: s.term, Version: s.version,
-		Ended: s.endedJobs.all(), Gone: s.goneWorkers.all(), Operators: s.operatorResults.queue.all(), Callers: s.submissionResults.queue.all(),
+		Boots: s.boots, Ended: s.endedJobs.all(), Gone: s.goneWorkers.all(), Operators: s.operatorResults.queue.all(), Callers: s.submissionResults.queue.all(),
 	}
 	for _, t := range sortedValues(s.teams) {
 		m.Teams = append(m.Teams, *t.Team)
@@ -108,7 +109,7 @@
 	n := New()
 	n.index, n.now, n.term, n.version = m.Index, normalizeTime(m.Now), m.Term, m.Version
 	for _, load := range [...]func(*snapshotContents) error{
-		n.loadCatalogue, n.loadWorkers, n.loadJobs, n.loadEnded, n.loadIntents, n.loadResults,
+		n.loadCatalogue, n.loadWorkers, n.loadJobs, n.loadEnded, n.loadIntents, n.loadResults, n.loadBoots,
 	} {
 		if err := load(&m); err != nil {
 			return errors.Wrap(err, "restore snapshot")
@@ -120,7 +121,18 @@
 	s.teams, s.entries, s.keys, s.keysByDigest, s.changes = n.teams, n.entries, n.keys, n.keysByDigest, n.changes
 	s.jobs, s.endedJobs, s.workers, s.goneWorkers, s.shapes, s.sessions = n.jobs, n.endedJobs, n.workers, n.goneWorkers, n.shapes, n.sessions
 	s.intents, s.intentsByDeadline, s.answerBytes = n.intents, n.intentsByDeadline, n.answerBytes
-	s.operatorResults, s.submissionResults = n.operatorResults, n.submissionResults
+	s.operatorResults, s.submissionResults, s.boots = n.operatorResults, n.submissionResults, n.boots
+	return nil
+}
+
+func (s *State) loadBoots(m *snapshotContents) error {
+	for _, b := range m.Boots {
+		if b == nil || len(b.Tasks) != len(b.Loss.Runs) {
+			return errors.New("a boot of a worker has no record, or other tasks than runs")
+		}
+		b.At, b.Loss.From, b.Loss.To = normalizeTime(b.At), normalizeTime(b.Loss.From), normalizeTime(b.Loss.To)
+	}
+	s.boots = m.Boots
 	return nil
 }
 
--- a/internal/version/state/state.go
+++ b/internal/version/state/state.go
@@ -59,6 +59,7 @@
 	answerBytes       int        // total size of the stored answers of intents
 	operatorResults   dedupTable // results of operators' requests
 	submissionResults dedupTable // results of submissions
+	boots             []*boot    // recent crashes of workers, the oldest first
 
 	disabled guard // checks disabled by a test
 }
--- a/internal/version/state/state_test.go
+++ b/internal/version/state/state_test.go
@@ -518,6 +518,27 @@
 	is.Equal(len(f.start(j, 2, "w1", 1).Rejects), 0)
 }
 
+// Guards against a job that fails because all workers, idle ones as well, lost power again
+// and again.
+func TestBootsOfAllWorkersFailNoJob(t *testing.T) {
+	is := is.New(t)
+	f := newFixture()
+	names := []string{"w1", "w2", "w3"}
+	long := f.submit("batch", "a", 1, 1)
+	for boot := uint64(1); boot <= 5; boot++ {
+		for _, n := range names {
+			is.Equal(f.do(Command{Join: &Join{Newer: true, Worker: work.Worker{Name: n, Boot: boot, Capacity: size(8)}}}).Code, OK)
+		}
+		s := newStart(long, 0, "w1", 1)
+		s.Boot = boot
+		is.Equal(len(f.startAll(false, s).Rejects), 0)
+		b, err := f.Snapshot()
+		is.NoErr(err)
+		is.NoErr(f.Restore(b))
+	}
+	is.Equal(f.jobs[long].State, work.JobRunning)
+}
+
 // Guards against a task that crashes one worker after another, and against failing the
 // jobs that ran beside it.
 func TestTaskThatCrashesWorkersFailsItsJob(t *testing.T) {
