--- a/internal/process/dispatch/loss.go
+++ b/internal/process/dispatch/loss.go
@@ -115,12 +115,13 @@
 }
 
 // judge reports whether a task waits because it looks faulty. It is given up once crashes of
-// workers that were idle at the time are known as well. The caller holds the lock.
+// workers that were idle at the time are known as well, unless it is a long-running one. The
+// caller holds the lock.
 func (t *term) judge(p *job.Progress, s *job.Step, id job.TaskID, now time.Time) bool {
 	k := &p.Tasks[id.Index]
 	if !p.Faulty(s, k) {
 		delete(t.verdicts, id)
-		return false
+		return p.Paused(s, k, now)
 	}
 	due, known := t.verdicts[id]
 	switch {
--- a/internal/version/crash/crash.go
+++ b/internal/version/crash/crash.go
@@ -63,6 +63,11 @@
 	maxTrial    = 3 * time.Second
 	// maxRecorded bounds the crashes, the trials and the cleared runs of a task that are kept.
 	maxRecorded = 16
+	// A task that looks faulty and is never given up pauses for minPause at first and for
+	// maxPause at most. With the second start after the first pause a third worker crashes,
+	// and three more starts may not follow it soon.
+	minPause = 20 * time.Second
+	maxPause = 10 * time.Minute
 )
 
 // Exposure is a run on a worker when the worker crashed.
@@ -130,6 +135,8 @@
 	Trials    []int   `cbor:"2,keyasint,omitempty"` // runs that started as trials
 	Confirmed int     `cbor:"3,keyasint,omitempty"` // latest trial that a worker has answered that it executes
 	Cleared   []int   `cbor:"4,keyasint,omitempty"` // runs whose workers crashed in common with others
+	Paused    int     `cbor:"5,keyasint,omitempty"` // pauses of a task that looks faulty and is never given up
+	UntilMS   int64   `cbor:"6,keyasint,omitempty"` // end of the latest pause, in Unix milliseconds
 }
 
 // Crash is the evidence about one run.
@@ -167,8 +174,20 @@
 		r.Cleared = append(r.Cleared, run)
 		r.Cleared = r.Cleared[max(0, len(r.Cleared)-maxRecorded):]
 	}
+	if !r.Faulty() {
+		r.Paused, r.UntilMS = 0, 0
+	}
+}
+
+// Pause keeps a task that looks faulty from starting for a while, twice as long each time.
+func (r *Record) Pause(now time.Time) {
+	r.UntilMS = now.Add(min(minPause<<min(r.Paused, maxRecorded), maxPause)).UnixMilli()
+	r.Paused++
 }
 
+// PausedAt reports whether the task may not start at a time.
+func (r *Record) PausedAt(now time.Time) bool { return r != nil && now.UnixMilli() < r.UntilMS }
+
 // merge takes over further evidence about the same run: another one of its gang's workers
 // crashed, or what was only suspected is confirmed.
 func (c *Crash) merge(o *Crash) {
--- a/internal/version/job/crash.go
+++ b/internal/version/job/crash.go
@@ -59,10 +59,16 @@
 
 // Faulty reports whether a task looks faulty and is to be given up. Until then it does not
 // start.
-func (p *Progress) Faulty(s *Step, t *Task) bool { return (*p.crashes(s, t)).Faulty() }
+func (p *Progress) Faulty(s *Step, t *Task) bool { return !s.Lasting && (*p.crashes(s, t)).Faulty() }
+
+// Paused reports whether a task may not start at a time because it looks faulty. A
+// long-running task is never given up.
+func (p *Progress) Paused(s *Step, t *Task, now time.Time) bool {
+	return p.Faulty(s, t) || (*p.crashes(s, t)).PausedAt(now)
+}
 
 // crash records the crash of a worker under a run, which may have ended meanwhile.
-func (v *View) crash(c *Crash) {
+func (v *View) crash(c *Crash, now time.Time) {
 	r, o, t := v.Find(c.Task)
 	if t == nil || r.Status.Final() || t.Done || c.Run > t.Run {
 		return
@@ -72,7 +78,9 @@
 	if *record == nil {
 		*record = &crash.Record{}
 	}
-	(*record).Add(c.Run, c.Evidence)
+	if added := (*record).Add(c.Run, c.Evidence); added && s.Lasting && (*record).Faulty() {
+		(*record).Pause(now)
+	}
 }
 
 // clear takes back the evidence about a run.
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -228,7 +228,7 @@
 		v.confirm(&r.Confirmed[i])
 	}
 	for i := range r.Crashes {
-		v.crash(&r.Crashes[i])
+		v.crash(&r.Crashes[i], r.Now)
 	}
 	for i := range r.Cleared {
 		v.clear(&r.Cleared[i])
@@ -337,7 +337,7 @@
 	p := &o.Steps[s.Task.Step]
 	t := &p.Tasks[s.Task.Index]
 	w, ok := v.Workers[s.Worker]
-	if !ok || w.Life != s.Life || t.Done || t.Worker != "" || s.Run <= t.Run || p.Faulty(&r.Job.Steps[s.Task.Step], t) {
+	if !ok || w.Life != s.Life || t.Done || t.Worker != "" || s.Run <= t.Run || p.Paused(&r.Job.Steps[s.Task.Step], t, now) {
 		return false
 	}
 	t.Run, t.Worker, t.Life, t.StartedMS = s.Run, s.Worker, s.Life, now.UnixMilli()
