--- a/internal/version/crash/common.go
+++ b/internal/version/crash/common.go
@@ -3,14 +3,12 @@
 import "time"
 
 const (
-	// A crash is in common if at least minCommon other workers, and commonShare of them
-	// all, crashed within commonTime of it.
+	// A crash is in common if minCommon other workers, and commonShare of them all, probably
+	// crashed within commonTime of it, or if massShare of them all may have.
 	minCommon   = 2
 	commonShare = 0.05
 	commonTime  = 100 * time.Millisecond
-	// massShare is the share of the workers whose crash at one time is in common for a
-	// while after others were.
-	massShare = 0.5
+	massShare   = 0.5
 )
 
 // Loss is the crash of a worker, at some time between two.
@@ -26,32 +24,36 @@
 // Runs that started together, such as those of a job or of a faulty image, may crash many
 // workers at one time. These have runs of the same age, and do not count.
 func (l *Loss) Common(run int, all []*Loss, up []time.Time) bool {
-	return l.countsAs(commonShare, all, up, func(o *Loss) bool { return !o.hasLike(&l.Runs[run]) })
+	probable, possible, known := l.count(all, up, func(o *Loss) bool { return !o.hasLike(&l.Runs[run]) })
+	return probable >= max(minCommon, commonShare*known) || possible >= max(minCommon, massShare*known)
 }
 
-// Mass reports whether a large part of a pool crashed at about the same time as a worker,
-// whatever they ran. All workers that crashed in common start their tasks again together,
-// so that these look alike in the next such crash.
+// Mass reports whether a large part of a pool may have crashed at about the same time as a
+// worker, whatever they ran. All workers that crashed in common start their tasks again
+// together, so that these look alike in the next such crash.
 func (l *Loss) Mass(all []*Loss, up []time.Time) bool {
-	return l.countsAs(massShare, all, up, func(*Loss) bool { return true })
+	_, possible, known := l.count(all, up, func(*Loss) bool { return true })
+	return possible >= max(minCommon, massShare*known)
 }
 
-// countsAs reports whether at least a share of the workers that were known at the time crashed
-// with one, and match.
-func (l *Loss) countsAs(share float64, all []*Loss, up []time.Time, match func(*Loss) bool) bool {
-	hit := 0
+// count returns how many of the crashes that match probably were at the time of one, how many
+// may have been, and the number of workers that were known at the time.
+func (l *Loss) count(all []*Loss, up []time.Time, match func(*Loss) bool) (probable, possible, known float64) {
+	window := l.To.Sub(l.From) + 2*commonTime
 	for _, o := range all {
-		if o != l && !o.From.After(l.To.Add(commonTime)) && !l.From.After(o.To.Add(commonTime)) && match(o) {
-			hit++
+		if o == l || o.From.After(l.To.Add(commonTime)) || l.From.After(o.To.Add(commonTime)) || !match(o) {
+			continue
 		}
+		possible++
+		probable += min(1, float64(window)/float64(max(window, o.To.Sub(o.From))))
 	}
-	known := hit
+	known = possible
 	for _, since := range up {
 		if !since.After(l.To) {
 			known++
 		}
 	}
-	return hit >= minCommon && float64(hit) >= share*float64(known)
+	return probable, possible, known
 }
 
 // hasLike reports whether a run on the worker had about the same age as another one when
--- a/internal/version/state/crash.go
+++ b/internal/version/state/crash.go
@@ -69,7 +69,7 @@
 func (s *State) addBoot(w *worker, runs []run, evidence []crash.Evidence) {
 	s.boots = slices.DeleteFunc(s.boots, func(b *boot) bool { return s.now.Sub(b.At) > bootMemory })
 	s.boots = s.boots[max(0, len(s.boots)+1-maxBoots):]
-	b := &boot{At: s.now, Loss: crash.Loss{To: s.now, Runs: evidence}}
+	b := &boot{At: s.now, Loss: crash.Loss{From: s.now.Add(-bootMemory), To: s.now, Runs: evidence}}
 	for i, r := range runs {
 		t := r.task()
 		b.Tasks = append(b.Tasks, bootTask{ID: t.ID, Attempt: t.Attempts})
