--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -15,9 +15,9 @@
 	clockSlack = 5 * time.Second
 )
 
-// doubts are the starts that were sent to an incarnation of a worker and that a later
-// incarnation under the same ID may carry out. It knows nothing of an earlier stop,
-// and its clock, with which it measures the lease, starts anew.
+// doubts are the starts that were sent to an incarnation of a worker, or to one before it,
+// and that a later incarnation under the same ID may carry out. It knows nothing of an earlier
+// stop, and its clock, with which it measures the lease, starts anew.
 type doubts struct {
 	life   job.Incarnation
 	starts map[orphan]time.Time // when the start can no longer be carried out
@@ -44,8 +44,13 @@
 // hold keeps a run of an incarnation that has ended, if the next one may execute it.
 // It reports whether the run is kept.
 func (t *term) hold(r *run) bool {
-	d := t.doubts[r.worker.ID]
-	if d == nil || d.life != r.worker.Life || r.spec.Copies || !r.startResolvedAt.IsZero() || r.endQueued {
+	return !r.spec.Copies && r.startResolvedAt.IsZero() && t.holdFor(r.worker, r)
+}
+
+// holdFor keeps a run if its start may be carried out by the incarnation after a worker.
+func (t *term) holdFor(w *worker, r *run) bool {
+	d := t.doubts[w.ID]
+	if d == nil || d.life != w.Life || r.endQueued {
 		return false
 	}
 	if _, doubtful := d.starts[orphan{r.id, r.number}]; !doubtful {
@@ -56,23 +61,25 @@
 }
 
 // settleDoubts has a new incarnation of a worker stop what was meant for the former
-// one. Runs that are held end once it can no longer execute them.
+// ones. Runs that are held end once it can no longer execute them. The next incarnation
+// knows nothing of these stops, so that the doubts go on until no start can arrive.
 func (t *term) settleDoubts(w *worker) {
 	d := t.doubts[w.ID]
 	if d == nil || d.life == w.Life {
 		return
 	}
-	delete(t.doubts, w.ID)
 	for _, r := range d.held {
 		t.stopFormer(w, r)
-		delete(d.starts, orphan{r.id, r.number})
 	}
 	now := t.now()
+	next := &doubts{life: w.Life, starts: map[orphan]time.Time{}}
 	for key, until := range d.starts {
 		if now.Before(until) {
+			next.starts[key] = until
 			t.stopOrphan(w, key.task, key.run, "its start was sent to the former incarnation")
 		}
 	}
+	t.doubts[w.ID] = next
 }
 
 // stopFormer has a worker stop a run of its former incarnation.
--- a/internal/process/dispatch/incarnation_test.go
+++ b/internal/process/dispatch/incarnation_test.go
@@ -52,6 +52,41 @@
 	})
 }
 
+// Guards against a task that runs in two places because its start is carried out by the
+// incarnation after the next one of its worker, which knows nothing of the stop that the next
+// one was sent (rule TWICE, script reborn of the review).
+func TestStartThatOutlivesTwoIncarnations(t *testing.T) {
+	for name, pause := range map[string]time.Duration{"long": 2 * time.Second, "short": time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestCluster(t, "a")
+				defer b.close()
+				b.workers.setRunTime(12 * time.Second)
+				time.Sleep(30 * time.Second)
+				b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts = true })
+				b.submit("one", tasks(1))
+				time.Sleep(100 * time.Millisecond)
+				var late []StartOrder
+				b.changeWorker("a", func(w *fakeWorker) { late, w.delaysStarts, w.unhealthy = w.late, false, true })
+				b.add("b", 1)
+				time.Sleep(time.Second)
+				for life := range job.Incarnation(2) {
+					b.restart("a", life+2)
+					b.changeWorker("a", func(w *fakeWorker) { w.processors = 100 }) // so the task starts on b
+					b.report("a", false)
+					time.Sleep(pause)
+				}
+				time.Sleep(2 * time.Second)
+				b.changeWorker("a", func(w *fakeWorker) { w.late = late })
+				b.workers.carryOutLate("a")
+				time.Sleep(20 * time.Second)
+				b.is.Equal(b.workers.copied(), "")
+				b.is.Equal(b.status("one"), job.Completed)
+			})
+		})
+	}
+}
+
 // Guards against a worker that gets no tasks for the rest of the term because it
 // reported itself before the round of its removal was built: the round registers it
 // and then removes it (rule LOST).
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -207,7 +207,7 @@
 	}
 	for _, r := range w.orphans {
 		r.endQueued = true // ends the resending of the stop
-		if r.former != nil {
+		if r.former != nil && (!replaced || !t.holdFor(w, r.former)) {
 			t.lose(r.former, reason)
 		}
 	}
