--- a/internal/process/dispatch/crash_test.go
+++ b/internal/process/dispatch/crash_test.go
@@ -398,3 +398,27 @@
 		}
 	})
 }
+
+// Guards against a task that goes on crashing workers because half of the pool is cut off, and
+// counts as crashed at the same time (rule BUDGET).
+func TestCutOffWorkersClearNoCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, workerNames(12)...)
+		defer b.close()
+		b.workers.setRunTime(40 * time.Second)
+		for i := range 12 {
+			b.submit(fmt.Sprint("one", i), tasks(1))
+		}
+		time.Sleep(time.Second)
+		for _, w := range workerNames(12)[:9] {
+			b.changeWorker(w, func(w *fakeWorker) { w.silent = true })
+		}
+		time.Sleep(time.Second)
+		killer := job.TaskID{Job: "killer"}
+		b.crashing(func(id job.TaskID) bool { return id == killer })
+		b.submit("killer", tasks(1))
+		time.Sleep(40 * time.Second)
+		b.is.Equal(b.status("killer"), job.Failed)
+		b.is.True(b.startsOf(killer) <= 3)
+	})
+}
--- a/internal/process/dispatch/loss.go
+++ b/internal/process/dispatch/loss.go
@@ -49,7 +49,7 @@
 	l := t.lossOf(w, runs, evidence)
 	l.expires = now.Add(lossMemory)
 	t.losses = append(t.losses, l)
-	all, up := t.lossesIn(w.Pool, w)
+	all, up := t.lossesIn(w.Pool, w, false)
 	for _, o := range t.losses {
 		if o.pool == w.Pool {
 			t.clearCommon(o, all, up)
@@ -82,8 +82,9 @@
 }
 
 // lossesIn returns the recent crashes in a pool, and since when the workers that are up are
-// known. Those whose connections broke, or that are silent, count as crashed. One is left out.
-func (t *term) lossesIn(pool string, without *worker) (all []*crash.Loss, up []time.Time) {
+// known. Those that do not answer and whose connections broke count as crashed; silent ones
+// only if they are asked for, since they may be cut off. One is left out.
+func (t *term) lossesIn(pool string, without *worker, silent bool) (all []*crash.Loss, up []time.Time) {
 	now := t.now()
 	for _, l := range t.losses {
 		if l.pool == pool {
@@ -93,7 +94,7 @@
 	for _, w := range t.workers {
 		switch {
 		case w == without || w.Pool != pool:
-		case w.missed > 0 && (!w.brokeAt.IsZero() || w.silent(now)):
+		case w.missed > 0 && (!w.brokeAt.IsZero() || silent && w.silent(now)):
 			runs, evidence := t.assess(w, w.heardAt)
 			all = append(all, &t.lossOf(w, runs, evidence).Loss)
 		default:
@@ -106,7 +107,7 @@
 // silentInCommon returns, for each run on a silent worker, whether others without such runs
 // fell silent at about the same time.
 func (t *term) silentInCommon(w *worker, runs []*run, evidence []crash.Evidence) []bool {
-	all, up := t.lossesIn(w.Pool, w)
+	all, up := t.lossesIn(w.Pool, w, true)
 	l := t.lossOf(w, runs, evidence)
 	for i := range runs {
 		l.cleared[i] = l.Common(i, all, up)
