--- a/internal/process/dispatch/crash_test.go
+++ b/internal/process/dispatch/crash_test.go
@@ -406,9 +406,9 @@
 		b := newTestCluster(t, workerNames(12)...)
 		defer b.close()
 		b.workers.setRunTime(40 * time.Second)
-		for i := range 12 {
-			b.submit(fmt.Sprint("one", i), tasks(1))
-		}
+		s := tasks(12)
+		s.Size.Processors, s.Spread = 100, 1
+		b.submit("one", s)
 		time.Sleep(time.Second)
 		for _, w := range workerNames(12)[:9] {
 			b.changeWorker(w, func(w *fakeWorker) { w.silent = true })
