--- a/internal/process/dispatch/loss.go
+++ b/internal/process/dispatch/loss.go
@@ -41,21 +41,29 @@
 	return l
 }
 
-// addLoss records the crash of a worker. It may have been in common with earlier ones, which
-// are looked at again. The caller holds the lock.
+// addLoss records the crash of a worker. The caller holds the lock.
 func (t *term) addLoss(w *worker, runs []*run, evidence []crash.Evidence) *loss {
-	now := t.now()
-	t.losses = slices.DeleteFunc(t.losses, func(l *loss) bool { return now.After(l.expires) })
 	l := t.lossOf(w, runs, evidence)
-	l.expires = now.Add(lossMemory)
+	l.expires = t.now().Add(lossMemory)
 	t.losses = append(t.losses, l)
 	all, up := t.lossesIn(w.Pool, w, false)
-	for _, o := range t.losses {
-		if o.pool == w.Pool {
-			t.clearCommon(o, all, up)
+	t.clearCommon(l, all, up)
+	t.recheck[w.Pool] = true
+	return l
+}
+
+// recheckLosses looks again at the crashes in pools in which another worker crashed since.
+func (t *term) recheckLosses(now time.Time) {
+	t.losses = slices.DeleteFunc(t.losses, func(l *loss) bool { return now.After(l.expires) })
+	for pool := range t.recheck {
+		all, up := t.lossesIn(pool, nil, false)
+		for _, l := range t.losses {
+			if l.pool == pool {
+				t.clearCommon(l, all, up)
+			}
 		}
 	}
-	return l
+	clear(t.recheck)
 }
 
 // clearCommon takes back the evidence about the runs on a crashed worker that others without
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -53,6 +53,7 @@
 		}
 		t.expireDoubts(now)
 		t.expireRisks(now)
+		t.recheckLosses(now)
 		if now.Sub(t.stepsChecked) >= stepCheckInterval {
 			t.stepsChecked = now
 			t.dropSteps()
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -76,6 +76,7 @@
 	lastPoolLog    time.Time                      // when the usage of the pools was last logged
 	unanswered     map[string]time.Time           // by worker; when an order last got no answer
 	losses         []*loss                        // recent crashes of workers
+	recheck        map[string]bool                // by pool: whether a worker crashed since its losses were compared
 	commonUntil    map[string]time.Time           // by pool: until when crashes of many workers at one time are in common
 	verdicts       map[job.TaskID]time.Time       // when tasks that look faulty are given up
 	risky          map[string]time.Time           // by queue: until when its work is kept apart, because its tasks crash their workers
@@ -109,7 +110,7 @@
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
 		doubts: map[string]*doubts{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
 		risky: map[string]time.Time{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
-		verdicts: map[job.TaskID]time.Time{}, commonUntil: map[string]time.Time{},
+		verdicts: map[job.TaskID]time.Time{}, commonUntil: map[string]time.Time{}, recheck: map[string]bool{},
 	}
 }
 
