--- a/internal/process/dispatch/loss.go
+++ b/internal/process/dispatch/loss.go
@@ -16,19 +16,24 @@
 // incarnation reports, which may be down for seconds.
 const lossMemory = 15 * time.Second
 
+// recheckInterval is the time between two comparisons of crashes that may show in common only
+// with later ones. Most do when they become known.
+const recheckInterval = 500 * time.Millisecond
+
 // loss is the crash of a worker.
 type loss struct {
 	crash.Loss
 	pool    string
 	runs    []job.Start // those of Loss.Runs
 	cleared []bool      // for each run, whether the crash is no evidence against it
+	open    int         // runs that are not cleared
 	expires time.Time
 }
 
 // lossOf describes the crash of a worker. One that this leader did not see lies after the
 // latest start on the worker.
 func (t *term) lossOf(w *worker, runs []*run, evidence []crash.Evidence) *loss {
-	l := &loss{Loss: crash.Loss{From: w.heardAt, To: w.brokeAt, Runs: evidence}, pool: w.Pool, cleared: make([]bool, len(runs))}
+	l := &loss{Loss: crash.Loss{From: w.heardAt, To: w.brokeAt, Runs: evidence}, pool: w.Pool, cleared: make([]bool, len(runs)), open: len(runs)}
 	for _, r := range runs {
 		l.runs = append(l.runs, job.Start{Task: r.id, Run: r.number})
 		if r.confirmed || w.heardAt.IsZero() {
@@ -41,25 +46,40 @@
 	return l
 }
 
+// missingLoss describes the crash of a worker that does not answer, if it has crashed.
+func (t *term) missingLoss(w *worker) *crash.Loss {
+	if w.missing == nil {
+		runs, evidence := t.assess(w, w.heardAt)
+		w.missing = t.lossOf(w, runs, evidence)
+	}
+	if w.brokeAt.IsZero() {
+		w.missing.To = t.now()
+	}
+	return &w.missing.Loss
+}
+
 // addLoss records the crash of a worker. The caller holds the lock.
 func (t *term) addLoss(w *worker, runs []*run, evidence []crash.Evidence) *loss {
 	l := t.lossOf(w, runs, evidence)
 	l.expires = t.now().Add(lossMemory)
 	t.losses = append(t.losses, l)
-	all, up := t.lossesIn(w.Pool, w, false)
-	t.clearCommon(l, all, up)
+	t.clearCommon(l, t.lossesIn(w.Pool, w, false))
 	t.recheck[w.Pool] = true
 	return l
 }
 
 // recheckLosses looks again at the crashes in pools in which another worker crashed since.
 func (t *term) recheckLosses(now time.Time) {
+	if now.Before(t.nextRecheck) {
+		return
+	}
+	t.nextRecheck = now.Add(recheckInterval)
 	t.losses = slices.DeleteFunc(t.losses, func(l *loss) bool { return now.After(l.expires) })
-	for pool := range t.recheck {
-		all, up := t.lossesIn(pool, nil, false)
+	for name := range t.recheck {
+		pool := t.lossesIn(name, nil, false)
 		for _, l := range t.losses {
-			if l.pool == pool {
-				t.clearCommon(l, all, up)
+			if l.pool == name {
+				t.clearCommon(l, pool)
 			}
 		}
 	}
@@ -68,57 +88,60 @@
 
 // clearCommon takes back the evidence about the runs on a crashed worker that others without
 // such runs crashed in common with.
-func (t *term) clearCommon(l *loss, all []*crash.Loss, up []time.Time) {
-	n := 0
-	mass := l.From.Before(t.commonUntil[l.pool]) && l.Mass(all, up)
+func (t *term) clearCommon(l *loss, pool *crash.Pool) {
+	if l.open == 0 {
+		return
+	}
+	before := l.open
+	mass := l.From.Before(t.commonUntil[l.pool]) && l.Mass(pool)
 	for i := range l.runs {
 		if l.cleared[i] {
 			continue
 		}
-		if common := l.Common(i, all, up); common || mass {
-			if common {
+		if common := mass || l.Common(i, pool); common {
+			if !mass {
 				t.commonUntil[l.pool] = later(t.commonUntil[l.pool], l.To.Add(lossMemory))
 			}
 			l.cleared[i] = true
+			l.open--
 			t.inbox.cleared = append(t.inbox.cleared, l.runs[i])
-			n++
 		}
 	}
-	if n > 0 {
+	if n := before - l.open; n > 0 {
 		t.emit(event.CrashInCommon, zap.String("pool", l.pool), zap.Int("runs", n), zap.Time("from", l.From), zap.Time("to", l.To), zap.Bool("mass", mass))
 	}
 }
 
-// lossesIn returns the recent crashes in a pool, and since when the workers that are up are
-// known. Those that do not answer and whose connections broke count as crashed; silent ones
-// only if they are asked for, since they may be cut off. One is left out.
-func (t *term) lossesIn(pool string, without *worker, silent bool) (all []*crash.Loss, up []time.Time) {
-	now := t.now()
+// lossesIn describes a pool. Workers that do not answer and whose connections broke count as
+// crashed; silent ones only if they are asked for, since they may be cut off. One worker is
+// left out.
+func (t *term) lossesIn(name string, without *worker, silent bool) *crash.Pool {
+	now, pool := t.now(), &crash.Pool{}
 	for _, l := range t.losses {
-		if l.pool == pool {
-			all = append(all, &l.Loss)
+		if l.pool == name {
+			pool.Losses = append(pool.Losses, &l.Loss)
 		}
 	}
 	for _, w := range t.workers {
 		switch {
-		case w == without || w.Pool != pool:
+		case w == without || w.Pool != name:
 		case w.missed > 0 && (!w.brokeAt.IsZero() || silent && w.silent(now)):
-			runs, evidence := t.assess(w, w.heardAt)
-			all = append(all, &t.lossOf(w, runs, evidence).Loss)
+			pool.Losses = append(pool.Losses, t.missingLoss(w))
 		default:
-			up = append(up, w.knownAt)
+			pool.Up = append(pool.Up, w.knownAt)
 		}
 	}
-	return all, up
+	slices.SortFunc(pool.Up, time.Time.Compare)
+	return pool
 }
 
 // silentInCommon returns, for each run on a silent worker, whether others without such runs
 // fell silent at about the same time.
 func (t *term) silentInCommon(w *worker, runs []*run, evidence []crash.Evidence) []bool {
-	all, up := t.lossesIn(w.Pool, w, true)
+	pool := t.lossesIn(w.Pool, w, true)
 	l := t.lossOf(w, runs, evidence)
 	for i := range runs {
-		l.cleared[i] = l.Common(i, all, up)
+		l.cleared[i] = l.Common(i, pool)
 	}
 	return l.cleared
 }
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -77,6 +77,7 @@
 	unanswered     map[string]time.Time           // by worker; when an order last got no answer
 	losses         []*loss                        // recent crashes of workers
 	recheck        map[string]bool                // by pool: whether a worker crashed since its losses were compared
+	nextRecheck    time.Time                      // losses are not compared again before this
 	commonUntil    map[string]time.Time           // by pool: until when crashes of many workers at one time are in common
 	verdicts       map[job.TaskID]time.Time       // when tasks that look faulty are given up
 	risky          map[string]time.Time           // by queue: until when its work is kept apart, because its tasks crash their workers
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -51,6 +51,7 @@
 	answeredAt        time.Time // last answer
 	heardAt           time.Time // last report or answer in this term; zero if there was none
 	brokeAt           time.Time // when its connections broke; zero if it has answered since
+	missing           *loss     // its crash, if it has crashed; nil if it answers or nothing asked for it
 	silentLogged      bool
 	clockReading      time.Time // latest reading of the worker's clock
 	clockReadAt       time.Time // when that reading arrived
@@ -165,7 +166,7 @@
 			return false
 		}
 		w.missed, w.lastSeen, w.answeredAt, w.heardAt, w.silentLogged = 0, now, now, now, false
-		w.lapsed, w.brokeAt = nil, time.Time{} // it was cut off
+		w.lapsed, w.brokeAt, w.missing = nil, time.Time{}, nil // it was cut off
 		w.updateClock(a.Clock, now)
 	case WrongWorker:
 		t.removeWorker(w, reasonOtherWorker)
@@ -174,7 +175,7 @@
 	default:
 		w.missed++
 		if a.Reason == ReasonBroken && w.brokeAt.IsZero() {
-			w.brokeAt = now
+			w.brokeAt, w.missing = now, nil
 		}
 		t.unanswered[w.ID] = now
 		if w.silent(now) && !w.silentLogged {
--- a/internal/version/crash/common.go
+++ b/internal/version/crash/common.go
@@ -1,6 +1,10 @@
 package crash
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 const (
 	// A crash is in common if minCommon other workers, and commonShare of them all, probably
@@ -17,43 +21,45 @@
 	Runs     []Evidence // about all runs that the worker may have executed
 }
 
+// Pool is what is known of the workers of a pool when crashes there are compared.
+type Pool struct {
+	Losses []*Loss     // recent ones
+	Up     []time.Time // since when each worker is known that is up, the earliest first
+}
+
 // Common reports whether a worker crashed in common with others that had no run like one of
-// its own, so that its crash is no evidence against that run. All are the crashes in its pool
-// lately, and up says since when each worker is known that is up.
+// its own, so that its crash is no evidence against that run.
 //
 // Runs that started together, such as those of a job or of a faulty image, may crash many
 // workers at one time. These have runs of the same age, and do not count.
-func (l *Loss) Common(run int, all []*Loss, up []time.Time) bool {
-	probable, possible, known := l.count(all, up, func(o *Loss) bool { return !o.hasLike(&l.Runs[run]) })
-	return probable >= max(minCommon, commonShare*known) || possible >= max(minCommon, massShare*known)
+func (l *Loss) Common(run int, pool *Pool) bool {
+	return l.compare(pool, commonShare, func(o *Loss) bool { return !o.hasLike(&l.Runs[run]) })
 }
 
 // Mass reports whether a large part of a pool may have crashed at about the same time as a
 // worker, whatever they ran. All workers that crashed in common start their tasks again
 // together, so that these look alike in the next such crash.
-func (l *Loss) Mass(all []*Loss, up []time.Time) bool {
-	_, possible, known := l.count(all, up, func(*Loss) bool { return true })
-	return possible >= max(minCommon, massShare*known)
-}
+func (l *Loss) Mass(pool *Pool) bool { return l.compare(pool, 1, func(*Loss) bool { return true }) }
 
-// count returns how many of the crashes that match probably were at the time of one, how many
-// may have been, and the number of workers that were known at the time.
-func (l *Loss) count(all []*Loss, up []time.Time, match func(*Loss) bool) (probable, possible, known float64) {
+// compare reports whether at least a share of the workers probably crashed with one and
+// match, or massShare of them may have.
+func (l *Loss) compare(pool *Pool, share float64, match func(*Loss) bool) bool {
 	window := l.To.Sub(l.From) + 2*commonTime
-	for _, o := range all {
+	probable, possible := 0.0, 0.0
+	up, _ := slices.BinarySearchFunc(pool.Up, l.To, func(since, at time.Time) int { return cmp.Or(since.Compare(at), -1) })
+	most := share * float64(up+len(pool.Losses))
+	for _, o := range pool.Losses {
 		if o == l || o.From.After(l.To.Add(commonTime)) || l.From.After(o.To.Add(commonTime)) || !match(o) {
 			continue
 		}
 		possible++
 		probable += min(1, float64(window)/float64(max(window, o.To.Sub(o.From))))
-	}
-	known = possible
-	for _, since := range up {
-		if !since.After(l.To) {
-			known++
+		if probable >= max(minCommon, most) {
+			return true // the other losses cannot change this
 		}
 	}
-	return probable, possible, known
+	known := possible + float64(up)
+	return probable >= max(minCommon, share*known) || possible >= max(minCommon, massShare*known)
 }
 
 // hasLike reports whether a run on the worker had about the same age as another one when
--- a/internal/version/crash/common_test.go
+++ b/internal/version/crash/common_test.go
@@ -55,8 +55,26 @@
 			for range 50 {
 				up = append(up, at.Add(time.Second)) // the next incarnations
 			}
-			is.Equal(l.Common(0, all, up), c.common)
-			is.Equal(l.Mass(all, up), c.mass)
+			pool := &Pool{Losses: all, Up: up}
+			is.Equal(l.Common(0, pool), c.common)
+			is.Equal(l.Mass(pool), c.mass)
+		})
+	}
+}
+
+// Measures a comparison of one crash with those of a large pool, each with eight runs.
+func BenchmarkCommon(b *testing.B) {
+	for name, like := range map[string]bool{"in common": false, "like runs": true} {
+		b.Run(name, func(b *testing.B) {
+			ages := []time.Duration{1 * time.Second, 2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second, 6 * time.Second, 7 * time.Second}
+			if like {
+				ages = append(ages, 12*ms)
+			}
+			l := lost(0, 10*ms)
+			pool := &Pool{Losses: append(times(1100, lost(0, ages...)), l), Up: make([]time.Time, 300)}
+			for b.Loop() {
+				l.Common(0, pool)
+			}
 		})
 	}
 }
--- a/internal/version/state/crash.go
+++ b/internal/version/state/crash.go
@@ -79,14 +79,13 @@
 		b.Loss.Runs[i].Most = max(0, s.now.Sub(t.Started))
 	}
 	s.boots = append(s.boots, b)
-	var all []*crash.Loss
+	pool := &crash.Pool{Up: make([]time.Time, max(0, s.present()-len(s.boots)))}
 	for _, b := range s.boots {
-		all = append(all, &b.Loss)
+		pool.Losses = append(pool.Losses, &b.Loss)
 	}
-	up := make([]time.Time, max(0, s.present()-len(s.boots)))
 	for _, b := range s.boots {
 		for i := range b.Tasks {
-			if t := &b.Tasks[i]; !t.Cleared && b.Loss.Common(i, all, up) {
+			if t := &b.Tasks[i]; !t.Cleared && b.Loss.Common(i, pool) {
 				t.Cleared = true
 				if j := s.jobs[t.ID.Job]; j != nil && j.crashes[t.ID.Index] != nil {
 					j.crashes[t.ID.Index].Clear(int(t.Attempt))
--- a/measure.mk
+++ b/measure.mk
@@ -8,5 +8,5 @@
 	$(GO) test -tags measure ./internal/version/placement/measure -run 'TestTable$$' -count=1 -v
 
 bench:
-	$(GO) test ./internal/version/placement ./internal/version/state ./internal/version/raft ./internal/process/leader \
+	$(GO) test ./internal/version/placement ./internal/version/state ./internal/version/raft ./internal/version/crash ./internal/process/leader \
 	  ./internal/connection/... ./internal/request/route -run '^$$' -bench . -benchmem -benchtime 300ms
