--- a/internal/process/dispatch/crash.go
+++ b/internal/process/dispatch/crash.go
@@ -72,7 +72,11 @@
 			suspects++
 			t.noteRisk(r.queue, t.now())
 		}
-		t.inbox.crashes = append(t.inbox.crashes, job.Crash{Task: r.id, Run: r.number, Evidence: evidence[i]})
+		e := evidence[i]
+		if w.heardAt.IsZero() || w.brokeAt.IsZero() {
+			e.Most = max(e.Most, l.To.Sub(r.startedAt)) // it may have crashed at any time until then
+		}
+		t.inbox.crashes = append(t.inbox.crashes, job.Crash{Task: r.id, Run: r.number, Evidence: e})
 	}
 	t.emit(event.WorkerCrashed, zap.String("worker", w.ID), zap.String("reason", reason), zap.Int("runs", len(runs)), zap.Int("suspects", suspects),
 		zap.Stringer("latest", runs[latest].id), zap.Int("run", runs[latest].number), zap.Bool("confirmed", runs[latest].confirmed),
--- a/internal/process/dispatch/crash_test.go
+++ b/internal/process/dispatch/crash_test.go
@@ -422,3 +422,29 @@
 		b.is.True(b.startsOf(killer) <= 3)
 	})
 }
+
+// Guards against a job that is given up because its next worker crashes, for another reason and
+// long after the start, while nobody leads: the new leader took the crash for one at the start
+// (rule LOST, seed 9111 of the soak).
+func TestCrashBetweenTwoTermsProvesLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b", "c", "d")
+		defer b.close()
+		b.workers.setRunTime(6 * time.Second)
+		var on []string
+		b.workers.onStart = func(worker string, _ StartOrder) {
+			if on = append(on, worker); len(on) == 1 {
+				time.AfterFunc(crashDelay, func() { b.crash(worker, crashTime) })
+			}
+		}
+		b.submit("one", tasks(1))
+		time.Sleep(6 * time.Second)
+		b.is.Equal(len(on), 2)
+		b.log.set(false, 2)
+		b.crash(on[1], 1500*time.Millisecond)
+		time.Sleep(time.Second)
+		b.log.set(true, 3)
+		time.Sleep(20 * time.Second)
+		b.is.Equal(b.status("one"), job.Completed)
+	})
+}
--- a/internal/version/crash/crash.go
+++ b/internal/version/crash/crash.go
@@ -42,7 +42,8 @@
 	// allow it from two on.
 	maxCrashes = 2
 	// maxUnlike is the number of crashed workers with which a task starts as a trial
-	// although it was never suspected, and its runs had different ages.
+	// although it was never suspected, and its runs had different ages. With as many, ages
+	// that are not known well count.
 	maxUnlike = 3
 	// maxSuspicions is the same for a scheduler without trials: the number of crashes in
 	// which the task was among the latest.
@@ -253,20 +254,32 @@
 
 // Faulty reports whether the task is given up: enough workers have crashed under it, one
 // of them during a trial, and either another one as soon after the start or two during
-// trials.
+// trials. Crashes whose time is not known well prove this only together with a third one.
 func (r *Record) Faulty() bool {
 	if r == nil || r.count(confirmed) < maxCrashes {
 		return false
 	}
 	for i := range r.Crashes {
 		c := &r.Crashes[i]
-		if c.Tried && r.count(func(o *Crash) bool { return o != c && (o.Tried || confirmed(o) && o.Evidence.alike(&c.Evidence)) }) > 0 {
+		if c.Tried && r.count(func(o *Crash) bool { return o != c && r.proves(c, o) }) > 0 {
 			return true
 		}
 	}
 	return false
 }
 
+// proves reports whether a crash during a trial and another one show that the task causes
+// them.
+func (r *Record) proves(trial, o *Crash) bool {
+	if !o.Tried && !(confirmed(o) && o.Evidence.alike(&trial.Evidence)) {
+		return false
+	}
+	return trial.Evidence.exact() && o.Evidence.exact() || r.count(confirmed) >= maxUnlike
+}
+
+// exact reports whether the age of the run is known well enough to be compared.
+func (e *Evidence) exact() bool { return e.Most-e.Age <= maxSuspectAge }
+
 // alike reports whether two runs had about the same age when their workers crashed.
 func (e *Evidence) alike(o *Evidence) bool {
 	return float64(e.Age) <= likeFactor*float64(o.Most+ageMargin) && float64(o.Age) <= likeFactor*float64(e.Most+ageMargin)
