--- a/internal/version/crash/common.go
+++ b/internal/version/crash/common.go
@@ -7,8 +7,8 @@
 )
 
 const (
-	// A crash is in common if minCommon other workers, and commonShare of them all, probably
-	// crashed within commonTime of it, or if massShare of them all may have.
+	// A crash is in common if minCommon other workers, or all others, and commonShare of them
+	// all, probably crashed within commonTime of it, or if massShare of them all may have.
 	minCommon   = 2
 	commonShare = 0.05
 	commonTime  = 100 * time.Millisecond
@@ -59,7 +59,8 @@
 		}
 	}
 	known := possible + float64(up)
-	return probable >= max(minCommon, share*known) || possible >= max(minCommon, massShare*known)
+	least := max(1, min(minCommon, known))
+	return probable >= max(least, share*known) || possible >= max(least, massShare*known)
 }
 
 // hasLike reports whether a run on the worker had about the same age as another one when
--- a/internal/version/crash/common_test.go
+++ b/internal/version/crash/common_test.go
@@ -41,6 +41,7 @@
 		"two of many at once":                  {times(2, lost(0, 2000*ms)), 60, false, false},
 		"one by one":                           {[]*Loss{lost(150 * ms), lost(-150 * ms), lost(400 * ms), lost(-700 * ms)}, 0, false, false},
 		"one other":                            {times(1, lost(0)), 3, false, false},
+		"the only other one":                   {times(1, lost(0)), 0, true, true},
 		"each with a task that just started":   {times(8, lost(2*ms, 12*ms, 3000*ms)), 4, false, true},
 		"most were idle, at times not known":   {times(8, longAgo), 4, true, true},
 		"some were idle, at times not known":   {times(8, seconds), 30, false, false},
