--- a/internal/process/dispatch/crash_test.go
+++ b/internal/process/dispatch/crash_test.go
@@ -424,7 +424,7 @@
 }
 
 // Guards against a job that is given up because its next worker crashes, for another reason and
-// long after the start, while nobody leads: the new leader took the crash for one at the start
+// long after the start, while there is no leader: the new one took the crash for one at the start
 // (rule LOST, seed 9111 of the soak).
 func TestCrashBetweenTwoTermsProvesLittle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/process/dispatch/loss.go
+++ b/internal/process/dispatch/loss.go
@@ -146,10 +146,10 @@
 	return l.cleared
 }
 
-// judge reports whether a task waits because it looks faulty. It is given up once crashes of
-// workers that were idle at the time are known as well, unless it is a long-running one. The
-// caller holds the lock.
-func (t *term) judge(p *job.Progress, s *job.Step, id job.TaskID, now time.Time) bool {
+// paused reports whether a task does not start now because it looks faulty. It is given up
+// once crashes of workers that were idle at the time are known as well, unless it is a
+// long-running one. The caller holds the lock.
+func (t *term) paused(p *job.Progress, s *job.Step, id job.TaskID, now time.Time) bool {
 	k := &p.Tasks[id.Index]
 	if !p.Faulty(s, k) {
 		delete(t.verdicts, id)
--- a/internal/process/dispatch/withdraw_test.go
+++ b/internal/process/dispatch/withdraw_test.go
@@ -69,7 +69,7 @@
 	})
 }
 
-// Guards against a job that nobody can read or cancel any more, and that runs on, because its
+// Guards against a job that can neither be read nor cancelled any more, and that runs on, because its
 // queue was removed while an outer one stays (rules LOST and UNASKED).
 func TestJobOfARemovedInnerQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
