--- a/internal/connection/tcp/listen.go
+++ b/internal/connection/tcp/listen.go
@@ -24,6 +24,10 @@
 	// evictWait is how long a full Listener waits for a connection to be closed
 	// before it looks for idle ones again.
 	evictWait = 20 * time.Millisecond
+	// firstByteTime is how long a full Listener waits for the first byte on a connection
+	// before the connection counts as idle. A partition may let a connection be opened
+	// and hold what is sent on it.
+	firstByteTime = 250 * time.Millisecond
 )
 
 // Listener accepts connections within a budget. Unlike a net.Listener, Accept
@@ -38,10 +42,16 @@
 	loggedAt time.Time // of the last failed accept; owned by Accept
 
 	mu   sync.Mutex
-	idle *list.List // of net.Conn, the one that has been idle for longest first
+	idle *list.List // of idleConn, the one that has been idle for longest first
 	at   map[net.Conn]*list.Element
 }
 
+// idleConn is a connection on which no request is being read or served.
+type idleConn struct {
+	conn net.Conn
+	from time.Time // when it may be closed
+}
+
 var _ net.Listener = (*Listener)(nil)
 
 // Listen returns a Listener on an address.
@@ -123,7 +133,8 @@
 		zap.Int("open", l.budget.Open()), zap.Int("limit", l.budget.limit), event.Cause(err))
 }
 
-// Track records which connections are idle. It is a fasthttp.Server.ConnState.
+// Track records which connections are idle, or have carried nothing yet. It is a
+// fasthttp.Server.ConnState.
 func (l *Listener) Track(c net.Conn, s fasthttp.ConnState) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -131,28 +142,39 @@
 		l.idle.Remove(e)
 		delete(l.at, c)
 	}
-	if s == fasthttp.StateIdle {
-		l.at[c] = l.idle.PushBack(c)
+	switch s {
+	case fasthttp.StateIdle:
+		l.at[c] = l.idle.PushBack(idleConn{conn: c})
+	case fasthttp.StateNew:
+		l.at[c] = l.idle.PushBack(idleConn{c, time.Now().Add(firstByteTime)})
 	}
 }
 
 // evict closes the connection that has been idle for longest. It reports whether
 // there was one.
 func (l *Listener) evict() bool {
-	l.mu.Lock()
-	e := l.idle.Front()
-	if e == nil {
-		l.mu.Unlock()
+	c := l.takeIdle(time.Now())
+	if c == nil {
 		return false
 	}
-	c := e.Value.(net.Conn)
-	l.idle.Remove(e)
-	delete(l.at, c)
-	l.mu.Unlock()
 	_ = c.Close() // its error does not matter, since nobody uses it
 	return true
 }
 
+// takeIdle removes and returns the connection that has been idle for longest, or nil.
+func (l *Listener) takeIdle(now time.Time) net.Conn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for e := l.idle.Front(); e != nil; e = e.Next() {
+		if i := e.Value.(idleConn); !now.Before(i.from) {
+			l.idle.Remove(e)
+			delete(l.at, i.conn)
+			return i.conn
+		}
+	}
+	return nil
+}
+
 // Close implements net.Listener. It closes no connection.
 func (l *Listener) Close() error {
 	l.closing.Do(func() { close(l.closed) })
--- a/internal/connection/tcp/tcp_test.go
+++ b/internal/connection/tcp/tcp_test.go
@@ -135,6 +135,26 @@
 	is.NoErr(err) // the last connection is still open
 }
 
+// Guards against connections that carry nothing and use up the budget, so that processes that
+// are not cut off are not heard: the leader was deposed after each cut of two entry VMs whose
+// new connections were let through.
+func TestListenerClosesConnectionsWithoutARequest(t *testing.T) {
+	is := is.New(t)
+	l := serve(t, NewBudget("server", 4), func(*fasthttp.RequestCtx) {})
+	for range 4 {
+		c, err := net.Dial("tcp4", address(l).String())
+		is.NoErr(err)
+		defer func() { is.NoErr(c.Close()) }()
+	}
+	time.Sleep(2 * firstByteTime)
+	p, _ := newTestPool(4, 4)
+	for range 3 {
+		status, err := request(p, address(l))
+		is.NoErr(err)
+		is.Equal(status, fasthttp.StatusOK)
+	}
+}
+
 // withoutDescriptors runs a function while the process can open no descriptor,
 // by setting its limit to the number that are open.
 func withoutDescriptors(t *testing.T, run func()) {
