--- a/internal/connection/cell/mark_test.go
+++ b/internal/connection/cell/mark_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,12 +38,29 @@
 
 // leaderOf serves the methods of a leader, and keeps the stamps of the calls that arrive.
 type leaderOf struct {
+	mu     sync.Mutex
 	term   uint64
 	began  time.Time
 	stamps []Stamp
 }
 
+// lead begins a term.
+func (f *leaderOf) lead(term uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.term, f.began = term, time.Now()
+}
+
+// latest returns the stamp of the latest call.
+func (f *leaderOf) latest() Stamp {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.stamps[len(f.stamps)-1]
+}
+
 func (f *leaderOf) answer(context.Context, string, peer.Decode) (any, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	return Leader{Name: "core", Members: []string{"core"}, Linked: []string{"one", "two"}, Mark: Mark{f.term, time.Since(f.began)}}, nil
 }
 
@@ -51,6 +69,8 @@
 	if err := decode(&c); err != nil {
 		return nil, err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.stamps = append(f.stamps, c.Stamp)
 	if c.Stamp.Term != f.term {
 		return nil, &peer.RemoteError{Code: CodeNotLeader}
@@ -70,21 +90,22 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		links, done := runLinks(ctx, t, all, cut, "one", "two")
 		time.Sleep(time.Second)
-		f.term, f.began = 2, time.Now()
+		f.lead(2)
 		_, err := links[0].Call(ctx, Call{Path: "/x"})
 		is.NoErr(err)
-		is.Equal(f.stamps[len(f.stamps)-1].Term, uint64(2))
+		is.Equal(f.latest().Term, uint64(2))
 
 		cut.add("one core")
 		time.Sleep(10 * time.Second)
-		f.term, f.began = 3, time.Now()
+		f.lead(3)
+		began := time.Now()
 		time.Sleep(time.Second)
 		short, end := context.WithTimeout(ctx, 3*time.Second)
 		defer end()
-		at := time.Since(f.began)
+		at := time.Since(began)
 		_, err = links[0].Call(short, Call{Path: "/x"})
 		is.NoErr(err)
-		s := f.stamps[len(f.stamps)-1]
+		s := f.latest()
 		is.Equal(s.Term, uint64(3))
 		is.True(s.Issued <= at && s.Issued > at-100*time.Millisecond)
 		is.True(s.Expires <= at+3*time.Second && s.Expires > at+2800*time.Millisecond)
--- a/internal/process/dispatch/copies_test.go
+++ b/internal/process/dispatch/copies_test.go
@@ -318,6 +318,8 @@
 		r.network.handlers[name] = handlers{}
 		l.Register(r.network.handlers[name])
 		r.links = append(r.links, l)
+	}
+	for _, l := range r.links {
 		running.Go(func() { _ = l.Run(ctx) }) // it has no error
 	}
 	time.Sleep(discoveryTime)
--- a/internal/process/dispatch/crash_test.go
+++ b/internal/process/dispatch/crash_test.go
@@ -1,13 +1,16 @@
 package dispatch
 
 import (
+	"context"
 	"fmt"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
@@ -366,9 +369,9 @@
 		b := newTestCluster(t, workerNames(12)...)
 		defer b.close()
 		b.workers.setRunTime(5 * time.Second)
-		started := 0
+		var starts atomic.Int64
 		b.workers.onStart = func(string, StartOrder) {
-			if started++; started <= 4 {
+			if starts.Add(1) <= 4 {
 				time.AfterFunc(200*time.Millisecond, func() { b.crashAll(1500 * time.Millisecond) })
 			}
 		}
@@ -388,8 +391,11 @@
 			b.changeWorker(workerNames(12)[i], func(w *fakeWorker) { w.processors = 1000 })
 		}
 		b.crashing(func(id job.TaskID) bool { return strings.HasPrefix(string(id.Job), "killer") })
+		term, s := b.term(), tasks(1)
 		for i := range 10 {
-			go b.submit(fmt.Sprint("killer", i), tasks(1))
+			go term.call(context.Background(), &cell.Call{
+				Verb: cell.Submit, Host: "h", Path: fmt.Sprint("/q/killer", i), Key: "k", Job: &job.Job{Steps: []job.Step{s}},
+			})
 		}
 		time.Sleep(40 * time.Second)
 		for i := range 10 {
@@ -431,17 +437,21 @@
 		b := newTestCluster(t, "a", "b", "c", "d")
 		defer b.close()
 		b.workers.setRunTime(6 * time.Second)
-		var on []string
+		var starts atomic.Int64
+		var second atomic.Value // name of the worker
 		b.workers.onStart = func(worker string, _ StartOrder) {
-			if on = append(on, worker); len(on) == 1 {
+			switch starts.Add(1) {
+			case 1:
 				time.AfterFunc(crashDelay, func() { b.crash(worker, crashTime) })
+			case 2:
+				second.Store(worker)
 			}
 		}
 		b.submit("one", tasks(1))
 		time.Sleep(6 * time.Second)
-		b.is.Equal(len(on), 2)
+		b.is.Equal(starts.Load(), int64(2))
 		b.log.set(false, 2)
-		b.crash(on[1], 1500*time.Millisecond)
+		b.crash(second.Load().(string), 1500*time.Millisecond)
 		time.Sleep(time.Second)
 		b.log.set(true, 3)
 		time.Sleep(20 * time.Second)
