Reproduce a start that an incarnation carries out which is not heard

The simulated workers carry late starts out in one step now, silent ones too; before, a start to a silent worker was dropped, so that no test could do this.

--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -95,6 +95,7 @@
 	lease              time.Time          // on its clock
 	fence              uint64
 	silent             bool // answers nothing
+	unheard            bool // carries orders out, but nothing that it sends arrives
 	dropsAnswers       bool // executes starts but does not answer them
 	refusesConnections bool // nothing listens
 	keptConnections    int  // idle ones to a process that has ended; each breaks with an order
@@ -102,6 +103,7 @@
 	loses              bool // the process that should send orders to it does not
 	hidesRuns          bool // answers no listing
 	delaysStarts       bool // answers no start and carries it out only with carryOutLate
+	delayedStarts      int  // so many starts are delayed likewise
 	late               []StartOrder
 	refusesCopies      bool  // executes starts, but answers that a second copy of them was refused
 	refusesStops       bool  // is unhealthy: answers stops, but does nothing
@@ -212,10 +214,19 @@
 	if !ok {
 		return a
 	}
-	if w.delaysStarts {
+	if w.delaysStarts || w.delayedStarts > 0 {
+		w.delayedStarts = max(0, w.delayedStarts-1)
 		w.late = append(w.late, o)
 		return Answer{Result: Unanswered}
 	}
+	if a = h.carryOut(target.ID, w, o, a); w.unheard {
+		return Answer{Result: Unanswered}
+	}
+	return a
+}
+
+// carryOut has a worker carry out a start that arrives.
+func (h *fakeWorkers) carryOut(name string, w *fakeWorker, o StartOrder, a Answer) Answer {
 	refuse := func(r Reason) Answer { a.Result, a.Reason = Refused, r; return a }
 	switch {
 	case o.Fence < w.fence:
@@ -231,14 +242,14 @@
 		for id, other := range h.all {
 			h.endDueRuns(other)
 			if other.running[o.Task] != nil {
-				h.duplicate = fmt.Sprintf("%s on %s and %s", o.Task, id, target.ID)
+				h.duplicate = fmt.Sprintf("%s on %s and %s", o.Task, id, name)
 			}
 		}
 		w.running[o.Task] = &fakeRun{run: o.Run, began: time.Now(), ends: time.Now().Add(h.runTime * time.Duration(max(1, w.slowdown)))}
 		w.peakRuns = max(w.peakRuns, len(w.running))
-		h.starts = append(h.starts, fmt.Sprintf("%s run %d on %s", o.Task, o.Run, target.ID))
+		h.starts = append(h.starts, fmt.Sprintf("%s run %d on %s", o.Task, o.Run, name))
 		if h.onStart != nil {
-			h.onStart(target.ID, o)
+			h.onStart(name, o)
 		}
 	}
 	if w.dropsAnswers {
@@ -251,15 +262,17 @@
 	return a
 }
 
-// carryOutLate carries out the starts that a worker has delayed.
+// carryOutLate has a worker carry out the starts that it has delayed, even if it is
+// silent now.
 func (h *fakeWorkers) carryOutLate(id string) {
 	h.mu.Lock()
+	defer h.mu.Unlock()
 	w := h.all[id]
 	late := w.late
 	w.late, w.delaysStarts = nil, false
-	h.mu.Unlock()
+	h.endDueRuns(w)
 	for _, o := range late {
-		h.Start(Permit{}, &job.Worker{ID: id}, o)
+		h.carryOut(id, w, o, Answer{})
 	}
 }
 
@@ -281,6 +294,9 @@
 	} else {
 		w.stopped[o.Task] = max(w.stopped[o.Task], o.Run)
 	}
+	if w.unheard {
+		return Answer{Result: Unanswered}
+	}
 	return a
 }
 
@@ -307,6 +323,9 @@
 	w.fence = max(w.fence, o.Fence)
 	h.extendLease(w, o.Lease)
 	w.ended = slices.DeleteFunc(w.ended, func(e EndedRun) bool { return e.Number <= o.Acknowledged })
+	if w.unheard {
+		return Listing{}, Answer{Result: Unanswered}, true
+	}
 	if len(w.ended) == 0 && !over {
 		return Listing{}, a, false
 	}
@@ -452,7 +471,7 @@
 		b.workers.mu.Lock()
 		var ids []string
 		for id, w := range b.workers.all {
-			if !w.silent && !w.refusesConnections && !w.replaced {
+			if !w.silent && !w.unheard && !w.refusesConnections && !w.replaced {
 				ids = append(ids, id)
 			}
 		}
