Log the incarnation of a worker with unclear and lost runs

The lines "order without answer" and "run lost" named the worker by its ID only, which several incarnations share.

--- a/internal/process/dispatch/orphan.go
+++ b/internal/process/dispatch/orphan.go
@@ -48,7 +48,8 @@
 		w.orphans = map[orphan]*run{}
 	}
 	w.orphans[key] = r
-	t.emit(event.RunUnclear, zap.Stringer("task", id), zap.Int("run", number), zap.String("worker", w.ID), zap.String("reason", reason))
+	t.emit(event.RunUnclear, zap.Stringer("task", id), zap.Int("run", number), zap.String("worker", w.ID), zap.Int64("life", int64(w.Life)),
+		zap.String("reason", reason))
 	t.stop(r)
 }
 
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -163,7 +163,7 @@
 		t.confirm(r) // the worker was well, and its connections broke with the order on one of them
 	}
 	t.emit(event.RunUnclear, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", w.ID),
-		zap.Int("attempt", attempt), event.Cause(a.Error))
+		zap.Int64("life", int64(w.Life)), zap.Int("attempt", attempt), event.Cause(a.Error))
 	t.startPolling(w)
 	switch waited := t.now().Sub(r.committedAt); {
 	case !r.sent && waited >= unsentRetryTimeout:
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -234,7 +234,7 @@
 	}
 	r.endQueued, r.worker.stale = true, true
 	t.emit(event.RunLost, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
-		zap.String("reason", reason))
+		zap.Int64("life", int64(r.worker.Life)), zap.String("reason", reason))
 	t.inbox.ends = append(t.inbox.ends, r.end(job.Lost, r.checkpoint))
 	t.signal()
 }
