Keep a run until no incarnation of its worker can carry out its start

Cause: a run of a worker that is not heard was given up when the lease was over that its incarnation had been granted. A copy of the start without an answer may be carried out by the next incarnation under the same ID. Its clock starts anew, so that the end of the old lease lies far ahead there, and the leader's further listings extended it, as long as they arrived. Class: a bound that is derived from what one process was granted, while another process may hold the permission.

Change: a run with copies of its start without an answer is given up only by proof of the incarnation that answers, or once the last copy and the last lease sent can have arrived (13 s) and the longest lease is over. That holds for each reason for which a worker's record ends, but for another process at its address, which refuses all copies. A long-running task waits for prompt copies only, since the rule on work that is not lost bounds its wait. While a worker with such copies does not answer, listings carry no lease and acknowledge nothing. A start counts as answered only if the answer proves its incarnation: those without one are judged by the clock, which reads less on a later one. The replicated state knows which runs have copies without an answer; a new leader takes them over, also if its predecessor had removed the worker, and takes starts of the last 5 s for such.

--- a/internal/process/dispatch/crash.go
+++ b/internal/process/dispatch/crash.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -41,7 +42,7 @@
 	}
 	runs := w.lapsed[:len(w.lapsed):len(w.lapsed)]
 	for _, r := range w.runs {
-		if !r.endQueued && (r.sent || r.confirmed) {
+		if !r.endQueued && (r.sent || r.confirmed) && !slices.Contains(w.lapsed, r) {
 			runs = append(runs, r)
 		}
 	}
@@ -187,7 +188,8 @@
 func (t *term) probe(r *run) bool {
 	t.mu.Lock()
 	w := r.worker
-	target, o := w.Worker, ListOrder{Lease: w.leaseEnd, Fence: t.number, Acknowledged: w.acknowledged}
+	target, o := w.Worker, t.listOrder(w)
+	o.Wait = 0
 	t.mu.Unlock()
 	_, a := t.dispatcher.options.Upstream.List(t.permit(listTimeoutMargin), &target, o)
 	t.mu.Lock()
--- a/internal/process/dispatch/inbox.go
+++ b/internal/process/dispatch/inbox.go
@@ -22,6 +22,7 @@
 	faulty    []job.Start // runs whose tasks are given up
 	ends      []job.End
 	orphans   []job.Start // runs that were given up and may still be executed
+	unclear   []job.Start // runs with a copy of their start without an answer
 	settled   []job.Start // orphans that can no longer be executed
 	cancels   []job.ID
 	withdrawn []job.Withdrawal
@@ -42,7 +43,7 @@
 // empty reports whether there is nothing to commit.
 func (n *inbox) empty() bool {
 	return n.catalogue == nil &&
-		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn)+len(n.cleared)+len(n.faulty) == 0
+		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn)+len(n.cleared)+len(n.faulty)+len(n.unclear) == 0
 }
 
 // take removes and returns input of about size bytes. Waiters and
@@ -52,6 +53,7 @@
 	var in inbox
 	takeItems(&n.workers, &in.workers, &left, sizeOfWorker)
 	takeItems(&n.gone, &in.gone, &left, sizeOfWorker)
+	takeItems(&n.unclear, &in.unclear, &left, sizeOfRun)
 	takeItems(&n.confirmed, &in.confirmed, &left, sizeOfRun)
 	// Before the ends, so that a task does not start again before its crash is known.
 	takeItems(&n.crashes, &in.crashes, &left, func(c *job.Crash) int { return runSize + len(c.Task.Job) })
@@ -158,6 +160,7 @@
 	n.cleared = append(in.cleared, n.cleared...)
 	n.ends = append(in.ends, n.ends...)
 	n.orphans = append(in.orphans, n.orphans...)
+	n.unclear = append(in.unclear, n.unclear...)
 	n.settled = append(in.settled, n.settled...)
 	n.acks = append(in.acks, n.acks...)
 }
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -121,9 +121,9 @@
 // end, or the outcome of an order, is wanted soon.
 func (t *term) listOrder(w *worker) ListOrder {
 	now := t.now()
-	o := ListOrder{Lease: w.leaseEnd, Fence: t.number, Acknowledged: w.acknowledged}
-	if w.needsLease() {
-		o.Lease = w.extendLease(now, t.leaseDuration())
+	o := ListOrder{Fence: t.number}
+	if lease, known := t.lease(w); known {
+		o.Lease, o.Acknowledged = lease, w.acknowledged
 	}
 	if len(w.runs) == 0 || w.silent(now) || w.clockReading.IsZero() {
 		return o
@@ -182,7 +182,7 @@
 			continue
 		}
 		present[listed.Task] = listed.Run
-		t.handleListedRun(w, listed, a.Clock)
+		t.handleListedRun(w, listed, a, sent)
 	}
 	t.noteUnread(w.ID, unread)
 	t.checkSpeed(w)
@@ -217,7 +217,7 @@
 // handleListedRun processes a run that a worker lists, and stops it if the leader
 // does not know it: its start was carried out late, or it was given up and
 // continued.
-func (t *term) handleListedRun(w *worker, listed ListedRun, clock time.Time) {
+func (t *term) handleListedRun(w *worker, listed ListedRun, a Answer, sent time.Time) {
 	r := w.runs[listed.Task]
 	if r == nil || r.number != listed.Run {
 		t.addOrphan(w, listed.Task, listed.Run, "the worker lists an orphaned run")
@@ -230,6 +230,9 @@
 	t.confirm(r)
 	if r.startResolvedAt.IsZero() {
 		r.startResolvedAt, w.stale = now, true
+		if w.proves(a, sent) {
+			t.settleCopy(r)
+		}
 	}
 	if listed.Checkpoint != "" {
 		r.checkpoint = listed.Checkpoint
@@ -238,7 +241,7 @@
 		r.percent, r.lastProgress = listed.Percent, now
 	}
 	r.usage = listed.Usage
-	r.recordProgress(listed.Percent, clock)
+	r.recordProgress(listed.Percent, a.Clock)
 }
 
 // handleEnd processes the end of a run that a worker lists.
--- a/internal/process/dispatch/rebirth_test.go
+++ b/internal/process/dispatch/rebirth_test.go
@@ -6,6 +6,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
@@ -93,3 +95,83 @@
 		})
 	}
 }
+
+// Guards against a long-running task that is without a run for as long as an order may be late,
+// because its worker went down with the start.
+func TestLastingTaskWaitsForPromptCopiesOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.workers.setRunTime(time.Minute)
+		b.changeWorker("a", func(w *fakeWorker) { w.silent = true })
+		b.submit("one", job.Step{Count: 1, Size: work.Resources{Processors: 1000, Memory: 1 << 30}, Lasting: true})
+		time.Sleep(50 * time.Millisecond)
+		b.add("b", 1)
+		time.Sleep(8500 * time.Millisecond)
+		b.is.Equal(len(b.workers.worker("b").running), 1)
+	})
+}
+
+// Guards against a task that runs in two places because the next leader gives up a run that its
+// predecessor kept for an incarnation that had not reported itself: the worker is no longer in
+// the replicated state (rule TWICE, issue 41).
+func TestNextTermKeepsRunsOfARemovedWorker(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.workers.setRunTime(12 * time.Second)
+		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts = true })
+		b.submit("one", tasks(1))
+		time.Sleep(50 * time.Millisecond)
+		b.add("b", 1)
+		time.Sleep(time.Second)
+		current := b.term()
+		current.mu.Lock()
+		current.removeWorker(current.workers["a"], "the worker left")
+		current.mu.Unlock()
+		var late []StartOrder
+		b.changeWorker("a", func(w *fakeWorker) { late = w.late })
+		b.restart("a", 2)
+		b.changeWorker("a", func(w *fakeWorker) { w.silent, w.late = true, late })
+		time.Sleep(time.Second)
+		b.log.set(false, 2)
+		time.Sleep(300 * time.Millisecond)
+		b.log.set(true, 3)
+		time.Sleep(3 * time.Second)
+		b.workers.carryOutLate("a")
+		time.Sleep(40 * time.Second)
+		b.is.Equal(b.workers.copied(), "")
+		b.is.Equal(b.status("one"), job.Completed)
+	})
+}
+
+// Guards against an answer of the next incarnation that is taken for one of the former one, whose
+// start counts as answered then: answers to starts state a clock only.
+func TestAnswerProvesItsIncarnation(t *testing.T) {
+	is := is.New(t)
+	began := time.Now()
+	clock := func(d time.Duration) time.Time { return time.UnixMilli(1000).Add(d) }
+	w := newWorker(job.Worker{ID: "a", Life: 7}, began)
+	w.updateClock(clock(3*time.Second), began)
+	for _, c := range []struct {
+		life  job.Incarnation
+		clock time.Duration
+		sent  time.Duration
+		want  bool
+	}{
+		{life: 7, want: true},
+		{life: 8, clock: time.Minute},
+		{clock: 5 * time.Second, sent: 2 * time.Second, want: true},
+		{clock: 3*time.Second + 1960*time.Millisecond, sent: 2 * time.Second, want: true}, // 2% slow
+		{clock: 3 * time.Second, sent: 2 * time.Second},                                   // of the next one, 2 s younger
+		{clock: 2900 * time.Millisecond, sent: -100 * time.Millisecond, want: true},       // overtaken
+		{clock: 200 * time.Millisecond, sent: -100 * time.Millisecond},
+	} {
+		a := Answer{Result: Accepted, Life: c.life}
+		if c.clock > 0 {
+			a.Clock = clock(c.clock)
+		}
+		is.Equal(w.proves(a, began.Add(c.sent)), c.want)
+	}
+	is.True(!w.proves(Answer{Result: Accepted}, began)) // states nothing
+}
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -42,6 +42,9 @@
 	confirmed       bool      // the worker has answered that it executes the run
 	trial           bool      // see package crash
 	sent            bool      // a copy of the start order may have reached the worker
+	copies          int       // of the start order, on their way or without an answer
+	unclear         bool      // the next leaders know that a copy has no answer
+	keptSince       time.Time // when it was kept in spite of an ended lease or incarnation; zero if it was not
 	startResolvedAt time.Time // when the worker answered the start, or could no longer receive it; zero before
 	checkpoint      string    // latest one that was listed
 	percent         int
@@ -109,9 +112,9 @@
 		}
 		o.Lease = w.extendLease(t.now(), t.leaseDuration())
 		t.doubt(r)
-		target := w.Worker
+		target, sent := w.Worker, t.now()
 		t.mu.Unlock()
-		if t.handleStartAnswer(r, t.dispatcher.options.Upstream.Start(t.permit(orderTimeout), &target, o), attempt) {
+		if t.handleStartAnswer(r, t.dispatcher.options.Upstream.Start(t.permit(orderTimeout), &target, o), attempt, sent) {
 			return
 		}
 		attempt++
@@ -132,15 +135,21 @@
 
 // handleStartAnswer processes the answer to a start order. It reports whether
 // no further attempt is needed.
-func (t *term) handleStartAnswer(r *run, a Answer, attempt int) bool {
+func (t *term) handleStartAnswer(r *run, a Answer, attempt int, sent time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.over || r.endQueued {
 		return true
 	}
 	w := r.worker
-	if attempt == 1 && !a.Repeated && a.Result != Unanswered && a.Result != Undelivered && !w.otherLife(a, t.now()) {
-		t.resolveDoubt(r)
+	switch {
+	case a.Repeated:
+		r.copies++ // the answer is to one of several
+		t.noteUnclear(r)
+	case a.Result == NotSent, a.Result == Refused, a.Result == WrongWorker, a.Result == Accepted && w.proves(a, sent):
+		t.settleCopy(r)
+	default:
+		t.noteUnclear(r)
 	}
 	r.sent = r.sent || a.Result != NotSent
 	if !t.handleAnswer(w, a) {
@@ -167,7 +176,6 @@
 	t.startPolling(w)
 	switch waited := t.now().Sub(r.committedAt); {
 	case !r.sent && waited >= unsentRetryTimeout:
-		t.resolveDoubt(r)
 		t.avoidForStep(r, t.now())
 		t.lose(r, "no connection to the worker")
 		t.stopGang(r)
@@ -249,7 +257,7 @@
 func (t *term) sendStop(r *run) {
 	for t.awaitLease() {
 		t.mu.Lock()
-		if t.over || r.endQueued {
+		if t.over || r.endQueued || !r.worker.Address.IsValid() {
 			t.mu.Unlock()
 			return
 		}
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -223,17 +223,26 @@
 	w := t.workers[name]
 	for id, o := range reservations {
 		record, _, task := v.Find(id)
-		life := task.Life
+		life, unclear := task.Life, v.Unclear(task)
+		r := &run{id: id, number: o.Run, worker: w, spec: &record.Job.Steps[id.Step], committedAt: now, startedAt: task.Started(), startResolvedAt: now, lastProgress: now,
+			urgent: record.Queue.Priority == 0, queue: queueKey(&record.Queue), resumed: true, sent: true}
 		if w == nil {
-			t.inbox.ends = append(t.inbox.ends, job.End{Task: id, Run: o.Run, Worker: name, Life: life, Outcome: job.Lost})
+			if unclear && t.adoptHeld(r, name, life, task.Unclear) {
+				t.addRun(r)
+			} else {
+				t.inbox.ends = append(t.inbox.ends, job.End{Task: id, Run: o.Run, Worker: name, Life: life, Outcome: job.Lost})
+			}
 			continue
 		}
-		r := &run{id: id, number: o.Run, worker: w, spec: &record.Job.Steps[id.Step], committedAt: now, startedAt: task.Started(), startResolvedAt: now, lastProgress: now,
-			urgent: record.Queue.Priority == 0, queue: queueKey(&record.Queue), resumed: true, sent: true}
 		if w.Life != life {
 			// The next incarnation may execute it. The former one is only known by name.
 			r.worker = newWorker(w.Worker, now)
 			r.worker.Life = life
+		}
+		if unclear {
+			t.adoptDoubt(w, r, task.Unclear)
+		}
+		if w.Life != life {
 			t.addRun(r)
 			t.stopFormer(w, r)
 			continue
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -72,7 +72,8 @@
 	avoidTime         time.Duration   // latest length of its avoidance
 	avoidedUntil      time.Time       // no new tasks before this
 	wasSlow           bool            // was slow and has not shown normal speed since
-	lapsed            []*run          // runs that were given up while it was silent, under which it may have crashed
+	lapsed            []*run          // runs whose lease ended while it was silent, under which it may have crashed
+	suspected         bool            // suspectRuns has looked at its runs since its last answer
 	shrank            bool            // its capacity has shrunk since its first report in this term
 	lastStart         time.Time       // when the latest start on it was committed
 	trial             job.ID          // job with a trial on it; see package crash
@@ -104,6 +105,24 @@
 	return !a.Clock.IsZero() && a.Clock.Add(clockSlack).Before(w.clockReading)
 }
 
+// proves reports whether an answer to an order that was sent at a time comes from the known
+// incarnation. Answers to starts may state a clock only; that of a later incarnation reads less.
+func (w *worker) proves(a Answer, sent time.Time) bool {
+	if a.Life != 0 {
+		return a.Life == w.Life
+	}
+	if a.Clock.IsZero() || w.clockReading.IsZero() {
+		return false
+	}
+	passed := float64(sent.Sub(w.clockReadAt))
+	if passed > 0 {
+		passed *= minClockRate
+	} else {
+		passed /= minClockRate
+	}
+	return !a.Clock.Before(w.clockReading.Add(time.Duration(passed) - time.Millisecond)) // readings are whole milliseconds
+}
+
 // extendLease returns the end of a new lease, on the worker's clock. While the
 // worker does not answer or refuses listings, the end does not move, so that the
 // lease expires.
@@ -166,7 +185,7 @@
 			return false
 		}
 		w.missed, w.lastSeen, w.answeredAt, w.heardAt, w.silentLogged = 0, now, now, now, false
-		w.lapsed, w.brokeAt, w.missing = nil, time.Time{}, nil // it was cut off
+		w.lapsed, w.suspected, w.brokeAt, w.missing = nil, false, time.Time{}, nil // it was cut off
 		w.updateClock(a.Clock, now)
 	case WrongWorker:
 		t.removeWorker(w, reasonOtherWorker)
@@ -200,28 +219,33 @@
 	delete(t.workers, w.ID)
 	t.sorted = nil
 	t.inbox.gone = append(t.inbox.gone, w.Worker)
-	replaced := reason == reasonOtherLife || reason == reasonNewLife
+	// Orders go to the address. Another process there refuses all copies.
+	refused := reason == reasonOtherWorker
 	for _, r := range w.runs {
-		if !replaced || !t.hold(r) {
+		if refused || !t.hold(w, r, reason) {
 			t.lose(r, reason)
 		}
 	}
 	for _, r := range w.orphans {
 		r.endQueued = true // ends the resending of the stop
-		if r.former != nil && (!replaced || !t.holdFor(w, r.former)) {
+		if r.former != nil && (refused || !t.hold(w, r.former, reason)) {
 			t.lose(r.former, reason)
 		}
 	}
 	t.dispatcher.options.Upstream.Forget(&w.Worker)
 }
 
-// loseRuns gives up all runs on a worker.
+// loseRuns gives up the runs on a worker, but for those that an incarnation may execute that
+// is not known.
 func (t *term) loseRuns(w *worker, reason string) {
-	if w.missed > 0 {
+	if w.missed > 0 && !w.suspected {
+		w.suspected = true
 		t.suspectRuns(w)
 	}
 	for _, r := range w.runs {
-		t.lose(r, reason)
+		if !t.keep(w, r, reason) {
+			t.lose(r, reason)
+		}
 	}
 }
 
@@ -233,8 +257,12 @@
 		return
 	}
 	r.endQueued, r.worker.stale = true, true
+	var kept time.Duration
+	if !r.keptSince.IsZero() {
+		kept = t.now().Sub(r.keptSince)
+	}
 	t.emit(event.RunLost, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
-		zap.Int64("life", int64(r.worker.Life)), zap.String("reason", reason))
+		zap.Int64("life", int64(r.worker.Life)), zap.Int("copies", r.copies), zap.Duration("kept", kept), zap.String("reason", reason))
 	t.inbox.ends = append(t.inbox.ends, r.end(job.Lost, r.checkpoint))
 	t.signal()
 }
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -18,6 +18,7 @@
 	RunUnclear       = define(906, zapcore.WarnLevel, "order without answer", "A worker did not answer an order, which it may carry out later; the same order is sent again.")
 	RunEnded         = define(907, zapcore.InfoLevel, "run ended", "A worker listed the end of a run and the end is committed.")
 	RunLost          = define(908, zapcore.WarnLevel, "run lost", "The run ended with its worker's life, its lease or an order that never arrived; the task waits again.")
+	RunKept          = define(990, zapcore.InfoLevel, "run kept", "A worker is not heard, and copies of the start of a run have no answer; another incarnation of the worker may carry them out, so that the task waits until the time given, unless the worker is heard before.")
 	StepWaits        = define(909, zapcore.InfoLevel, "step waits", "Tasks of the step could not be placed for the reason given; the line is written at most every 2 s for a step.")
 	RunPreempted     = define(923, zapcore.InfoLevel, "run makes way", "A run of low priority with checkpoints is stopped for more urgent work and goes on later.")
 	PoolUse          = define(924, zapcore.InfoLevel, "pool use", "What of a pool is in use, kept and waited for, and what holds the capacity that is idle while tasks wait; the line is written once a second while work waits, else every 10 s.")
--- a/internal/version/job/snapshot.go
+++ b/internal/version/job/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -21,6 +22,7 @@
 	Limits    limits             `cbor:"8,keyasint,omitempty"`
 	Waves     waves              `cbor:"9,keyasint"`
 	Withdrawn []withdrawalRecord `cbor:"10,keyasint,omitempty"`
+	Updated   time.Time          `cbor:"11,keyasint"`
 }
 
 // Snapshot implements raft.StateMachine.
@@ -28,7 +30,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	v := &s.view
-	d := snapshot{Term: v.Term, Catalogue: v.Catalogue, Workers: v.Workers, Sequence: v.Sequence, Over: v.finished, Limits: v.Limits, Waves: v.Waves}
+	d := snapshot{Term: v.Term, Catalogue: v.Catalogue, Workers: v.Workers, Sequence: v.Sequence, Over: v.finished, Limits: v.Limits, Waves: v.Waves, Updated: v.Updated}
 	for _, r := range v.Jobs {
 		d.Jobs = append(d.Jobs, r)
 	}
@@ -49,7 +51,7 @@
 	}
 	v := View{}
 	v.init()
-	v.Term, v.Catalogue, v.Sequence, v.finished = d.Term, d.Catalogue, d.Sequence, d.Over
+	v.Term, v.Catalogue, v.Sequence, v.finished, v.Updated = d.Term, d.Catalogue, d.Sequence, d.Over, d.Updated
 	for id, w := range d.Workers {
 		v.Workers[id] = w
 	}
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -17,9 +17,10 @@
 	Done       bool          `cbor:"4,keyasint,omitempty"`
 	Faults     int           `cbor:"5,keyasint,omitempty"` // runs that failed
 	Checkpoint string        `cbor:"6,keyasint,omitempty"`
-	Counted    []int         `cbor:"7,keyasint,omitempty"` // runs whose end was already counted
-	Crashes    *crash.Record `cbor:"8,keyasint,omitempty"` // nil if no worker crashed under it; of a gang: see Progress
-	StartedMS  int64         `cbor:"9,keyasint,omitempty"` // when Run was committed, in Unix milliseconds
+	Counted    []int         `cbor:"7,keyasint,omitempty"`  // runs whose end was already counted
+	Crashes    *crash.Record `cbor:"8,keyasint,omitempty"`  // nil if no worker crashed under it; of a gang: see Progress
+	StartedMS  int64         `cbor:"9,keyasint,omitempty"`  // when Run was committed, in Unix milliseconds
+	Unclear    bool          `cbor:"10,keyasint,omitempty"` // a copy of the start of Run has no answer
 }
 
 // Started returns when the current run was committed.
@@ -156,6 +157,7 @@
 	Used         map[string]work.Resources         // by workspace; total size of its runs and orphans
 	Limits       limits                            // by workspace; from the latest catalogue that contains it
 	Sequence     uint64
+	Updated      time.Time // of the latest round that did not begin a term
 	Waves        waves
 
 	withdrawn withdrawals
@@ -211,6 +213,9 @@
 		return Result{Superseded: true}
 	}
 	v.Term = r.Term
+	if !r.Lead {
+		v.Updated = r.Now
+	}
 	var result Result
 	if r.Catalogue != nil {
 		v.setCatalogue(r.Catalogue)
@@ -224,6 +229,9 @@
 		}
 		v.dropOrphans(w.ID, w.Life)
 	}
+	for i := range r.Unclear {
+		v.noteUnclear(&r.Unclear[i])
+	}
 	for i := range r.Confirmed {
 		v.confirm(&r.Confirmed[i])
 	}
@@ -340,7 +348,7 @@
 	if !ok || w.Life != s.Life || t.Done || t.Worker != "" || s.Run <= t.Run || p.Paused(&r.Job.Steps[s.Task.Step], t, now) {
 		return false
 	}
-	t.Run, t.Worker, t.Life, t.StartedMS = s.Run, s.Worker, s.Life, now.UnixMilli()
+	t.Run, t.Worker, t.Life, t.StartedMS, t.Unclear = s.Run, s.Worker, s.Life, now.UnixMilli(), false
 	if c := *p.crashes(&r.Job.Steps[s.Task.Step], t); c != nil {
 		c.Started(s.Run)
 	}
@@ -375,7 +383,7 @@
 		}
 	}
 	v.unuse(r.Job.Workspace, r.Job.Steps[id.Step].Size)
-	t.Worker, t.Life = "", 0
+	t.Worker, t.Life, t.Unclear = "", 0, false
 }
 
 // use adds to what a workspace uses.
