Raise the fencing token with each incarnation of a worker

Callers would see: a task that runs again after it was done, rule TWICE. A listing that was sent to the former incarnation of a worker and had no answer arrives late at the present one, which forgets its ends up to the number acknowledged to the former one. An end that the leader has not seen yet is lost with it, and the task starts again. Likewise starts and leases.

An incarnation that has received one order refuses all that was sent to the former ones, so that the stops of settled starts, one for each and for each incarnation, are not needed; runs that are held are still stopped. It needs no replicated state, since the term stands before it.

TestNextTermTakesOver compares the whole token as before, shifted.

--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -111,6 +111,7 @@
 	processors         int64 // thousandths; zero means 4000
 	slowdown           int   // factor by which new tasks take longer; zero means one
 	listings           int
+	lastListing        ListOrder
 	peakRuns           int
 }
 
@@ -288,6 +289,10 @@
 		a.Result, a.Reason = Refused, ReasonOther
 		return a
 	}
+	if o.Fence < w.fence {
+		a.Result, a.Reason = Refused, ReasonStaleLeader
+		return a
+	}
 	w.fence = max(w.fence, o.Fence)
 	if r := w.running[o.Task]; r != nil && r.run == o.Run && r.stop.IsZero() {
 		r.stop = time.Now().Add(900 * time.Millisecond)
@@ -320,6 +325,11 @@
 	if w.hidesRuns {
 		return Listing{}, Answer{Result: Unanswered}, true
 	}
+	if o.Fence < w.fence {
+		a.Result, a.Reason = Refused, ReasonStaleLeader
+		return Listing{}, a, true
+	}
+	w.lastListing = o
 	w.fence = max(w.fence, o.Fence)
 	h.extendLease(w, o.Lease)
 	w.ended = slices.DeleteFunc(w.ended, func(e EndedRun) bool { return e.Number <= o.Acknowledged })
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -277,7 +277,7 @@
 		time.Sleep(6 * time.Second)
 		b.is.Equal(b.status("one"), job.Completed)
 		b.is.Equal(len(b.workers.started()), 8)
-		b.is.Equal(b.workers.worker("a").fence, uint64(3))
+		b.is.Equal(b.workers.worker("a").fence, uint64(3)<<generationBits)
 	})
 }
 
--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -137,9 +137,10 @@
 	return true
 }
 
-// settleDoubts has an incarnation of a worker that reports itself stop what was meant for the
-// former ones. Runs that are held end once it can no longer execute them. The next incarnation
-// knows nothing of these stops, so that the doubts go on until no copy can arrive.
+// settleDoubts has an incarnation of a worker that reports itself stop the runs that are held.
+// They end once it can no longer execute them. The next incarnation knows nothing of these stops,
+// so that the doubts go on until no copy can arrive. What else was sent to the former ones it
+// refuses by the fencing token, or lists as an orphan.
 func (t *term) settleDoubts(w *worker) {
 	d := t.doubts[w.ID]
 	if d == nil {
@@ -150,12 +151,6 @@
 	for _, r := range held {
 		t.stopFormer(w, r)
 	}
-	if d.life == w.Life {
-		return
-	}
-	for key := range d.starts {
-		t.stopOrphan(w, key.task, key.run, "its start was sent to the former incarnation")
-	}
 	d.life = w.Life
 }
 
--- a/internal/process/dispatch/identity.go
+++ b/internal/process/dispatch/identity.go
@@ -14,7 +14,8 @@
 // checkFormer looks at a worker whose address a new one reports. If another process answers
 // there, it has ended. The caller holds the lock.
 func (t *term) checkFormer(w *worker) {
-	target, o := w.Worker, ListOrder{Lease: w.leaseEnd, Fence: t.number, Acknowledged: w.acknowledged}
+	target, o := w.Worker, t.listOrder(w)
+	o.Wait = 0
 	t.orders.Go(func() {
 		_, a := t.dispatcher.options.Upstream.List(t.permit(listTimeoutMargin), &target, o)
 		t.mu.Lock()
@@ -33,9 +34,9 @@
 	if checking {
 		return
 	}
-	target := r.Worker
+	target, fence := r.Worker, t.fence(w)
 	t.orders.Go(func() {
-		_, a := t.dispatcher.options.Upstream.List(t.permit(listTimeoutMargin), &target, ListOrder{Fence: t.number})
+		_, a := t.dispatcher.options.Upstream.List(t.permit(listTimeoutMargin), &target, ListOrder{Fence: fence})
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		claim := t.claims[w.ID]
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -121,7 +121,7 @@
 // end, or the outcome of an order, is wanted soon.
 func (t *term) listOrder(w *worker) ListOrder {
 	now := t.now()
-	o := ListOrder{Fence: t.number}
+	o := ListOrder{Fence: t.fence(w)}
 	if lease, known := t.lease(w); known {
 		o.Lease, o.Acknowledged = lease, w.acknowledged
 	}
--- a/internal/process/dispatch/rebirth_test.go
+++ b/internal/process/dispatch/rebirth_test.go
@@ -175,3 +175,30 @@
 	}
 	is.True(!w.proves(Answer{Result: Accepted}, began)) // states nothing
 }
+
+// Guards against a task that runs again after it was done: a listing that was sent to the former
+// incarnation of its worker arrives late and has the present one forget an end that the leader has
+// not seen (rule TWICE, issue 41).
+func TestLateListingOfTheFormerIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.submit("one", tasks(3))
+		time.Sleep(3 * time.Second)
+		b.submit("two", tasks(1))
+		time.Sleep(3 * time.Second)
+		late := b.workers.worker("a").lastListing
+		b.is.True(late.Acknowledged >= 3)
+		b.add("a", 2)
+		time.Sleep(time.Second)
+		b.submit("three", tasks(1))
+		time.Sleep(500 * time.Millisecond)
+		b.changeWorker("a", func(w *fakeWorker) { w.hidesRuns = true })
+		time.Sleep(time.Second)
+		b.changeWorker("a", func(w *fakeWorker) { w.hidesRuns = false })
+		b.workers.list("a", late, true)
+		time.Sleep(5 * time.Second)
+		b.is.Equal(len(b.workers.starts), 5)
+		b.is.Equal(b.status("three"), job.Completed)
+	})
+}
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -261,9 +261,9 @@
 			t.mu.Unlock()
 			return
 		}
-		target := r.worker.Worker
+		target, fence := r.worker.Worker, t.fence(r.worker)
 		t.mu.Unlock()
-		a := t.dispatcher.options.Upstream.Stop(t.permit(orderTimeout), &target, StopOrder{Task: r.id, Run: r.number, Fence: t.number})
+		a := t.dispatcher.options.Upstream.Stop(t.permit(orderTimeout), &target, StopOrder{Task: r.id, Run: r.number, Fence: fence})
 		if t.handleStopAnswer(r, a) {
 			return
 		}
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -377,6 +377,7 @@
 	if w.Draining {
 		w.drainDeadline = now.Add(time.Duration(r.Remaining) * time.Millisecond)
 	}
+	t.setGeneration(w)
 	t.checkFormers(w)
 	t.workers[w.ID], t.sorted = w, nil
 	t.returnWorker(w)
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -70,6 +70,7 @@
 	stepsChecked   time.Time                      // when dropSteps was last called
 	loadsAt        time.Time                      // when loads were computed
 	doubts         map[string]*doubts             // by worker
+	generations    map[string]generation          // by worker
 	missing        map[string]time.Time           // by VM: since when the platform does not list it; used by runWaves only
 	begunAt        map[string]time.Time           // by VM: when its maintenance was accepted in this term; used by runWaves only
 	nextWaveLog    time.Time                      // what holds the waves up is not logged before this; used by runWaves only
@@ -109,7 +110,7 @@
 		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
 		shares: map[string]*fit.Share{}, beyond: map[job.ID]bool{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
-		doubts: map[string]*doubts{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
+		doubts: map[string]*doubts{}, generations: map[string]generation{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
 		risky: map[string]time.Time{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
 		verdicts: map[job.TaskID]time.Time{}, commonUntil: map[string]time.Time{}, recheck: map[string]bool{},
 	}
@@ -192,6 +193,7 @@
 				m.Capacity = work.Resources{}
 			}
 			m.inheritedLeaseEnd = now.Add(time.Duration(float64(t.timing().MaxLease)/minClockRate) + leaseExpiryMargin)
+			t.setGeneration(m)
 			t.workers[w.ID], t.sorted = m, nil
 		}
 		for name, reservations := range v.Reservations {
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -46,6 +46,7 @@
 // worker is the leader's in-memory record of one incarnation of a worker.
 type worker struct {
 	job.Worker
+	generation        uint64    // see term.fence
 	knownAt           time.Time // when it became known; zero for one of an earlier term
 	lastSeen          time.Time // last report or answer
 	answeredAt        time.Time // last answer
