Start a task again only where no copy of its earlier start can be carried out

A start gets no answer, its worker confirms the stop, and the task starts elsewhere. The worker crashes within 12 s of the start, and its next incarnation, not heard or before the leader's first order reaches it, carries a copy out that was held up.

Cause: what an incarnation proves (stop confirmed, end listed, run not listed) does not bind the next one.

Change: while a start of a task has copies without an answer, the task starts again only on the incarnation that refuses them, since the next one exists only once that one has ended, or after the last copy can have arrived there (13 s; not heard: and the longest lease). Long-running tasks and steps that allow copies do not. Another process at the worker's address refuses all copies. The replicated mark is the worker's ID now and stays after the run, for the next leader.

--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -104,12 +104,37 @@
 	return demands
 }
 
-// addDemand adds the demand of a step. Tasks that need a trial have a demand of their
-// own.
+// bind takes tasks out of a demand that may start on one worker only, or not yet.
+func (t *term) bind(d *fit.Demand) {
+	if len(t.unclear) == 0 {
+		return
+	}
+	d.Tasks = slices.DeleteFunc(d.Tasks, func(i int) bool {
+		name, waits := t.boundTo(d.Spec, d.Step.Task(i))
+		if name != "" {
+			if d.Bound == nil {
+				d.Bound = map[string][]int{}
+			}
+			d.Bound[name] = append(d.Bound[name], i)
+		}
+		return waits || name != ""
+	})
+}
+
+// addDemand adds the demand of a step. Tasks that need a trial, or that may start on one
+// worker only, have demands of their own.
 func (t *term) addDemand(demands []*fit.Demand, d *fit.Demand) []*fit.Demand {
 	if d == nil {
 		return demands
 	}
+	for name, tasks := range d.Bound {
+		bound := *d
+		bound.Tasks, bound.Only, bound.Bound = tasks, name, nil
+		demands = t.addDemand(demands, &bound)
+	}
+	if len(d.Tasks) == 0 {
+		return demands
+	}
 	needsTrial := func(i int) bool { return d.Progress.NeedsTrial(d.Spec, &d.Progress.Tasks[i]) }
 	if !slices.ContainsFunc(d.Tasks, needsTrial) {
 		return append(demands, d)
@@ -177,7 +202,8 @@
 			d.Tasks = append(d.Tasks, i)
 		}
 	}
-	if len(d.Tasks) == 0 || s.Gang && len(d.Tasks) < len(p.Tasks) {
+	t.bind(d)
+	if len(d.Tasks) == 0 && d.Bound == nil || s.Gang && len(d.Tasks) < len(p.Tasks) {
 		return nil // a gang starts again only after all members of its previous run have ended
 	}
 	m := t.step(id)
--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -1,13 +1,13 @@
 package dispatch
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
-	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
 const (
@@ -25,6 +25,7 @@
 // its clock, with which it measures the lease, starts anew, so that an old lease is as long
 // there as the longest one.
 type doubts struct {
+	worker  string
 	life    job.Incarnation
 	starts  map[orphan]time.Time // when the latest copy was sent
 	granted time.Time            // when a lease was last sent, which may arrive late as well
@@ -35,14 +36,54 @@
 func (t *term) doubt(r *run) {
 	d := t.doubts[r.worker.ID]
 	if d == nil || d.life != r.worker.Life {
-		d = &doubts{life: r.worker.Life, starts: map[orphan]time.Time{}}
+		d = &doubts{worker: r.worker.ID, life: r.worker.Life, starts: map[orphan]time.Time{}}
 		t.doubts[r.worker.ID] = d
 	}
 	r.copies++
-	d.starts[orphan{r.id, r.number}] = t.now()
+	t.addDoubt(d, orphan{r.id, r.number}, t.now())
 	d.granted = t.now()
 }
 
+// addDoubt records when the latest copy of a start was sent.
+func (t *term) addDoubt(d *doubts, key orphan, sent time.Time) {
+	if _, known := d.starts[key]; !known {
+		t.unclear[key.task] = append(t.unclear[key.task], d)
+	}
+	d.starts[key] = sent
+}
+
+// dropDoubt records that no copy of a start will be carried out any more.
+func (t *term) dropDoubt(d *doubts, key orphan) {
+	if _, known := d.starts[key]; !known {
+		return
+	}
+	delete(d.starts, key)
+	list := t.unclear[key.task]
+	i := slices.Index(list, d)
+	if list = slices.Delete(list, i, i+1); len(list) > 0 {
+		t.unclear[key.task] = list
+		return
+	}
+	delete(t.unclear, key.task)
+	t.signal()
+}
+
+// boundTo returns the only worker on which a task may start, if copies of its earlier starts may still
+// be carried out: the incarnation that has refused them. What it has proved does not bind the next
+// one, which exists only once this one has ended. The task waits if there is no such worker.
+func (t *term) boundTo(s *job.Step, id job.TaskID) (name string, waits bool) {
+	list := t.unclear[id]
+	if len(list) == 0 || s.Copies || s.Lasting {
+		return "", false
+	}
+	d := list[0]
+	w := t.workers[d.worker]
+	if w == nil || w.Life != d.life || s.Gang || slices.ContainsFunc(list, func(o *doubts) bool { return o != d }) {
+		return "", true
+	}
+	return d.worker, false
+}
+
 // doubtsOf returns the doubts about a worker's incarnation, or nil if there are none.
 func (t *term) doubtsOf(w *worker) *doubts {
 	if d := t.doubts[w.ID]; d != nil && d.life == w.Life && len(d.starts) > 0 {
@@ -56,7 +97,7 @@
 func (t *term) settleCopy(r *run) {
 	r.copies = max(0, r.copies-1)
 	if d := t.doubtsOf(r.worker); d != nil && r.copies == 0 {
-		delete(d.starts, orphan{r.id, r.number})
+		t.dropDoubt(d, orphan{r.id, r.number})
 	}
 }
 
@@ -160,6 +201,33 @@
 	w.orphans[orphan{r.id, r.number}].former = r
 }
 
+// copyOver reports whether no copy of a start that was sent at a time, or before, will be carried out
+// any more, and none is executed by an incarnation that is not heard.
+func (t *term) copyOver(d *doubts, sent, now time.Time) bool {
+	arrived := sent.Add(lateOrderTime)
+	if now.Before(arrived) {
+		return false
+	}
+	if w := t.workers[d.worker]; w != nil && w.Life == d.life && w.missed == 0 {
+		if w.answeredAt.After(arrived) {
+			return true
+		}
+		w.pollOnce = true // an idle worker is not asked otherwise
+		t.startPolling(w)
+	}
+	return now.After(later(arrived, d.granted.Add(lateOrderTime)).Add(t.longestLease()))
+}
+
+// dropDoubts records that orders to a worker's incarnation reach another process now, which refuses
+// all copies.
+func (t *term) dropDoubts(w *worker) {
+	if d := t.doubts[w.ID]; d != nil && d.life == w.Life {
+		for key := range d.starts {
+			t.dropDoubt(d, key)
+		}
+	}
+}
+
 // expireDoubts drops what can no longer be carried out.
 func (t *term) expireDoubts(now time.Time) {
 	for id, d := range t.doubts {
@@ -172,15 +240,9 @@
 			}
 		}
 		d.held = kept
-		w := t.workers[id]
 		for key, sent := range d.starts {
-			over := sent.Add(lateOrderTime)
-			if w == nil || w.Life != d.life || w.missed > 0 || !w.answeredAt.After(over) {
-				// The copy may have been carried out by an incarnation that is not heard.
-				over = later(over, d.granted.Add(lateOrderTime)).Add(t.longestLease())
-			}
-			if now.After(over) {
-				delete(d.starts, key)
+			if t.copyOver(d, sent, now) {
+				t.dropDoubt(d, key)
 			}
 		}
 		if len(d.starts) == 0 && len(d.held) == 0 {
@@ -189,24 +251,49 @@
 	}
 }
 
-// adoptDoubt records that an earlier leader may have sent copies of a run's start until now
-// that have no answer.
-func (t *term) adoptDoubt(w *worker, r *run, known bool) {
+// adoptDoubt records that an earlier leader may have sent copies of a start, that long ago at
+// the latest, that have no answer.
+func (t *term) adoptDoubt(w *worker, key orphan, ago time.Duration) {
 	d := t.doubts[w.ID]
 	if d == nil {
-		d = &doubts{life: w.Life, starts: map[orphan]time.Time{}}
+		d = &doubts{worker: w.ID, life: w.Life, starts: map[orphan]time.Time{}, granted: t.now()}
 		t.doubts[w.ID] = d
 	}
-	r.copies, r.unclear = max(r.copies, 1), known
-	d.starts[orphan{r.id, r.number}], d.granted = t.now(), t.now()
+	t.addDoubt(d, key, t.now().Add(-ago))
+}
+
+// adoptRunDoubt does so for a run, and has it known to the next leaders.
+func (t *term) adoptRunDoubt(w *worker, r *run, task *job.Task, ago time.Duration) {
+	t.adoptDoubt(w, orphan{r.id, r.number}, ago)
+	r.copies, r.unclear = 1, task.Unclear != ""
 	t.noteUnclear(r)
 }
 
 // adoptHeld keeps a run whose worker an earlier leader has removed, if another incarnation may
 // execute it. It reports whether the run is kept.
-func (t *term) adoptHeld(r *run, name string, life job.Incarnation, known bool) bool {
-	w := newWorker(job.Worker{ID: name, Life: life, Capacity: work.Resources{}}, t.now())
-	r.worker = w
-	t.adoptDoubt(w, r, known)
-	return t.hold(w, r, "an earlier leader removed its worker")
+func (t *term) adoptHeld(r *run, name string, task *job.Task, ago time.Duration) bool {
+	r.worker = newWorker(job.Worker{ID: name, Life: task.Life}, t.now())
+	t.adoptRunDoubt(r.worker, r, task, ago)
+	return t.hold(r.worker, r, "an earlier leader removed its worker")
+}
+
+// adoptWaits has the tasks wait whose latest run has ended with copies of its start without an
+// answer.
+func (t *term) adoptWaits(v *job.View) {
+	for _, r := range v.Active {
+		for number, o := range r.Open {
+			for step := range o.Steps {
+				for i := range o.Steps[step].Tasks {
+					task := &o.Steps[step].Tasks[i]
+					if ago, unclear := v.Unclear(task); unclear && task.Unclear != "" && task.Worker == "" && !task.Done {
+						w := t.workers[task.Unclear]
+						if w == nil {
+							w = newWorker(job.Worker{ID: task.Unclear}, t.now())
+						}
+						t.adoptDoubt(w, orphan{job.TaskID{Job: r.Job.ID, Occurrence: number, Step: step, Index: i}, task.Run}, ago)
+					}
+				}
+			}
+		}
+	}
 }
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -193,7 +193,7 @@
 	for _, e := range l.Ended {
 		if e.Number > w.lastEnd {
 			last = max(last, e.Number)
-			t.handleEnd(w, e, a.Clock)
+			t.handleEnd(w, e, a, sent)
 		}
 	}
 	w.lastEnd = last
@@ -245,7 +245,7 @@
 }
 
 // handleEnd processes the end of a run that a worker lists.
-func (t *term) handleEnd(w *worker, e EndedRun, clock time.Time) {
+func (t *term) handleEnd(w *worker, e EndedRun, a Answer, sent time.Time) {
 	r := w.runs[e.Task]
 	if r == nil || r.number != e.Run || r.endQueued {
 		// The run was given up but continued. The state decides whether its end
@@ -254,11 +254,14 @@
 			job.End{Task: e.Task, Run: e.Run, Worker: w.ID, Life: w.Life, Outcome: e.Outcome, Saved: e.Checkpoint})
 		return
 	}
+	if r.startResolvedAt.IsZero() && w.proves(a, sent) {
+		t.settleCopy(r)
+	}
 	r.endQueued, w.stale = true, true
 	t.inbox.ends = append(t.inbox.ends, r.end(e.Outcome, e.Checkpoint))
 	switch e.Outcome {
 	case job.Done:
-		t.recordCompletion(r, clock)
+		t.recordCompletion(r, a.Clock)
 	case job.RunFailed:
 		w.faults++
 		t.avoidForStep(r, t.now())
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -70,6 +70,7 @@
 	stepsChecked   time.Time                      // when dropSteps was last called
 	loadsAt        time.Time                      // when loads were computed
 	doubts         map[string]*doubts             // by worker
+	unclear        map[job.TaskID][]*doubts       // those about starts of a task, each as often as starts
 	generations    map[string]generation          // by worker
 	missing        map[string]time.Time           // by VM: since when the platform does not list it; used by runWaves only
 	begunAt        map[string]time.Time           // by VM: when its maintenance was accepted in this term; used by runWaves only
@@ -110,7 +111,7 @@
 		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
 		shares: map[string]*fit.Share{}, beyond: map[job.ID]bool{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
-		doubts: map[string]*doubts{}, generations: map[string]generation{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
+		doubts: map[string]*doubts{}, unclear: map[job.TaskID][]*doubts{}, generations: map[string]generation{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
 		risky: map[string]time.Time{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
 		verdicts: map[job.TaskID]time.Time{}, commonUntil: map[string]time.Time{}, recheck: map[string]bool{},
 	}
@@ -202,6 +203,7 @@
 		for name, orphans := range v.Orphans {
 			t.adoptOrphans(name, orphans)
 		}
+		t.adoptWaits(v)
 		t.emit(event.TermBegun, zap.Uint64("term", t.number), zap.Int("workers", len(v.Workers)),
 			zap.Int("runs", len(t.runs)), zap.Int("jobs", len(v.Active)))
 	})
@@ -225,11 +227,12 @@
 	w := t.workers[name]
 	for id, o := range reservations {
 		record, _, task := v.Find(id)
-		life, unclear := task.Life, v.Unclear(task)
+		life := task.Life
+		ago, unclear := v.Unclear(task)
 		r := &run{id: id, number: o.Run, worker: w, spec: &record.Job.Steps[id.Step], committedAt: now, startedAt: task.Started(), startResolvedAt: now, lastProgress: now,
 			urgent: record.Queue.Priority == 0, queue: queueKey(&record.Queue), resumed: true, sent: true}
 		if w == nil {
-			if unclear && t.adoptHeld(r, name, life, task.Unclear) {
+			if unclear && t.adoptHeld(r, name, task, ago) {
 				t.addRun(r)
 			} else {
 				t.inbox.ends = append(t.inbox.ends, job.End{Task: id, Run: o.Run, Worker: name, Life: life, Outcome: job.Lost})
@@ -242,7 +245,7 @@
 			r.worker.Life = life
 		}
 		if unclear {
-			t.adoptDoubt(w, r, task.Unclear)
+			t.adoptRunDoubt(w, r, task, ago)
 		}
 		if w.Life != life {
 			t.addRun(r)
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -233,6 +233,9 @@
 			t.lose(r.former, reason)
 		}
 	}
+	if refused {
+		t.dropDoubts(w)
+	}
 	t.dispatcher.options.Upstream.Forget(&w.Worker)
 }
 
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -149,11 +149,13 @@
 	Beyond        bool          // the job is beyond the weight of its workspace; see Share
 	Payload       string        // of the job
 	Progress      *job.Progress
-	Placed        map[string]int  // running tasks of the step by worker
-	Avoid         map[string]bool // workers where a run of the step recently failed
-	Advised       bool            // only workers that the advice service allows may run the tasks
-	MinAnswerTime time.Duration   // minimum response time of the advice service
-	AllowedShare  float64         // fraction of the workers that the service is expected to allow
+	Placed        map[string]int   // running tasks of the step by worker
+	Avoid         map[string]bool  // workers where a run of the step recently failed
+	Only          string           // only worker that may run the tasks; empty if any may
+	Bound         map[string][]int // further tasks, which only the worker named may run; they have demands of their own
+	Advised       bool             // only workers that the advice service allows may run the tasks
+	MinAnswerTime time.Duration    // minimum response time of the advice service
+	AllowedShare  float64          // fraction of the workers that the service is expected to allow
 	Advice        *Advice
 	Prefetch      bool          // not ready to start; may only query the advice service
 	Risky         bool          // tasks of the queue crash their workers
--- a/internal/version/fit/place.go
+++ b/internal/version/fit/place.go
@@ -132,7 +132,7 @@
 // its current load.
 func eligible(d *Demand, w *Worker) bool {
 	return d.Spec.Reservation().Fits(w.Capacity) && (d.Spec.Label == "" || slices.Contains(w.Labels, d.Spec.Label)) &&
-		(len(d.Avoid) == 0 || !d.Avoid[w.ID])
+		(len(d.Avoid) == 0 || !d.Avoid[w.ID]) && (d.Only == "" || d.Only == w.ID)
 }
 
 // fits reports whether the worker can take a task of the demand now.
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -20,7 +20,7 @@
 	Counted    []int         `cbor:"7,keyasint,omitempty"`  // runs whose end was already counted
 	Crashes    *crash.Record `cbor:"8,keyasint,omitempty"`  // nil if no worker crashed under it; of a gang: see Progress
 	StartedMS  int64         `cbor:"9,keyasint,omitempty"`  // when Run was committed, in Unix milliseconds
-	Unclear    bool          `cbor:"10,keyasint,omitempty"` // a copy of the start of Run has no answer
+	Unclear    string        `cbor:"10,keyasint,omitempty"` // worker that has not answered a copy of the start of Run; empty if none
 }
 
 // Started returns when the current run was committed.
@@ -348,7 +348,7 @@
 	if !ok || w.Life != s.Life || t.Done || t.Worker != "" || s.Run <= t.Run || p.Paused(&r.Job.Steps[s.Task.Step], t, now) {
 		return false
 	}
-	t.Run, t.Worker, t.Life, t.StartedMS, t.Unclear = s.Run, s.Worker, s.Life, now.UnixMilli(), false
+	t.Run, t.Worker, t.Life, t.StartedMS, t.Unclear = s.Run, s.Worker, s.Life, now.UnixMilli(), ""
 	if c := *p.crashes(&r.Job.Steps[s.Task.Step], t); c != nil {
 		c.Started(s.Run)
 	}
@@ -383,7 +383,7 @@
 		}
 	}
 	v.unuse(r.Job.Workspace, r.Job.Steps[id.Step].Size)
-	t.Worker, t.Life, t.Unclear = "", 0, false
+	t.Worker, t.Life = "", 0
 }
 
 // use adds to what a workspace uses.
