Acknowledge an end only once all copies of its start are settled

Callers would see: a task whose end was acknowledged runs again, rule TWICE.

Change: the end of a run with copies of its start without an answer, and the ends after it, are not acknowledged to the worker before no copy can arrive, 13 s. If the worker ends before, the end was never acknowledged there. The leader counts it at once as before. While such ends are listed, the worker is listed every 150 ms, since a listing does not wait then.

Evidence: TestEndIsNotAcknowledgedBeforeAllCopiesAreSettled (2 ends are kept 9 s after the second one, none 14 s after the start); without the change the worker forgets both at once.

--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -58,6 +58,10 @@
 		return
 	}
 	delete(d.starts, key)
+	if w := t.workers[d.worker]; w != nil && len(w.unclearEnds) > 0 {
+		w.pollOnce = true // the worker may forget the end now
+		t.startPolling(w)
+	}
 	list := t.unclear[key.task]
 	i := slices.Index(list, d)
 	if list = slices.Delete(list, i, i+1); len(list) > 0 {
@@ -68,6 +72,33 @@
 	t.signal()
 }
 
+// noteUnclearEnd records the end of a run with copies of its start without an answer.
+func (t *term) noteUnclearEnd(r *run, number int64) {
+	d, key := t.doubtsOf(r.worker), orphan{r.id, r.number}
+	if d == nil || d.starts[key].IsZero() {
+		return
+	}
+	if r.worker.unclearEnds == nil {
+		r.worker.unclearEnds = map[int64]orphan{}
+	}
+	r.worker.unclearEnds[number] = key
+}
+
+// acknowledgedEnd returns the number up to which a worker may forget its ends. It keeps those of runs of
+// which a copy of the start may still arrive. If the worker ends before, such an end
+// was not acknowledged, so that a later incarnation that carries the copy out repeats no run that was.
+func (t *term) acknowledgedEnd(w *worker) int64 {
+	number, d := w.acknowledged, t.doubtsOf(w)
+	for n, key := range w.unclearEnds {
+		if d == nil || d.starts[key].IsZero() {
+			delete(w.unclearEnds, n)
+		} else {
+			number = min(number, n-1)
+		}
+	}
+	return number
+}
+
 // boundTo returns the only worker on which a task may start, if copies of its earlier starts may still
 // be carried out: the incarnation that has refused them. What it has proved does not bind the next
 // one, which exists only once this one has ended. The task waits if there is no such worker.
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -69,6 +69,7 @@
 			return
 		}
 		o := t.listOrder(w)
+		held := o.Acknowledged < w.acknowledged && !o.Lease.IsZero()
 		timeout := o.Wait + listTimeoutMargin
 		if t.lossy() {
 			timeout = o.Wait + lossyTimeoutMargin
@@ -84,8 +85,10 @@
 			return
 		}
 		switch {
-		case o.Wait == 0:
-			sleep(t.ctx, unresolvedListWait) // polls again for what is not known yet
+		case o.Wait == 0 || held && a.Result == Accepted:
+			// Polls again for what is not known yet. A listing does not wait while there are
+			// ends that are not acknowledged.
+			sleep(t.ctx, unresolvedListWait)
 		case a.Result == Refused:
 			sleep(t.ctx, refusalRetryDelay)
 		case a.Result != Accepted || len(listing.Ended) > 0:
@@ -123,7 +126,7 @@
 	now := t.now()
 	o := ListOrder{Fence: t.fence(w)}
 	if lease, known := t.lease(w); known {
-		o.Lease, o.Acknowledged = lease, w.acknowledged
+		o.Lease, o.Acknowledged = lease, t.acknowledgedEnd(w)
 	}
 	if len(w.runs) == 0 || w.silent(now) || w.clockReading.IsZero() {
 		return o
@@ -257,6 +260,7 @@
 	if r.startResolvedAt.IsZero() && w.proves(a, sent) {
 		t.settleCopy(r)
 	}
+	t.noteUnclearEnd(r, e.Number)
 	r.endQueued, w.stale = true, true
 	t.inbox.ends = append(t.inbox.ends, r.end(e.Outcome, e.Checkpoint))
 	switch e.Outcome {
--- a/internal/process/dispatch/rebirth_test.go
+++ b/internal/process/dispatch/rebirth_test.go
@@ -202,3 +202,24 @@
 		b.is.Equal(b.status("three"), job.Completed)
 	})
 }
+
+// Guards against an acknowledged end of a task that runs again: a copy of its start without an answer
+// arrives at the next incarnation of its worker. The end is acknowledged only once no copy can
+// arrive, and the worker forgets it then (rule TWICE, issue 41).
+func TestEndIsNotAcknowledgedBeforeAllCopiesAreSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		time.Sleep(30 * time.Second)
+		b.changeWorker("a", func(w *fakeWorker) { w.delayedStarts = 1 })
+		b.submit("one", tasks(1))
+		time.Sleep(3 * time.Second)
+		b.is.Equal(b.status("one"), job.Completed)
+		b.submit("two", tasks(1))
+		time.Sleep(9 * time.Second)
+		b.is.Equal(b.status("two"), job.Completed)
+		b.is.Equal(len(b.workers.worker("a").ended), 2)
+		time.Sleep(2 * time.Second)
+		b.is.Equal(len(b.workers.worker("a").ended), 0)
+	})
+}
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -59,32 +59,33 @@
 	leaseEnd          time.Time // latest end of a lease that was sent, on the worker's clock
 	inheritedLeaseEnd time.Time // leases from earlier leaders may last until then
 	runs              map[job.TaskID]*run
-	polling           bool            // a loop lists its runs
-	pollOnce          bool            // one listing is needed even without runs
-	listed            bool            // has answered a listing in this term
-	orphans           map[orphan]*run // runs that were given up and that it may still execute
-	lastEnd           int64           // highest number of an end that was processed
-	acknowledged      int64           // highest number of an end that is committed
-	missed            int             // consecutive unanswered orders
-	refuses           bool            // refused the latest listing, as an unhealthy worker does
-	leavesAt          time.Time       // when it counts as gone; zero unless it announced its termination
-	drainDeadline     time.Time       // a draining worker is gone after this
-	faults            int             // consecutive failed runs
-	avoidTime         time.Duration   // latest length of its avoidance
-	avoidedUntil      time.Time       // no new tasks before this
-	wasSlow           bool            // was slow and has not shown normal speed since
-	lapsed            []*run          // runs whose lease ended while it was silent, under which it may have crashed
-	suspected         bool            // suspectRuns has looked at its runs since its last answer
-	shrank            bool            // its capacity has shrunk since its first report in this term
-	lastStart         time.Time       // when the latest start on it was committed
-	trial             job.ID          // job with a trial on it; see package crash
-	trialEnds         time.Time       // only trials of that job start on it before this
-	committed         bool            // its incarnation is in the replicated state
-	cordoned          bool            // gets no new tasks before the maintenance of its VM
-	load              fit.Worker      // what runs on it
-	changes           uint64          // job.View.Changes when load was computed
-	stale             bool            // load has to be computed anew for another reason
-	planned           fit.Worker      // copy of load that a round changes
+	polling           bool             // a loop lists its runs
+	pollOnce          bool             // one listing is needed even without runs
+	listed            bool             // has answered a listing in this term
+	orphans           map[orphan]*run  // runs that were given up and that it may still execute
+	lastEnd           int64            // highest number of an end that was processed
+	acknowledged      int64            // highest number of an end that is committed
+	unclearEnds       map[int64]orphan // ends of runs with copies of their start without an answer, by number
+	missed            int              // consecutive unanswered orders
+	refuses           bool             // refused the latest listing, as an unhealthy worker does
+	leavesAt          time.Time        // when it counts as gone; zero unless it announced its termination
+	drainDeadline     time.Time        // a draining worker is gone after this
+	faults            int              // consecutive failed runs
+	avoidTime         time.Duration    // latest length of its avoidance
+	avoidedUntil      time.Time        // no new tasks before this
+	wasSlow           bool             // was slow and has not shown normal speed since
+	lapsed            []*run           // runs whose lease ended while it was silent, under which it may have crashed
+	suspected         bool             // suspectRuns has looked at its runs since its last answer
+	shrank            bool             // its capacity has shrunk since its first report in this term
+	lastStart         time.Time        // when the latest start on it was committed
+	trial             job.ID           // job with a trial on it; see package crash
+	trialEnds         time.Time        // only trials of that job start on it before this
+	committed         bool             // its incarnation is in the replicated state
+	cordoned          bool             // gets no new tasks before the maintenance of its VM
+	load              fit.Worker       // what runs on it
+	changes           uint64           // job.View.Changes when load was computed
+	stale             bool             // load has to be computed anew for another reason
+	planned           fit.Worker       // copy of load that a round changes
 }
 
 func newWorker(w job.Worker, now time.Time) *worker {
