Log workers out of use by cause, and copies and delays of starts

The log did not show whether workers stood idle, how many copies a start takes, or how long after its commit its outcome is known.

The line "pool use" counts workers that get no new tasks by cause. A line "orders to workers" beside it has starts, copies, listings and their delays.

--- a/internal/connection/tcp/pool.go
+++ b/internal/connection/tcp/pool.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,7 @@
 // connections. It never retries a request. It is safe for concurrent use.
 type Pool struct {
 	options PoolOptions
+	opened  atomic.Int64
 
 	mu     sync.Mutex
 	remote map[netip.AddrPort]*remote
@@ -46,6 +48,9 @@
 	return &Pool{options: options, remote: map[netip.AddrPort]*remote{}, recent: list.New()}
 }
 
+// Opened returns the number of connections that were opened.
+func (p *Pool) Opened() int64 { return p.opened.Load() }
+
 // Do sends a request and reads the response. It returns by the deadline.
 func (p *Pool) Do(address netip.AddrPort, request *fasthttp.Request, response *fasthttp.Response, deadline time.Time) error {
 	r := p.get(address)
@@ -121,6 +126,7 @@
 		p.options.Budget.release()
 		return nil, errors.CombineErrors(errors.Newf("%s: not a TCP connection", address), c.Close())
 	}
+	p.opened.Add(1)
 	return &conn{TCPConn: t, closed: p.options.Budget.release}, nil
 }
 
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -158,6 +158,10 @@
 func (t *term) handleListing(w *worker, sent time.Time, l Listing, a Answer) <-chan bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.orderUse.listings++
+	if a.Result == Unanswered || a.Result == NotSent {
+		t.orderUse.unlisted++
+	}
 	if t.over || t.workers[w.ID] != w {
 		return nil
 	}
@@ -229,6 +233,7 @@
 	now := t.now()
 	t.confirm(r)
 	if r.startResolvedAt.IsZero() {
+		t.noteOutcome(r, true)
 		r.startResolvedAt, w.stale = now, true
 		if w.proves(a, sent) {
 			t.settleCopy(r)
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -43,6 +43,7 @@
 	trial           bool      // see package crash
 	sent            bool      // a copy of the start order may have reached the worker
 	copies          int       // of the start order, on their way or without an answer
+	sentCopies      int       // of the start order
 	unclear         bool      // the next leaders know that a copy has no answer
 	keptSince       time.Time // when it was kept in spite of an ended lease or incarnation; zero if it was not
 	startResolvedAt time.Time // when the worker answered the start, or could no longer receive it; zero before
@@ -152,11 +153,15 @@
 		t.noteUnclear(r)
 	}
 	r.sent = r.sent || a.Result != NotSent
+	r.sentCopies += max(a.Copies, 1)
 	if !t.handleAnswer(w, a) {
 		return true
 	}
 	switch a.Result {
 	case Accepted:
+		if r.startResolvedAt.IsZero() {
+			t.noteOutcome(r, false)
+		}
 		r.startResolvedAt, w.stale = t.now(), true
 		t.confirm(r)
 		if !r.resumed {
@@ -181,6 +186,7 @@
 		t.stopGang(r)
 		return true
 	case waited >= startRetryTimeout:
+		t.orderUse.abandoned++
 		t.stop(r)
 		return true
 	}
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -74,13 +74,14 @@
 	begunAt        map[string]time.Time           // by VM: when its maintenance was accepted in this term; used by runWaves only
 	nextWaveLog    time.Time                      // what holds the waves up is not logged before this; used by runWaves only
 	lastPoolLog    time.Time                      // when the usage of the pools was last logged
-	unanswered     map[string]time.Time           // by worker; when an order last got no answer
-	losses         []*loss                        // recent crashes of workers
-	recheck        map[string]bool                // by pool: whether a worker crashed since its losses were compared
-	nextRecheck    time.Time                      // losses are not compared again before this
-	commonUntil    map[string]time.Time           // by pool: until when crashes of many workers at one time are in common
-	verdicts       map[job.TaskID]time.Time       // when tasks that look faulty are given up
-	risky          map[string]time.Time           // by queue: until when its work is kept apart, because its tasks crash their workers
+	orderUse       orderUse
+	unanswered     map[string]time.Time     // by worker; when an order last got no answer
+	losses         []*loss                  // recent crashes of workers
+	recheck        map[string]bool          // by pool: whether a worker crashed since its losses were compared
+	nextRecheck    time.Time                // losses are not compared again before this
+	commonUntil    map[string]time.Time     // by pool: until when crashes of many workers at one time are in common
+	verdicts       map[job.TaskID]time.Time // when tasks that look faulty are given up
+	risky          map[string]time.Time     // by queue: until when its work is kept apart, because its tasks crash their workers
 }
 
 // stepState is the leader's in-memory record of a step.
--- a/internal/process/dispatch/upstream.go
+++ b/internal/process/dispatch/upstream.go
@@ -40,6 +40,7 @@
 type Answer struct {
 	Result   Result
 	Reason   Reason
+	Copies   int             // of the order that were sent; zero means one
 	Repeated bool            // the order was sent more than once, and an earlier copy may have been carried out
 	Clock    time.Time       // the worker's monotonic clock; zero if the answer does not state it
 	Life     job.Incarnation // incarnation that answered; zero if the answer does not state it
--- a/internal/process/dispatch/use.go
+++ b/internal/process/dispatch/use.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,10 +24,11 @@
 	workers  int // usable
 	capacity work.Resources
 	free     work.Resources
-	waiting  [3]int // tasks by priority; the last entry includes all lower priorities
-	empty    int    // usable workers without runs
-	trials   int    // workers kept for a trial
-	untried  int    // steps that wait for a trial
+	waiting  [3]int         // tasks by priority; the last entry includes all lower priorities
+	empty    int            // usable workers without runs
+	trials   int            // workers kept for a trial
+	untried  int            // steps that wait for a trial
+	out      map[string]int // workers that get no new tasks, by cause
 }
 
 // poolUsages returns the usage of each pool before a round, or nil if it need not be
@@ -39,9 +42,12 @@
 	for _, w := range cluster.Workers {
 		usage := usages[w.Pool]
 		if usage == nil {
-			usage = &poolUsage{}
+			usage = &poolUsage{out: map[string]int{}}
 			usages[w.Pool] = usage
 		}
+		if cause := t.workers[w.ID].out(now, t.timing().ReportInterval); cause != "" {
+			usage.out[cause]++
+		}
 		if w.Trial != "" {
 			usage.trials++
 		}
@@ -77,6 +83,7 @@
 		return
 	}
 	t.recordIdle(idle)
+	t.logOrderUse()
 	for name, usage := range usages {
 		used := usage.capacity.Sub(usage.free)
 		t.emit(event.PoolUse, zap.String("pool", name), zap.Int("workers", usage.workers),
@@ -85,7 +92,7 @@
 			zap.Int64("memory", used.Memory>>20), zap.Int64("ofMemory", usage.capacity.Memory>>20),
 			zap.Int64("spare", cluster.Headroom[name].Processors), zap.Ints("waiting", usage.waiting[:]),
 			zap.Int("empty", usage.empty), zap.Int("trials", usage.trials), zap.Int("untried", usage.untried),
-			zap.Dict("idle", idleFields(idle[name], processors)...), zap.Dict("idleAccelerators", idleFields(idle[name], accelerators)...))
+			zap.Dict("out", countFields(usage.out)...), zap.Dict("idle", idleFields(idle[name], processors)...), zap.Dict("idleAccelerators", idleFields(idle[name], accelerators)...))
 	}
 }
 
@@ -103,6 +110,15 @@
 	return fields
 }
 
+// countFields returns counts as fields, sorted by name.
+func countFields(counts map[string]int) []zap.Field {
+	var fields []zap.Field
+	for _, name := range slices.Sorted(maps.Keys(counts)) {
+		fields = append(fields, zap.Int(name, counts[name]))
+	}
+	return fields
+}
+
 // Idle returns the capacity of all pools that was idle while tasks waited, by cause,
 // when the usage of the pools was last logged.
 func (d *Dispatcher) Idle() map[string]work.Resources {
@@ -126,3 +142,37 @@
 	}
 	t.idle.Store(&sum)
 }
+
+// orderUse counts the orders to workers since it was last logged.
+type orderUse struct {
+	starts    int           // whose outcome became known
+	copies    int           // of these, sent
+	listed    int           // of these, learned from a listing
+	slowest   time.Duration // from the commit of a start to its outcome
+	total     time.Duration
+	listings  int // sent
+	unlisted  int // of these, without an answer
+	abandoned int // starts that were stopped for lack of an answer
+}
+
+// noteOutcome counts a start whose outcome became known, from a listing or an answer.
+func (t *term) noteOutcome(r *run, listed bool) {
+	delay := t.now().Sub(r.committedAt)
+	t.orderUse.starts++
+	t.orderUse.copies += r.sentCopies
+	t.orderUse.total += delay
+	t.orderUse.slowest = max(t.orderUse.slowest, delay)
+	if listed {
+		t.orderUse.listed++
+	}
+	t.emit(event.StartSettled, zap.Duration("delay", delay), zap.Int("copies", r.sentCopies), zap.Bool("listed", listed))
+}
+
+// logOrderUse logs and resets the counts of orders.
+func (t *term) logOrderUse() {
+	u := t.orderUse
+	t.orderUse = orderUse{}
+	t.emit(event.OrderUse, zap.Int("starts", u.starts), zap.Int("copies", u.copies), zap.Int("listed", u.listed),
+		zap.Int("abandoned", u.abandoned), zap.Duration("mean", u.total/time.Duration(max(u.starts, 1))), zap.Duration("slowest", u.slowest),
+		zap.Int("listings", u.listings), zap.Int("unlisted", u.unlisted))
+}
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -159,12 +159,44 @@
 	return end
 }
 
-// usable reports whether the worker may get new tasks.
-func (w *worker) usable(now time.Time, every time.Duration) bool {
-	return !w.Draining && !w.cordoned && w.listed && !w.refuses && len(w.orphans) == 0 && w.leavesAt.IsZero() && !w.clockReading.IsZero() && !w.silent(now) &&
-		now.Sub(w.lastSeen) < maxMissedReports*every && !now.Before(w.avoidedUntil)
+// Causes for which a worker gets no new tasks.
+const (
+	outLeaving  = "leaving"  // drains, or announced its end
+	outUpkeep   = "upkeep"   // before the maintenance of its VM
+	outUnlisted = "unlisted" // has not answered a listing in this term
+	outRefusing = "refusing" // unhealthy
+	outOrphan   = "orphan"   // may still execute a run that was given up
+	outSilent   = "silent"   // answers no orders
+	outUnheard  = "unheard"  // neither reports nor answers
+	outAvoided  = "avoided"  // for faults or slowness
+)
+
+// out returns the cause for which the worker gets no new tasks, or an empty string.
+func (w *worker) out(now time.Time, every time.Duration) string {
+	switch {
+	case w.Draining, !w.leavesAt.IsZero():
+		return outLeaving
+	case w.cordoned:
+		return outUpkeep
+	case !w.listed, w.clockReading.IsZero():
+		return outUnlisted
+	case w.refuses:
+		return outRefusing
+	case w.silent(now):
+		return outSilent
+	case now.Sub(w.lastSeen) >= maxMissedReports*every:
+		return outUnheard
+	case len(w.orphans) > 0:
+		return outOrphan
+	case now.Before(w.avoidedUntil):
+		return outAvoided
+	}
+	return ""
 }
 
+// usable reports whether the worker may get new tasks.
+func (w *worker) usable(now time.Time, every time.Duration) bool { return w.out(now, every) == "" }
+
 // silent reports whether the worker does not answer orders.
 func (w *worker) silent(now time.Time) bool {
 	return w.missed >= maxMissedAnswers && now.Sub(w.answeredAt) >= silentTime
--- a/internal/process/driver/hedge.go
+++ b/internal/process/driver/hedge.go
@@ -97,10 +97,11 @@
 				if copies == 1 {
 					h.usual.learn(time.Since(began))
 				}
-				a.Repeated = copies > 1
+				a.Repeated, a.Copies = copies > 1, copies
 				return a
 			}
 			worst = leastKnown(worst, a)
+			worst.Copies = copies
 		case <-timer.C:
 			left := p.Timeout - time.Since(began)
 			if copies < maxCopies && left > delay/2 && p.Valid() && h.reserve() {
--- a/internal/process/driver/message.go
+++ b/internal/process/driver/message.go
@@ -69,6 +69,7 @@
 	Result   dispatch.Result
 	Reason   dispatch.Reason
 	Repeated bool
+	Copies   int
 	Clock    int64 // in milliseconds; zero if not stated
 	Life     job.Incarnation
 	Error    string
@@ -100,7 +101,7 @@
 
 // newReply returns the message for an answer.
 func newReply(number uint64, a dispatch.Answer, l *dispatch.Listing) reply {
-	r := reply{Number: number, Result: a.Result, Reason: a.Reason, Repeated: a.Repeated, Clock: milliseconds(a.Clock), Life: a.Life, Listing: l}
+	r := reply{Number: number, Result: a.Result, Reason: a.Reason, Repeated: a.Repeated, Copies: a.Copies, Clock: milliseconds(a.Clock), Life: a.Life, Listing: l}
 	if a.Error != nil {
 		r.Error = a.Error.Error()
 	}
@@ -109,7 +110,7 @@
 
 // answer returns the answer in a message.
 func (r *reply) answer() (dispatch.Listing, dispatch.Answer) {
-	a := dispatch.Answer{Result: r.Result, Reason: r.Reason, Repeated: r.Repeated, Clock: clock(r.Clock), Life: r.Life}
+	a := dispatch.Answer{Result: r.Result, Reason: r.Reason, Repeated: r.Repeated, Copies: r.Copies, Clock: clock(r.Clock), Life: r.Life}
 	if a.Result < dispatch.Accepted || a.Result > dispatch.Undelivered {
 		a.Result = dispatch.Unanswered // of another version of the program; nothing is known of the order
 	}
