Tell workers that are silent from lost answers by the share that is lost

Cause: three orders without an answer in a row and half a second without any count as silence. With a share s of lost answers a worker that is well loses n in a row with probability s^n, which for 0.8 is half for n = 3.

Change: the share is estimated from the gaps between the answers of workers that answer, and a worker counts as silent only after as many lost answers as the share explains at 1%, 25 at most. A worker that answers nothing, or nothing for a second, does not count, so that cuts change nothing.

--- /dev/null
+++ b/internal/process/dispatch/share.go
@@ -0,0 +1,55 @@
+package dispatch
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// answerMemory is the time constant with which earlier answers are forgotten.
+	answerMemory = 2 * time.Second
+	// maxLossGap is the longest time between two answers of a worker that counts as
+	// one of lost answers. A worker that answers nothing for longer may have been cut off.
+	maxLossGap = time.Second
+	// chanceSilence is the probability at which consecutive lost answers of a worker are
+	// no longer taken for chance.
+	chanceSilence = 0.01
+	// maxPatience bounds the number of lost answers that count as chance.
+	maxPatience = 25
+)
+
+// lossShare estimates the share of orders to workers whose answers are lost, from the
+// workers that answer. Those that answer nothing say nothing about the others.
+type lossShare struct {
+	lost, answered float64
+	at             time.Time
+}
+
+// record counts an answer that came after missed orders without one, and the time since the
+// worker's answer before.
+func (l *lossShare) record(now time.Time, missed int, gap time.Duration) {
+	l.forget(now)
+	l.answered++
+	if gap <= maxLossGap {
+		l.lost += float64(missed)
+	}
+}
+
+// forget reduces the weight of earlier answers.
+func (l *lossShare) forget(now time.Time) {
+	weight := math.Exp(-now.Sub(l.at).Seconds() / answerMemory.Seconds())
+	l.lost, l.answered, l.at = l.lost*weight, l.answered*weight, now
+}
+
+// share returns the share of orders whose answers are lost. While little is known, it is
+// low.
+func (l *lossShare) share() float64 { return l.lost / (l.lost + l.answered + 1) }
+
+// patience returns how many orders without an answer in a row are explained by the share.
+func (l *lossShare) patience(now time.Time) int {
+	l.forget(now)
+	if share := l.share(); share > 0 {
+		return min(int(math.Ceil(math.Log(chanceSilence)/math.Log(share))), maxPatience)
+	}
+	return 0
+}
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -75,6 +75,7 @@
 	nextWaveLog    time.Time                      // what holds the waves up is not logged before this; used by runWaves only
 	lastPoolLog    time.Time                      // when the usage of the pools was last logged
 	orderUse       orderUse
+	lossShare      lossShare
 	unanswered     map[string]time.Time     // by worker; when an order last got no answer
 	losses         []*loss                  // recent crashes of workers
 	recheck        map[string]bool          // by pool: whether a worker crashed since its losses were compared
