Give up attempts of orders sooner while many answers are lost

Cause: an attempt without an answer holds one of the 48 places for orders in flight, and up to three connections, for 80 ms. At eight of ten lost, starts and stops wait for a place for most of the time: a start takes 150 to 500 ms with only 1.5 to 4 copies sent.

Change: while several workers leave orders unanswered, the first eight attempts of an order end after 40 ms; workers answer within a few. Later attempts wait 80 ms as before, so that a slow worker still answers.

--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -13,6 +13,11 @@
 	// orderTimeout bounds one attempt of an order. A worker answers within a
 	// few milliseconds, and resending an order is harmless.
 	orderTimeout = 80 * time.Millisecond
+	// lossyOrderTimeout replaces it while many answers are lost, for the first
+	// lossyAttempts attempts: orders without an answer hold back others, and a worker
+	// that is slow answers one of the later attempts.
+	lossyOrderTimeout = 40 * time.Millisecond
+	lossyAttempts     = 8
 	// orderRetryDelay is the delay before an order is resent, refusalRetryDelay the
 	// delay before one that was refused is. An unhealthy worker refuses what it
 	// carries out once it has recovered.
@@ -113,9 +118,9 @@
 		}
 		o.Lease = w.extendLease(t.now(), t.leaseDuration())
 		t.doubt(r)
-		target, sent := w.Worker, t.now()
+		target, sent, timeout := w.Worker, t.now(), t.attemptTimeout(attempt)
 		t.mu.Unlock()
-		if t.handleStartAnswer(r, t.dispatcher.options.Upstream.Start(t.permit(orderTimeout), &target, o), attempt, sent) {
+		if t.handleStartAnswer(r, t.dispatcher.options.Upstream.Start(t.permit(timeout), &target, o), attempt, sent) {
 			return
 		}
 		attempt++
@@ -123,6 +128,14 @@
 	}
 }
 
+// attemptTimeout returns the bound of an attempt of an order.
+func (t *term) attemptTimeout(attempt int) time.Duration {
+	if attempt <= lossyAttempts && t.lossy() {
+		return lossyOrderTimeout
+	}
+	return orderTimeout
+}
+
 // dropStart gives up a start that no longer fits its worker, or stops it if a copy of it
 // may have arrived.
 func (t *term) dropStart(r *run) {
@@ -261,15 +274,15 @@
 // incarnation ends. If the stop reaches the worker before the start, the worker
 // refuses the start. A refused stop proves nothing.
 func (t *term) sendStop(r *run) {
-	for t.awaitLease() {
+	for attempt := 1; t.awaitLease(); attempt++ {
 		t.mu.Lock()
 		if t.over || r.endQueued || !r.worker.Address.IsValid() {
 			t.mu.Unlock()
 			return
 		}
-		target := r.worker.Worker
+		target, timeout := r.worker.Worker, t.attemptTimeout(attempt)
 		t.mu.Unlock()
-		a := t.dispatcher.options.Upstream.Stop(t.permit(orderTimeout), &target, StopOrder{Task: r.id, Run: r.number, Fence: t.number})
+		a := t.dispatcher.options.Upstream.Stop(t.permit(timeout), &target, StopOrder{Task: r.id, Run: r.number, Fence: t.number})
 		if t.handleStopAnswer(r, a) {
 			return
 		}
