--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -67,6 +67,7 @@
 	acknowledged      int64            // highest number of an end that is committed
 	unclearEnds       map[int64]orphan // ends of runs with copies of their start without an answer, by number
 	missed            int              // consecutive unanswered orders
+	patience          int              // number of these that the present share of lost answers explains
 	refuses           bool             // refused the latest listing, as an unhealthy worker does
 	leavesAt          time.Time        // when it counts as gone; zero unless it announced its termination
 	drainDeadline     time.Time        // a draining worker is gone after this
@@ -161,15 +162,47 @@
 	return end
 }
 
-// usable reports whether the worker may get new tasks.
-func (w *worker) usable(now time.Time, every time.Duration) bool {
-	return !w.Draining && !w.cordoned && w.listed && !w.refuses && len(w.orphans) == 0 && w.leavesAt.IsZero() && !w.clockReading.IsZero() && !w.silent(now) &&
-		now.Sub(w.lastSeen) < maxMissedReports*every && !now.Before(w.avoidedUntil)
+// Causes for which a worker gets no new tasks.
+const (
+	outLeaving  = "leaving"  // drains, or announced its end
+	outUpkeep   = "upkeep"   // before the maintenance of its VM
+	outUnlisted = "unlisted" // has not answered a listing in this term
+	outRefusing = "refusing" // unhealthy
+	outOrphan   = "orphan"   // may still execute a run that was given up
+	outSilent   = "silent"   // answers no orders
+	outUnheard  = "unheard"  // neither reports nor answers
+	outAvoided  = "avoided"  // for faults or slowness
+)
+
+// out returns the cause for which the worker gets no new tasks, or an empty string.
+func (w *worker) out(now time.Time, every time.Duration) string {
+	switch {
+	case w.Draining, !w.leavesAt.IsZero():
+		return outLeaving
+	case w.cordoned:
+		return outUpkeep
+	case !w.listed, w.clockReading.IsZero():
+		return outUnlisted
+	case w.refuses:
+		return outRefusing
+	case w.silent(now):
+		return outSilent
+	case now.Sub(w.lastSeen) >= maxMissedReports*every:
+		return outUnheard
+	case len(w.orphans) > 0:
+		return outOrphan
+	case now.Before(w.avoidedUntil):
+		return outAvoided
+	}
+	return ""
 }
 
+// usable reports whether the worker may get new tasks.
+func (w *worker) usable(now time.Time, every time.Duration) bool { return w.out(now, every) == "" }
+
 // silent reports whether the worker does not answer orders.
 func (w *worker) silent(now time.Time) bool {
-	return w.missed >= maxMissedAnswers && now.Sub(w.answeredAt) >= silentTime
+	return w.missed >= max(w.patience, maxMissedAnswers) && now.Sub(w.answeredAt) >= silentTime
 }
 
 // handleAnswer processes an answer, or the lack of one. It reports whether the
@@ -186,6 +219,7 @@
 			t.removeWorker(w, reasonOtherLife)
 			return false
 		}
+		t.lossShare.record(now, w.missed, now.Sub(w.answeredAt))
 		w.missed, w.lastSeen, w.answeredAt, w.heardAt, w.silentLogged = 0, now, now, now, false
 		w.lapsed, w.suspected, w.brokeAt, w.missing = nil, false, time.Time{}, nil // it was cut off
 		w.updateClock(a.Clock, now)
@@ -195,6 +229,7 @@
 	case Undelivered:
 	default:
 		w.missed++
+		w.patience = t.lossShare.patience(now)
 		if a.Reason == ReasonBroken && w.brokeAt.IsZero() {
 			w.brokeAt, w.missing = now, nil
 		}
