Log the time of a crash and of the start before it, and state what may have given a job up

The line "worker crashed" had the age of the latest run only, before it was corrected for a crash whose time is not known. The times of the start and of the crash separate the hypotheses 1 and 2 of the new postmortem: a start that the clock of another leader timed, and a crash at the same time as others.

--- a/internal/process/dispatch/crash.go
+++ b/internal/process/dispatch/crash.go
@@ -61,11 +61,14 @@
 	if len(runs) == 0 {
 		return
 	}
-	latest, suspects := 0, 0
+	latest, suspects, inherited := 0, 0, 0
 	for i, r := range runs {
 		if r.startedAt.After(runs[latest].startedAt) {
 			latest = i
 		}
+		if r.resumed {
+			inherited++
+		}
 		if l.cleared[i] || !evidence[i].Suspected && !evidence[i].Confirmed {
 			continue
 		}
@@ -81,7 +84,8 @@
 	}
 	t.emit(event.WorkerCrashed, zap.String("worker", w.ID), zap.String("reason", reason), zap.Int("runs", len(runs)), zap.Int("suspects", suspects),
 		zap.Stringer("latest", runs[latest].id), zap.Int("run", runs[latest].number), zap.Bool("confirmed", runs[latest].confirmed),
-		zap.Duration("age", evidence[latest].Age), zap.Duration("most", evidence[latest].Most), zap.Duration("silent", t.now().Sub(w.lastSeen)))
+		zap.Duration("age", evidence[latest].Age), zap.Duration("most", evidence[latest].Most), zap.Duration("silent", t.now().Sub(w.lastSeen)),
+		zap.Time("started", runs[latest].startedAt), zap.Time("from", l.From), zap.Time("to", l.To), zap.Int("inherited", inherited))
 	t.signal()
 }
 
