Give a job up only when chance does not explain the crashes under it

Change: the age of a run of an earlier term is not exact, and its start not after the take-over. Runs are alike only if they may have had the same age when both workers crashed within 0.1 s. A task that looks faulty is given up only if the probability that other reasons crashed its workers during the trials is 1 in 1,000 at most, by the crashes of its pool in the last minute, or after three crashes during trials; otherwise it is tried once more.

Tests, with 2, 5 and 40 workers: TestClockOfAnotherLeaderProvesNothing, TestRunsOfOtherAgesCrashInCommon and TestCrashesByChanceFailNoJob failed in each row before (failed != completed) and pass; without the step of the clock the first one passed before as well. TestKillerEndsWhereWorkersCrashAnyway holds before and after.

Tried: a rate over the time of the term, 30 s at least; in a pool of four workers a task that crashes its workers then took three in place of two (TestCopiesOfACrashingTaskWait).

--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -360,6 +360,7 @@
 	sequence int64
 
 	suspended atomic.Int64 // how long the leader's VM was suspended, in nanoseconds
+	stepped   atomic.Int64 // how far the leader's clock is ahead of that of the first one, in nanoseconds
 }
 
 func newTestCluster(t *testing.T, workers ...string) *testCluster {
@@ -371,6 +372,7 @@
 	var err error
 	b.leader, err = New(Options{
 		Name: "me", State: b.state, Log: b.log, Upstream: b.workers, VMs: b.vms, Peer: unreachablePeers{}, Members: func() []string { return []string{"me"} },
+		Now:   func() time.Time { return time.Now().Add(time.Duration(b.stepped.Load())) },
 		Clock: func() time.Time { return time.Now().Add(time.Duration(b.suspended.Load())) },
 		Timing: Timing{
 			MaxLease: maxLease, StopTime: 900 * time.Millisecond, GangTime: 3 * time.Second,
--- a/internal/process/dispatch/crash.go
+++ b/internal/process/dispatch/crash.go
@@ -58,6 +58,7 @@
 func (t *term) recordCrash(w *worker, reason string) {
 	runs, evidence := t.assess(w, w.heardAt)
 	l := t.addLoss(w, runs, evidence)
+	t.notePast(w.Pool, runs, evidence)
 	if len(runs) == 0 {
 		return
 	}
@@ -66,7 +67,7 @@
 		if r.startedAt.After(runs[latest].startedAt) {
 			latest = i
 		}
-		if r.resumed {
+		if r.inherited {
 			inherited++
 		}
 		if l.cleared[i] || !evidence[i].Suspected && !evidence[i].Confirmed {
@@ -80,6 +81,9 @@
 		if w.heardAt.IsZero() || w.brokeAt.IsZero() {
 			e.Most = max(e.Most, l.To.Sub(r.startedAt)) // it may have crashed at any time until then
 		}
+		if r.inherited {
+			e = e.Vague()
+		}
 		t.inbox.crashes = append(t.inbox.crashes, job.Crash{Task: r.id, Run: r.number, Evidence: e})
 	}
 	t.emit(event.WorkerCrashed, zap.String("worker", w.ID), zap.String("reason", reason), zap.Int("runs", len(runs)), zap.Int("suspects", suspects),
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -173,7 +173,7 @@
 		switch k := &p.Tasks[i]; {
 		case k.Worker != "":
 			d.Placed[k.Worker]++
-		case !k.Done && !t.paused(p, s, id.Task(i), now):
+		case !k.Done && !t.paused(p, s, id.Task(i), r.Queue.Pool, now):
 			d.Tasks = append(d.Tasks, i)
 		}
 	}
--- a/internal/process/dispatch/loss.go
+++ b/internal/process/dispatch/loss.go
@@ -33,7 +33,7 @@
 // lossOf describes the crash of a worker. One that this leader did not see lies after the
 // latest start on the worker.
 func (t *term) lossOf(w *worker, runs []*run, evidence []crash.Evidence) *loss {
-	l := &loss{Loss: crash.Loss{From: w.heardAt, To: w.brokeAt, Runs: evidence}, pool: w.Pool, cleared: make([]bool, len(runs)), open: len(runs)}
+	l := &loss{Loss: crash.Loss{From: w.heardAt, To: w.brokeAt, Runs: slices.Clone(evidence)}, pool: w.Pool, cleared: make([]bool, len(runs)), open: len(runs)}
 	for _, r := range runs {
 		l.runs = append(l.runs, job.Start{Task: r.id, Run: r.number})
 		if r.confirmed || w.heardAt.IsZero() {
@@ -43,6 +43,9 @@
 	if l.To.IsZero() {
 		l.To = t.now()
 	}
+	for i, r := range runs {
+		l.Loss.Runs[i].Most = max(0, l.To.Sub(r.startedAt))
+	}
 	return l
 }
 
@@ -53,7 +56,11 @@
 		w.missing = t.lossOf(w, runs, evidence)
 	}
 	if w.brokeAt.IsZero() {
+		d := t.now().Sub(w.missing.To)
 		w.missing.To = t.now()
+		for i := range w.missing.Loss.Runs {
+			w.missing.Loss.Runs[i].Most += d
+		}
 	}
 	return &w.missing.Loss
 }
@@ -147,9 +154,9 @@
 }
 
 // paused reports whether a task does not start now because it looks faulty. It is given up
-// once crashes of workers that were idle at the time are known as well, unless it is a
-// long-running one. The caller holds the lock.
-func (t *term) paused(p *job.Progress, s *job.Step, id job.TaskID, now time.Time) bool {
+// once crashes of workers that were idle at the time are known as well, if they leave no doubt,
+// unless it is a long-running one. The caller holds the lock.
+func (t *term) paused(p *job.Progress, s *job.Step, id job.TaskID, pool string, now time.Time) bool {
 	k := &p.Tasks[id.Index]
 	if !p.Faulty(s, k) {
 		delete(t.verdicts, id)
@@ -161,8 +168,7 @@
 		t.verdicts[id] = now.Add(t.verdictDelay())
 	case !now.Before(due):
 		t.verdicts[id] = now.Add(t.verdictDelay()) // in case that the round is not committed
-		t.inbox.faulty = append(t.inbox.faulty, job.Start{Task: id, Run: k.Run})
-		t.signal()
+		t.judge(p, s, id, pool)
 	}
 	return true
 }
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -53,6 +53,7 @@
 	windowStart     progressSample // one or two windows old; the recent speed is measured from it
 	nextWindowStart progressSample // replaces windowStart after a window
 	resumed         bool           // resumed from a checkpoint, or started by an earlier leader
+	inherited       bool           // started by an earlier leader, whose clock may differ
 	queue           string
 	usage           float64   // latest ListedRun.Usage
 	lastProgress    time.Time // when percent last changed
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -188,6 +188,13 @@
 	return b
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // stopForDrain stops the runs that would lose their work when a draining worker
 // terminates.
 func (t *term) stopForDrain(w *worker) {
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -76,6 +76,7 @@
 	lastPoolLog    time.Time                      // when the usage of the pools was last logged
 	unanswered     map[string]time.Time           // by worker; when an order last got no answer
 	losses         []*loss                        // recent crashes of workers
+	crashes        []pastCrash                    // those of the last crash.RateTime
 	recheck        map[string]bool                // by pool: whether a worker crashed since its losses were compared
 	nextRecheck    time.Time                      // losses are not compared again before this
 	commonUntil    map[string]time.Time           // by pool: until when crashes of many workers at one time are in common
@@ -224,8 +225,8 @@
 	for id, o := range reservations {
 		record, _, task := v.Find(id)
 		life, unclear := task.Life, v.Unclear(task)
-		r := &run{id: id, number: o.Run, worker: w, spec: &record.Job.Steps[id.Step], committedAt: now, startedAt: task.Started(), startResolvedAt: now, lastProgress: now,
-			urgent: record.Queue.Priority == 0, queue: queueKey(&record.Queue), resumed: true, sent: true}
+		r := &run{id: id, number: o.Run, worker: w, spec: &record.Job.Steps[id.Step], committedAt: now, startedAt: earlier(task.Started(), now), startResolvedAt: now, lastProgress: now,
+			urgent: record.Queue.Priority == 0, queue: queueKey(&record.Queue), resumed: true, inherited: true, sent: true}
 		if w == nil {
 			if unclear && t.adoptHeld(r, name, life, task.Unclear) {
 				t.addRun(r)
--- /dev/null
+++ b/internal/process/dispatch/verdict.go
@@ -0,0 +1,71 @@
+package dispatch
+
+import (
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/crash"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+)
+
+// pastCrash is a crash that counts in the rate of its pool.
+type pastCrash struct {
+	pool     string
+	expires  time.Time
+	suspects []job.ID
+}
+
+// notePast records the crash of a worker for the rate of its pool.
+func (t *term) notePast(pool string, runs []*run, evidence []crash.Evidence) {
+	c := pastCrash{pool: pool, expires: t.now().Add(crash.RateTime)}
+	for i, r := range runs {
+		if evidence[i].Suspected && !slices.Contains(c.suspects, r.id.Job) {
+			c.suspects = append(c.suspects, r.id.Job)
+		}
+	}
+	t.crashes = append(t.crashes, c)
+}
+
+// rate returns how often workers of a pool crash for reasons other than a job, and than work
+// that was a suspect in several crashes.
+func (t *term) rate(pool string, id job.ID, now time.Time) crash.Rate {
+	t.crashes = slices.DeleteFunc(t.crashes, func(c pastCrash) bool { return now.After(c.expires) })
+	suspicions := map[job.ID]int{id: 2}
+	for i := range t.crashes {
+		for _, suspect := range t.crashes[i].suspects {
+			suspicions[suspect]++
+		}
+	}
+	var rate crash.Rate
+	for i := range t.crashes {
+		explained := slices.ContainsFunc(t.crashes[i].suspects, func(suspect job.ID) bool { return suspicions[suspect] > 1 })
+		if t.crashes[i].pool == pool && !explained {
+			rate.Crashes++
+		}
+	}
+	for _, w := range t.workers {
+		if w.Pool == pool {
+			rate.Workers++
+		}
+	}
+	return rate
+}
+
+// judge gives up a task that looks faulty, or has it start as a trial once more if its
+// workers may have crashed by chance. The caller holds the lock.
+func (t *term) judge(p *job.Progress, s *job.Step, id job.TaskID, pool string) {
+	k := &p.Tasks[id.Index]
+	start, rate := job.Start{Task: id, Run: k.Run}, t.rate(pool, id.Job, t.now())
+	proven, chance := p.Proven(s, k, &rate)
+	if proven {
+		t.inbox.faulty = append(t.inbox.faulty, start)
+	} else {
+		t.inbox.doubted = append(t.inbox.doubted, start)
+		t.emit(event.TaskDoubted, zap.Stringer("task", id), zap.Int("run", k.Run), zap.Float64("chance", chance),
+			zap.Int("crashes", rate.Crashes), zap.Int("workers", rate.Workers))
+	}
+	t.signal()
+}
--- a/internal/version/crash/common.go
+++ b/internal/version/crash/common.go
@@ -18,7 +18,7 @@
 // Loss is the crash of a worker, at some time between two.
 type Loss struct {
 	From, To time.Time
-	Runs     []Evidence // about all runs that the worker may have executed
+	Runs     []Evidence // about all runs that the worker may have executed; Most is the age at To
 }
 
 // Pool is what is known of the workers of a pool when crashes there are compared.
@@ -33,7 +33,7 @@
 // Runs that started together, such as those of a job or of a faulty image, may crash many
 // workers at one time. These have runs of the same age, and do not count.
 func (l *Loss) Common(run int, pool *Pool) bool {
-	return l.compare(pool, commonShare, func(o *Loss) bool { return !o.hasLike(&l.Runs[run]) })
+	return l.compare(pool, commonShare, func(o *Loss) bool { return !l.hasLike(run, o) })
 }
 
 // Mass reports whether a large part of a pool may have crashed at about the same time as a
@@ -63,13 +63,29 @@
 	return probable >= max(least, share*known) || possible >= max(least, massShare*known)
 }
 
-// hasLike reports whether a run on the worker had about the same age as another one when
-// their workers crashed.
-func (l *Loss) hasLike(e *Evidence) bool {
-	for i := range l.Runs {
-		if e.alike(&l.Runs[i]) {
+// hasLike reports whether a run on another worker may have had about the same age as one of
+// this worker, if both crashed in common.
+func (l *Loss) hasLike(run int, o *Loss) bool {
+	for i := range o.Runs {
+		if l.like(run, o, i) || o.like(i, l, run) {
 			return true
 		}
 	}
 	return false
 }
+
+// like reports whether a run is the older one of two that may have had about the same age when
+// their workers crashed in common. The ages at any other two moments say nothing.
+func (l *Loss) like(run int, o *Loss, other int) bool {
+	older, younger := l.started(run), o.started(other)
+	latest := o.To
+	if end := l.To.Add(commonTime); end.Before(latest) {
+		latest = end
+	}
+	age := max(0, latest.Sub(younger))
+	apart := younger.Sub(older) + max(-commonTime, l.From.Sub(o.To))
+	return !younger.Before(older) && float64(age+apart) <= likeFactor*float64(age+ageMargin)
+}
+
+// started returns when a run started, for which its worker must not have crashed before.
+func (l *Loss) started(run int) time.Time { return l.To.Add(-l.Runs[run].Most) }
--- a/internal/version/crash/crash.go
+++ b/internal/version/crash/crash.go
@@ -6,7 +6,7 @@
 //	evidence := crash.Assess(lastAnswer, silentAt, exposures) // one entry a run on the worker
 //	record.Add(runNumber, evidence[i])                        // replicated, one record a task
 //	if record.NeedsTrial() { ... }                            // start it where nothing else starts
-//	if record.Faulty() { ... }                                // fail its job
+//	if record.Faulty() && record.Proven(&rate) { ... }        // fail its job
 //
 // The package uses no clock and does no I/O. Both schedulers of the product use it.
 //
@@ -30,6 +30,13 @@
 // says nothing about it: Loss reports this, and Record.Clear takes the evidence back.
 // Crashes of idle workers are known late, so a task that looks faulty is given up only
 // after a while.
+//
+// # Chance
+//
+// Where workers crash every few seconds, the next one may crash during a trial without cause.
+// Rate describes how often they do; Record.Proven weighs the crashes during trials against
+// it. As long as they prove too little, Record.Doubt has the task start as a trial again, up
+// to a number of crashes that chance hardly reaches at any rate.
 package crash
 
 import (
@@ -138,6 +145,7 @@
 	Cleared   []int   `cbor:"4,keyasint,omitempty"` // runs whose workers crashed in common with others
 	Paused    int     `cbor:"5,keyasint,omitempty"` // pauses of a task that looks faulty and is never given up
 	UntilMS   int64   `cbor:"6,keyasint,omitempty"` // end of the latest pause, in Unix milliseconds
+	Needed    int     `cbor:"7,keyasint,omitempty"` // crashes before which the task does not look faulty, since fewer may be chance
 }
 
 // Crash is the evidence about one run.
@@ -228,6 +236,8 @@
 
 func confirmed(c *Crash) bool { return c.Evidence.Confirmed }
 
+func tried(c *Crash) bool { return c.Tried }
+
 func suspected(c *Crash) bool { return c.Evidence.Suspected }
 
 // NeedsTrial reports whether the next start of the task is a trial.
@@ -256,7 +266,7 @@
 // of them during a trial, and either another one as soon after the start or two during
 // trials. Crashes whose time is not known well prove this only together with a third one.
 func (r *Record) Faulty() bool {
-	if r == nil || r.count(confirmed) < maxCrashes {
+	if r == nil || r.count(confirmed) < max(maxCrashes, r.Needed) {
 		return false
 	}
 	for i := range r.Crashes {
--- a/internal/version/job/crash.go
+++ b/internal/version/job/crash.go
@@ -94,6 +94,21 @@
 	}
 }
 
+// doubt has a task that still looks faulty start as a trial once more.
+func (v *View) doubt(s *Start) {
+	r, o, t := v.Find(s.Task)
+	if t != nil && !t.Done && o.Steps[s.Task.Step].Faulty(&r.Job.Steps[s.Task.Step], t) {
+		(*o.Steps[s.Task.Step].crashes(&r.Job.Steps[s.Task.Step], t)).Doubt()
+	}
+}
+
+// Proven reports whether the crashes under a task that looks faulty suffice to give it up,
+// and otherwise the probability that they have other causes.
+func (p *Progress) Proven(s *Step, t *Task, rate *crash.Rate) (proven bool, chance float64) {
+	c := *p.crashes(s, t)
+	return c.Proven(rate), c.Chance(rate)
+}
+
 // giveUp fails the job of a task that still looks faulty.
 func (v *View) giveUp(s *Start, now time.Time, result *Result) {
 	r, o, t := v.Find(s.Task)
