--- a/internal/process/dispatch/crash.go
+++ b/internal/process/dispatch/crash.go
@@ -58,14 +58,18 @@
 func (t *term) recordCrash(w *worker, reason string) {
 	runs, evidence := t.assess(w, w.heardAt)
 	l := t.addLoss(w, runs, evidence)
+	t.notePast(w.Pool, runs, evidence)
 	if len(runs) == 0 {
 		return
 	}
-	latest, suspects := 0, 0
+	latest, suspects, inherited := 0, 0, 0
 	for i, r := range runs {
 		if r.startedAt.After(runs[latest].startedAt) {
 			latest = i
 		}
+		if r.inherited {
+			inherited++
+		}
 		if l.cleared[i] || !evidence[i].Suspected && !evidence[i].Confirmed {
 			continue
 		}
@@ -77,11 +81,15 @@
 		if w.heardAt.IsZero() || w.brokeAt.IsZero() {
 			e.Most = max(e.Most, l.To.Sub(r.startedAt)) // it may have crashed at any time until then
 		}
+		if r.inherited {
+			e = e.Vague()
+		}
 		t.inbox.crashes = append(t.inbox.crashes, job.Crash{Task: r.id, Run: r.number, Evidence: e})
 	}
 	t.emit(event.WorkerCrashed, zap.String("worker", w.ID), zap.String("reason", reason), zap.Int("runs", len(runs)), zap.Int("suspects", suspects),
 		zap.Stringer("latest", runs[latest].id), zap.Int("run", runs[latest].number), zap.Bool("confirmed", runs[latest].confirmed),
-		zap.Duration("age", evidence[latest].Age), zap.Duration("most", evidence[latest].Most), zap.Duration("silent", t.now().Sub(w.lastSeen)))
+		zap.Duration("age", evidence[latest].Age), zap.Duration("most", evidence[latest].Most), zap.Duration("silent", t.now().Sub(w.lastSeen)),
+		zap.Time("started", runs[latest].startedAt), zap.Time("from", l.From), zap.Time("to", l.To), zap.Int("inherited", inherited))
 	t.signal()
 }
 
