Keep runs while orders to a former incarnation may extend the lease of the present one

Cause: a listing or a start that was sent to the former incarnation of a worker, and arrives late, extends the lease of the present one up to the longest lease: its end is on the former clock, which read more. A start that is refused as ended does so, too. The leader gave confirmed runs of a silent worker up when the lease was over that it had granted to this incarnation.

The simulated workers refuse stops and listings of earlier leaders, extend the lease by refused starts, and may leave orders without an answer and carry them out at once or late.

--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -15,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
+	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/raft"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
@@ -93,6 +94,7 @@
 	number             int64
 	stopped            map[job.TaskID]int // highest run that was stopped or ended
 	lease              time.Time          // on its clock
+	lapsedEnds         int64              // ends up to this number have seen a lease that was over
 	fence              uint64
 	silent             bool // answers nothing
 	unheard            bool // carries orders out, but nothing that it sends arrives
@@ -140,6 +142,7 @@
 	serving   bool                              // tasks are at work from their start on
 	gang      job.ID                            // its members end when one of their workers crashes; empty if unused
 	onStart   func(worker string, o StartOrder) // called after a start was executed; nil if unused
+	fates     *fates                            // of orders that get no answer; nil if all get one
 }
 
 func (h *fakeWorkers) clock(w *fakeWorker) time.Time {
@@ -151,6 +154,9 @@
 	if longest := h.clock(w).Add(maxLease); end.After(longest) {
 		end = longest
 	}
+	if h.clock(w).After(w.lease) {
+		w.lapsedEnds = w.number
+	}
 	if end.After(w.lease) {
 		w.lease = end
 	}
@@ -174,7 +180,9 @@
 
 func (h *fakeWorkers) end(w *fakeWorker, id job.TaskID, r *fakeRun, o job.Outcome) {
 	w.number++
-	w.ended = append(w.ended, EndedRun{Number: w.number, Task: id, Run: r.run, Outcome: o})
+	e := EndedRun{Number: w.number, Task: id, Run: r.run, Outcome: o}
+	w.ended = append(w.ended, e)
+	h.fates.ended(w, e)
 	w.stopped[id] = max(w.stopped[id], r.run)
 	delete(w.running, id)
 }
@@ -203,8 +211,11 @@
 	return w, Answer{Result: Accepted, Clock: h.clock(w), Life: w.life}, true
 }
 
-func (h *fakeWorkers) Start(_ Permit, target *job.Worker, o StartOrder) Answer {
+func (h *fakeWorkers) Start(p Permit, target *job.Worker, o StartOrder) Answer {
 	time.Sleep(2 * time.Millisecond)
+	if h.fates.unanswered(p, h, target.ID, func(w *fakeWorker, late bool) { h.fates.start(h, target.ID, w, o, late) }) {
+		return Answer{Result: Unanswered}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	w, a, ok := h.contact(target.ID)
@@ -222,7 +233,7 @@
 	if a = h.carryOut(target.ID, w, o, a); w.unheard {
 		return Answer{Result: Unanswered}
 	}
-	return a
+	return h.fates.anonymous(a)
 }
 
 // carryOut has a worker carry out a start that arrives.
@@ -232,6 +243,8 @@
 	case o.Fence < w.fence:
 		return refuse(ReasonStaleLeader)
 	case o.Run <= w.stopped[o.Task]:
+		w.fence = max(w.fence, o.Fence)
+		h.extendLease(w, o.Lease) // such a start extends the lease, too
 		return refuse(ReasonRunEnded)
 	case !o.Lease.After(h.clock(w)):
 		return refuse(ReasonLeaseExpired)
@@ -276,8 +289,11 @@
 	}
 }
 
-func (h *fakeWorkers) Stop(_ Permit, target *job.Worker, o StopOrder) Answer {
+func (h *fakeWorkers) Stop(p Permit, target *job.Worker, o StopOrder) Answer {
 	time.Sleep(2 * time.Millisecond)
+	if h.fates.unanswered(p, h, target.ID, func(w *fakeWorker, _ bool) { h.stop(w, o) }) {
+		return Answer{Result: Unanswered}
+	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	w, a, ok := h.contact(target.ID)
@@ -288,19 +304,36 @@
 		a.Result, a.Reason = Refused, ReasonOther
 		return a
 	}
-	w.fence = max(w.fence, o.Fence)
+	if !h.stop(w, o) {
+		a.Result, a.Reason = Refused, ReasonStaleLeader
+		return a
+	}
+	if w.unheard {
+		return Answer{Result: Unanswered}
+	}
+	h.fates.settle(target.ID, w, o.Task, o.Run)
+	return h.fates.anonymous(a)
+}
+
+// stop has a worker carry out a stop that arrives. It reports whether the order is of the
+// latest leader that the worker knows.
+func (h *fakeWorkers) stop(w *fakeWorker, o StopOrder) bool {
+	if o.Fence < w.fence {
+		return false
+	}
+	w.fence = o.Fence
 	if r := w.running[o.Task]; r != nil && r.run == o.Run && r.stop.IsZero() {
 		r.stop = time.Now().Add(900 * time.Millisecond)
 	} else {
 		w.stopped[o.Task] = max(w.stopped[o.Task], o.Run)
 	}
-	if w.unheard {
-		return Answer{Result: Unanswered}
-	}
-	return a
+	return true
 }
 
-func (h *fakeWorkers) List(_ Permit, target *job.Worker, o ListOrder) (Listing, Answer) {
+func (h *fakeWorkers) List(p Permit, target *job.Worker, o ListOrder) (Listing, Answer) {
+	if h.fates.unanswered(p, h, target.ID, func(w *fakeWorker, _ bool) { h.prepareList(w, o) }) {
+		return Listing{}, Answer{Result: Unanswered}
+	}
 	deadline := time.Now().Add(o.Wait)
 	for {
 		time.Sleep(2 * time.Millisecond)
@@ -320,9 +353,10 @@
 	if w.hidesRuns {
 		return Listing{}, Answer{Result: Unanswered}, true
 	}
-	w.fence = max(w.fence, o.Fence)
-	h.extendLease(w, o.Lease)
-	w.ended = slices.DeleteFunc(w.ended, func(e EndedRun) bool { return e.Number <= o.Acknowledged })
+	if !h.prepareList(w, o) {
+		a.Result, a.Reason = Refused, ReasonStaleLeader
+		return Listing{}, a, true
+	}
 	if w.unheard {
 		return Listing{}, Answer{Result: Unanswered}, true
 	}
@@ -331,6 +365,9 @@
 	}
 	w.listings++
 	l := Listing{Complete: true, Ended: slices.Clone(w.ended)}
+	for _, e := range l.Ended {
+		h.fates.settle(id, w, e.Task, e.Run)
+	}
 	for id, r := range w.running {
 		percent := r.percent()
 		if h.serving {
@@ -341,6 +378,23 @@
 	return l, a, true
 }
 
+// prepareList has a worker carry out what a listing orders. It reports whether the order is
+// of the latest leader that the worker knows.
+func (h *fakeWorkers) prepareList(w *fakeWorker, o ListOrder) bool {
+	if o.Fence < w.fence {
+		return false
+	}
+	w.fence = o.Fence
+	h.extendLease(w, o.Lease)
+	w.ended = slices.DeleteFunc(w.ended, func(e EndedRun) bool {
+		if e.Number <= o.Acknowledged {
+			h.fates.acknowledged(w, e)
+		}
+		return e.Number <= o.Acknowledged
+	})
+	return true
+}
+
 func (h *fakeWorkers) Throttle(Permit, *job.Worker, ThrottleOrder) Answer {
 	return Answer{Result: Accepted}
 }
@@ -363,6 +417,11 @@
 }
 
 func newTestCluster(t *testing.T, workers ...string) *testCluster {
+	return newLoggedCluster(t, event.Log{}, workers...)
+}
+
+// newLoggedCluster returns a cluster whose leader has a log.
+func newLoggedCluster(t *testing.T, events event.Log, workers ...string) *testCluster {
 	b := &testCluster{
 		is: is.New(t), state: job.New(), workers: &fakeWorkers{all: map[string]*fakeWorker{}, runTime: time.Second}, done: make(chan struct{}),
 	}
@@ -370,7 +429,7 @@
 	b.log = &fakeLog{machine: b.state, term: 1, leads: true, lease: time.Second, changed: make(chan struct{})}
 	var err error
 	b.leader, err = New(Options{
-		Name: "me", State: b.state, Log: b.log, Upstream: b.workers, VMs: b.vms, Peer: unreachablePeers{}, Members: func() []string { return []string{"me"} },
+		Name: "me", State: b.state, Events: events, Log: b.log, Upstream: b.workers, VMs: b.vms, Peer: unreachablePeers{}, Members: func() []string { return []string{"me"} },
 		Clock: func() time.Time { return time.Now().Add(time.Duration(b.suspended.Load())) },
 		Timing: Timing{
 			MaxLease: maxLease, StopTime: 900 * time.Millisecond, GangTime: 3 * time.Second,
--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"maps"
 	"time"
 
 	"go.uber.org/zap"
@@ -107,6 +108,19 @@
 	return arrives.Add(t.longestLease())
 }
 
+// extendedUntil returns until when a run of a silent worker may go on because orders that were sent
+// to the former incarnation, whose clock read more, have extended the lease of this one.
+func (t *term) extendedUntil(w *worker, r *run) time.Time {
+	if w.formerUntil.IsZero() {
+		return time.Time{}
+	}
+	arrive := w.formerUntil
+	if !r.spec.Lasting {
+		arrive = arrive.Add(lateOrderTime)
+	}
+	return arrive.Add(t.longestLease())
+}
+
 // keep reports whether a run of a worker that is not heard has to be kept, because a copy of its
 // start may be carried out by an incarnation that is not known.
 func (t *term) keep(w *worker, r *run, reason string) bool {
@@ -167,6 +181,7 @@
 
 // expireDoubts drops what can no longer be carried out.
 func (t *term) expireDoubts(now time.Time) {
+	maps.DeleteFunc(t.formers, func(_ string, until time.Time) bool { return now.After(until.Add(lateOrderTime + t.longestLease())) })
 	for id, d := range t.doubts {
 		var kept []*run
 		for _, r := range d.held {
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -371,7 +371,7 @@
 // addWorker registers a worker on the first report of its incarnation.
 func (t *term) addWorker(r *cell.Report, now time.Time) <-chan bool {
 	w := newWorker(r.Worker, now)
-	w.knownAt = now
+	w.knownAt, w.formerUntil = now, t.formers[w.ID]
 	w.Sequence, w.heardAt = r.Sequence, now
 	w.updateClock(r.Clock, now)
 	if w.Draining {
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -70,6 +70,7 @@
 	stepsChecked   time.Time                      // when dropSteps was last called
 	loadsAt        time.Time                      // when loads were computed
 	doubts         map[string]*doubts             // by worker
+	formers        map[string]time.Time           // by ID of a worker whose record ended: when
 	missing        map[string]time.Time           // by VM: since when the platform does not list it; used by runWaves only
 	begunAt        map[string]time.Time           // by VM: when its maintenance was accepted in this term; used by runWaves only
 	nextWaveLog    time.Time                      // what holds the waves up is not logged before this; used by runWaves only
@@ -109,7 +110,7 @@
 		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
 		shares: map[string]*fit.Share{}, beyond: map[job.ID]bool{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
-		doubts: map[string]*doubts{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
+		doubts: map[string]*doubts{}, formers: map[string]time.Time{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
 		risky: map[string]time.Time{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
 		verdicts: map[job.TaskID]time.Time{}, commonUntil: map[string]time.Time{}, recheck: map[string]bool{},
 	}
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -57,6 +57,7 @@
 	clockReadAt       time.Time // when that reading arrived
 	leaseEnd          time.Time // latest end of a lease that was sent, on the worker's clock
 	inheritedLeaseEnd time.Time // leases from earlier leaders may last until then
+	formerUntil       time.Time // orders were sent to its former incarnation until then; zero if there was none
 	runs              map[job.TaskID]*run
 	polling           bool            // a loop lists its runs
 	pollOnce          bool            // one listing is needed even without runs
@@ -219,6 +220,7 @@
 	delete(t.workers, w.ID)
 	t.sorted = nil
 	t.inbox.gone = append(t.inbox.gone, w.Worker)
+	t.formers[w.ID] = t.now()
 	// Orders go to the address. Another process there refuses all copies.
 	refused := reason == reasonOtherWorker
 	for _, r := range w.runs {
@@ -243,7 +245,7 @@
 		t.suspectRuns(w)
 	}
 	for _, r := range w.runs {
-		if !t.keep(w, r, reason) {
+		if t.now().After(t.extendedUntil(w, r)) && !t.keep(w, r, reason) {
 			t.lose(r, reason)
 		}
 	}
