Take no reading of a worker's clock from an answer that does not prove its incarnation

Cause: answers to starts and stops state a clock and no incarnation. One of another incarnation, whose clock reads less than expected but more than at the latest reading, was taken for a reading of the known one. The next start that the other incarnation answered was then proved by it: its copy counted as settled, and the run was given up at once when a listing showed the other incarnation, which executed it.

Change: an answer that does not prove its incarnation counts as nothing and asks for a listing, which states the incarnation.

--- a/internal/process/dispatch/crash.go
+++ b/internal/process/dispatch/crash.go
@@ -191,13 +191,14 @@
 	target, o := w.Worker, t.listOrder(w)
 	o.Wait = 0
 	t.mu.Unlock()
+	sent := t.now()
 	_, a := t.dispatcher.options.Upstream.List(t.permit(listTimeoutMargin), &target, o)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
 	case a.Result == Undelivered:
 		return false
-	case t.over || r.endQueued, t.handleAnswer(w, a) && t.answeredRecently(w):
+	case t.over || r.endQueued, t.handleAnswer(w, a, sent) && t.answeredRecently(w):
 		return true
 	}
 	t.avoidForStep(r, t.now())
--- a/internal/process/dispatch/dispatch_test.go
+++ b/internal/process/dispatch/dispatch_test.go
@@ -88,8 +88,8 @@
 		w := current.workers["a"]
 		w.runs[job.TaskID{Job: "j"}] = &run{worker: w, spec: &job.Step{}, startResolvedAt: current.now(), urgent: true}
 		b.is.Equal(current.listOrder(w).Wait, maxListWait)
-		current.handleAnswer(w, Answer{Result: Unanswered})
-		current.handleAnswer(w, Answer{Result: Accepted})
+		current.handleAnswer(w, Answer{Result: Unanswered}, current.now())
+		current.handleAnswer(w, Answer{Result: Accepted}, current.now())
 		b.is.Equal(current.listOrder(w).Wait, lossyListWait)
 		delete(w.runs, job.TaskID{Job: "j"})
 	})
--- a/internal/process/dispatch/former_test.go
+++ b/internal/process/dispatch/former_test.go
@@ -36,3 +36,31 @@
 		b.is.Equal(b.status("one"), job.Completed)
 	})
 }
+
+// Guards against a start that counts as answered by the known incarnation because an earlier
+// answer of another one was taken for a reading of its clock: the run was lost at once, and went
+// on there (rule TWICE, seeds 105 and 112 of TestNoTaskRunsTwice).
+func TestUnprovedAnswerIsNoReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		time.Sleep(2 * time.Second)
+		b.changeWorker("a", func(w *fakeWorker) { w.unheard = true })
+		time.Sleep(4 * time.Second)
+		current := b.term()
+		current.mu.Lock()
+		defer current.mu.Unlock()
+		w, now := current.workers["a"], current.now()
+		reading := w.clockReading
+		other := Answer{Result: Accepted, Clock: reading.Add(time.Second)} // expected: 4 s more
+		b.is.True(current.handleAnswer(w, Answer{Result: Unanswered}, now))
+		b.is.True(current.handleAnswer(w, other, now))
+		b.is.Equal(w.clockReading, reading)
+		b.is.Equal(w.missed, 1)
+		b.is.True(w.pollOnce && w.polling)
+		known := Answer{Result: Accepted, Clock: reading.Add(now.Sub(w.clockReadAt))}
+		b.is.True(current.handleAnswer(w, known, now))
+		b.is.Equal(w.clockReading, known.Clock)
+		b.is.Equal(w.missed, 0)
+	})
+}
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -161,7 +161,7 @@
 	if t.over || t.workers[w.ID] != w {
 		return nil
 	}
-	if !t.handleAnswer(w, a) {
+	if !t.handleAnswer(w, a, sent) {
 		return nil
 	}
 	if a.Result == Refused {
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -93,11 +93,11 @@
 func (t *term) sendStart(r *run, o StartOrder) {
 	for attempt := 1; t.awaitLease(); {
 		t.mu.Lock()
+		w := r.worker
 		if t.over || r.endQueued || r.stopping || !r.startResolvedAt.IsZero() {
 			t.mu.Unlock()
 			return
 		}
-		w := r.worker
 		if w.shrank && t.overcommitted(w) {
 			t.dropStart(r)
 			t.mu.Unlock()
@@ -152,7 +152,7 @@
 		t.noteUnclear(r)
 	}
 	r.sent = r.sent || a.Result != NotSent
-	if !t.handleAnswer(w, a) {
+	if !t.handleAnswer(w, a, sent) {
 		return true
 	}
 	switch a.Result {
@@ -261,10 +261,10 @@
 			t.mu.Unlock()
 			return
 		}
-		target := r.worker.Worker
+		target, sent := r.worker.Worker, t.now()
 		t.mu.Unlock()
 		a := t.dispatcher.options.Upstream.Stop(t.permit(orderTimeout), &target, StopOrder{Task: r.id, Run: r.number, Fence: t.number})
-		if t.handleStopAnswer(r, a) {
+		if t.handleStopAnswer(r, a, sent) {
 			return
 		}
 		if a.Result == Refused {
@@ -277,14 +277,14 @@
 
 // handleStopAnswer processes the answer to a stop order. It reports whether no
 // further attempt is needed.
-func (t *term) handleStopAnswer(r *run, a Answer) bool {
+func (t *term) handleStopAnswer(r *run, a Answer, sent time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.over || r.endQueued {
 		return true
 	}
 	w := r.worker
-	if !t.handleAnswer(w, a) {
+	if !t.handleAnswer(w, a, sent) {
 		return true
 	}
 	if a.Result != Accepted {
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -174,7 +174,7 @@
 // handleAnswer processes an answer, or the lack of one. It reports whether the
 // worker's incarnation continues. The runs of another incarnation with the same
 // ID are learned from its own report. The caller holds the term's lock.
-func (t *term) handleAnswer(w *worker, a Answer) bool {
+func (t *term) handleAnswer(w *worker, a Answer, sent time.Time) bool {
 	now := t.now()
 	switch a.Result {
 	case Accepted, Refused:
@@ -185,6 +185,12 @@
 			t.removeWorker(w, reasonOtherLife)
 			return false
 		}
+		if a.Life == 0 && !a.Clock.IsZero() && !w.clockReading.IsZero() && !w.proves(a, sent) {
+			// Another incarnation may have answered. A listing states which one.
+			w.pollOnce = true
+			t.startPolling(w)
+			return true
+		}
 		w.missed, w.lastSeen, w.answeredAt, w.heardAt, w.silentLogged = 0, now, now, now, false
 		w.lapsed, w.suspected, w.brokeAt, w.missing = nil, false, time.Time{}, nil // it was cut off
 		w.updateClock(a.Clock, now)
