Acknowledge ends only to a worker that answers, and only until it has answered

Cause: each listing carried the number up to which ends may be forgotten. One without an answer may reach the next incarnation, whose ends are numbered anew: it forgets ends that the leader does not know. Their runs are not listed any more and start again.

Change: a listing acknowledges ends only if the worker has answered the previous order and has not answered a listing with this number. The look at a worker whose address another one reports acknowledges nothing and extends no lease. What remains is the one listing that carried the number and got no answer.

--- a/internal/process/dispatch/identity.go
+++ b/internal/process/dispatch/identity.go
@@ -14,7 +14,7 @@
 // checkFormer looks at a worker whose address a new one reports. If another process answers
 // there, it has ended. The caller holds the lock.
 func (t *term) checkFormer(w *worker) {
-	target, o := w.Worker, ListOrder{Lease: w.leaseEnd, Fence: t.number, Acknowledged: w.acknowledged}
+	target, o := w.Worker, ListOrder{Fence: t.number}
 	t.orders.Go(func() {
 		_, a := t.dispatcher.options.Upstream.List(t.permit(listTimeoutMargin), &target, o)
 		t.mu.Lock()
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -77,7 +77,7 @@
 		t.mu.Unlock()
 		sent := t.now()
 		listing, a := t.dispatcher.options.Upstream.List(t.permit(timeout), &target, o)
-		if committed := t.handleListing(w, sent, listing, a); committed != nil {
+		if committed := t.handleListing(w, o, sent, listing, a); committed != nil {
 			t.awaitCommit(t.ctx, committed)
 		}
 		if t.pausePolling(w, a) {
@@ -123,7 +123,11 @@
 	now := t.now()
 	o := ListOrder{Fence: t.number}
 	if lease, known := t.lease(w); known {
-		o.Lease, o.Acknowledged = lease, w.acknowledged
+		o.Lease = lease
+	}
+	if w.missed == 0 && w.acknowledged > w.forgotten {
+		// The next incarnation, whose ends are numbered anew, would forget ends that are not known.
+		o.Acknowledged = w.acknowledged
 	}
 	if len(w.runs) == 0 || w.silent(now) || w.clockReading.IsZero() {
 		return o
@@ -155,7 +159,7 @@
 
 // handleListing processes a listing. It returns a channel to wait on if ends
 // have to be committed before the next listing.
-func (t *term) handleListing(w *worker, sent time.Time, l Listing, a Answer) <-chan bool {
+func (t *term) handleListing(w *worker, o ListOrder, sent time.Time, l Listing, a Answer) <-chan bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.over || t.workers[w.ID] != w {
@@ -171,6 +175,7 @@
 		return nil
 	}
 	w.listed, w.pollOnce, w.refuses = true, false, false
+	w.forgotten = max(w.forgotten, o.Acknowledged)
 	present := map[job.TaskID]int{}
 	unread := 0
 	for _, listed := range l.Running {
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -65,6 +65,7 @@
 	orphans           map[orphan]*run // runs that were given up and that it may still execute
 	lastEnd           int64           // highest number of an end that was processed
 	acknowledged      int64           // highest number of an end that is committed
+	forgotten         int64           // highest number of an end that it was told to forget in a listing that it answered
 	missed            int             // consecutive unanswered orders
 	refuses           bool            // refused the latest listing, as an unhealthy worker does
 	leavesAt          time.Time       // when it counts as gone; zero unless it announced its termination
