Send no further copies of a start to an incarnation that has ended

A start without an answer was sent again for up to 0.5 s after its worker's next incarnation had reported itself, since its run is kept now. Found by reading.

Evidence: TestNoStartIsResentToAFormerIncarnation fails without the change.

--- a/internal/process/dispatch/former_test.go
+++ b/internal/process/dispatch/former_test.go
@@ -89,3 +89,26 @@
 		b.is.Equal(current.listOrder(w).Acknowledged, int64(0))
 	})
 }
+
+// Guards against doubts about the former incarnation that are dropped because a start to it is
+// sent again after its next one has reported itself (rule TWICE, issue 41).
+func TestNoStartIsResentToAFormerIncarnation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts = true })
+		b.submit("one", tasks(2))
+		time.Sleep(100 * time.Millisecond)
+		b.restart("a", 2)
+		b.changeWorker("a", func(w *fakeWorker) { w.refusesStops = true })
+		b.report("a", false)
+		time.Sleep(300 * time.Millisecond)
+		current := b.term()
+		current.mu.Lock()
+		defer current.mu.Unlock()
+		d := current.doubts["a"]
+		b.is.Equal(d.life, job.Incarnation(2))
+		b.is.Equal(len(d.starts), 2)
+		b.is.Equal(len(b.workers.worker("a").running), 0)
+	})
+}
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -94,7 +94,7 @@
 	for attempt := 1; t.awaitLease(); {
 		t.mu.Lock()
 		w := r.worker
-		if t.over || r.endQueued || r.stopping || !r.startResolvedAt.IsZero() {
+		if t.over || r.endQueued || r.stopping || !r.startResolvedAt.IsZero() || t.workers[w.ID] != w {
 			t.mu.Unlock()
 			return
 		}
