--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -35,7 +35,7 @@
 // doubt records that a copy of a start is sent.
 func (t *term) doubt(r *run) {
 	d := t.doubts[r.worker.ID]
-	if d == nil || d.life != r.worker.Life {
+	if d == nil {
 		d = &doubts{worker: r.worker.ID, life: r.worker.Life, starts: map[orphan]time.Time{}}
 		t.doubts[r.worker.ID] = d
 	}
@@ -88,6 +88,9 @@
 // which a copy of the start may still arrive. If the worker ends before, such an end
 // was not acknowledged, so that a later incarnation that carries the copy out repeats no run that was.
 func (t *term) acknowledgedEnd(w *worker) int64 {
+	if t.now().Before(w.acknowledgeFrom) {
+		return 0
+	}
 	number, d := w.acknowledged, t.doubtsOf(w)
 	for n, key := range w.unclearEnds {
 		if d == nil || d.starts[key].IsZero() {
@@ -123,8 +126,8 @@
 	return nil
 }
 
-// settleCopy records that a copy of a start can no longer be carried out: it was answered, or
-// its run is listed.
+// settleCopy records that a copy of a start can no longer be carried out, since it was answered.
+// A run that is listed settles none: an attempt may have sent several copies.
 func (t *term) settleCopy(r *run) {
 	r.copies = max(0, r.copies-1)
 	if d := t.doubtsOf(r.worker); d != nil && r.copies == 0 {
@@ -240,7 +243,7 @@
 		return false
 	}
 	if w := t.workers[d.worker]; w != nil && w.Life == d.life && w.missed == 0 {
-		if w.answeredAt.After(arrived) {
+		if w.provedAt.After(arrived) {
 			return true
 		}
 		w.pollOnce = true // an idle worker is not asked otherwise
--- a/internal/process/dispatch/identity.go
+++ b/internal/process/dispatch/identity.go
@@ -44,7 +44,7 @@
 		if t.over || t.workers[w.ID] != w {
 			return
 		}
-		if (a.Result == Accepted || a.Result == Refused) && (a.Life == 0 || a.Life == claim.Worker.Life) {
+		if (a.Result == Accepted || a.Result == Refused) && a.Life == claim.Worker.Life {
 			t.removeWorker(w, reasonNewLife)
 			t.addWorker(&claim, t.now())
 			return
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -178,6 +178,9 @@
 		return nil
 	}
 	w.listed, w.pollOnce, w.refuses = true, false, false
+	if w.proves(a, sent) {
+		w.provedAt = later(w.provedAt, sent)
+	}
 	present := map[job.TaskID]int{}
 	unread := 0
 	for _, listed := range l.Running {
@@ -189,7 +192,7 @@
 			continue
 		}
 		present[listed.Task] = listed.Run
-		t.handleListedRun(w, listed, a, sent)
+		t.handleListedRun(w, listed, a.Clock)
 	}
 	t.noteUnread(w.ID, unread)
 	t.checkSpeed(w)
@@ -200,7 +203,7 @@
 	for _, e := range l.Ended {
 		if e.Number > w.lastEnd {
 			last = max(last, e.Number)
-			t.handleEnd(w, e, a, sent)
+			t.handleEnd(w, e, a.Clock)
 		}
 	}
 	w.lastEnd = last
@@ -224,7 +227,7 @@
 // handleListedRun processes a run that a worker lists, and stops it if the leader
 // does not know it: its start was carried out late, or it was given up and
 // continued.
-func (t *term) handleListedRun(w *worker, listed ListedRun, a Answer, sent time.Time) {
+func (t *term) handleListedRun(w *worker, listed ListedRun, clock time.Time) {
 	r := w.runs[listed.Task]
 	if r == nil || r.number != listed.Run {
 		t.addOrphan(w, listed.Task, listed.Run, "the worker lists an orphaned run")
@@ -238,9 +241,6 @@
 	if r.startResolvedAt.IsZero() {
 		t.noteOutcome(r, true)
 		r.startResolvedAt, w.stale = now, true
-		if w.proves(a, sent) {
-			t.settleCopy(r)
-		}
 	}
 	if listed.Checkpoint != "" {
 		r.checkpoint = listed.Checkpoint
@@ -249,11 +249,11 @@
 		r.percent, r.lastProgress = listed.Percent, now
 	}
 	r.usage = listed.Usage
-	r.recordProgress(listed.Percent, a.Clock)
+	r.recordProgress(listed.Percent, clock)
 }
 
 // handleEnd processes the end of a run that a worker lists.
-func (t *term) handleEnd(w *worker, e EndedRun, a Answer, sent time.Time) {
+func (t *term) handleEnd(w *worker, e EndedRun, clock time.Time) {
 	r := w.runs[e.Task]
 	if r == nil || r.number != e.Run || r.endQueued {
 		// The run was given up but continued. The state decides whether its end
@@ -262,15 +262,12 @@
 			job.End{Task: e.Task, Run: e.Run, Worker: w.ID, Life: w.Life, Outcome: e.Outcome, Saved: e.Checkpoint})
 		return
 	}
-	if r.startResolvedAt.IsZero() && w.proves(a, sent) {
-		t.settleCopy(r)
-	}
 	t.noteUnclearEnd(r, e.Number)
 	r.endQueued, w.stale = true, true
 	t.inbox.ends = append(t.inbox.ends, r.end(e.Outcome, e.Checkpoint))
 	switch e.Outcome {
 	case job.Done:
-		t.recordCompletion(r, a.Clock)
+		t.recordCompletion(r, clock)
 	case job.RunFailed:
 		w.faults++
 		t.avoidForStep(r, t.now())
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -159,8 +159,7 @@
 	w := r.worker
 	switch {
 	case a.Repeated:
-		r.copies++ // the answer is to one of several
-		t.noteUnclear(r)
+		t.noteUnclear(r) // the answer is to one of several copies
 	case a.Result == NotSent, a.Result == Refused, a.Result == WrongWorker, a.Result == Accepted && w.proves(a, sent):
 		t.settleCopy(r)
 	default:
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -136,6 +136,10 @@
 	if w.silent(now) {
 		t.loseCopies(w, now)
 	}
+	if !w.acknowledgeFrom.IsZero() && now.After(w.acknowledgeFrom) {
+		w.acknowledgeFrom, w.pollOnce = time.Time{}, true // the worker may forget its ends now
+		t.startPolling(w)
+	}
 	if w.Draining && !w.drainDeadline.IsZero() && now.After(w.drainDeadline.Add(-t.timing().StopTime-drainMargin)) {
 		t.stopForDrain(w)
 	}
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -198,6 +198,9 @@
 			}
 			m.inheritedLeaseEnd = now.Add(time.Duration(float64(t.timing().MaxLease)/minClockRate) + leaseExpiryMargin)
 			t.setGeneration(m)
+			if ago, unclear := v.Doubtful(w.ID); unclear {
+				m.acknowledgeFrom = now.Add(lateOrderTime - ago)
+			}
 			t.workers[w.ID], t.sorted = m, nil
 		}
 		for name, reservations := range v.Reservations {
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -50,6 +50,8 @@
 	knownAt           time.Time // when it became known; zero for one of an earlier term
 	lastSeen          time.Time // last report or answer
 	answeredAt        time.Time // last answer
+	provedAt          time.Time // when the latest listing was sent that this incarnation answered
+	acknowledgeFrom   time.Time // no end is acknowledged before, since an earlier leader sent starts that have no answer; zero if it did not
 	heardAt           time.Time // last report or answer in this term; zero if there was none
 	brokeAt           time.Time // when its connections broke; zero if it has answered since
 	missing           *loss     // its crash, if it has crashed; nil if it answers or nothing asked for it
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -157,7 +157,8 @@
 	Used         map[string]work.Resources         // by workspace; total size of its runs and orphans
 	Limits       limits                            // by workspace; from the latest catalogue that contains it
 	Sequence     uint64
-	Updated      time.Time // of the latest round that did not begin a term
+	Updated      time.Time            // of the latest round that did not begin a term
+	Unanswered   map[string]time.Time // by worker: when it was last noted that a start to it has no answer
 	Waves        waves
 
 	withdrawn withdrawals
@@ -184,6 +185,7 @@
 	v.Used, v.Changes = map[string]work.Resources{}, map[string]uint64{}
 	v.Orphans, v.Limits = map[string]map[OrphanID]Orphan{}, limits{}
 	v.Waves.Open = map[int64]*WaveRecord{}
+	v.Unanswered = map[string]time.Time{}
 	v.withdrawn.init()
 }
 
@@ -230,7 +232,7 @@
 		v.dropOrphans(w.ID, w.Life)
 	}
 	for i := range r.Unclear {
-		v.noteUnclear(&r.Unclear[i])
+		v.noteUnclear(&r.Unclear[i], r.Now)
 	}
 	for i := range r.Confirmed {
 		v.confirm(&r.Confirmed[i])
@@ -351,7 +353,10 @@
 	if !ok || w.Life != s.Life || t.Done || t.Worker != "" || s.Run <= t.Run || p.Paused(&r.Job.Steps[s.Task.Step], t, now) {
 		return false
 	}
-	t.Run, t.Worker, t.Life, t.StartedMS, t.Unclear = s.Run, s.Worker, s.Life, now.UnixMilli(), ""
+	if t.Unclear != s.Worker || now.Sub(t.Started()) >= maxCopyAge {
+		t.Unclear = "" // else copies of an earlier start may be on their way there
+	}
+	t.Run, t.Worker, t.Life, t.StartedMS = s.Run, s.Worker, s.Life, now.UnixMilli()
 	if c := *p.crashes(&r.Job.Steps[s.Task.Step], t); c != nil {
 		c.Started(s.Run)
 	}
--- a/internal/version/job/unclear.go
+++ b/internal/version/job/unclear.go
@@ -1,6 +1,9 @@
 package job
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 const (
 	// copyTime is how long after the commit of a start its leader sends copies of it, and
@@ -14,7 +17,9 @@
 
 // noteUnclear records that a copy of a run's start has no answer, so that an incarnation of its
 // worker may carry it out later.
-func (v *View) noteUnclear(s *Start) {
+func (v *View) noteUnclear(s *Start, now time.Time) {
+	maps.DeleteFunc(v.Unanswered, func(_ string, at time.Time) bool { return now.Sub(at) >= maxCopyAge })
+	v.Unanswered[s.Worker] = now
 	if _, _, t := v.Find(s.Task); t != nil && t.Run == s.Run && t.Worker == s.Worker && t.Life == s.Life {
 		t.Unclear = s.Worker
 	}
@@ -26,3 +31,11 @@
 	age := v.Updated.Sub(t.Started())
 	return max(0, age-copyTime), age < copyTime || t.Unclear != "" && age < maxCopyAge
 }
+
+// Doubtful reports whether an earlier leader has sent starts to a worker that have no answer and may
+// still be carried out, and how long ago the latest was noted at least.
+func (v *View) Doubtful(worker string) (ago time.Duration, unclear bool) {
+	at, known := v.Unanswered[worker]
+	age := v.Updated.Sub(at)
+	return max(0, age-copyTime), known && age < maxCopyAge
+}
