Have copies of a listing wait at the same time while answers are lost

Cause: the end of a run is noticed with the next listing that is answered. While answers are lost, one listing at a time waits 60 ms for an end and 60 ms more until it counts as lost, so that at eight of ten an end is noticed after 0.7 s on average, and each step of a job waits that long.

Change: a listing waits 400 ms, and another copy is sent every 70 ms until one is answered. A listing that waits and one that is lost look alike, so that what counts is that a good one waits whenever a run ends. Answers of later copies are dropped.

--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -21,13 +21,15 @@
 	// listTimeoutMargin is added to the wait, for the answer to arrive.
 	listTimeoutMargin = 200 * time.Millisecond
 	// lossyPeriod is how long after unanswered orders to lossyWorkers workers the
-	// connections count as lossy. During this time listings wait less, because the
-	// end of a run is seen only with the next listing if an answer is lost.
+	// connections count as lossy. During this time several copies of a listing wait at
+	// the same time, because one that is lost looks like one that waits for an end.
 	lossyPeriod        = 4 * time.Second
 	lossyWorkers       = 3
-	lossyListWait      = 60 * time.Millisecond  // of workers with urgent runs
-	lossyOtherListWait = 500 * time.Millisecond // of other workers
+	lossyListWait      = 400 * time.Millisecond
+	lossyListRepeat    = 70 * time.Millisecond // between copies
 	lossyTimeoutMargin = 60 * time.Millisecond
+	// missedListWait is the wait for a worker that alone did not answer its latest order.
+	missedListWait = 60 * time.Millisecond
 	// An urgent run may take overdueFactor times its expected run time before
 	// its worker is polled for its progress. From then on it is polled every
 	// overdueListWait.
@@ -129,22 +131,18 @@
 		return o
 	}
 	o.Wait = min(maxListWait, t.timing().MaxPoll)
-	if w.missed > 0 {
-		o.Wait = lossyListWait
-	}
 	lossy := t.lossy()
 	if lossy {
-		o.Wait = min(o.Wait, lossyOtherListWait)
+		o.Wait, o.Repeat = min(o.Wait, lossyListWait), lossyListRepeat
+	} else if w.missed > 0 {
+		o.Wait = missedListWait
 	}
 	for _, r := range w.runs {
-		if lossy && r.urgent {
-			o.Wait = min(o.Wait, lossyListWait)
-		}
 		if r.urgent && r.measurable() {
 			expected := overdueFactor * float64(t.baseline(r.queue).Expected(r.spec.Estimate))
 			o.Wait = min(o.Wait, max(r.startResolvedAt.Add(time.Duration(expected)).Sub(now), overdueListWait))
 		}
-		if r.startResolvedAt.IsZero() || !r.stopAcceptedAt.IsZero() {
+		if r.startResolvedAt.IsZero() && !lossy || !r.stopAcceptedAt.IsZero() {
 			// The outcome of the order is needed soon, and possibly no run ends
 			// meanwhile.
 			o.Wait = min(o.Wait, unresolvedListWait)
--- a/internal/process/driver/hedge.go
+++ b/internal/process/driver/hedge.go
@@ -68,6 +68,51 @@
 	return h.send(p, func(p dispatch.Permit) dispatch.Answer { return h.Upstream.Stop(p, w, o) })
 }
 
+// listed is the answer to a listing.
+type listed struct {
+	listing dispatch.Listing
+	answer  dispatch.Answer
+}
+
+// List implements dispatch.Upstream. A copy that waits for an end cannot be told from one
+// that is lost, so that several wait at the same time if the order says so. All end with
+// the wait of the first.
+func (h hedged) List(p dispatch.Permit, w *job.Worker, o dispatch.ListOrder) (dispatch.Listing, dispatch.Answer) {
+	if o.Repeat <= 0 || o.Repeat >= o.Wait {
+		return h.Upstream.List(p, w, o)
+	}
+	began := time.Now()
+	answers := make(chan listed, 1+int(o.Wait/o.Repeat))
+	launch := func(passed time.Duration) {
+		copied, permit := o, dispatch.Permit{Timeout: p.Timeout - passed, Valid: p.Valid}
+		copied.Wait = (o.Wait - passed).Truncate(time.Millisecond)
+		go func() {
+			l, a := h.Upstream.List(permit, w, copied)
+			answers <- listed{l, a}
+		}()
+	}
+	launch(0)
+	next := time.NewTicker(o.Repeat)
+	defer next.Stop()
+	worst := dispatch.Answer{}
+	for returned, copies := 0, 1; returned < copies; {
+		select {
+		case l := <-answers:
+			returned++
+			if a := l.answer; a.Result == dispatch.Accepted || a.Result == dispatch.Refused || a.Result == dispatch.WrongWorker {
+				return l.listing, a
+			}
+			worst = leastKnown(worst, l.answer)
+		case <-next.C:
+			if passed := time.Since(began); copies < cap(answers) && passed < o.Wait && p.Valid() {
+				copies++
+				launch(passed)
+			}
+		}
+	}
+	return dispatch.Listing{}, worst
+}
+
 // send sends an order up to maxCopies times and returns the first answer. Without
 // one it returns the outcome of the copy that fared best.
 func (h hedged) send(p dispatch.Permit, order func(dispatch.Permit) dispatch.Answer) dispatch.Answer {
--- a/internal/process/driver/hedge_test.go
+++ b/internal/process/driver/hedge_test.go
@@ -35,6 +35,45 @@
 	return u.answer
 }
 
+func (u *lossyUpstream) List(p dispatch.Permit, _ *job.Worker, o dispatch.ListOrder) (dispatch.Listing, dispatch.Answer) {
+	u.mu.Lock()
+	u.copies++
+	lost := u.copies <= u.lose
+	u.mu.Unlock()
+	if lost {
+		time.Sleep(p.Timeout)
+		return dispatch.Listing{}, dispatch.Answer{Result: u.result}
+	}
+	time.Sleep(min(o.Wait, 2*time.Millisecond)) // a run ends
+	return dispatch.Listing{Complete: true}, u.answer
+}
+
+// Guards against the end of a run that is noticed only after the wait of a listing that
+// was lost, and against listings that last longer than their time-out.
+func TestCopiesOfAListingWaitAtTheSameTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		o := dispatch.ListOrder{Wait: 400 * time.Millisecond, Repeat: 70 * time.Millisecond}
+		timeout := o.Wait + 60*time.Millisecond
+		u := &lossyUpstream{lose: 2, answer: dispatch.Answer{Result: dispatch.Accepted}, result: dispatch.Unanswered}
+		began := time.Now()
+		l, a := Hedge(u).List(always(timeout), worker(1), o)
+		is.Equal(a.Result, dispatch.Accepted)
+		is.True(l.Complete)
+		is.True(time.Since(began) <= 2*o.Repeat+2*time.Millisecond)
+		is.Equal(u.copies, 3)
+		time.Sleep(timeout) // the lost copies time out
+		u.copies, u.lose, began = 0, 100, time.Now()
+		_, a = Hedge(u).List(always(timeout), worker(1), o)
+		is.Equal(a.Result, dispatch.Unanswered)
+		is.True(time.Since(began) <= timeout)
+		is.Equal(u.copies, 6)
+		u.copies, o.Repeat = 0, 0
+		Hedge(u).List(always(timeout), worker(1), o)
+		is.Equal(u.copies, 1)
+	})
+}
+
 // Guards against a start that waits for its time-out when its answer was lost. With
 // four in ten answers lost, a step of ten tasks waited 0.3 s (scenario
 // freeze-before-late of rmpc-thies-grown).
--- a/internal/process/driver/message.go
+++ b/internal/process/driver/message.go
@@ -44,6 +44,7 @@
 	Ticket     string
 	Acked      int64         // see dispatch.ListOrder
 	Wait       time.Duration // see dispatch.ListOrder
+	Repeat     time.Duration // see dispatch.ListOrder
 	Percent    int
 }
 
