Bound the copies of a listing by the share of lost answers

Cause: a few lost answers made all listings wait in six copies, which costs connections where one copy is lost in two or in five.

Change: the share of lost answers counts copies, not attempts of up to three of them, and a listing is sent at most as often as it takes to have one answered at 97%. The patience with silent workers counts copies too.

--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -133,7 +133,7 @@
 	o.Wait = min(maxListWait, t.timing().MaxPoll)
 	lossy := t.lossy()
 	if lossy {
-		o.Wait, o.Repeat = min(o.Wait, lossyListWait), lossyListRepeat
+		o.Wait, o.Repeat, o.Copies = min(o.Wait, lossyListWait), lossyListRepeat, t.lossShare.copies(now, chanceNoneWaits)
 	} else if w.missed > 0 {
 		o.Wait = missedListWait
 	}
--- a/internal/process/dispatch/lost_test.go
+++ b/internal/process/dispatch/lost_test.go
@@ -94,7 +94,8 @@
 	is := is.New(t)
 	now := time.Now()
 	var l lossShare
-	is.Equal(l.patience(now), 0)
+	is.True(l.patience(now) <= maxMissedAnswers)
+	is.Equal(l.copies(now, chanceNoneWaits), 1)
 	for range 100 {
 		l.record(now, 0, 0)
 	}
--- a/internal/process/dispatch/share.go
+++ b/internal/process/dispatch/share.go
@@ -14,24 +14,26 @@
 	// chanceSilence is the probability at which consecutive lost answers of a worker are
 	// no longer taken for chance.
 	chanceSilence = 0.01
+	// chanceNoneWaits is the probability at which all copies of a listing may be lost.
+	chanceNoneWaits = 0.03
 	// maxPatience bounds the number of lost answers that count as chance.
 	maxPatience = 25
 )
 
-// lossShare estimates the share of orders to workers whose answers are lost, from the
+// lossShare estimates the share of copies of orders to workers whose answers are lost, from the
 // workers that answer. Those that answer nothing say nothing about the others.
 type lossShare struct {
 	lost, answered float64
 	at             time.Time
 }
 
-// record counts an answer that came after missed orders without one, and the time since the
+// record counts an answer that came after a number of copies without one, and the time since the
 // worker's answer before.
-func (l *lossShare) record(now time.Time, missed int, gap time.Duration) {
+func (l *lossShare) record(now time.Time, lost int, gap time.Duration) {
 	l.forget(now)
 	l.answered++
 	if gap <= maxLossGap {
-		l.lost += float64(missed)
+		l.lost += float64(lost)
 	}
 }
 
@@ -45,11 +47,16 @@
 // low.
 func (l *lossShare) share() float64 { return l.lost / (l.lost + l.answered + 1) }
 
-// patience returns how many orders without an answer in a row are explained by the share.
+// patience returns how many copies without an answer in a row are explained by the share.
 func (l *lossShare) patience(now time.Time) int {
+	return min(l.copies(now, chanceSilence), maxPatience)
+}
+
+// copies returns how many copies are all lost with a given probability.
+func (l *lossShare) copies(now time.Time, chance float64) int {
 	l.forget(now)
 	if share := l.share(); share > 0 {
-		return min(int(math.Ceil(math.Log(chanceSilence)/math.Log(share))), maxPatience)
+		return int(math.Ceil(math.Log(chance) / math.Log(share)))
 	}
-	return 0
+	return 1
 }
--- a/internal/process/dispatch/upstream.go
+++ b/internal/process/dispatch/upstream.go
@@ -71,7 +71,8 @@
 	Fence        uint64
 	Acknowledged int64         // the worker may forget ends up to this number
 	Wait         time.Duration // the answer may wait this long for the end of a run
-	Repeat       time.Duration // another copy is sent after each such time without an answer; zero means one copy only
+	Repeat       time.Duration // another copy is sent after each such time without an answer
+	Copies       int           // bounds the copies; zero means one
 }
 
 // ThrottleOrder limits a run to a percentage of its full speed.
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -65,7 +65,8 @@
 	lastEnd           int64           // highest number of an end that was processed
 	acknowledged      int64           // highest number of an end that is committed
 	missed            int             // consecutive unanswered orders
-	patience          int             // number of these that the present share of lost answers explains
+	lost              int             // copies of these orders
+	patience          int             // number of these copies that the present share of lost answers explains
 	refuses           bool            // refused the latest listing, as an unhealthy worker does
 	leavesAt          time.Time       // when it counts as gone; zero unless it announced its termination
 	drainDeadline     time.Time       // a draining worker is gone after this
@@ -200,7 +201,7 @@
 
 // silent reports whether the worker does not answer orders.
 func (w *worker) silent(now time.Time) bool {
-	return w.missed >= max(w.patience, maxMissedAnswers) && now.Sub(w.answeredAt) >= silentTime
+	return w.missed >= maxMissedAnswers && w.lost >= w.patience && now.Sub(w.answeredAt) >= silentTime
 }
 
 // handleAnswer processes an answer, or the lack of one. It reports whether the
@@ -217,8 +218,8 @@
 			t.removeWorker(w, reasonOtherLife)
 			return false
 		}
-		t.lossShare.record(now, w.missed, now.Sub(w.answeredAt))
-		w.missed, w.lastSeen, w.answeredAt, w.heardAt, w.silentLogged = 0, now, now, now, false
+		t.lossShare.record(now, w.lost+max(a.Copies, 1)-1, now.Sub(w.answeredAt))
+		w.missed, w.lost, w.lastSeen, w.answeredAt, w.heardAt, w.silentLogged = 0, 0, now, now, now, false
 		w.lapsed, w.suspected, w.brokeAt, w.missing = nil, false, time.Time{}, nil // it was cut off
 		w.updateClock(a.Clock, now)
 	case WrongWorker:
@@ -227,6 +228,7 @@
 	case Undelivered:
 	default:
 		w.missed++
+		w.lost += max(a.Copies, 1)
 		w.patience = t.lossShare.patience(now)
 		if a.Reason == ReasonBroken && w.brokeAt.IsZero() {
 			w.brokeAt, w.missing = now, nil
--- a/internal/process/driver/fleet.go
+++ b/internal/process/driver/fleet.go
@@ -280,7 +280,7 @@
 
 // List implements dispatch.Upstream.
 func (f *Fleet) List(p dispatch.Permit, w *job.Worker, o dispatch.ListOrder) (dispatch.Listing, dispatch.Answer) {
-	r, ok := f.send(p, w, order{Kind: list, Lease: milliseconds(o.Lease), Fence: o.Fence, Acked: o.Acknowledged, Wait: o.Wait, Repeat: o.Repeat})
+	r, ok := f.send(p, w, order{Kind: list, Lease: milliseconds(o.Lease), Fence: o.Fence, Acked: o.Acknowledged, Wait: o.Wait, Repeat: o.Repeat, Copies: o.Copies})
 	if !ok {
 		return f.options.Local.List(p, w, o)
 	}
--- a/internal/process/driver/hedge.go
+++ b/internal/process/driver/hedge.go
@@ -78,11 +78,11 @@
 // that is lost, so that several wait at the same time if the order says so. All end with
 // the wait of the first.
 func (h hedged) List(p dispatch.Permit, w *job.Worker, o dispatch.ListOrder) (dispatch.Listing, dispatch.Answer) {
-	if o.Repeat <= 0 || o.Repeat >= o.Wait {
+	if o.Copies <= 1 || o.Repeat <= 0 || o.Repeat >= o.Wait {
 		return h.Upstream.List(p, w, o)
 	}
 	began := time.Now()
-	answers := make(chan listed, 1+int(o.Wait/o.Repeat))
+	answers := make(chan listed, min(o.Copies, 1+int(o.Wait/o.Repeat)))
 	launch := func(passed time.Duration) {
 		copied, permit := o, dispatch.Permit{Timeout: p.Timeout - passed, Valid: p.Valid}
 		copied.Wait = (o.Wait - passed).Truncate(time.Millisecond)
@@ -103,6 +103,7 @@
 				return l.listing, a
 			}
 			worst = leastKnown(worst, l.answer)
+			worst.Copies = copies
 		case <-next.C:
 			if passed := time.Since(began); copies < cap(answers) && passed < o.Wait && p.Valid() {
 				copies++
--- a/internal/process/driver/hedge_test.go
+++ b/internal/process/driver/hedge_test.go
@@ -53,7 +53,7 @@
 func TestCopiesOfAListingWaitAtTheSameTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		o := dispatch.ListOrder{Wait: 400 * time.Millisecond, Repeat: 70 * time.Millisecond}
+		o := dispatch.ListOrder{Wait: 400 * time.Millisecond, Repeat: 70 * time.Millisecond, Copies: 6}
 		timeout := o.Wait + 60*time.Millisecond
 		u := &lossyUpstream{lose: 2, answer: dispatch.Answer{Result: dispatch.Accepted}, result: dispatch.Unanswered}
 		began := time.Now()
@@ -68,7 +68,8 @@
 		is.Equal(a.Result, dispatch.Unanswered)
 		is.True(time.Since(began) <= timeout)
 		is.Equal(u.copies, 6)
-		u.copies, o.Repeat = 0, 0
+		is.Equal(a.Copies, 6)
+		u.copies, o.Copies = 0, 1
 		Hedge(u).List(always(timeout), worker(1), o)
 		is.Equal(u.copies, 1)
 	})
--- a/internal/process/driver/message.go
+++ b/internal/process/driver/message.go
@@ -45,6 +45,7 @@
 	Acked      int64         // see dispatch.ListOrder
 	Wait       time.Duration // see dispatch.ListOrder
 	Repeat     time.Duration // see dispatch.ListOrder
+	Copies     int           // see dispatch.ListOrder
 	Percent    int
 }
 
--- a/internal/process/driver/server.go
+++ b/internal/process/driver/server.go
@@ -139,7 +139,7 @@
 		a = u.Stop(p, w, dispatch.StopOrder{Task: o.Task, Run: o.Run, Fence: o.Fence})
 	case list:
 		l = &dispatch.Listing{}
-		*l, a = u.List(p, w, dispatch.ListOrder{Lease: clock(o.Lease), Fence: o.Fence, Acknowledged: o.Acked, Wait: o.Wait, Repeat: o.Repeat})
+		*l, a = u.List(p, w, dispatch.ListOrder{Lease: clock(o.Lease), Fence: o.Fence, Acknowledged: o.Acked, Wait: o.Wait, Repeat: o.Repeat, Copies: o.Copies})
 	case throttle:
 		a = u.Throttle(p, w, dispatch.ThrottleOrder{Task: o.Task, Run: o.Run, Percent: o.Percent, Fence: o.Fence})
 	case forget:
