--- a/internal/connection/tcp/pool.go
+++ b/internal/connection/tcp/pool.go
@@ -20,6 +20,7 @@
 type PoolOptions struct {
 	Budget      *Budget
 	PerAddress  int           // maximum number of connections to one address
+	Prompt      int           // of these, for requests that are answered at once; zero means all
 	DialTimeout time.Duration // to open a connection
 	Wait        time.Duration // longest wait for one of the PerAddress connections
 	IdleTime    time.Duration // after which an unused connection is closed
@@ -39,8 +40,9 @@
 
 // remote is the client for one address.
 type remote struct {
-	http  *fasthttp.HostClient
-	place *list.Element // in Pool.recent; nil if it is not there
+	http   *fasthttp.HostClient
+	prompt chan struct{} // places for requests that are answered at once; nil if they are not limited
+	place  *list.Element // in Pool.recent; nil if it is not there
 }
 
 // NewPool returns a Pool.
@@ -51,14 +53,47 @@
 // Opened returns the number of connections that were opened.
 func (p *Pool) Opened() int64 { return p.opened.Load() }
 
-// Do sends a request and reads the response. It returns by the deadline.
+// Do sends a request that is answered at once and reads the response. It returns by the
+// deadline.
 func (p *Pool) Do(address netip.AddrPort, request *fasthttp.Request, response *fasthttp.Response, deadline time.Time) error {
 	r := p.get(address)
+	if r.prompt != nil {
+		if !r.enter(min(p.options.Wait, time.Until(deadline))) {
+			return fasthttp.ErrNoFreeConns
+		}
+		defer func() { <-r.prompt }()
+	}
+	return p.do(r, request, response, deadline)
+}
+
+// Await is Do for a request whose response may wait.
+func (p *Pool) Await(address netip.AddrPort, request *fasthttp.Request, response *fasthttp.Response, deadline time.Time) error {
+	return p.do(p.get(address), request, response, deadline)
+}
+
+func (p *Pool) do(r *remote, request *fasthttp.Request, response *fasthttp.Response, deadline time.Time) error {
 	err := r.http.DoDeadline(request, response, deadline)
 	p.use(r)
 	return err
 }
 
+// enter waits for a place. It returns false if there is none in time.
+func (r *remote) enter(wait time.Duration) bool {
+	select {
+	case r.prompt <- struct{}{}:
+		return true
+	default:
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case r.prompt <- struct{}{}:
+		return true
+	case <-timer.C:
+		return false
+	}
+}
+
 // get returns the client for an address and creates it if needed.
 func (p *Pool) get(address netip.AddrPort) *remote {
 	p.mu.Lock()
@@ -71,6 +106,9 @@
 			Dial: p.dial, NoDefaultUserAgentHeader: true, MaxIdemponentCallAttempts: 1,
 			RetryIfErr: func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		}}
+		if p.options.Prompt > 0 {
+			r.prompt = make(chan struct{}, p.options.Prompt)
+		}
 		p.remote[address] = r
 	}
 	return r
--- a/internal/connection/tcp/tcp_test.go
+++ b/internal/connection/tcp/tcp_test.go
@@ -185,3 +185,32 @@
 	_, err = request(p, address(l))
 	is.NoErr(err) // the listener accepts again
 }
+
+// Guards against requests whose responses wait that keep out those answered at once, and
+// against bursts of the latter that open connections.
+func TestPlacesForPromptRequests(t *testing.T) {
+	is := is.New(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	is.NoErr(err)
+	defer l.Close() // nothing answers
+	address := netip.MustParseAddrPort(l.Addr().String())
+	p := NewPool(PoolOptions{Budget: NewBudget("test", 8), PerAddress: 3, Prompt: 1, DialTimeout: time.Second, Wait: 20 * time.Millisecond})
+	deadline := time.Now().Add(300 * time.Millisecond)
+	send := func(do func(netip.AddrPort, *fasthttp.Request, *fasthttp.Response, time.Time) error) error {
+		var request fasthttp.Request
+		var response fasthttp.Response
+		request.SetRequestURI("/")
+		request.Header.SetHost(address.String())
+		return do(address, &request, &response, deadline)
+	}
+	var requests sync.WaitGroup
+	requests.Go(func() { is.True(!NotSent(send(p.Do))) })
+	for p.Opened() == 0 && time.Now().Before(deadline) {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(NotSent(send(p.Do)))
+	is.Equal(p.Opened(), int64(1))
+	is.True(!NotSent(send(p.Await)))
+	is.Equal(p.Opened(), int64(2))
+	requests.Wait()
+}
