--- a/internal/process/driver/message.go
+++ b/internal/process/driver/message.go
@@ -44,6 +44,8 @@
 	Ticket     string
 	Acked      int64         // see dispatch.ListOrder
 	Wait       time.Duration // see dispatch.ListOrder
+	Repeat     time.Duration // see dispatch.ListOrder
+	Copies     int           // see dispatch.ListOrder
 	Percent    int
 }
 
