--- a/internal/version/crash/common.go
+++ b/internal/version/crash/common.go
@@ -70,26 +70,23 @@
 	if l.Tasks != nil && slices.Contains(o.Tasks, l.Tasks[run]) {
 		return true
 	}
+	// Times are relative to l.To, since many runs of many workers are compared.
+	theirTo, mine := o.To.Sub(l.To), -l.Runs[run].Most
+	myLead, theirLead := max(-commonTime, l.From.Sub(o.To)), max(-commonTime, o.From.Sub(l.To))
 	for i := range o.Runs {
-		if l.like(run, o, i) || o.like(i, l, run) {
+		theirs := theirTo - o.Runs[i].Most
+		if mine <= theirs && mayBeAlike(theirs-mine+myLead, min(theirTo, commonTime)-theirs) ||
+			theirs <= mine && mayBeAlike(mine-theirs+theirLead, min(0, theirTo+commonTime)-mine) {
 			return true
 		}
 	}
 	return false
 }
 
-// like reports whether a run is the older one of two that may have had about the same age when
-// their workers crashed in common. The ages at any other two moments say nothing.
-func (l *Loss) like(run int, o *Loss, other int) bool {
-	older, younger := l.started(run), o.started(other)
-	latest := o.To
-	if end := l.To.Add(commonTime); end.Before(latest) {
-		latest = end
-	}
-	age := max(0, latest.Sub(younger))
-	apart := younger.Sub(older) + max(-commonTime, l.From.Sub(o.To))
-	return !younger.Before(older) && float64(age+apart) <= likeFactor*float64(age+ageMargin)
+// mayBeAlike reports whether two runs may have had about the same age when their workers crashed
+// in common, if one is older by a time at least and the younger one has an age at most. The ages
+// of both at any two other moments say nothing.
+func mayBeAlike(older, age time.Duration) bool {
+	age = max(0, age)
+	return float64(age+older) <= likeFactor*float64(age+ageMargin)
 }
-
-// started returns when a run started, for which its worker must not have crashed before.
-func (l *Loss) started(run int) time.Time { return l.To.Add(-l.Runs[run].Most) }
