--- a/internal/version/crash/chance.go
+++ b/internal/version/crash/chance.go
@@ -7,8 +7,8 @@
 
 const (
 	// A task is given up if the probability that other reasons crashed its workers during its
-	// trials is at most maxChance, or after mostTried of them, or mostCrashes in all. See
-	// docs/policy.md, section "Crashes by chance".
+	// trials is at most maxChance, or after mostTried of them, or mostCrashes in all, with those
+	// in common. See docs/policy.md, section "Crashes by chance".
 	maxChance   = 1e-3
 	mostTried   = 3
 	mostCrashes = 5
@@ -54,7 +54,7 @@
 
 // Proven reports whether the crashes under a task that looks faulty suffice to give it up.
 func (r *Record) Proven(rate *Rate) bool {
-	return r.count(tried) >= mostTried || r.count(confirmed) >= mostCrashes || r.Chance(rate) <= maxChance
+	return r.count(tried) >= mostTried || r.count(confirmed)+len(r.Cleared) >= mostCrashes || r.Chance(rate) <= maxChance
 }
 
 // Doubt has the task start again as a trial, until one more worker has crashed under it.
