Bound the crash of a worker by the first answer of the next process at its address

Now the interval ends where the next process was known, once that one has answered (TestLateFoundCrashLiesBeforeTheNextProcess).

--- a/internal/process/dispatch/chance_test.go
+++ b/internal/process/dispatch/chance_test.go
@@ -159,3 +159,33 @@
 		})
 	}
 }
+
+// Guards against work that crashes its workers and is cleared by the crash of an idle worker of
+// long ago, whose record a new leader removes late (rule BUDGET, seed 9303 of the soak).
+func TestLateFoundCrashLiesBeforeTheNextProcess(t *testing.T) {
+	for name, c := range map[string]struct {
+		known time.Duration // after the start of the term; zero if in an earlier one
+	}{"known in this term": {time.Second}, "known in an earlier term": {0}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestCluster(t, "a")
+				defer b.close()
+				time.Sleep(5 * time.Second)
+				term := b.term()
+				old, next := newWorker(job.Worker{ID: "old"}, time.Now()), newWorker(job.Worker{ID: "next"}, time.Now())
+				if c.known > 0 {
+					next.knownAt = term.began.Add(c.known)
+				}
+				term.mu.Lock()
+				defer term.mu.Unlock()
+				term.workers["old"], term.workers["next"] = old, next
+				b.is.Equal(term.lossOf(old, nil, nil).To, time.Now()) // nothing was heard at the address
+				term.handleAnswer(next, Answer{Result: Accepted})
+				delete(term.workers, "next")
+				b.is.Equal(term.lossOf(old, nil, nil).To, term.began.Add(c.known))
+				b.is.Equal(term.lossOf(next, nil, nil).To, time.Now())
+				delete(term.workers, "old")
+			})
+		})
+	}
+}
--- a/internal/process/dispatch/loss.go
+++ b/internal/process/dispatch/loss.go
@@ -42,7 +42,7 @@
 		}
 	}
 	if l.To.IsZero() {
-		l.To = t.now()
+		l.To = t.latestEnd(w)
 	}
 	for i, r := range runs {
 		l.Loss.Runs[i].Most = max(0, l.To.Sub(r.startedAt))
@@ -50,6 +50,25 @@
 	return l
 }
 
+// latestEnd returns the time until which a worker may have crashed whose connections have not
+// broken: until now, or until another one was known at its address.
+func (t *term) latestEnd(w *worker) time.Time {
+	if now := t.now(); w.replacedAt.IsZero() || now.Before(w.replacedAt) {
+		return now
+	}
+	return w.replacedAt
+}
+
+// noteReplaced records that the process of a worker that was known at a time has taken the
+// address of others, which its first answer shows.
+func (t *term) noteReplaced(by *worker, known time.Time) {
+	for _, w := range t.workers {
+		if w != by && w.Address == by.Address && w.replacedAt.IsZero() && !w.heardAt.After(known) {
+			w.replacedAt = known
+		}
+	}
+}
+
 // missingLoss describes the crash of a worker that does not answer, if it has crashed.
 func (t *term) missingLoss(w *worker) *crash.Loss {
 	if w.missing == nil {
@@ -57,8 +76,9 @@
 		w.missing = t.lossOf(w, runs, evidence)
 	}
 	if w.brokeAt.IsZero() {
-		d := t.now().Sub(w.missing.To)
-		w.missing.To = t.now()
+		to := t.latestEnd(w)
+		d := to.Sub(w.missing.To)
+		w.missing.To = to
 		for i := range w.missing.Loss.Runs {
 			w.missing.Loss.Runs[i].Most += d
 		}
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -51,6 +51,7 @@
 	answeredAt        time.Time // last answer
 	heardAt           time.Time // last report or answer in this term; zero if there was none
 	brokeAt           time.Time // when its connections broke; zero if it has answered since
+	replacedAt        time.Time // when another worker was known at its address; zero if none was heard there
 	missing           *loss     // its crash, if it has crashed; nil if it answers or nothing asked for it
 	silentLogged      bool
 	clockReading      time.Time // latest reading of the worker's clock
@@ -184,8 +185,11 @@
 			t.removeWorker(w, reasonOtherLife)
 			return false
 		}
+		if !w.listed {
+			t.noteReplaced(w, later(w.knownAt, t.began))
+		}
 		w.missed, w.lastSeen, w.answeredAt, w.heardAt, w.silentLogged = 0, now, now, now, false
-		w.lapsed, w.suspected, w.brokeAt, w.missing = nil, false, time.Time{}, nil // it was cut off
+		w.lapsed, w.suspected, w.brokeAt, w.replacedAt, w.missing = nil, false, time.Time{}, time.Time{}, nil // it was cut off
 		w.updateClock(a.Clock, now)
 	case WrongWorker:
 		t.removeWorker(w, reasonOtherWorker)
