--- a/internal/version/crash/chance_test.go
+++ b/internal/version/crash/chance_test.go
@@ -38,3 +38,21 @@
 		})
 	}
 }
+
+// Guards against work that goes on crashing its workers because crashes under it that are taken
+// for those in common do not count for the last resort (rule BUDGET, seed 9303 of the soak).
+func TestClearedCrashesCountForTheLastResort(t *testing.T) {
+	is := is.New(t)
+	rate := Rate{Crashes: 100, Workers: 2}
+	r, e := &Record{}, Evidence{Age: 5 * ms, Most: 30 * ms, Confirmed: true, Suspected: true, Alone: true}
+	for run := 1; run <= 3; run++ {
+		r.Clear(run)
+	}
+	r.Add(4, e)
+	r.Started(5)
+	r.Add(5, e)
+	is.True(r.Faulty())
+	is.True(r.Proven(&rate))
+	r.Cleared = nil
+	is.True(!r.Proven(&rate))
+}
