--- a/cmd/rosemaryloft-emulate/main.go
+++ b/cmd/rosemaryloft-emulate/main.go
@@ -1,6 +1,8 @@
 // Command rosemaryloft-emulate plays a scenario against the processes of a cell on
 // loopback and prints what callers got, what the processes used, and which rules
-// were broken. Package platform/emulator describes scenarios.
+// were broken. Package platform/emulator describes scenarios. A scenario with an
+// experiment is played several times; the folder gets the report of each play, and a
+// table of all is printed.
 //
 // # Usage
 //
@@ -24,6 +26,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 
 	"github.com/rosemaryloft/rosemaryloft/platform/emulator"
 )
@@ -75,7 +78,11 @@
 			return false, err
 		}
 	}
-	e, err := emulator.New(emulator.Options{Scenario: s, Network: o.Network, Binary: o.Binary, Folder: o.Folder, Profile: o.Profile, Record: o.Record})
+	settings := emulator.Options{Scenario: s, Network: o.Network, Binary: o.Binary, Folder: o.Folder, Profile: o.Profile, Record: o.Record}
+	if s.Experiment != nil {
+		return runExperiment(ctx, settings)
+	}
+	e, err := emulator.New(settings)
 	if err != nil {
 		return false, err
 	}
@@ -86,3 +93,19 @@
 	fmt.Println("logs are in", o.Folder)
 	return len(r.Violations) > 0 || r.Exits > 0, r.Write(os.Stdout)
 }
+
+// runExperiment plays an experiment and prints each row of its table once it is known, and
+// then the whole table.
+func runExperiment(ctx context.Context, settings emulator.Options) (broken bool, err error) {
+	var plays []emulator.Play
+	err = emulator.RunExperiment(ctx, settings, func(p emulator.Play) {
+		plays = append(plays, p)
+		broken = broken || len(p.Report.Violations) > 0 || p.Report.Exits > 0
+		fmt.Fprintf(os.Stderr, "played share %g with seed %d: %d violations, %d exits\n", p.Share, p.Seed, len(p.Report.Violations), p.Report.Exits)
+	})
+	if err != nil && len(plays) == 0 {
+		return false, err
+	}
+	fmt.Println("logs are in", settings.Folder)
+	return broken, errors.CombineErrors(err, emulator.WritePlays(os.Stdout, plays))
+}
