Count an end as done of a run that had ended on its worker's former incarnation

Callers would see a task start again after an end as done was acknowledged (rule TWICE).

Cause: ends are counted once by run number, and a run can end once on each incarnation. An end as done counts now whatever was counted; it changes nothing the second time. TestDoneOnTheNextIncarnationCounts fails without the change. Open: an end as failed of a run that was counted as stopped is still dropped, so that one more run than max_attempts may start (BUDGET).

--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -430,10 +430,11 @@
 	} else if e.Outcome != Done && e.Outcome != RunFailed {
 		return
 	}
-	if slices.Contains(t.Counted, e.Run) {
+	counted := slices.Contains(t.Counted, e.Run)
+	if counted && e.Outcome != Done {
 		return // a new leader lists ends again that were not acknowledged
 	}
-	if e.Outcome != Lost {
+	if !counted && e.Outcome != Lost {
 		t.Counted = append(t.Counted, e.Run)
 	}
 	if e.Saved != "" && e.Outcome != Done {
