--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -378,23 +378,6 @@
 	return l, a, true
 }
 
-// prepareList has a worker carry out what a listing orders. It reports whether the order is
-// of the latest leader that the worker knows.
-func (h *fakeWorkers) prepareList(w *fakeWorker, o ListOrder) bool {
-	if o.Fence < w.fence {
-		return false
-	}
-	w.fence = o.Fence
-	h.extendLease(w, o.Lease)
-	w.ended = slices.DeleteFunc(w.ended, func(e EndedRun) bool {
-		if e.Number <= o.Acknowledged {
-			h.fates.acknowledged(w, e)
-		}
-		return e.Number <= o.Acknowledged
-	})
-	return true
-}
-
 func (h *fakeWorkers) Throttle(Permit, *job.Worker, ThrottleOrder) Answer {
 	return Answer{Result: Accepted}
 }
--- a/internal/process/dispatch/fates_test.go
+++ b/internal/process/dispatch/fates_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -252,3 +253,20 @@
 	}
 	return tasks
 }
+
+// prepareList has a worker carry out what a listing orders. It reports whether the order is
+// of the latest leader that the worker knows.
+func (h *fakeWorkers) prepareList(w *fakeWorker, o ListOrder) bool {
+	if o.Fence < w.fence {
+		return false
+	}
+	w.fence = o.Fence
+	h.extendLease(w, o.Lease)
+	w.ended = slices.DeleteFunc(w.ended, func(e EndedRun) bool {
+		if e.Number <= o.Acknowledged {
+			h.fates.acknowledged(w, e)
+		}
+		return e.Number <= o.Acknowledged
+	})
+	return true
+}
