Model copies of a start and the incarnations that they reach

Two copies of a start, two incarnations under one ID, heard or not, listings with a lease, late orders, one change of the leader and two starts on one worker. Orders older than a change of the leader are not refused in the model, though they are by workers that have heard of the next one.

--- a/model/run.sh
+++ b/model/run.sh
@@ -42,7 +42,7 @@
   for guard in "$@"; do check "$name" 1 "${bounds[@]}" "-D$guard"; done
 }
 
-for name in "${@:-log lease intent allotment driver copies}"; do
+for name in "${@:-log lease intent allotment driver copies start}"; do
   for one in $name; do
     case $one in
       log) specification log -DTERMS=2 -DLENGTH=3 -DLOSSES=1 -- NO_IDENTITY NO_SYNC NO_UPTODATE NO_SERIAL ;;
@@ -51,6 +51,7 @@
       allotment) specification allotment -DLIMIT=2 -- NO_HOLD NO_RECORD NO_TAKEOVER NO_SHRINK NO_EXPIRE NO_ORDER ;;
       driver) specification driver -DRUNS=3 -DTERMS=2 -- NO_FENCE NO_STOP NO_NUMBER NO_DEADLINE NO_SENT NO_MEMORY ;;
       copies) specification copies -DATTEMPTS=2 -DTERMS=2 -- NO_JOIN NO_MEMORY NO_RECORD NO_WAITING NO_TERM NO_EXPIRY NO_RESENT NO_WITHDRAW NO_PAUSE ;;
+      start) specification start -DCOPIES=2 -DLIVES=2 -DRUNS=2 -- NO_LATE NO_LONGEST NO_SILENCE NO_DOUBTS NO_PROOF NO_HOLD NO_FORMER SETTLED FORGETFUL ;;
       *) echo "model: no specification called $one" >&2; exit 2 ;;
     esac
   done
