Keep all copies of one attempt of a start in doubt

Cause, by reading: an attempt sends up to three copies, and the leader counted one. If the run was listed before the second attempt, that one was settled and the doubt dropped, while the other copies could still be carried out by the worker's next incarnation (rule TWICE).

Change: an answer says how many copies the attempt sent, and those beyond one are counted when it ends without an answer, also if the run was listed meanwhile.

Evidence: TestCopiesOfOneAttemptAreInDoubt fails without the count.

--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -43,6 +43,21 @@
 	d.granted = t.now()
 }
 
+// doubtCopies records that an attempt without an answer sent a number of copies more than one
+// at a time. The run may have been listed meanwhile, which settles one of them.
+func (t *term) doubtCopies(r *run, copies int, sent time.Time) {
+	if copies <= 0 {
+		return
+	}
+	r.copies += copies
+	if d := t.doubts[r.worker.ID]; d != nil && d.life == r.worker.Life {
+		key := orphan{r.id, r.number}
+		d.starts[key] = later(d.starts[key], sent)
+		return
+	}
+	t.doubts[r.worker.ID] = &doubts{life: r.worker.Life, starts: map[orphan]time.Time{{r.id, r.number}: t.now()}, granted: t.now()}
+}
+
 // doubtsOf returns the doubts about a worker's incarnation, or nil if there are none.
 func (t *term) doubtsOf(w *worker) *doubts {
 	if d := t.doubts[w.ID]; d != nil && d.life == w.Life && len(d.starts) > 0 {
--- a/internal/process/dispatch/rebirth_test.go
+++ b/internal/process/dispatch/rebirth_test.go
@@ -175,3 +175,28 @@
 	}
 	is.True(!w.proves(Answer{Result: Accepted}, began)) // states nothing
 }
+
+// Guards against copies of a start that are forgotten because they were sent within one attempt,
+// and the run was listed while that attempt had no answer (rule TWICE).
+func TestCopiesOfOneAttemptAreInDoubt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.workers.setRunTime(5 * time.Second)
+		b.submit("one", job.Step{Count: 1, Size: work.Resources{Processors: 1000, Memory: 1 << 30}})
+		time.Sleep(time.Second)
+		current := b.term()
+		current.mu.Lock()
+		r := current.runs[job.TaskID{Job: "one"}]
+		current.doubt(r)
+		current.settleCopy(r) // listed
+		b.is.True(current.doubtsOf(r.worker) == nil)
+		current.mu.Unlock()
+		current.handleStartAnswer(r, Answer{Result: Unanswered, Copies: 3}, 1, current.now())
+		current.mu.Lock()
+		defer current.mu.Unlock()
+		b.is.True(current.doubtsOf(r.worker) != nil)
+		b.is.Equal(r.copies, 2)
+		b.is.True(current.keep(r.worker, r, "its lease has expired"))
+	})
+}
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -163,6 +163,7 @@
 	case a.Result == NotSent, a.Result == Refused, a.Result == WrongWorker, a.Result == Accepted && w.proves(a, sent):
 		t.settleCopy(r)
 	default:
+		t.doubtCopies(r, a.Copies-1, t.now())
 		t.noteUnclear(r)
 	}
 	r.sent = r.sent || a.Result != NotSent
