--- a/internal/process/dispatch/inbox.go
+++ b/internal/process/dispatch/inbox.go
@@ -20,7 +20,7 @@
 	confirmed []job.Start // trials that their workers execute
 	cleared   []job.Start // runs whose workers crashed in common with others
 	faulty    []job.Start // runs whose tasks are given up
-	doubted   []job.Start // runs whose tasks look faulty and are tried once more
+	retried   []job.Start // runs whose tasks look faulty and are tried once more
 	ends      []job.End
 	orphans   []job.Start // runs that were given up and may still be executed
 	unclear   []job.Start // runs with a copy of their start without an answer
@@ -44,7 +44,7 @@
 // empty reports whether there is nothing to commit.
 func (n *inbox) empty() bool {
 	return n.catalogue == nil &&
-		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn)+len(n.cleared)+len(n.faulty)+len(n.unclear)+len(n.doubted) == 0
+		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn)+len(n.cleared)+len(n.faulty)+len(n.unclear)+len(n.retried) == 0
 }
 
 // take removes and returns input of about size bytes. Waiters and
@@ -60,7 +60,7 @@
 	takeItems(&n.crashes, &in.crashes, &left, func(c *job.Crash) int { return runSize + len(c.Task.Job) })
 	takeItems(&n.cleared, &in.cleared, &left, sizeOfRun)
 	takeItems(&n.faulty, &in.faulty, &left, sizeOfRun)
-	takeItems(&n.doubted, &in.doubted, &left, sizeOfRun)
+	takeItems(&n.retried, &in.retried, &left, sizeOfRun)
 	takeItems(&n.ends, &in.ends, &left, func(e *job.End) int { return runSize + len(e.Task.Job) + len(e.Worker) + len(e.Saved) })
 	takeItems(&n.orphans, &in.orphans, &left, sizeOfRun)
 	takeItems(&n.settled, &in.settled, &left, sizeOfRun)
--- a/internal/process/dispatch/loss.go
+++ b/internal/process/dispatch/loss.go
@@ -189,7 +189,7 @@
 		t.verdicts[id] = now.Add(t.verdictDelay())
 	case !now.Before(due):
 		t.verdicts[id] = now.Add(t.verdictDelay()) // in case that the round is not committed
-		t.judge(p, s, id, pool)
+		t.settleVerdict(p, s, id, pool)
 	}
 	return true
 }
--- a/internal/process/dispatch/lost_test.go
+++ b/internal/process/dispatch/lost_test.go
@@ -92,29 +92,29 @@
 	}
 }
 
-// Guards against patience with a worker that alone does not answer, and with many that
+// Guards against tolerance with a worker that alone does not answer, and with many that
 // answer nothing for a while.
-func TestPatienceFollowsTheShareOfLostAnswers(t *testing.T) {
+func TestToleranceFollowsTheShareOfLostAnswers(t *testing.T) {
 	is := is.New(t)
 	now := time.Now()
 	var l lossShare
-	is.True(l.patience(now) <= maxMissedAnswers)
+	is.True(l.tolerance(now) <= maxMissedAnswers)
 	is.Equal(l.copies(now, chanceNoneWaits), 1)
 	for range 100 {
 		l.record(now, 0, 0)
 	}
-	is.True(l.patience(now) <= maxMissedAnswers)
+	is.True(l.tolerance(now) <= maxMissedAnswers)
 	l.record(now, 50, 2*maxLossGap) // was cut off
-	is.True(l.patience(now) <= maxMissedAnswers)
+	is.True(l.tolerance(now) <= maxMissedAnswers)
 	for range 100 {
 		l.record(now, 4, 100*time.Millisecond)
 	}
-	later := l.patience(now.Add(time.Second))
+	later := l.tolerance(now.Add(time.Second))
 	is.True(later > 10)
-	is.True(later <= maxPatience)
+	is.True(later <= maxTolerance)
 	for range 20 {
 		now = now.Add(time.Second)
 		l.record(now, 0, 0)
 	}
-	is.True(l.patience(now) <= maxMissedAnswers)
+	is.True(l.tolerance(now) <= maxMissedAnswers)
 }
--- a/internal/process/dispatch/share.go
+++ b/internal/process/dispatch/share.go
@@ -16,8 +16,8 @@
 	chanceSilence = 0.01
 	// chanceNoneWaits is the probability at which all copies of a listing may be lost.
 	chanceNoneWaits = 0.03
-	// maxPatience bounds the number of lost answers that count as chance.
-	maxPatience = 25
+	// maxTolerance bounds the number of lost answers that count as chance.
+	maxTolerance = 25
 )
 
 // lossShare estimates the share of copies of orders to workers whose answers are lost, from the
@@ -47,9 +47,9 @@
 // low.
 func (l *lossShare) share() float64 { return l.lost / (l.lost + l.answered + 1) }
 
-// patience returns how many copies without an answer in a row are explained by the share.
-func (l *lossShare) patience(now time.Time) int {
-	return min(l.copies(now, chanceSilence), maxPatience)
+// tolerance returns how many copies without an answer in a row are explained by the share.
+func (l *lossShare) tolerance(now time.Time) int {
+	return min(l.copies(now, chanceSilence), maxTolerance)
 }
 
 // copies returns how many copies are all lost with a given probability.
--- a/internal/process/dispatch/verdict.go
+++ b/internal/process/dispatch/verdict.go
@@ -54,17 +54,17 @@
 	return rate
 }
 
-// judge gives up a task that looks faulty, or has it start as a trial once more if its
+// settleVerdict gives up a task that looks faulty, or has it start as a trial once more if its
 // workers may have crashed by chance. The caller holds the lock.
-func (t *term) judge(p *job.Progress, s *job.Step, id job.TaskID, pool string) {
+func (t *term) settleVerdict(p *job.Progress, s *job.Step, id job.TaskID, pool string) {
 	k := &p.Tasks[id.Index]
 	start, rate := job.Start{Task: id, Run: k.Run}, t.rate(pool, id.Job, t.now())
 	proven, chance := p.Proven(s, k, &rate)
 	if proven {
 		t.inbox.faulty = append(t.inbox.faulty, start)
 	} else {
-		t.inbox.doubted = append(t.inbox.doubted, start)
-		t.emit(event.TaskDoubted, zap.Stringer("task", id), zap.Int("run", k.Run), zap.Float64("chance", chance),
+		t.inbox.retried = append(t.inbox.retried, start)
+		t.emit(event.TaskRetried, zap.Stringer("task", id), zap.Int("run", k.Run), zap.Float64("chance", chance),
 			zap.Int("crashes", rate.Crashes), zap.Int("workers", rate.Workers))
 	}
 	t.signal()
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -71,7 +71,7 @@
 	unclearEnds       map[int64]orphan // ends of runs with copies of their start without an answer, by number
 	missed            int              // consecutive unanswered orders
 	lost              int              // copies of these orders
-	patience          int              // number of these copies that the present share of lost answers explains
+	tolerance          int              // number of these copies that the present share of lost answers explains
 	refuses           bool             // refused the latest listing, as an unhealthy worker does
 	leavesAt          time.Time        // when it counts as gone; zero unless it announced its termination
 	drainDeadline     time.Time        // a draining worker is gone after this
@@ -206,7 +206,7 @@
 
 // silent reports whether the worker does not answer orders.
 func (w *worker) silent(now time.Time) bool {
-	return w.missed >= maxMissedAnswers && w.lost >= w.patience && now.Sub(w.answeredAt) >= silentTime
+	return w.missed >= maxMissedAnswers && w.lost >= w.tolerance && now.Sub(w.answeredAt) >= silentTime
 }
 
 // handleAnswer processes an answer, or the lack of one. It reports whether the
@@ -243,7 +243,7 @@
 	default:
 		w.missed++
 		w.lost += max(a.Copies, 1)
-		w.patience = t.lossShare.patience(now)
+		w.tolerance = t.lossShare.tolerance(now)
 		if a.Reason == ReasonBroken && w.brokeAt.IsZero() {
 			w.brokeAt, w.missing = now, nil
 		}
--- a/internal/version/crash/chance.go
+++ b/internal/version/crash/chance.go
@@ -57,8 +57,8 @@
 	return r.count(tried) >= mostTried || r.count(confirmed)+len(r.Cleared) >= mostCrashes || r.Chance(rate) <= maxChance
 }
 
-// Doubt has the task start again as a trial, until one more worker has crashed under it.
-func (r *Record) Doubt() { r.Needed = r.count(confirmed) + 1 }
+// Retry has the task start again as a trial, until one more worker has crashed under it.
+func (r *Record) Retry() { r.Needed = r.count(confirmed) + 1 }
 
 // Vague returns the evidence for a run whose start another clock has timed, so that its age is
 // hardly known.
--- a/internal/version/crash/chance_test.go
+++ b/internal/version/crash/chance_test.go
@@ -29,7 +29,7 @@
 				if r.Faulty() && r.Proven(&c.rate) {
 					crashes = run
 				} else if r.Faulty() {
-					r.Doubt()
+					r.Retry()
 					is.True(!r.Faulty())
 					is.True(r.NeedsTrial())
 				}
--- a/internal/version/crash/measure_test.go
+++ b/internal/version/crash/measure_test.go
@@ -47,7 +47,7 @@
 	if r.count(tried) >= mostTried || r.count(confirmed) >= mostCrashes || r.Chance(&rate) <= s.bound {
 		return true
 	}
-	r.Doubt()
+	r.Retry()
 	return false
 }
 
--- a/internal/version/job/crash.go
+++ b/internal/version/job/crash.go
@@ -94,11 +94,11 @@
 	}
 }
 
-// doubt has a task that still looks faulty start as a trial once more.
-func (v *View) doubt(s *Start) {
+// retry has a task that still looks faulty start as a trial once more.
+func (v *View) retry(s *Start) {
 	r, o, t := v.Find(s.Task)
 	if t != nil && !t.Done && o.Steps[s.Task.Step].Faulty(&r.Job.Steps[s.Task.Step], t) {
-		(*o.Steps[s.Task.Step].crashes(&r.Job.Steps[s.Task.Step], t)).Doubt()
+		(*o.Steps[s.Task.Step].crashes(&r.Job.Steps[s.Task.Step], t)).Retry()
 	}
 }
 
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -243,8 +243,8 @@
 	for i := range r.Cleared {
 		v.clear(&r.Cleared[i])
 	}
-	for i := range r.Doubted {
-		v.doubt(&r.Doubted[i])
+	for i := range r.Retried {
+		v.retry(&r.Retried[i])
 	}
 	for i := range r.Faulty {
 		v.giveUp(&r.Faulty[i], r.Now, &result)
