--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -71,7 +71,7 @@
 	unclearEnds       map[int64]orphan // ends of runs with copies of their start without an answer, by number
 	missed            int              // consecutive unanswered orders
 	lost              int              // copies of these orders
-	tolerance          int              // number of these copies that the present share of lost answers explains
+	tolerance         int              // number of these copies that the present share of lost answers explains
 	refuses           bool             // refused the latest listing, as an unhealthy worker does
 	leavesAt          time.Time        // when it counts as gone; zero unless it announced its termination
 	drainDeadline     time.Time        // a draining worker is gone after this
