--- a/internal/process/dispatch/former_test.go
+++ b/internal/process/dispatch/former_test.go
@@ -87,3 +87,28 @@
 		b.is.Equal(len(b.workers.worker("a").running), 0)
 	})
 }
+
+// Guards against a task that starts again after it is done, because the listing that acknowledged
+// ends of a former incarnation arrives late: the present one, whose ends are numbered anew, forgets
+// its own (rule TWICE, seed 91 of TestNoTaskRunsTwice, seed 9239 of the soak).
+func TestEndsAreAcknowledgedUntilAnswered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.submit("one", tasks(3))
+		time.Sleep(3 * time.Second)
+		b.submit("two", tasks(1))
+		time.Sleep(3 * time.Second)
+		current := b.term()
+		current.mu.Lock()
+		defer current.mu.Unlock()
+		w := current.workers["a"]
+		b.is.Equal(w.forgotten, int64(3)) // the last end is acknowledged with the next listing
+		b.is.Equal(current.listOrder(w).Acknowledged, int64(4))
+		current.handleAnswer(w, Answer{Result: Unanswered}, current.now())
+		b.is.Equal(current.listOrder(w).Acknowledged, int64(0)) // another incarnation may run
+		current.handleAnswer(w, Answer{Result: Accepted}, current.now())
+		w.forgotten = 4
+		b.is.Equal(current.listOrder(w).Acknowledged, int64(0))
+	})
+}
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -71,7 +71,7 @@
 			return
 		}
 		o := t.listOrder(w)
-		held := o.Acknowledged < w.acknowledged && !o.Lease.IsZero()
+		held := t.acknowledgedEnd(w) < w.acknowledged
 		timeout := o.Wait + listTimeoutMargin
 		if t.lossy() {
 			timeout = o.Wait + lossyTimeoutMargin
@@ -80,7 +80,7 @@
 		t.mu.Unlock()
 		sent := t.now()
 		listing, a := t.dispatcher.options.Upstream.List(t.permit(timeout), &target, o)
-		if committed := t.handleListing(w, sent, listing, a); committed != nil {
+		if committed := t.handleListing(w, &o, sent, listing, a); committed != nil {
 			t.awaitCommit(t.ctx, committed)
 		}
 		if t.pausePolling(w, a) {
@@ -128,7 +128,11 @@
 	now := t.now()
 	o := ListOrder{Fence: t.fence(w)}
 	if lease, known := t.lease(w); known {
-		o.Lease, o.Acknowledged = lease, t.acknowledgedEnd(w)
+		o.Lease = lease
+		if ack := t.acknowledgedEnd(w); w.missed == 0 && ack > w.forgotten {
+			// Once only, since a copy that arrives late has the next incarnation forget its own ends.
+			o.Acknowledged = ack
+		}
 	}
 	if len(w.runs) == 0 || w.silent(now) || w.clockReading.IsZero() {
 		return o
@@ -156,7 +160,7 @@
 
 // handleListing processes a listing. It returns a channel to wait on if ends
 // have to be committed before the next listing.
-func (t *term) handleListing(w *worker, sent time.Time, l Listing, a Answer) <-chan bool {
+func (t *term) handleListing(w *worker, o *ListOrder, sent time.Time, l Listing, a Answer) <-chan bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.orderUse.listings++
@@ -176,6 +180,7 @@
 		return nil
 	}
 	w.listed, w.pollOnce, w.refuses = true, false, false
+	w.forgotten = max(w.forgotten, o.Acknowledged)
 	if w.proves(a, sent) {
 		w.provedAt = later(w.provedAt, sent)
 	}
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -68,6 +68,7 @@
 	orphans           map[orphan]*run  // runs that were given up and that it may still execute
 	lastEnd           int64            // highest number of an end that was processed
 	acknowledged      int64            // highest number of an end that is committed
+	forgotten         int64            // highest number that was acknowledged by a listing with an answer
 	unclearEnds       map[int64]orphan // ends of runs with copies of their start without an answer, by number
 	missed            int              // consecutive unanswered orders
 	lost              int              // copies of these orders
