Count the wait of a next leader from when its predecessor sent the copies

Trace: run 1 of the task ended at 23.7 s, since another process answered at its worker's address. The replicated mark of its start stays, as it has to for later incarnations.

Change: it counts them from the time at which the copies were sent at the latest, which it knew already.

--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -288,12 +288,13 @@
 // adoptDoubt records that an earlier leader may have sent copies of a start, that long ago at
 // the latest, that have no answer.
 func (t *term) adoptDoubt(w *worker, key orphan, ago time.Duration) {
-	d := t.doubts[w.ID]
+	d, sent := t.doubts[w.ID], t.now().Add(-ago)
 	if d == nil {
-		d = &doubts{worker: w.ID, life: w.Life, starts: map[orphan]time.Time{}, granted: t.now()}
+		d = &doubts{worker: w.ID, life: w.Life, starts: map[orphan]time.Time{}}
 		t.doubts[w.ID] = d
 	}
-	t.addDoubt(d, key, t.now().Add(-ago))
+	t.addDoubt(d, key, sent)
+	d.granted = later(d.granted, sent)
 }
 
 // adoptRunDoubt does so for a run, and has it known to the next leaders.
