Count no lease for a listing that carries none

Cause: the next leader has no reading of the worker's clock, so that its listings carry no lease, but each counted as one that may arrive late.

--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -152,13 +152,14 @@
 	if d != nil && w.missed > 0 {
 		return time.Time{}, false
 	}
-	if d != nil {
-		d.granted = t.now()
-	}
+	end = w.leaseEnd
 	if w.needsLease() {
-		return w.extendLease(t.now(), t.leaseDuration()), true
+		end = w.extendLease(t.now(), t.leaseDuration())
+	}
+	if d != nil && !end.IsZero() {
+		d.granted = t.now()
 	}
-	return w.leaseEnd, true
+	return end, true
 }
 
 // longestLease is the time after which what a worker executes has ended, if it is sent no
--- a/internal/process/dispatch/rebirth_test.go
+++ b/internal/process/dispatch/rebirth_test.go
@@ -223,3 +223,25 @@
 		b.is.Equal(len(b.workers.worker("a").ended), 0)
 	})
 }
+
+// Guards against a task that waits anew with each change of the leader, since listings to a worker
+// that is gone count as leases that it was sent (rule LOST, day mix of bellerive-crates, seed
+// 670143447148).
+func TestWaitDoesNotGrowWithTheNextLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.changeWorker("a", func(w *fakeWorker) { w.silent = true })
+		b.submit("one", tasks(1))
+		time.Sleep(50 * time.Millisecond)
+		b.add("b", 1)
+		time.Sleep(18 * time.Second)
+		b.submit("two", tasks(1)) // the state knows how much time has passed
+		time.Sleep(time.Second)
+		b.log.set(false, 2)
+		time.Sleep(300 * time.Millisecond)
+		b.log.set(true, 3)
+		time.Sleep(10 * time.Second)
+		b.is.Equal(b.status("one"), job.Completed)
+	})
+}
