--- a/internal/process/driver/hedge.go
+++ b/internal/process/driver/hedge.go
@@ -74,7 +74,7 @@
 	answer  dispatch.Answer
 }
 
-// List implements dispatch.Upstream. A copy that waits for an end cannot be told from one
+// List implements dispatch.Upstream. A copy that waits for an end cannot be distinguished from one
 // that is lost, so that several wait at the same time if the order says so. All end with
 // the wait of the first.
 func (h hedged) List(p dispatch.Permit, w *job.Worker, o dispatch.ListOrder) (dispatch.Listing, dispatch.Answer) {
--- a/internal/version/crash/measure_test.go
+++ b/internal/version/crash/measure_test.go
@@ -22,7 +22,7 @@
 	killerRuns   = 1000
 )
 
-// simulation draws crashes of workers and has package crash judge the tasks under them.
+// simulation draws crashes of workers and has package crash decide about the tasks under them.
 type simulation struct {
 	random  *rand.Rand
 	workers int
