--- a/review/second/cell.go
+++ b/review/second/cell.go
@@ -39,6 +39,21 @@
 	client    *http.Client
 }
 
+// started are the cells that were prepared.
+var started struct {
+	mu    sync.Mutex
+	cells []*cell
+}
+
+// stopAll ends the processes of all cells.
+func stopAll() {
+	started.mu.Lock()
+	defer started.mu.Unlock()
+	for _, c := range started.cells {
+		c.stop()
+	}
+}
+
 // process is one process of the system.
 type process struct {
 	name, address, settings, log string
@@ -78,6 +93,9 @@
 		Timeout:   4 * time.Second,
 		Transport: &http.Transport{DisableKeepAlives: true},
 	}}
+	started.mu.Lock()
+	started.cells = append(started.cells, c)
+	started.mu.Unlock()
 	if err := c.chooseAddresses(); err != nil {
 		return nil, err
 	}
--- a/review/second/main.go
+++ b/review/second/main.go
@@ -4,9 +4,15 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"strings"
+	"syscall"
+	"time"
 )
 
+// limit is the longest time that a case may take.
+const limit = 118 * time.Second
+
 // host is the host of all routes.
 const host = "calls.example"
 
@@ -32,6 +38,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(2)
 	}
+	go watch(r)
 	switch err := cases[os.Args[1]](r, os.Getenv("TROUBLE") != "0"); {
 	case errors.Is(err, errBroken):
 		r.add("result: %s", err)
@@ -43,6 +50,20 @@
 	r.add("result: the rule held")
 }
 
+// watch ends the processes and the program on a signal, or when the case takes too long.
+func watch(r *record) {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case s := <-signals:
+		r.add("result: the case could not run: %s", s)
+	case <-time.After(limit):
+		r.add("result: the case could not run: it takes longer than %s", limit)
+	}
+	stopAll()
+	os.Exit(2)
+}
+
 // route returns a route of a desired state.
 func route(name, prefix, service string, priority, attempts int) map[string]any {
 	return map[string]any{
