Conclude the outcome of an order from its copies, not from what woke the sender

Cause: callers saw tasks run twice on sound workers, and workers filled beyond their capacity, while the leader was slow. hedged.send chose between an answer and the end of the time in one select. A process that was paused finds both ready; if the timer won, the order counted as not sent although its only copy was accepted, and its task started elsewhere at once.

Change: copies keep what is known of each copy, and conclude derives the outcome from that under one lock. Fleet.send looks for the answer once more at the end of its time.

--- a/internal/process/driver/fleet.go
+++ b/internal/process/driver/fleet.go
@@ -275,16 +275,31 @@
 	}
 	t := time.NewTimer(p.Timeout + answerMargin)
 	defer t.Stop()
+	r, ok := f.await(d, o.Number, sent, t.C)
+	if !ok {
+		return reply{Result: dispatch.Undelivered}, true
+	}
+	if r.Open > 0 && p.Late != nil {
+		time.AfterFunc(p.Await+answerMargin, func() { f.drop(d, o.Number) })
+	}
+	return r, true
+}
+
+// await waits for the answer to an order until the end of its time, and drops an order that has none by
+// then. An answer and the end may come together if this process is paused.
+func (f *Fleet) await(d *remote, number uint64, sent *flight, end <-chan time.Time) (reply, bool) {
 	select {
 	case r := <-sent.answer:
-		if r.Open > 0 && p.Late != nil {
-			time.AfterFunc(p.Await+answerMargin, func() { f.drop(d, o.Number) })
-		}
 		return r, true
-	case <-t.C:
+	case <-end:
+	}
+	f.drop(d, number)
+	select {
+	case r := <-sent.answer:
+		return r, true
+	default:
+		return reply{}, false
 	}
-	f.drop(d, o.Number)
-	return reply{Result: dispatch.Undelivered}, true
 }
 
 // drop drops an order whose answers no longer count.
--- a/internal/process/driver/hedge.go
+++ b/internal/process/driver/hedge.go
@@ -116,28 +116,19 @@
 }
 
 // send sends an order up to maxCopies times and returns the first answer. Without
-// one it returns the outcome of the copy that fared best.
+// one it returns the outcome of the copy about which least is known.
 func (h hedged) send(p dispatch.Permit, order func(dispatch.Permit) dispatch.Answer) dispatch.Answer {
 	began := time.Now()
-	c := &copies{permit: p, hedges: h.hedges, answers: make(chan dispatch.Answer, maxCopies)}
+	c := newCopies(p, h.hedges)
 	end := time.NewTimer(p.Timeout)
 	defer end.Stop()
 	c.launch(p.Timeout, order)
 	delay := h.usual.delay()
 	next := time.NewTimer(delay)
 	defer next.Stop()
-	worst := dispatch.Answer{}
-	for returned := 0; returned < c.launched; {
+	for over := false; !over && !c.settled(); {
 		select {
-		case a := <-c.answers:
-			returned++
-			if a.Answered() {
-				if c.launched == 1 {
-					h.usual.learn(time.Since(began))
-				}
-				return c.conclude(a)
-			}
-			worst = leastKnown(worst, a)
+		case <-c.changed:
 		case <-next.C:
 			left := p.Timeout - time.Since(began)
 			if c.launched < maxCopies && left > delay/2 && p.Valid() && h.reserve() {
@@ -145,10 +136,14 @@
 				next.Reset(delay)
 			}
 		case <-end.C:
-			return c.conclude(leastKnown(dispatch.Answer{Result: dispatch.NotSent, Error: errNoAnswer}, worst))
+			over = true
 		}
 	}
-	return c.conclude(worst)
+	a := c.conclude()
+	if a.Answered() && c.launched == 1 {
+		h.usual.learn(time.Since(began))
+	}
+	return a
 }
 
 // reserve takes one of maxHedges additional copies.
@@ -160,10 +155,10 @@
 	return false
 }
 
-// leastKnown returns the outcome after which less is known about the order: a copy
-// that may have arrived counts more than one that was not sent.
+// leastKnown returns the outcome after which less is known about the order, or the
+// answer, if one comes: a copy that may have arrived counts more than one that was not sent.
 func leastKnown(a, b dispatch.Answer) dispatch.Answer {
-	if a.Result == 0 || b.Result == dispatch.Unanswered {
+	if a.Result == 0 || b.Result == dispatch.Unanswered || b.Answered() {
 		return b
 	}
 	return a
