Encode everything that leaves a process in the same way

Cause: callers saw scheduled tasks start up to a second before their time. Package plain encoded calls with the library's default, which cuts times to whole seconds; the log and the QUIC calls had options of their own.

Change: package codec has the only options. plain, peer, cell and the replicas' messages use it, also within a process. DecodeMessage keeps the bounds that peer had for what other processes send.

Whole seconds of earlier builds are read, and they read the new form (TestTimesOfEarlierBuildsAreRead).

--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -39,6 +39,7 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/contact"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
@@ -417,7 +418,7 @@
 	if err := l.stamp(ctx, request, resent, func(ctx context.Context) (*reading, error) { return l.readThrough(ctx, to) }); err != nil {
 		return ErrNoLeader
 	}
-	body, err := cbor.Marshal(request)
+	body, err := codec.Encode(request)
 	if err != nil {
 		return errors.Wrap(err, "encode request")
 	}
@@ -431,7 +432,7 @@
 	case err == nil && response == nil:
 		return nil
 	case err == nil:
-		return errors.Wrap(cbor.Unmarshal(answer, response), "decode answer")
+		return errors.Wrap(codec.DecodeMessage(answer, response), "decode answer")
 	case errors.As(err, &r) && r.Code == codeNoLeader, errors.Is(err, peer.ErrNotSent):
 		return ErrNoLeader
 	case errors.As(err, &r) && r.Code != codeUnknown:
--- a/internal/connection/cell/link_test.go
+++ b/internal/connection/cell/link_test.go
@@ -8,10 +8,10 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 )
 
 // fakeCell is a peer.Caller that simulates control processes, one of which may be
@@ -233,18 +233,18 @@
 	if n.cut.has(n.name+" "+to) || h == nil {
 		return peer.ErrNotSent
 	}
-	body, err := cbor.Marshal(request)
+	body, err := codec.Encode(request)
 	if err != nil {
 		return err
 	}
-	value, err := h(ctx, n.name, func(into any) error { return cbor.Unmarshal(body, into) })
+	value, err := h(ctx, n.name, func(into any) error { return codec.DecodeMessage(body, into) })
 	if err != nil || response == nil {
 		return err
 	}
-	if body, err = cbor.Marshal(value); err != nil {
+	if body, err = codec.Encode(value); err != nil {
 		return err
 	}
-	return cbor.Unmarshal(body, response)
+	return codec.DecodeMessage(body, response)
 }
 
 // handlerMap is a peer.Mux.
--- a/internal/connection/peer/frame.go
+++ b/internal/connection/peer/frame.go
@@ -8,7 +8,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 )
 
 const (
@@ -22,10 +23,6 @@
 	// maxPreallocation is the size up to which the buffer of a body is allocated
 	// before its bytes arrive. Buffers of larger bodies grow with the data.
 	maxPreallocation = 64 << 10
-	// maxElements is the maximum number of elements of a CBOR array or map.
-	maxElements = 1 << 20
-	// maxNesting is the maximum nesting depth of CBOR values.
-	maxNesting = 32
 )
 
 // Codes of the errors that a Peer itself generates.
@@ -62,32 +59,12 @@
 // greeting has a different version.
 const version = 1
 
-var encoding, decoding = modes()
-
-func modes() (cbor.EncMode, cbor.DecMode) {
-	// Encode times with nanoseconds; the default truncates them to seconds.
-	e, err := cbor.EncOptions{Time: cbor.TimeRFC3339NanoUTC}.EncMode()
-	if err != nil {
-		panic(err)
-	}
-	d, err := cbor.DecOptions{
-		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
-		MaxNestedLevels:  maxNesting,
-		MaxArrayElements: maxElements,
-		MaxMapPairs:      maxElements,
-	}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return e, d
-}
-
 // encodeBody returns the CBOR encoding of v. A nil v is encoded as an empty body.
 func encodeBody(v any, limit int64) ([]byte, error) {
 	if v == nil {
 		return nil, nil
 	}
-	b, err := encoding.Marshal(v)
+	b, err := codec.Encode(v)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the body")
 	}
@@ -111,20 +88,18 @@
 	if into == nil {
 		return nil
 	}
-	// Clear a reused value first: a null in the encoding would leave the
-	// existing content in place.
-	if v := reflect.ValueOf(into); v.Kind() == reflect.Pointer && !v.IsNil() {
-		v.Elem().SetZero()
-	}
 	if len(body) == 0 {
+		if v := reflect.ValueOf(into); v.Kind() == reflect.Pointer && !v.IsNil() {
+			v.Elem().SetZero()
+		}
 		return nil
 	}
-	return errors.Wrap(decoding.Unmarshal(body, into), "decode the body")
+	return errors.Wrap(codec.DecodeMessage(body, into), "decode the body")
 }
 
 // appendFrame appends a length-prefixed header and the body to a frame.
 func appendFrame(frame []byte, header any, body []byte) ([]byte, error) {
-	h, err := encoding.Marshal(header)
+	h, err := codec.Encode(header)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the header")
 	}
@@ -151,7 +126,7 @@
 	if _, err := io.ReadFull(r, h); err != nil {
 		return unexpectedEOF(err)
 	}
-	return errors.Wrap(decoding.Unmarshal(h, into), "decode the header")
+	return errors.Wrap(codec.DecodeMessage(h, into), "decode the header")
 }
 
 // readBody reads exactly size bytes.
--- a/internal/connection/plain/plain.go
+++ b/internal/connection/plain/plain.go
@@ -38,6 +38,7 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/tcp"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 )
 
 const (
@@ -227,7 +228,7 @@
 	if to == n.options.Name {
 		return n.callLocal(ctx, method, request, response)
 	}
-	body, err := cbor.Marshal(request)
+	body, err := codec.Encode(request)
 	if err != nil {
 		return errors.Wrap(err, "encode request")
 	}
@@ -242,13 +243,13 @@
 	if response == nil {
 		return nil
 	}
-	return errors.Wrap(cbor.Unmarshal(answer, response), "decode answer")
+	return errors.Wrap(codec.DecodeMessage(answer, response), "decode answer")
 }
 
 // callLocal calls a handler of this process. Values are encoded and decoded as for
 // other processes, so that caller and handler share no memory.
 func (n *Node) callLocal(ctx context.Context, method string, request, response any) error {
-	body, err := cbor.Marshal(request)
+	body, err := codec.Encode(request)
 	if err != nil {
 		return errors.Wrap(err, "encode request")
 	}
@@ -256,10 +257,10 @@
 	if err != nil || response == nil {
 		return err
 	}
-	if body, err = cbor.Marshal(value); err != nil {
+	if body, err = codec.Encode(value); err != nil {
 		return errors.Wrap(err, "encode answer")
 	}
-	return errors.Wrap(cbor.Unmarshal(body, response), "decode answer")
+	return errors.Wrap(codec.DecodeMessage(body, response), "decode answer")
 }
 
 // post sends one request and returns the body of the response.
@@ -334,7 +335,7 @@
 		writeError(c, err)
 		return
 	}
-	body, err := cbor.Marshal(value)
+	body, err := codec.Encode(value)
 	if err != nil {
 		writeError(c, err)
 		return
@@ -361,13 +362,13 @@
 	if h == nil {
 		return nil, &peer.RemoteError{Code: peer.CodeUnknownMethod, Message: "no handler for " + method}
 	}
-	return h(ctx, name, func(into any) error { return cbor.Unmarshal(body, into) })
+	return h(ctx, name, func(into any) error { return codec.DecodeMessage(body, into) })
 }
 
 // receive handles a batch of one-way messages.
 func (n *Node) receive(c *fasthttp.RequestCtx, name string) {
 	var batch []message
-	if err := cbor.Unmarshal(c.PostBody(), &batch); err != nil {
+	if err := codec.DecodeMessage(c.PostBody(), &batch); err != nil {
 		c.SetStatusCode(fasthttp.StatusBadRequest)
 		return
 	}
@@ -385,7 +386,7 @@
 	if err != nil {
 		return
 	}
-	b, err := cbor.Marshal(body)
+	b, err := codec.Encode(body)
 	if err != nil {
 		n.options.Log.Emit(event.MessageRefused, zap.String("peer", to), zap.String("method", method), event.Cause(err))
 		return
@@ -408,7 +409,7 @@
 			return
 		}
 		batch = fillBatch(r.queue, batch)
-		body, err := cbor.Marshal(batch)
+		body, err := codec.Encode(batch)
 		if err == nil {
 			_, err = n.post(n.sends, r.name, sendPath, body, time.Now().Add(sendTimeout))
 		}
--- a/internal/connection/plain/plain_test.go
+++ b/internal/connection/plain/plain_test.go
@@ -5,11 +5,11 @@
 	"testing"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 	"github.com/valyala/fasthttp"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 )
 
 // echoed is the message of the test's handler.
@@ -47,7 +47,7 @@
 }
 
 func encode(t testing.TB, v any) []byte {
-	b, err := cbor.Marshal(v)
+	b, err := codec.Encode(v)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/process/dispatch/copies_test.go
+++ b/internal/process/dispatch/copies_test.go
@@ -12,11 +12,10 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/rosemaryloft/rosemaryloft/internal/boottime"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
@@ -45,11 +44,11 @@
 // trace records what happened to a copy of a call.
 func (n *heldNetwork) trace(from, to, method string, body []byte, format string, arguments ...any) {
 	var relayed cell.Relay
-	if method == cell.MethodRelay && cbor.Unmarshal(body, &relayed) == nil {
+	if method == cell.MethodRelay && codec.DecodeMessage(body, &relayed) == nil {
 		method, body = relayed.Method, relayed.Body
 	}
 	var c cell.Call
-	if method != cell.MethodCall || cbor.Unmarshal(body, &c) != nil {
+	if method != cell.MethodCall || codec.DecodeMessage(body, &c) != nil {
 		return
 	}
 	n.mu.Lock()
@@ -103,7 +102,7 @@
 }
 
 func (e endpoint) Call(ctx context.Context, to, method string, request, response any) error {
-	body, err := cbor.Marshal(request)
+	body, err := codec.Encode(request)
 	if err != nil {
 		return err
 	}
@@ -120,11 +119,11 @@
 		inner, cancel := context.WithTimeout(context.Background(), waits)
 		defer cancel()
 		e.network.trace(e.name, to, method, body, "arrives")
-		value, err := e.network.handlers[to][method](inner, e.name, func(into any) error { return cbor.Unmarshal(body, into) })
+		value, err := e.network.handlers[to][method](inner, e.name, func(into any) error { return codec.DecodeMessage(body, into) })
 		e.network.trace(e.name, to, method, body, "answered %+v %v", value, err)
 		a := answer{err: err}
 		if err == nil {
-			a.body, a.err = cbor.Marshal(value)
+			a.body, a.err = codec.Encode(value)
 		}
 		if lost || e.network.pass(to, e.name) {
 			a = answer{err: peer.ErrUnknown}
@@ -136,7 +135,7 @@
 		if a.err != nil || response == nil {
 			return a.err
 		}
-		return cbor.Unmarshal(a.body, response)
+		return codec.DecodeMessage(a.body, response)
 	case <-ctx.Done():
 		return peer.ErrUnknown
 	}
--- a/internal/process/dispatch/late_test.go
+++ b/internal/process/dispatch/late_test.go
@@ -7,11 +7,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 )
 
 // stampNow returns the stamp of a call that a process sends now and whose caller waits for
@@ -25,9 +25,9 @@
 func (b *testCluster) deliver(c *cell.Call) (cell.Verdict, error) {
 	h := handlers{}
 	b.leader.Register(h)
-	body, err := cbor.Marshal(c)
+	body, err := codec.Encode(c)
 	b.is.NoErr(err)
-	v, err := h[cell.MethodCall](context.Background(), "entry", func(into any) error { return cbor.Unmarshal(body, into) })
+	v, err := h[cell.MethodCall](context.Background(), "entry", func(into any) error { return codec.DecodeMessage(body, into) })
 	if err != nil {
 		return cell.Verdict{}, err
 	}
--- a/internal/process/dispatch/malformed_test.go
+++ b/internal/process/dispatch/malformed_test.go
@@ -8,10 +8,9 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
@@ -25,7 +24,7 @@
 func (h handlers) receive(method string, body []byte) (any, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
-	return h[method](ctx, "10.0.0.9", func(into any) error { return cbor.Unmarshal(body, into) })
+	return h[method](ctx, "10.0.0.9", func(into any) error { return codec.DecodeMessage(body, into) })
 }
 
 // oddMessages are messages to the leader that decode, but that no process of this
@@ -76,7 +75,7 @@
 		b.submit("one", tasks(2))
 		_, _ = h.receive(method, body)
 		time.Sleep(3 * time.Second)
-		ping, err := cbor.Marshal(cell.Ping{})
+		ping, err := codec.Encode(cell.Ping{})
 		b.is.NoErr(err)
 		v, err := h.receive(cell.MethodPing, ping)
 		b.is.NoErr(err)
@@ -90,7 +89,7 @@
 	for method, messages := range oddMessages() {
 		t.Run(method, func(t *testing.T) {
 			for _, m := range messages {
-				body, err := cbor.Marshal(m)
+				body, err := codec.Encode(m)
 				if err != nil {
 					t.Fatal(err)
 				}
@@ -109,7 +108,7 @@
 	slices.Sort(methods)
 	for i, method := range methods {
 		for _, m := range oddMessages()[method] {
-			body, err := cbor.Marshal(m)
+			body, err := codec.Encode(m)
 			if err != nil {
 				f.Fatal(err)
 			}
--- a/internal/process/driver/driver_test.go
+++ b/internal/process/driver/driver_test.go
@@ -11,11 +11,11 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/dispatch"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
@@ -60,7 +60,7 @@
 		<-ctx.Done()
 		return errors.CombineErrors(peer.ErrUnknown, ctx.Err())
 	}
-	body, err := cbor.Marshal(request)
+	body, err := codec.Encode(request)
 	if err != nil {
 		return err
 	}
@@ -74,13 +74,13 @@
 		if paused != nil {
 			<-paused
 		}
-		answer, err := handler(ctx, e.name, func(into any) error { return cbor.Unmarshal(body, into) })
+		answer, err := handler(ctx, e.name, func(into any) error { return codec.DecodeMessage(body, into) })
 		time.Sleep(delay)
 		if err != nil {
 			done <- outcome{nil, err}
 			return
 		}
-		b, err := cbor.Marshal(answer)
+		b, err := codec.Encode(answer)
 		done <- outcome{b, err}
 	}()
 	select {
@@ -88,7 +88,7 @@
 		if o.err != nil || response == nil {
 			return o.err
 		}
-		return cbor.Unmarshal(o.body, response)
+		return codec.DecodeMessage(o.body, response)
 	case <-ctx.Done():
 		return errors.CombineErrors(peer.ErrUnknown, ctx.Err())
 	}
--- a/internal/process/driver/malformed_test.go
+++ b/internal/process/driver/malformed_test.go
@@ -4,11 +4,11 @@
 	"context"
 	"testing"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/dispatch"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
@@ -56,7 +56,7 @@
 		batch{Session: 1, Orders: []order{{Number: 1, Kind: start, Address: "10.0.0.1:80"}, {Kind: 99, Timeout: -1, Address: "x"}}},
 		replies{Session: fleet.session, Replies: []reply{{Number: 7, Result: 99, Listing: &dispatch.Listing{}}, {Number: 7, Late: 1}}}, 7, "x", nil, []any{1, []any{nil}},
 	} {
-		body, err := cbor.Marshal(m)
+		body, err := codec.Encode(m)
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -65,7 +65,7 @@
 		}
 	}
 	f.Fuzz(func(t *testing.T, method uint8, body []byte) {
-		_, err := handlers[int(method)%len(handlers)](context.Background(), "d", func(into any) error { return cbor.Unmarshal(body, into) })
+		_, err := handlers[int(method)%len(handlers)](context.Background(), "d", func(into any) error { return codec.DecodeMessage(body, into) })
 		if remote, ok := err.(*peer.RemoteError); err != nil && (!ok || remote.Code != peer.CodeMalformed) {
 			t.Errorf("%v", err)
 		}
--- a/internal/request/route/route_test.go
+++ b/internal/request/route/route_test.go
@@ -8,11 +8,11 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/matryer/is"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/control"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/upstream"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 	"github.com/rosemaryloft/rosemaryloft/pkg/api"
 )
@@ -435,7 +435,7 @@
 	} {
 		m := good
 		change(&m)
-		b, err := cbor.Marshal(&m)
+		b, err := codec.Encode(&m)
 		if err != nil {
 			f.Fatal(err)
 		}
@@ -454,7 +454,7 @@
 		var decoded *ForwardRequest
 		reply, err := r.HandleForward(context.Background(), "", func(into any) error {
 			decoded = into.(*ForwardRequest)
-			return cbor.Unmarshal(b, into)
+			return codec.DecodeMessage(b, into)
 		})
 		if err == nil {
 			if answer := reply.(*ForwardReply); answer.Outcome != Refused || answer.ID != decoded.ID {
--- a/internal/version/raft/message.go
+++ b/internal/version/raft/message.go
@@ -1,10 +1,9 @@
 package raft
 
 import (
-	"github.com/fxamacker/cbor/v2"
-
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/version/codec"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/disk"
 )
 
@@ -100,29 +99,21 @@
 // is safe because a quorum never counts an identity that is not a member.
 const maxRemoved = 1000
 
-var decodeMode = func() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: 1 << 20, MaxNestedLevels: 8}.DecMode()
-	if err != nil {
-		panic(err)
-	}
-	return m
-}()
-
 // EncodeMessage encodes a message as CBOR.
 func EncodeMessage(m Message) ([]byte, error) {
-	b, err := cbor.Marshal(m)
+	b, err := codec.Encode(m)
 	return b, errors.Wrap(err, "encode message")
 }
 
 // DecodeMessage decodes a message.
 func DecodeMessage(b []byte) (Message, error) {
 	var m Message
-	err := decodeMode.Unmarshal(b, &m)
+	err := codec.DecodeMessage(b, &m)
 	return m, errors.Wrap(err, "decode message")
 }
 
 func (m *Membership) encode() []byte {
-	b, err := cbor.Marshal(m)
+	b, err := codec.Encode(m)
 	if err != nil {
 		panic(err) // every value of the type can be encoded
 	}
@@ -131,7 +122,7 @@
 
 func decodeMembership(b []byte) (*Membership, error) {
 	m := &Membership{}
-	if err := decodeMode.Unmarshal(b, m); err != nil {
+	if err := codec.DecodeMessage(b, m); err != nil {
 		return nil, errors.Wrap(err, "decode membership")
 	}
 	if m.Group == 0 || len(m.Members) == 0 {
