Tell a worker without labels from one that states none

Cause: the labels of a worker were omitted when empty, so that a report with an empty list arrived at the leader as one without a list, and the leader kept the labels of before: tasks whose label the worker had lost could start there. Found by looking for further values that an encoding changes.

Change: the list is always encoded; absent stays absent.

Result: TestNoLabelsAreNotUnstatedLabels failed before.

--- a/internal/version/job/codec_test.go
+++ b/internal/version/job/codec_test.go
@@ -26,3 +26,17 @@
 		}
 	}
 }
+
+// Guards against a worker that has no labels any more and keeps those of before, so that tasks start on it
+// whose label it lost (rule ROUTE, issue 52).
+func TestNoLabelsAreNotUnstatedLabels(t *testing.T) {
+	is := is.New(t)
+	for _, labels := range [][]string{nil, {}, {"a"}} {
+		b, err := codec.Encode(Worker{Labels: labels})
+		is.NoErr(err)
+		var w Worker
+		is.NoErr(codec.DecodeMessage(b, &w))
+		is.Equal(w.Labels == nil, labels == nil)
+		is.Equal(len(w.Labels), len(labels))
+	}
+}
--- a/internal/version/job/model.go
+++ b/internal/version/job/model.go
@@ -259,7 +259,7 @@
 	Address  netip.AddrPort `cbor:"3,keyasint"`
 	Zone     string         `cbor:"4,keyasint,omitempty"`
 	Rack     string         `cbor:"5,keyasint,omitempty"`
-	Labels   []string       `cbor:"6,keyasint,omitempty"`
+	Labels   []string       `cbor:"6,keyasint"` // nil if not stated
 	Capacity work.Resources `cbor:"7,keyasint"`
 	Life     Incarnation    `cbor:"8,keyasint"`
 	Draining bool           `cbor:"9,keyasint,omitempty"`
