Compare hosts and paths of routes and requests in one normal form

Cause: operators saw a configuration acknowledged whose route was not served: a host with a capital letter, a port or a dot at its end, an IPv6 host, a prefix with a space, another script or a percent-encoded letter got 404 for good. The document was compared as bytes, the request in the form that the HTTP library gives it. Two routes at one host in two spellings were both taken.

--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -121,10 +120,11 @@
 	if v.Catalogue == nil {
 		return cell.Verdict{Code: cell.NoCatalogue, Wait: time.Second}
 	}
-	q := findQueue(v.Catalogue, c.Host, c.Path)
+	q := v.Catalogue.Find(c.Host, c.Path)
 	if q == nil {
 		return cell.Verdict{Code: cell.NoQueue}
 	}
+	c.Host = q.Host // all copies of a submission are known by it
 	target.queue, target.id = *q, job.ID(c.Path[len(q.Prefix):])
 	workspace, ok := workspaceOfKey(v.Catalogue, c.Key)
 	if !ok && !q.Public {
@@ -148,19 +148,6 @@
 	return cell.Verdict{Code: cell.OK, State: target.status}
 }
 
-// findQueue returns the queue with the longest prefix that matches a path, or
-// nil if none matches.
-func findQueue(c *job.Catalogue, host, path string) *job.Queue {
-	var best *job.Queue
-	for i := range c.Queues {
-		q := &c.Queues[i]
-		if q.Host == host && strings.HasPrefix(path, q.Prefix) && (best == nil || len(q.Prefix) > len(best.Prefix)) {
-			best = q
-		}
-	}
-	return best
-}
-
 // findByPath returns the job that was submitted with a path, or nil. Its queue may have left
 // the catalogue since.
 func findByPath(v *job.View, host, path string) *job.Record {
@@ -168,7 +155,7 @@
 		if path[i] != '/' {
 			continue
 		}
-		if r := v.Jobs[job.ID(path[i+1:])]; r != nil && r.Job.Host == host && r.Job.Prefix == path[:i+1] {
+		if r := v.Jobs[job.ID(path[i+1:])]; r != nil && job.HostMatches(r.Job.Host, host) && r.Job.Prefix == path[:i+1] {
 			return r
 		}
 	}
--- a/internal/version/job/snapshot.go
+++ b/internal/version/job/snapshot.go
@@ -63,9 +63,11 @@
 	maps.Copy(v.Waves.Open, d.Waves.Open)
 	v.Waves.Closed = d.Waves.Closed
 	if v.Catalogue != nil {
+		v.Catalogue.Normalize()
 		v.addLimits(v.Catalogue) // snapshots of earlier builds have no limits
 	}
 	for _, r := range d.Jobs {
+		r.Job.normalize()
 		v.Jobs[r.Job.ID] = r
 		if !r.Status.Final() || len(r.Open) > 0 {
 			v.Active[r.Job.ID] = r
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -222,6 +222,7 @@
 	}
 	var result Result
 	if r.Catalogue != nil {
+		r.Catalogue.Normalize()
 		v.setCatalogue(r.Catalogue)
 	}
 	for _, w := range r.Workers {
@@ -329,6 +330,7 @@
 	if v.Jobs[j.ID] != nil || v.Withdrawn(j.ID) || v.Catalogue == nil {
 		return
 	}
+	j.normalize()
 	q := v.Catalogue.Queue(j.Host, j.Prefix)
 	if q == nil {
 		return
