Answer GET of a queue by the queue that the path is, not by its last slash

Cause: a caller who asked for the count of a queue at /p got the state of a submission that was never sent ({"state":"queued"}), since the entry process took paths without a slash at the end for jobs. A path with one was counted even if no queue has that path: the count of a removed queue came from the one around it, as if the route were still served.

Change: the leader finds the queue and says whether the path is its own. Leaders of earlier builds still get the old verb.

--- a/internal/connection/cell/message.go
+++ b/internal/connection/cell/message.go
@@ -70,7 +70,7 @@
 	Submit Verb = iota + 1
 	Status
 	Cancel
-	Pending
+	Pending // Status of earlier builds for a path with a slash at its end
 )
 
 // Call is a caller's call about a job or a queue.
@@ -107,8 +107,9 @@
 	Code    Code          `cbor:"1,keyasint"`
 	Message string        `cbor:"2,keyasint,omitempty"`
 	State   job.Status    `cbor:"3,keyasint,omitempty"`
-	Pending int           `cbor:"4,keyasint,omitempty"`
+	Pending int           `cbor:"4,keyasint,omitempty"` // if Queue
 	Wait    time.Duration `cbor:"5,keyasint,omitempty"`
+	Queue   bool          `cbor:"6,keyasint,omitempty"` // the path is that of a queue, not of a job
 }
 
 // Document is the catalogue as sent by the operator.
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -131,8 +131,8 @@
 		return cell.Verdict{Code: cell.BadKey}
 	}
 	target.workspace = workspace
-	if c.Verb == cell.Pending || target.id == "" {
-		return cell.Verdict{Code: cell.OK, Pending: v.Pending(q.Host, q.Prefix)}
+	if target.id == "" {
+		return cell.Verdict{Code: cell.OK, Queue: true, Pending: v.Pending(q.Host, q.Prefix)}
 	}
 	r := v.Jobs[target.id]
 	if r == nil {
--- a/internal/process/dispatch/withdraw_test.go
+++ b/internal/process/dispatch/withdraw_test.go
@@ -91,3 +91,27 @@
 		b.is.Equal(b.running(), 0)
 	})
 }
+
+// Guards against the count of a queue whose path has no slash at its end that is answered as the state of a
+// job, and against the count of a removed queue that is answered by another one (rule CONFIG,
+// issue 52).
+func TestCountIsThatOfTheQueueItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t)
+		defer b.close()
+		b.addQueue(2, "/u/inner")
+		count := func(verb cell.Verb, path string) cell.Verdict {
+			v, ok := b.term().call(context.Background(), &cell.Call{Verb: verb, Host: "h", Path: path, Key: "k"})
+			b.is.True(ok)
+			return v
+		}
+		queue := cell.Verdict{Code: cell.OK, Queue: true}
+		b.is.Equal(count(cell.Status, "/u/inner"), queue)
+		b.is.Equal(count(cell.Pending, "/u/"), queue)
+		b.addQueue(3, "/q/")
+		for _, verb := range []cell.Verb{cell.Status, cell.Pending} {
+			b.is.Equal(count(verb, "/u/inner"), cell.Verdict{Code: cell.NoJob})
+			b.is.Equal(count(verb, "/u/inner/"), cell.Verdict{Code: cell.NoJob})
+		}
+	})
+}
