Bound rounds by what a command of the log holds

Cause: callers saw one submission with a step of 13,000 tasks stop everything: nothing started any more, and further submissions got 504. The starts of a step were never separated, the log refused the round, and the leader built the same one again.

Change: a plan has at most 400 starts of a step that is no gang, and a round is shared by its steps, in what the input leaves of a command. A gang has a round for itself if it fits beside nothing else; one that fits into none is refused with 400. A round that is larger than estimated is logged and not proposed, and the next ones are smaller.

--- a/internal/process/dispatch/classify.go
+++ b/internal/process/dispatch/classify.go
@@ -159,6 +159,8 @@
 	switch {
 	case b.Demand.Only != "":
 		return WaitBound
+	case b.Reason == fit.NextPlan:
+		return WaitRound
 	case b.Reason == fit.AtLimit:
 		return WaitLimit
 	case b.Reason == fit.NoAdvice:
--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -186,11 +186,12 @@
 // lease.
 func (h *fakeWorkers) endDueRuns(w *fakeWorker) {
 	now := time.Now()
+	lapsed := h.clock(w).After(w.lease)
 	for id, r := range w.running {
 		switch {
 		case !r.stop.IsZero() && !now.Before(r.stop):
 			h.end(w, id, r, job.Stopped)
-		case h.clock(w).After(w.lease):
+		case lapsed:
 			h.end(w, id, r, job.LeaseExpired)
 		case !now.Before(r.ends) && r.fails:
 			h.end(w, id, r, job.RunFailed)
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -59,10 +59,6 @@
 	for _, b := range plan.Blocks {
 		t.logWaiting(b, now)
 	}
-	if len(plan.Starts) > maxRoundStarts {
-		t.signal()
-		return trim(plan.Starts)
-	}
 	return plan.Starts
 }
 
@@ -77,16 +73,6 @@
 		zap.Int("tasks", len(b.Demand.Tasks)), zap.Int("priority", b.Demand.Priority), zap.Duration("waited", now.Sub(s.waitingSince)))
 }
 
-// trim truncates a long plan. It does not separate the starts of one demand,
-// because the members of a gang start together.
-func trim(starts []fit.Start) []fit.Start {
-	n := maxRoundStarts
-	for n < len(starts) && starts[n].Demand == starts[n-1].Demand {
-		n++
-	}
-	return starts[:n]
-}
-
 // demands lists the steps with waiting tasks.
 func (t *term) demands(v *job.View, now time.Time) []*fit.Demand {
 	var demands []*fit.Demand
--- a/internal/process/dispatch/inbox.go
+++ b/internal/process/dispatch/inbox.go
@@ -3,12 +3,14 @@
 import (
 	"slices"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
 // Upper bounds of the encoded size of inputs in bytes, without their strings.
 const (
-	runSize    = 64 // of the end or the start of a run
+	runSize    = 64 // of the end of a run
+	startSize  = 36
 	workerSize = 160
 	jobSize    = 200
 	stepSize   = 160
@@ -54,12 +56,12 @@
 		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn)+len(n.cleared)+len(n.faulty)+len(n.unclear)+len(n.retried)+len(n.replaced)+len(n.lost) == 0
 }
 
-// take removes and returns input of about size bytes. Waiters and
+// take removes and returns input of about size bytes, and how many these are. Waiters and
 // acknowledgements stay until all that came before them has been taken. A catalogue that does
 // not fit beside other input has the next round for itself.
-func (n *inbox) take(size int) inbox {
+func (n *inbox) take(size int) (taken inbox, used int) {
 	if n.passed {
-		return n.takeCatalogue()
+		return n.takeCatalogue(), 0 // nothing starts in this round
 	}
 	all, left := *n, size
 	var in inbox
@@ -86,10 +88,10 @@
 	rest.catalogue = nil
 	if !rest.empty() || n.catalogue != nil && !in.empty() && left < sizeOfCatalogue(n.catalogue) {
 		n.passed = n.catalogue != nil
-		return in
+		return in, size - left
 	}
 	*n = inbox{}
-	return all
+	return all, size - left
 }
 
 // takeCatalogue removes and returns the catalogue only.
@@ -113,6 +115,9 @@
 	*to, *from = (*from)[:k:k], (*from)[k:]
 }
 
+// sizeOfStart returns an upper bound of the encoded size of a start.
+func sizeOfStart(s *fit.Start) int { return startSize + len(s.Demand.Step.Job) + len(s.Worker.ID) }
+
 func sizeOfRun(s *job.Start) int { return runSize + len(s.Task.Job) + len(s.Worker) }
 
 func sizeOfWorker(w *job.Worker) int {
@@ -127,7 +132,7 @@
 	n := jobSize + len(j.ID) + len(j.Host) + len(j.Prefix) + len(j.Workspace) + len(j.Payload)
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		n += stepSize + len(s.Label) + len(s.Rack) + len(s.Image)
+		n += stepSize + len(s.Label) + len(s.Rack) + len(s.Image) + 2*len(s.After)
 	}
 	return n
 }
@@ -179,18 +184,26 @@
 	for i := range in.submits {
 		t.unsettled = append(t.unsettled, keyOf(&in.submits[i]))
 	}
-	n := &t.inbox
-	n.workers = append(in.workers, n.workers...)
 	returned := func(g job.Worker) bool { return t.workers[g.ID] != nil && t.workers[g.ID].Life == g.Life }
-	n.gone = append(slices.DeleteFunc(in.gone, returned), n.gone...)
-	n.crashes = append(in.crashes, n.crashes...)
-	n.confirmed = append(in.confirmed, n.confirmed...)
-	n.cleared = append(in.cleared, n.cleared...)
-	n.ends = append(in.ends, n.ends...)
-	n.orphans = append(in.orphans, n.orphans...)
-	n.unclear = append(in.unclear, n.unclear...)
-	n.replaced = append(in.replaced, n.replaced...)
-	n.lost = append(in.lost, n.lost...)
-	n.settled = append(in.settled, n.settled...)
-	n.acks = append(in.acks, n.acks...)
+	in.gone = slices.DeleteFunc(in.gone, returned)
+	in.catalogue, in.cancels, in.withdrawn, in.submits, in.waves, in.steps, in.waiters = nil, nil, nil, nil, nil, nil, nil
+	in.faulty, in.retried = nil, nil // decided anew
+	t.inbox.putBack(in)
+}
+
+// putBack puts input back in front of what has come since it was taken.
+func (n *inbox) putBack(in inbox) {
+	if n.catalogue == nil {
+		n.catalogue = in.catalogue
+	}
+	n.workers, n.gone = append(in.workers, n.workers...), append(in.gone, n.gone...)
+	n.crashes, n.confirmed = append(in.crashes, n.crashes...), append(in.confirmed, n.confirmed...)
+	n.cleared, n.faulty = append(in.cleared, n.cleared...), append(in.faulty, n.faulty...)
+	n.retried, n.ends = append(in.retried, n.retried...), append(in.ends, n.ends...)
+	n.orphans, n.unclear = append(in.orphans, n.orphans...), append(in.unclear, n.unclear...)
+	n.lost, n.replaced = append(in.lost, n.lost...), append(in.replaced, n.replaced...)
+	n.settled, n.cancels = append(in.settled, n.settled...), append(in.cancels, n.cancels...)
+	n.withdrawn, n.submits = append(in.withdrawn, n.withdrawn...), append(in.submits, n.submits...)
+	n.waves, n.steps = append(in.waves, n.waves...), append(in.steps, n.steps...)
+	n.waiters, n.acks = append(in.waiters, n.waiters...), append(in.acks, n.acks...)
 }
--- a/internal/process/dispatch/inbox_test.go
+++ b/internal/process/dispatch/inbox_test.go
@@ -17,7 +17,7 @@
 		n.waiters = append(n.waiters, make(chan bool, 1))
 		for range 3 {
 			n.ends = append(n.ends, job.End{Task: job.TaskID{Job: "one"}})
-			in := n.take(maxRoundInput)
+			in, _ := n.take(maxRoundInput)
 			is.True(len(in.ends) == 0 || in.catalogue == nil || size == 1<<10)
 			if in.catalogue != nil {
 				catalogues++
--- a/internal/process/dispatch/requeue_test.go
+++ b/internal/process/dispatch/requeue_test.go
@@ -19,7 +19,7 @@
 		current.mu.Lock()
 		w := current.workers["a"]
 		current.removeWorker(w, "silent")
-		failed := current.inbox.take(maxRoundInput) // of a round that is on its way
+		failed, _ := current.inbox.take(maxRoundInput) // of a round that is on its way
 		current.mu.Unlock()
 		b.report("a", false)
 		current.requeue(failed)
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,12 +14,32 @@
 )
 
 const (
-	// maxRoundStarts bounds the starts of one round. A round of this size takes
-	// about 100 KB in the log.
+	// maxRoundStarts bounds the starts of one round, but for the last gang. A round of this size
+	// takes about 100 KB in the log.
 	maxRoundStarts = 800
 	// maxRoundInput bounds the input of one round in bytes. It leaves room for the
 	// starts and for an input that is a little larger than estimated.
 	maxRoundInput = raft.MaxCommand / 2
+	// roundReserve is kept free of entries in each round.
+	roundReserve = 16 << 10
+)
+
+// roundLimits bound the next round.
+type roundLimits struct {
+	input  int        // bytes
+	starts int        // but for the last gang
+	gang   job.StepID // has the next round for itself, since it fits beside no others; zero if there is none
+}
+
+var fullRound = roundLimits{input: maxRoundInput, starts: maxRoundStarts}
+
+// commitOutcome is what became of a round.
+type commitOutcome uint8
+
+const (
+	roundCommitted commitOutcome = iota
+	roundFailed                  // it may still be committed
+	roundTooLarge                // for the log; it was not proposed
 )
 
 // progressInterval is the interval of rounds while copies of starts may be carried out.
@@ -47,17 +68,20 @@
 			t.notify(in, true)
 			continue
 		}
-		result, ok := t.commit(ctx, r)
-		if !ok {
+		result, outcome := t.commit(ctx, r)
+		switch outcome {
+		case roundCommitted:
+			t.handleCommitted(&r, in, starts, result)
+		case roundTooLarge:
+			t.split(in)
+		case roundFailed:
 			t.dropFaulty(&in)
 			t.requeue(in)
 			if ctx.Err() == nil {
 				sleep(ctx, commitRetryDelay)
 				t.signal()
 			}
-			continue
 		}
-		t.handleCommitted(&r, in, starts, result)
 	}
 }
 
@@ -79,7 +103,11 @@
 func (t *term) buildRound() (job.Round, inbox, []fit.Start) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	in := t.inbox.take(maxRoundInput)
+	limits := t.limits
+	if limits.gang != (job.StepID{}) {
+		limits.input = 0
+	}
+	in, used := t.inbox.take(limits.input)
 	r := job.Round{
 		Catalogue: in.catalogue, Workers: in.workers, Gone: in.gone, Ends: in.ends, Cancels: in.cancels, Submits: in.submits,
 		Crashes: in.crashes, Confirmed: in.confirmed, Orphans: in.orphans, Settled: in.settled, Waves: in.waves, Steps: in.steps,
@@ -93,7 +121,15 @@
 		// next round.
 		return r, in, nil
 	}
-	starts := t.decide()
+	plan := t.decide()
+	starts, gang := trim(plan, limits, raft.MaxCommand-roundReserve-used)
+	t.limits.gang = job.StepID{}
+	if gang != limits.gang { // no round holds one that has just had its own
+		t.limits.gang = gang
+	}
+	if len(starts) < len(plan) {
+		t.signal()
+	}
 	for _, s := range starts {
 		r.Starts = append(r.Starts, job.Start{
 			Task: s.Demand.Step.Task(s.Index), Run: s.Demand.RunNumber(s.Index), Worker: s.Worker.ID, Life: s.Worker.Life,
@@ -102,6 +138,80 @@
 	return r, in, starts
 }
 
+// trim returns the starts of a plan that a round has room for, in bytes. Members of a gang start together.
+// The other steps share the round, so that a wide one does not hold up those after it. It also returns
+// a gang that has to have a round for itself.
+func trim(plan []fit.Start, limits roundLimits, room int) (starts []fit.Start, gang job.StepID) {
+	groups, share := groupStarts(plan, limits.gang), limits.starts
+	for share > 1 && sharedStarts(groups, share) > limits.starts {
+		share /= 2
+	}
+	for _, g := range groups {
+		if len(starts) >= limits.starts {
+			break
+		}
+		n := len(g)
+		if !g[0].Demand.Spec.Gang {
+			n = min(n, share)
+		}
+		size := 0
+		for i := range g[:n] {
+			size += sizeOfStart(&g[i])
+		}
+		switch {
+		case size <= room:
+			starts, room = append(starts, g[:n]...), room-size
+		case g[0].Demand.Spec.Gang && gang == job.StepID{}:
+			gang = g[0].Demand.Step
+		}
+	}
+	return starts, gang
+}
+
+// sharedStarts returns the number of starts if none of the groups has more than its share.
+func sharedStarts(groups [][]fit.Start, share int) int {
+	n := 0
+	for _, g := range groups {
+		n += min(len(g), share)
+	}
+	return n
+}
+
+// groupStarts groups the starts of a plan by demand, those of one step first.
+func groupStarts(plan []fit.Start, first job.StepID) [][]fit.Start {
+	var groups [][]fit.Start
+	for len(plan) > 0 {
+		n := 1
+		for n < len(plan) && plan[n].Demand == plan[0].Demand {
+			n++
+		}
+		at := len(groups)
+		if plan[0].Demand.Step == first {
+			at = 0
+		}
+		groups, plan = slices.Insert(groups, at, plan[:n]), plan[n:]
+	}
+	return groups
+}
+
+// split puts the input of a round back that is larger than a command of the log. The next rounds are
+// smaller, until one is committed.
+func (t *term) split(in inbox) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	l := &t.limits
+	if l.input <= 1 && l.starts <= 1 {
+		t.emit(event.EntryDropped, zap.String("kind", "round"), zap.Int("waiters", len(in.waiters)))
+		for _, c := range in.waiters {
+			c <- false
+		}
+	} else {
+		t.inbox.putBack(in)
+	}
+	l.input, l.starts = max(1, l.input/2), max(1, l.starts/2)
+	t.signal()
+}
+
 // notify records which ends are acknowledged by a round and tells its waiters
 // whether it was committed.
 func (t *term) notify(in inbox, ok bool) {
@@ -118,6 +228,7 @@
 // handleCommitted carries out the consequences of a committed round.
 func (t *term) handleCommitted(r *job.Round, in inbox, starts []fit.Start, result job.Result) {
 	t.mu.Lock()
+	t.limits.input, t.limits.starts = fullRound.input, fullRound.starts
 	t.settleAdmitted(r.Submits)
 	for i := range r.Ends {
 		t.removeRun(&r.Ends[i])
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -10,6 +10,7 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/raft"
 )
 
 // forgottenWait is the time after which a caller may try again whose submission may be a
@@ -137,12 +138,37 @@
 	}
 	j := *c.Job
 	j.ID, j.Host, j.Prefix, j.Workspace = target.id, target.queue.Host, target.queue.Prefix, target.workspace
-	if err := errors.CombineErrors(j.Check(), holds(job.Round{Submits: []job.Job{j}}, maxItem)); err != nil {
+	if err := errors.CombineErrors(errors.CombineErrors(j.Check(), t.checkGangs(&j)), holds(job.Round{Submits: []job.Job{j}}, maxItem)); err != nil {
 		return nil, cell.Verdict{Code: cell.Invalid, Message: err.Error()}
 	}
 	return &j, cell.Verdict{Code: cell.OK}
 }
 
+// minNameRoom is the length of the names of workers for which a round has room at least.
+const minNameRoom = 64
+
+// checkGangs returns an error if a gang of a job has more members than a round can start together.
+func (t *term) checkGangs(j *job.Job) error {
+	for i := range j.Steps {
+		if s := &j.Steps[i]; s.Gang && s.Count > maxRoundStarts {
+			if most := t.maxGang(j.ID); s.Count > most {
+				return errors.Newf("step %d: a gang of %d tasks is larger than %d, the most that can start together", i, s.Count, most)
+			}
+		}
+	}
+	return nil
+}
+
+// maxGang returns the largest number of tasks of a job that a round can start together, with workers' names as
+// long as those that are known.
+func (t *term) maxGang(id job.ID) int {
+	name := minNameRoom
+	for _, w := range t.workers {
+		name = max(name, len(w.ID))
+	}
+	return (raft.MaxCommand - roundReserve) / (startSize + len(id) + name)
+}
+
 // findStored reports whether the job of a call is stored, and its status. Its queue may
 // have left the catalogue.
 func (t *term) findStored(c *cell.Call, target *callTarget, found cell.Verdict) (stored bool, status job.Status) {
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -60,6 +60,7 @@
 	allowedShares  map[string]float64        // by queue; of the workers that were asked about
 	claims         map[string]cell.Report    // by worker: a report of a later incarnation that is being checked
 	inbox          inbox
+	limits         roundLimits
 	admitted       map[string]int                 // by callKey: copies of submissions that wait for the commit of a round
 	unsettled      []string                       // keys of copies whose round failed and may be committed all the same
 	refusals       refusals[string, cell.Verdict] // by refusalKey
@@ -113,7 +114,7 @@
 
 func newTerm(d *Dispatcher, number uint64) *term {
 	return &term{
-		dispatcher: d, number: number, began: d.options.Now(), clockBegan: d.options.Clock(), wake: make(chan struct{}, 1),
+		dispatcher: d, number: number, limits: fullRound, began: d.options.Now(), clockBegan: d.options.Clock(), wake: make(chan struct{}, 1),
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*stepState{},
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*fit.Peak{},
 		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
@@ -162,18 +163,23 @@
 // begin commits the start of the term, so that rounds of earlier terms are
 // refused.
 func (t *term) begin(ctx context.Context) bool {
-	_, ok := t.commit(ctx, job.Round{Lead: true})
-	return ok
+	_, outcome := t.commit(ctx, job.Round{Lead: true})
+	return outcome == roundCommitted
 }
 
-// commit proposes a round and reports whether it was applied.
-func (t *term) commit(ctx context.Context, r job.Round) (job.Result, bool) {
+// commit proposes a round and returns what became of it.
+func (t *term) commit(ctx context.Context, r job.Round) (job.Result, commitOutcome) {
 	r.Term, r.Now = t.number, t.now()
 	r.Forget = r.Now.Add(-t.timing().JobRetention)
 	b, err := job.Encode(r)
 	if err != nil {
 		t.emit(event.RoundDropped, event.Cause(err))
-		return job.Result{}, false
+		return job.Result{}, roundFailed
+	}
+	if len(b) > raft.MaxCommand {
+		t.emit(event.RoundSplit, zap.Int("bytes", len(b)), zap.Int("most", raft.MaxCommand), zap.Int("starts", len(r.Starts)), zap.Int("ends", len(r.Ends)),
+			zap.Int("workers", len(r.Workers)), zap.Int("submissions", len(r.Submits)), zap.Int("cancellations", len(r.Cancels)+len(r.Withdrawn)))
+		return job.Result{}, roundTooLarge
 	}
 	proposed := t.now()
 	v, err := t.dispatcher.options.Log.Propose(ctx, b)
@@ -182,10 +188,12 @@
 		if ctx.Err() == nil {
 			t.emit(event.RoundDropped, event.Cause(err))
 		}
-		return job.Result{}, false
+		return job.Result{}, roundFailed
+	}
+	if result, ok := v.(job.Result); ok && !result.Superseded {
+		return result, roundCommitted
 	}
-	result, ok := v.(job.Result)
-	return result, ok && !result.Superseded
+	return job.Result{}, roundFailed
 }
 
 // adopt loads the workers and runs from the replicated state.
--- a/internal/process/dispatch/wait.go
+++ b/internal/process/dispatch/wait.go
@@ -38,6 +38,7 @@
 	WaitAvoided               // for a worker that its step avoids
 	WaitUnplanned             // in no demand and no other wait
 	WaitTrial                 // the rest are what the planner says of a demand
+	WaitRound                 // for the next rounds
 	WaitRoom
 	WaitLimit
 	WaitHeadroom
@@ -49,7 +50,7 @@
 
 var waitNames = [numWaits]string{
 	"copies", "bound", "kept", "former", "lease", "stopping", "starting", "commit", "gang", "verdict", "paused", "avoided",
-	"unplanned", "trial", "room", "limit", "headroom", "advice", "denied", "unsuitable",
+	"unplanned", "trial", "round", "room", "limit", "headroom", "advice", "denied", "unsuitable",
 }
 
 // waitReasons describe the waits that the planner does not know.
--- a/internal/process/dispatch/wait_test.go
+++ b/internal/process/dispatch/wait_test.go
@@ -208,6 +208,12 @@
 		lateStart(b, tasks(1), 0)
 		b.fail("a")
 	}},
+	{WaitRound, "", 0, func(b *testCluster) {
+		fill(b)
+		b.submit("one", tasks(1))
+		d := &fit.Demand{Step: job.StepID{Job: "one"}, Tasks: []int{0}}
+		b.classify(&fit.Plan{Blocks: []fit.Block{{Demand: d, Reason: fit.NextPlan}}}, func(*term) {})
+	}},
 	{WaitRoom, "", 0, func(b *testCluster) { fill(b); b.submit("one", tasks(1)) }},
 	{WaitLimit, "", 0, func(b *testCluster) { b.configure(1000, nil); b.submit("one", tasks(2)) }},
 	{WaitHeadroom, "", 0, func(b *testCluster) {
@@ -304,7 +310,7 @@
 			current.waits.add(id.Task(0), taskWait{wait: c.wait, worker: c.worker, since: since, until: until})
 			continue
 		}
-		for _, reason := range []string{fit.NoTrial, fit.NoCapacity, fit.AtLimit, fit.UrgentHeadroom, fit.NoAdvice, fit.NoneAllowed, fit.NoSuitableWorker} {
+		for _, reason := range []string{fit.NoTrial, fit.NextPlan, fit.NoCapacity, fit.AtLimit, fit.UrgentHeadroom, fit.NoAdvice, fit.NoneAllowed, fit.NoSuitableWorker} {
 			b := fit.Block{Demand: &fit.Demand{Step: id, Trial: reason == fit.NoTrial, Tasks: []int{0}}, Reason: reason}
 			if blockWait(&b) == c.wait {
 				current.step(id).waitingSince = since
--- a/internal/process/dispatch/wave.go
+++ b/internal/process/dispatch/wave.go
@@ -9,6 +9,8 @@
 	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
@@ -65,7 +67,7 @@
 	if t.dispatcher.options.VMs == nil {
 		return cell.Verdict{Code: cell.Invalid, Message: "the platform offers no maintenance"}, true
 	}
-	if err := w.Check(); err != nil {
+	if err := errors.CombineErrors(w.Check(), holds(job.Round{Waves: []job.Wave{*w}}, maxRoundInput)); err != nil {
 		return cell.Verdict{Code: cell.Invalid, Message: err.Error()}, true
 	}
 	if t.waveState(w.Number).Code == cell.OK {
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -233,8 +233,13 @@
 	UrgentHeadroom   = "the room is kept for urgent work"
 	NoSuitableWorker = "no worker is large enough or has the label"
 	NoTrial          = "no worker is free for a trial"
+	NextPlan         = "the plan has as many starts of the step as it takes"
 )
 
+// MaxStarts is the largest number of starts of a demand in one plan, unless it is a gang. The rest
+// follow in the next plans, so that a wide step does not hold up the work beside it.
+const MaxStarts = 400
+
 // Cluster describes the workers and limits that a plan has to work with.
 type Cluster struct {
 	Workers  []*Worker
--- a/internal/version/fit/place.go
+++ b/internal/version/fit/place.go
@@ -51,6 +51,10 @@
 	limit := p.cluster.Limits[d.Workspace]
 	var candidates []*Worker
 	for n, index := range d.Tasks {
+		if n == MaxStarts {
+			p.block(d, NextPlan, n)
+			return
+		}
 		if !limit.allows(d.Spec.Size, 1) {
 			p.block(d, AtLimit, n)
 			return
