Found a group by a majority of its founders

With one of three lost at the first start, no leader was elected: an empty disk could be a lost one, so that fewer answers could have let two groups come up.

Change: at the first start, which the platform names (first_start), each founder notes that on its disk. Only disks with the note found, and the smallest majority is enough for which the quorums of any two groups have a member in common: two of three, four of five. Any founder draws a group in its turn, again if no leader is elected within 3 s. A replica that has stored no entry adopts the founding that a pre-vote or vote carries; one that has stored an entry keeps its group unless no quorum of it can have (event 221). Each change of the group takes a later term. Found and FoundAnswer are gone; their numbers stay unused.

Failed on the way: votes kept over a change of the group were cast twice in a term of a group that a replica came back to; members once heard to be in another group stayed counted as gone after they were back (model). Progress in the model was tried and left out: what holds "in the end" of faults took more of the model than the protocol.

--- a/internal/process/event/raft.go
+++ b/internal/process/event/raft.go
@@ -24,5 +24,6 @@
 	VotersComplete    = define(218, zapcore.InfoLevel, "voters complete", "All voters answer the leader again, or others have taken their place.")
 	NotAdmitted       = define(219, zapcore.WarnLevel, "not admitted", "This replica has asked for some time to be admitted to the control group and is not a member; the line counts the replicas that answered and names the silent ones. If none answers, check its seeds.")
 	ReplicaSlow       = define(220, zapcore.WarnLevel, "replica slow", "This replica woke late, or a write to its log took long, by more than a heartbeat since the last such line; the others may elect another leader. A late wake-up points to the processor, a long sync to the disk.")
+	GroupGivenUp      = define(221, zapcore.WarnLevel, "founding given up", "This replica was elected in a founding and lost the others before anything was committed; it takes part in another founding, or joins the group that the others have founded.")
 	ReplicaFailed     = define(216, zapcore.ErrorLevel, "replica failed", "The disk failed or its data is damaged; replace the disk, the replica then joins as a new one.")
 )
--- a/internal/version/raft/core.go
+++ b/internal/version/raft/core.go
@@ -82,7 +82,7 @@
 	name       string
 	identity   uint64
 	configured []string // names of the members in the settings of the start
-	founded    bool     // this replica is never the founder
+	founded    bool     // this replica is no founder, unless its disk says so
 	random     *rand.Rand
 	log        event.Log
 	load       func() (disk.Snapshot, error) // reads the stored snapshot
@@ -166,8 +166,9 @@
 		c.memberships = []membershipAt{{s.Index, m}}
 	}
 	c.recordMemberships(c.entries.between(max(s.Index, c.entries.base.Index), c.entries.last()))
-	// The founder persists the membership last, when the founding is complete.
-	c.founding.confirmed = c.isFounder() && c.membership() != nil
+	if options.First && c.membership() == nil && slices.Contains(options.Members, options.Name) {
+		c.noteFounders(options.Members)
+	}
 	c.initElectionTimer(options.Started)
 	c.learnContacts(options.Members)
 	return c, c.err
@@ -283,7 +284,7 @@
 // is not a member, it has promised nothing to its group, or it knows no leader. In
 // the last case it may have been removed, or all members that it knows replaced.
 func (c *core) needsMembership() bool {
-	return !c.isMember() || c.promisedNothing() || c.leader == 0
+	return !c.isMember() || c.undecided() || c.leader == 0
 }
 
 // tick advances the time and runs what is due.
@@ -299,7 +300,7 @@
 	m := c.membership()
 	switch {
 	case !c.isMember():
-	case m.isVoter(c.identity) && !c.acceptsFounding() && (c.isOnlyVoter() || !c.now.Before(c.electionDeadline)):
+	case m.isVoter(c.identity) && (c.isOnlyVoter() || !c.now.Before(c.electionDeadline)):
 		c.campaign()
 	case !c.now.Before(c.electionDeadline):
 		c.resetElectionTimer()
@@ -319,7 +320,7 @@
 		return
 	}
 	switch m.Type {
-	case Join, JoinAnswer, Report, ReportAnswer, Found, FoundAnswer:
+	case Join, JoinAnswer, Report, ReportAnswer:
 		c.stepFounding(m)
 		return
 	}
@@ -392,6 +393,7 @@
 func (c *core) recordLeaderContact(m Message) {
 	c.role = follower
 	c.lastContact, c.noLeaderSinceStart = c.now, false
+	c.founding.bound = nil // some may have come back to this group
 	c.resetElectionTimer()
 	if c.leader != m.From {
 		c.leader, c.leaderName = m.From, m.FromName
--- a/internal/version/raft/election.go
+++ b/internal/version/raft/election.go
@@ -43,11 +43,7 @@
 	c.role = preCandidate
 	c.votes, c.restartedVoters = map[uint64]bool{}, map[uint64]bool{}
 	c.votes[c.identity] = true
-	m := Message{Type: PreVote, Term: c.term + 1}
-	if !c.acceptsFounding() {
-		m.Membership = c.membership().encode() // for voters that missed the founding
-	}
-	c.requestVotes(true, m)
+	c.requestVotes(true, Message{Type: PreVote, Term: c.term + 1})
 }
 
 // becomeCandidate starts an election in the next term. Restarted is true if all
@@ -64,6 +60,7 @@
 // requestVotes sends a request to all other voters.
 func (c *core) requestVotes(immediate bool, m Message) {
 	m.Index, m.LogTerm = c.entries.last(), c.entries.lastTerm()
+	m.Membership = c.membership().encode() // for voters that missed the founding
 	for _, p := range c.membership().Members {
 		if p.Voter && p.Identity != c.identity {
 			m.To = p.Identity
@@ -80,7 +77,6 @@
 }
 
 func (c *core) handlePreVote(m Message) {
-	c.founding.confirmed = true
 	// An answer given in the candidate's own term rules out that a leader of that
 	// term or an earlier one is elected after it, however late the answer and the
 	// vote arrive. With a lower term, this replica could still elect one.
@@ -186,6 +182,7 @@
 	c.termStart = c.entries.last() + 1
 	c.heartbeatDue = c.now.Add(c.heartbeat)
 	c.trackMembers()
+	c.founding.own, c.founding.bound = c.undecided(), nil
 	c.append([]disk.Entry{{Index: c.termStart, Term: c.term, Kind: disk.Empty}})
 	c.log.Emit(event.LeadershipWon, zap.Uint64("term", c.term), zap.Uint64("entry", c.termStart))
 	c.broadcast()
--- a/internal/version/raft/founding.go
+++ b/internal/version/raft/founding.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -16,74 +17,135 @@
 	foundingTerm  = 1
 )
 
-// report is what a configured replica reported to the founder.
-type report struct {
-	identity uint64
-	nonce    uint64
-}
+const (
+	// foundingWait is how long a founder waits for the others once there are enough.
+	foundingWait = time.Second
+	// foundingGrace is how long a founding has to elect a leader before its members take
+	// part in another one.
+	foundingGrace = 3 * time.Second
+	// foundingTurn is the time between the first rounds of two founders, so that they do not
+	// compete.
+	foundingTurn = 2 * time.Second
+)
 
 // founding is the state of the founding of a group.
 //
-// The first name in the settings is the founder, unless its group exists already. It collects reports from all
-// other replicas, and when all disks are empty, it sends the founding membership
-// to them. Each persists it and answers; the founder persists it last, which
-// completes the founding. A new round begins when the founder starts or a replica
-// reports a changed disk or one that is not empty. A nonce binds the membership to the receiver's report in the
-// latest round, so that a delayed membership of an older round is refused and
-// two foundings cannot both complete.
+// A founder collects reports of the others, and if enough of them have stored no entry of
+// any group, it draws a group of those that reported and campaigns in it. Its pre-vote
+// carries the membership, which the others adopt. Any founder may do so, each in its turn,
+// and again if no leader is elected.
+//
+// No two groups commit anything, whatever the founders lose or hear late. A replica that
+// stores an entry belongs to its group for good; one that has stored none may go to
+// another. A group has so many members that the quorums of any two have a member in common.
+// With each change of the group a replica goes to a later term, so that it never votes
+// twice in a term of a group that it returns to.
 //
-// The founder campaigns first. Its pre-vote confirms to the other replicas that
-// the founding is complete; they campaign only after that. A replica that has
-// neither voted nor received an entry has promised nothing. It reports an empty
-// disk until the founding is confirmed, follows a leader of any group that has
-// its identity as a member, and adopts the membership from a voter that asks for
-// its vote. A voter without entries is in the founding membership, since later
-// members become voters only once they have caught up.
+// This needs disks that are not lost unnoticed. Where all replicas know that the system
+// starts for the first time, each notes that on its disk, and only disks with the note
+// found; a majority is enough. Otherwise an empty disk may be a lost one, and a group needs
+// all founders, none of which has stored an entry.
 type founding struct {
-	round    uint64            // founder: random number of the current round
-	reports  map[string]report // founder: reports of this round by name
-	proposed *Membership       // founder: membership sent to the others
-	accepted map[uint64]bool   // founder: identities that persisted it
+	round     uint64            // random number of the round that this replica runs; zero if it runs none
+	began     time.Time         // the round
+	reports   map[string]uint64 // identities of those that have stored no entry, by name
+	others    map[string]bool   // of these, those that are no founders: only a group of all has them
+	nextRound time.Time         // this replica starts no round before
+	adoptedAt time.Time         // when the founding membership was adopted
 
-	reportedRound uint64 // round of the latest report
-	nonce         uint64
-
-	confirmed bool // the founding is known to be complete
+	reportedRound uint64          // latest round that this replica reported to
+	bound         map[uint64]bool // members of this replica's group that belong to another one
+	own           bool            // all entries are this replica's own, as a leader of which it knows that it has committed nothing
 }
 
-// promisedNothing reports whether this replica has neither voted nor stored an entry.
-func (c *core) promisedNothing() bool {
-	return c.term <= foundingTerm && c.vote == 0 && c.entries.last() <= foundingIndex
+// undecided reports whether this replica has stored no entry of a group.
+func (c *core) undecided() bool { return c.entries.last() <= foundingIndex }
+
+// founders returns the names that may found the group, or nil if this replica is none of
+// them, and how many have to take part.
+func (c *core) founders() (names []string, needed int) {
+	if m := c.membership(); m != nil && len(m.Founders) > 0 {
+		return m.Founders, foundersNeeded(len(m.Founders))
+	}
+	if c.founded || !slices.Contains(c.configured, c.name) {
+		return nil, 0
+	}
+	return c.configured, len(c.configured)
 }
 
-// acceptsFounding reports whether this replica may accept a founding membership.
-func (c *core) acceptsFounding() bool { return c.promisedNothing() && !c.founding.confirmed }
+// foundersNeeded returns the smallest majority of founders any two of which form groups
+// whose quorums have a member in common.
+func foundersNeeded(founders int) int {
+	n := founders/2 + 1
+	for n < founders && 2*(n/2+1) <= founders {
+		n++
+	}
+	return n
+}
 
-func (c *core) isFounder() bool {
-	return !c.founded && len(c.configured) > 0 && c.configured[0] == c.name
+// noteFounders notes on a disk without a group that this replica is one of the founders.
+func (c *core) noteFounders(names []string) {
+	m := &Membership{Group: c.randomNonzero(), Founders: names}
+	for _, name := range names {
+		m.Members = append(m.Members, Member{Name: name})
+	}
+	c.installSnapshot(disk.Snapshot{Index: foundingIndex, Term: foundingTerm, Membership: m.encode()})
 }
 
-// foundOrJoin continues a founding if this replica is the founder, and asks to join
+// foundOrJoin continues a founding if this replica is a founder, and asks to join
 // a group.
 func (c *core) foundOrJoin() {
 	if c.now.Before(c.joinDue) {
 		return
 	}
 	c.joinDue = c.now.Add(joinInterval)
-	if c.isFounder() && c.membership() == nil && c.acceptsFounding() {
-		if len(c.configured) == 1 {
-			c.adoptFounding(&Membership{Group: c.randomNonzero(), Members: []Member{{Name: c.name, Identity: c.identity, Voter: true}}}, true)
-			return
+	switch {
+	case c.leader != 0:
+	case c.undecided():
+		c.found()
+	case !c.mayBeGivenUp():
+	case !c.founding.own:
+		c.askBound()
+	case !c.now.Before(c.lastContact.Add(foundingGrace)):
+		c.giveUp(0)
+	}
+	c.join()
+}
+
+// found starts a round in its turn, asks those that have not reported, and proposes the
+// group once enough have.
+func (c *core) found() {
+	f := &c.founding
+	names, _ := c.founders()
+	switch {
+	case names == nil, c.isFounding():
+		return
+	case len(names) == 1:
+		c.adoptFounding(c.proposal())
+		return
+	case f.round == 0 || !c.now.Before(f.began.Add(foundingGrace)):
+		turn := slices.Index(names, c.name)
+		if f.nextRound.IsZero() {
+			f.nextRound = c.now.Add(time.Duration(turn) * foundingTurn)
 		}
-		if c.founding.round == 0 {
-			c.newRound()
+		if c.now.Before(f.nextRound) {
+			return
 		}
-		for _, name := range c.configured[1:] {
-			c.send(true, name, Message{Type: Report, Nonce: c.founding.round})
+		f.round, f.began, f.reports, f.others = c.randomNonzero(), c.now, map[string]uint64{}, map[string]bool{}
+		f.nextRound = c.now.Add(foundingGrace + time.Duration(len(names))*time.Duration(c.random.Int64N(int64(foundingTurn))))
+	}
+	for _, name := range names {
+		if name != c.name && f.reports[name] == 0 {
+			c.send(true, name, Message{Type: Report, Nonce: f.round, Names: names})
 		}
-		c.sendProposedMembership()
 	}
-	c.join()
+	c.proposeGroup()
+}
+
+// isFounding reports whether the members of a founding that this replica has adopted may
+// still elect a leader.
+func (c *core) isFounding() bool {
+	return c.isMember() && c.undecided() && (c.leader != 0 || c.now.Before(c.founding.adoptedAt.Add(foundingGrace)))
 }
 
 // randomNonzero returns a random number other than zero.
@@ -95,10 +157,14 @@
 	}
 }
 
-// adoptFounding installs a founding membership as the first snapshot.
-func (c *core) adoptFounding(m *Membership, confirmed bool) {
-	c.term, c.vote, c.founding.confirmed = foundingTerm, 0, confirmed
+// adoptFounding installs a founding membership as the first snapshot. It belongs to another
+// group, so that this replica's votes count no more.
+func (c *core) adoptFounding(m *Membership) {
+	c.term, c.vote, c.hardStateChanged = max(c.term+1, foundingTerm), 0, true
+	c.role = follower
+	c.forgetLeader()
 	c.lastContact, c.noLeaderSinceStart = c.now, false
+	c.founding = founding{nextRound: c.founding.nextRound, adoptedAt: c.now}
 	c.resetElectionTimer()
 	c.installSnapshot(disk.Snapshot{Index: foundingIndex, Term: foundingTerm, Membership: m.encode()})
 	c.log.Emit(event.GroupFounded, zap.Uint64("group", m.Group), zap.Int("members", len(m.Members)))
@@ -114,128 +180,153 @@
 		c.handleReport(m)
 	case ReportAnswer:
 		c.handleReportAnswer(m)
-	case Found:
-		c.handleFound(m)
-	case FoundAnswer:
-		c.handleFoundAnswer(m)
 	}
 }
 
-// mayFound reports whether a replica may found this replica's group. Only one that
-// started before there was a group acts as founder. A replica that has restarted
-// meanwhile may have other settings than the founder, and follows it.
-func (c *core) mayFound(name string) bool {
-	return c.founded || len(c.configured) > 0 && name == c.configured[0]
-}
-
+// handleReport answers a founder. A replica that has just adopted a founding does not take
+// part in another one.
 func (c *core) handleReport(m Message) {
-	if !c.mayFound(m.FromName) {
+	names, _ := c.founders()
+	if names != nil && !slices.Equal(names, m.Names) {
+		c.log.Emit(event.FoundingRefused, zap.Strings("theirs", m.Names), zap.Strings("ours", names))
+		return
+	}
+	if c.isFounding() {
 		return
 	}
-	if f := &c.founding; f.reportedRound != m.Nonce {
-		f.reportedRound, f.nonce = m.Nonce, c.randomNonzero()
+	if f := &c.founding; names != nil && f.reportedRound != m.Nonce {
+		f.reportedRound = m.Nonce
+		f.nextRound = c.now.Add(foundingGrace + time.Duration(slices.Index(names, c.name))*foundingTurn)
+	}
+	a := Message{Type: ReportAnswer, Empty: c.undecided(), Reject: names == nil, Hint: m.Nonce}
+	if !a.Empty {
+		a.HintTerm = c.membership().Group
 	}
-	c.answer(m, Message{Type: ReportAnswer, Empty: c.acceptsFounding(), Nonce: c.founding.nonce, Hint: m.Nonce})
+	c.answer(m, a)
 }
 
 func (c *core) handleReportAnswer(m Message) {
-	if !c.isFounder() || c.membership() != nil || !slices.Contains(c.configured, m.FromName) {
+	f := &c.founding
+	names, _ := c.founders()
+	if f.round == 0 || m.Hint != f.round || !slices.Contains(names, m.FromName) || c.isFounding() {
 		return
 	}
-	f := &c.founding
-	if m.Hint != f.round {
+	if !c.undecided() {
+		c.noteBound(m)
 		return
 	}
-	old, known := f.reports[m.FromName]
-	if !m.Empty || known && old.identity != m.From {
-		c.newRound()
+	if !m.Empty {
+		f.round = 0 // there is a group, whose leader admits this replica
 		return
 	}
-	f.reports[m.FromName] = report{m.From, m.Nonce}
-	if f.proposed == nil && len(f.reports) == len(c.configured)-1 {
-		f.proposed = &Membership{Group: c.randomNonzero()}
-		for _, name := range c.configured {
-			id := c.identity
-			if name != c.name {
-				id = f.reports[name].identity
-			}
-			f.proposed.Members = append(f.proposed.Members, Member{Name: name, Identity: id, Voter: true})
-		}
-		c.sendProposedMembership()
+	f.reports[m.FromName] = m.From
+	if m.Reject {
+		f.others[m.FromName] = true
 	}
+	c.proposeGroup()
 }
 
-// newRound discards what the founder has collected and starts a new round.
-func (c *core) newRound() {
-	c.founding.round = c.randomNonzero()
-	c.founding.reports, c.founding.accepted, c.founding.proposed = map[string]report{}, map[uint64]bool{}, nil
+// proposeGroup adopts a group of those that have reported, if there are enough and the
+// others have had their time, and campaigns in it.
+func (c *core) proposeGroup() {
+	f := &c.founding
+	names, needed := c.founders()
+	if f.round == 0 || 1+len(f.reports) < len(names) && (1+len(f.reports)-len(f.others) < needed || c.now.Before(f.began.Add(foundingWait))) {
+		return
+	}
+	c.adoptFounding(c.proposal())
+	c.electionDeadline = c.now
 }
 
-// sendProposedMembership sends the proposed membership to the members that have
-// not accepted it.
-func (c *core) sendProposedMembership() {
+// mayBeGivenUp reports whether this replica's group has committed nothing as far as it
+// knows, and has founders that may have founded another one.
+func (c *core) mayBeGivenUp() bool {
+	m := c.membership()
+	return c.membership() != nil && c.commit <= foundingIndex && c.memberships[len(c.memberships)-1].index == foundingIndex && len(m.Founders) > 0
+}
+
+// askBound asks the founders which group they belong to.
+func (c *core) askBound() {
 	f := &c.founding
-	if f.proposed == nil {
-		return
+	if f.bound == nil {
+		f.round, f.bound = c.randomNonzero(), map[uint64]bool{}
 	}
-	for _, p := range f.proposed.Members {
-		if p.Identity != c.identity && !f.accepted[p.Identity] {
-			c.send(true, p.Name, Message{Type: Found, To: p.Identity, Membership: f.proposed.encode(), Nonce: f.reports[p.Name].nonce})
+	names, _ := c.founders()
+	for _, name := range names {
+		if name != c.name {
+			c.send(true, name, Message{Type: Report, Nonce: f.round, Names: names})
 		}
 	}
 }
 
-func (c *core) handleFound(m Message) {
-	s, err := decodeMembership(m.Membership)
-	if err != nil || !c.mayFound(m.FromName) || s.member(c.identity) == nil {
+// noteBound records that a founder belongs to another group for good, so that it has stored
+// nothing of this replica's group and never will. Without a quorum, that one is given up.
+func (c *core) noteBound(m Message) {
+	f, s := &c.founding, c.membership()
+	if f.bound == nil || m.Empty || m.HintTerm == 0 || m.HintTerm == s.Group || !c.mayBeGivenUp() || c.leader != 0 {
 		return
 	}
-	names := s.names()
-	if !c.founded && !slices.Equal(names, c.configured) {
-		c.log.Emit(event.FoundingRefused, zap.Strings("theirs", names), zap.Strings("ours", c.configured))
-		return
-	}
-	if o := c.membership(); o == nil || o.Group != s.Group {
-		if f := &c.founding; !c.acceptsFounding() || f.nonce != m.Nonce {
-			return
+	f.bound[m.From] = true
+	left := 0
+	for _, p := range s.Members {
+		if p.Voter && !f.bound[p.Identity] {
+			left++
 		}
-		c.adoptFounding(s, false)
 	}
-	// The answer carries the group, which identifies the accepted founding.
-	c.answer(m, Message{Type: FoundAnswer})
+	if left < c.quorum() {
+		c.giveUp(m.HintTerm)
+	}
 }
 
-func (c *core) handleFoundAnswer(m Message) {
-	f := &c.founding
-	if f.proposed == nil || m.Group != f.proposed.Group || c.membership() != nil || !c.acceptsFounding() {
-		return
+// giveUp leaves a group that has committed nothing, for another one if that is known.
+func (c *core) giveUp(other uint64) {
+	s := c.membership()
+	c.log.Emit(event.GroupGivenUp, zap.Uint64("group", s.Group), zap.Uint64("other", other))
+	c.term, c.vote, c.hardStateChanged, c.role = c.term+1, 0, true, follower
+	c.founding = founding{nextRound: c.now.Add(foundingGrace)}
+	c.noteFounders(s.Founders)
+}
+
+// proposal returns a group of this replica and those that have reported.
+func (c *core) proposal() *Membership {
+	names, _ := c.founders()
+	m := &Membership{Group: c.randomNonzero()}
+	if o := c.membership(); o != nil {
+		m.Founders = o.Founders
 	}
-	f.accepted[m.From] = true
-	for _, p := range f.proposed.Members {
-		if p.Identity != c.identity && !f.accepted[p.Identity] {
-			return
+	for _, name := range names {
+		if name == c.name {
+			m.Members = append(m.Members, Member{Name: name, Identity: c.identity, Voter: true})
+		} else if id := c.founding.reports[name]; id != 0 && (!c.founding.others[name] || len(c.founding.reports)+1 == len(names)) {
+			m.Members = append(m.Members, Member{Name: name, Identity: id, Voter: true})
 		}
 	}
-	c.adoptFounding(f.proposed, true)
+	return m
 }
 
-// stepOtherGroup handles a message of a group that this replica does not belong
-// to. A replica that has promised nothing installs the snapshot of a leader that
-// knows its identity. It keeps its term until then, so that it still reports an
-// empty disk.
+// stepOtherGroup handles a message of a group that this replica does not belong to. A
+// replica that has stored no entry adopts a founding, and installs the snapshot of a leader
+// that knows its identity.
 func (c *core) stepOtherGroup(m Message) {
-	if !c.promisedNothing() {
+	if !c.undecided() {
 		return
 	}
 	switch m.Type {
-	case PreVote:
+	case PreVote, Vote:
 		s, err := decodeMembership(m.Membership)
-		if err == nil && s.Group == m.Group && s.isVoter(c.identity) {
-			c.adoptFounding(s, true)
+		if err == nil && s.Group == m.Group && s.isVoter(c.identity) && (!c.isFounding() || m.Index > foundingIndex) {
+			c.adoptFounding(s)
+		}
+	case Append, Chunk:
+		if m.Term < c.term {
+			// It may have voted in this term of the group before.
+			c.answer(m, Message{Type: AppendAnswer, Index: m.Index, Reject: true})
+			return
+		}
+		if m.Type == Append {
+			c.answer(m, Message{Type: AppendAnswer, Index: m.Index, Reject: true, Term: m.Term})
+			return
 		}
-	case Append:
-		c.answer(m, Message{Type: AppendAnswer, Index: m.Index, Reject: true, Term: m.Term})
-	case Chunk:
 		if !c.addChunk(m) {
 			return
 		}
--- a/internal/version/raft/join.go
+++ b/internal/version/raft/join.go
@@ -68,7 +68,7 @@
 	for _, name := range names {
 		if !c.joining.asked[name] {
 			c.joining.asked[name] = true
-			c.send(true, name, Message{Type: Join, Empty: c.promisedNothing()})
+			c.send(true, name, Message{Type: Join, Empty: c.undecided()})
 		}
 	}
 }
@@ -99,7 +99,7 @@
 }
 
 // mayJoin reports whether the sender of a join request may become a member. One that
-// has made promises to another group would never follow this one.
+// has stored an entry of another group would never follow this one.
 func (c *core) mayJoin(m Message) bool {
 	s := c.membership()
 	known := c.open || slices.Contains(c.configured, m.FromName) || s.memberNamed(m.FromName, true) != nil
--- a/internal/version/raft/message.go
+++ b/internal/version/raft/message.go
@@ -23,8 +23,8 @@
 	Join // request of a replica without a leader to be admitted
 	Report
 	ReportAnswer
-	Found // carries the founding membership
-	FoundAnswer
+	_ // of earlier builds
+	_
 	JoinAnswer // names the members that the asked replica knows
 )
 
@@ -58,7 +58,7 @@
 
 	Reject   bool   `cbor:"11,keyasint,omitempty"`
 	Hint     uint64 `cbor:"12,keyasint,omitempty"` // last entry that may match; in ReportAnswer, the founder's round
-	HintTerm uint64 `cbor:"13,keyasint,omitempty"`
+	HintTerm uint64 `cbor:"13,keyasint,omitempty"` // of Hint; in ReportAnswer, the group of a replica that has stored an entry
 
 	// Sent is the time at which the leader sent the request, in nanoseconds since
 	// the leader's start. Answers return it.
@@ -69,15 +69,15 @@
 	Data       []byte `cbor:"17,keyasint,omitempty"`
 	Membership []byte `cbor:"18,keyasint,omitempty"`
 
-	Empty bool   `cbor:"19,keyasint,omitempty"` // in ReportAnswer, accepts a founding membership; in Join, has promised nothing
-	Nonce uint64 `cbor:"20,keyasint,omitempty"` // binds Found to the receiver's latest report; in Report, the founder's round
+	Empty bool   `cbor:"19,keyasint,omitempty"` // has stored no entry of a group
+	Nonce uint64 `cbor:"20,keyasint,omitempty"` // in Report, the founder's round
 
 	// Restarted in PreVoteAnswer means that the voter started within the last
 	// election timeout and has not heard from a leader since; in Vote, that this
 	// holds for all voters.
 	Restarted bool `cbor:"21,keyasint,omitempty"`
 
-	Names []string `cbor:"22,keyasint,omitempty"` // in JoinAnswer
+	Names []string `cbor:"22,keyasint,omitempty"` // in JoinAnswer the members, in Report the founders
 }
 
 // Membership is the set of members that a log entry puts in force.
@@ -86,6 +86,10 @@
 	Members []Member `cbor:"2,keyasint"`
 	Removed []uint64 `cbor:"3,keyasint,omitempty"` // identities whose messages are ignored
 	Retired []string `cbor:"4,keyasint,omitempty"` // names removed by an operator, which may not join
+
+	// Founders are the names that found the group. Before they have, the members are these names without
+	// identities.
+	Founders []string `cbor:"5,keyasint,omitempty"`
 }
 
 // Member is one replica: its name and the identity on its disk.
--- a/internal/version/raft/options.go
+++ b/internal/version/raft/options.go
@@ -27,11 +27,14 @@
 	// Name is the replica's name in the settings.
 	Name string
 	// Members are the names of control replicas in the settings. They found the
-	// group, the first one as the founder. Afterwards they are only the names that
+	// group, all of them together unless First is set. Afterwards they are only the names that
 	// this replica asks first for the present members; SetContacts adds others.
 	Members []string
-	// Founded means that the group was founded before this replica's disk was
-	// created, so that this replica is never the founder.
+	// First means that the whole system starts for the first time, with empty disks. A
+	// majority of the members then founds the group.
+	First bool
+	// Founded means that the system was started before, so that an empty disk is a lost or
+	// an additional one and this replica founds nothing.
 	Founded bool
 	// Open admits replicas whose names are not among the members. It is for
 	// platforms that give replacement VMs new names, which settings cannot list
--- a/internal/version/raft/replication.go
+++ b/internal/version/raft/replication.go
@@ -231,6 +231,7 @@
 		break
 	}
 	c.commit = max(c.commit, min(m.Commit, last))
+	c.founding.own = c.founding.own && last <= foundingIndex
 	c.answer(m, Message{Type: AppendAnswer, Index: last})
 }
 
