Stop a run for want of progress only when that is known

Change: a percentage may stand still for three times what a percent takes by the largest of the estimate, its queue's baseline, the run's own changes and those of its step, 3 s at least as before; with none of these the run stays. Each such stop of a task doubles the time of its next run, so that an estimate far too short ends. The worker is avoided only if the step has shown progress, or runs of two steps stood still there and nothing moved between. A new leader allows what the former ones did. Event 998 has the figures (stall.go).

Measured (arm64): TestLongTasksAreDone, ten minutes and two hours with true, missing, wide, close and narrow estimates: all ten red before, all pass now; with a true, missing, wide or close estimate three starts for three tasks and no worker avoided, with one of a second 12 and 21 starts for three tasks and one worker avoided for its speed. The package: passed.

--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -44,10 +44,6 @@
 	// that reports ends. Each listing has a cost, and the tasks of one step end
 	// close together.
 	minListInterval = 30 * time.Millisecond
-	// stallTimeout is the time without progress after which a run is moved to
-	// another worker. A healthy run of the longest kind advances by one percent
-	// in a fifth of it.
-	stallTimeout = 3 * time.Second
 	// unreadAvoidTime is how long a step avoids a worker whose row about a run of it could not be
 	// read. It is longer than the step takes to try several such workers in turn.
 	unreadAvoidTime = 30 * time.Second
@@ -284,7 +280,7 @@
 		r.checkpoint = listed.Checkpoint
 	}
 	if listed.Percent != r.percent || r.spec.Lasting {
-		r.percent, r.lastProgress = listed.Percent, now
+		t.noteProgress(r, listed.Percent, now)
 	}
 	r.usage = listed.Usage
 	r.recordProgress(listed.Percent, clock)
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -62,8 +62,10 @@
 	resumed         bool           // resumed from a checkpoint, or started by an earlier leader
 	inherited       bool           // started by an earlier leader, whose clock may differ
 	queue           string
-	usage           float64   // latest ListedRun.Usage
-	lastProgress    time.Time // when percent last changed
+	usage           float64       // latest ListedRun.Usage
+	lastProgress    time.Time     // when percent last changed
+	pace            time.Duration // longest time per percent that was seen; zero if none was
+	inheritedTime   time.Duration // how long it ran under earlier leaders
 	stopping        bool
 	stoppingSince   time.Time
 	nextStopLog     time.Time // a stop that is not confirmed is not logged before this
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -145,14 +145,7 @@
 	if w.Draining && !w.drainDeadline.IsZero() && now.After(w.drainDeadline.Add(-t.timing().StopTime-drainMargin)) {
 		t.stopForDrain(w)
 	}
-	for _, r := range w.runs {
-		if !r.startResolvedAt.IsZero() && !r.stopping && !r.endQueued && w.missed == 0 && t.stalled(r, now) {
-			t.avoidWorker(w, "a run makes no progress")
-			t.avoidForStep(r, now)
-			t.stop(r)
-			t.stopGang(r)
-		}
-	}
+	t.stopStalled(w, now)
 }
 
 // concludeLeave removes a worker that announced that it is leaving and has left. The
@@ -173,11 +166,6 @@
 	return true
 }
 
-// stalled reports whether a run has made no progress for too long.
-func (t *term) stalled(r *run, now time.Time) bool {
-	return !r.spec.Lasting && !r.spec.Filler && r.throttlePercent == 0 && now.Sub(later(r.lastProgress, r.startResolvedAt)) > stallTimeout+t.gangTime(r)
-}
-
 // gangTime returns how long a run may make no progress because it waits for
 // other members of its gang.
 func (t *term) gangTime(r *run) time.Duration {
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -102,6 +102,7 @@
 	nextWaitLog   time.Time            // its wait is not logged before this
 	lags          map[string]float64   // of its runs, by worker; see fit.Motion
 	learned       bool                 // a run of it is counted in the baseline of its queue
+	stalls        stalls
 }
 
 // adviceClient is a process that queries the advice service for the leader.
@@ -252,6 +253,7 @@
 		ago, unclear := v.Unclear(task)
 		r := &run{id: id, number: o.Run, worker: w, spec: &record.Job.Steps[id.Step], committedAt: now, startedAt: earlier(task.Started(), now), startResolvedAt: now, lastProgress: now,
 			urgent: record.Queue.Priority == 0, queue: queueKey(&record.Queue), resumed: true, inherited: true, sent: true}
+		r.inheritedTime = now.Sub(r.startedAt)
 		if w == nil {
 			if unclear && t.adoptHeld(r, name, task, ago) {
 				t.addRun(r)
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -85,6 +85,7 @@
 	faults            int              // consecutive failed runs
 	avoidTime         time.Duration    // latest length of its avoidance
 	avoidedUntil      time.Time        // no new tasks before this
+	standing          job.StepID       // whose run was stopped for want of progress last, if no run has made any since
 	wasSlow           bool             // was slow and has not shown normal speed since
 	lapsed            []*run           // runs whose lease ended while it was silent, under which it may have crashed
 	suspected         bool             // suspectRuns has looked at its runs since its last answer
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -24,6 +24,7 @@
 	StepWaits        = define(909, zapcore.InfoLevel, "step waits", "Tasks of the step could not be placed for the reason given; the line is written at most every 2 s for a step.")
 	TaskWaits        = define(995, zapcore.InfoLevel, "task waits", "Tasks of the step do not start for the reason given, a worker or an earlier run; the wait ends by the time in until, if there is one. The line is written at most every 2 s for a step, a wait and a worker.")
 	WaitOverdue      = define(996, zapcore.ErrorLevel, "wait overdue", "A task waits for longer than the bounds of the platform explain. It is a fault of the scheduler: report it with the lines about the task and the worker.")
+	RunStalled       = define(998, zapcore.WarnLevel, "run without progress", "The percentage of a run stood still for longer than its estimate and the progress of its step explain; it starts on another worker, with twice the time.")
 	RunPreempted     = define(923, zapcore.InfoLevel, "run makes way", "A run of low priority with checkpoints is stopped for more urgent work and goes on later.")
 	PoolUse          = define(924, zapcore.InfoLevel, "pool use", "What of a pool is in use, kept and waited for, and what holds the capacity that is idle while tasks wait; the line is written once a second while work waits, else every 10 s. It counts workers that get no new tasks by cause.")
 	WorkerKnown      = define(910, zapcore.InfoLevel, "worker known", "A worker reported itself for the first time in this life.")
