Give up a waiting task that has failed as often as its queue allows now

A task that waited when the number was lowered, in place or while its queue was away, started once more.

--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -196,6 +196,8 @@
 		switch k := &p.Tasks[i]; {
 		case k.Worker != "":
 			d.Placed[k.Worker]++
+		case r.Spent(s, p, k):
+			t.giveUpSpent(id.Task(i), k.Run)
 		case !k.Done && !t.paused(p, s, id.Task(i), r.Queue.Pool, now):
 			d.Tasks = append(d.Tasks, i)
 		}
--- a/internal/process/dispatch/verdict.go
+++ b/internal/process/dispatch/verdict.go
@@ -76,3 +76,13 @@
 	}
 	t.signal()
 }
+
+// giveUpSpent gives up a task that waits and has no attempt left, since its queue allows fewer
+// now. The caller holds the lock.
+func (t *term) giveUpSpent(id job.TaskID, run int) {
+	s := job.Start{Task: id, Run: run}
+	if !slices.Contains(t.inbox.faulty, s) {
+		t.inbox.faulty = append(t.inbox.faulty, s)
+		t.signal()
+	}
+}
--- a/internal/version/job/command.go
+++ b/internal/version/job/command.go
@@ -50,7 +50,7 @@
 	Confirmed []Start      `cbor:"17,keyasint,omitempty"` // trials that their workers execute
 	Withdrawn []Withdrawal `cbor:"18,keyasint,omitempty"` // cancellations of jobs that are not known
 	Cleared   []Start      `cbor:"19,keyasint,omitempty"` // runs whose workers crashed in common with others
-	Faulty    []Start      `cbor:"20,keyasint,omitempty"` // runs whose tasks are given up if they still look faulty
+	Faulty    []Start      `cbor:"20,keyasint,omitempty"` // runs whose tasks are given up if they still look faulty or have no attempt left
 	Unclear   []Start      `cbor:"21,keyasint,omitempty"` // runs with a copy of their start without an answer
 	Retried   []Start      `cbor:"22,keyasint,omitempty"` // runs whose tasks look faulty and are tried once more
 	Replaced  []string     `cbor:"23,keyasint,omitempty"` // workers at whose addresses others answer, which refuse all copies of starts
@@ -67,7 +67,7 @@
 	Superseded bool    // a later term has begun, so nothing was applied
 	Refused    []bool  // for each of Starts, whether it was not applied
 	Ended      []ID    // jobs that reached a final state
-	GivenUp    []Start // those of Faulty that ended the job of their task
+	GivenUp    []Start // those of Faulty that looked faulty and ended the job of their task
 }
 
 // Encode encodes a round for the log. It fails if Decode would, because a round that no
--- a/internal/version/job/crash.go
+++ b/internal/version/job/crash.go
@@ -118,12 +118,18 @@
 	return c.Proven(rate), c.Chance(rate)
 }
 
-// giveUp fails the job of a task that still looks faulty.
+// giveUp fails the job of a task that still looks faulty, or has no attempt left.
 func (v *View) giveUp(s *Start, now time.Time, result *Result) {
 	r, o, t := v.Find(s.Task)
-	if t == nil || r.Status.Final() || t.Done || !o.Steps[s.Task.Step].Faulty(&r.Job.Steps[s.Task.Step], t) {
+	if t == nil || r.Status.Final() || t.Done {
+		return
+	}
+	step, p := &r.Job.Steps[s.Task.Step], &o.Steps[s.Task.Step]
+	switch {
+	case p.Faulty(step, t):
+		result.GivenUp = append(result.GivenUp, *s)
+	case !r.Spent(step, p, t):
 		return
 	}
-	result.GivenUp = append(result.GivenUp, *s)
 	v.finishJob(r, Failed, now, result)
 }
--- a/internal/version/job/end.go
+++ b/internal/version/job/end.go
@@ -89,17 +89,22 @@
 		return
 	}
 	t.Faults++
+	if s.Gang && p.FaultedRun != run {
+		p.FaultedRun = run
+		p.Faults++
+	}
+	if r.Spent(s, p, t) {
+		v.finishJob(r, Failed, now, result)
+	}
+}
+
+// Spent reports whether a task that is not done has failed as often as its queue allows now.
+func (r *Record) Spent(s *Step, p *Progress, t *Task) bool {
 	n := t.Faults
 	if s.Gang {
-		if p.FaultedRun != run {
-			p.FaultedRun = run
-			p.Faults++
-		}
 		n = p.Faults
 	}
-	if n >= r.MaxFailures() {
-		v.finishJob(r, Failed, now, result)
-	}
+	return !s.Lasting && !t.Done && n >= r.MaxFailures()
 }
 
 // closeOccurrence updates an occurrence after the end of a run: it marks the
