Reproduce a task that runs twice because the next incarnation answers its start

TestStartAnsweredByTheNextIncarnation has the next incarnation answer a start with a clock that reads more than the former one's, or the same. No stand-in could show it: their clocks start at one second in each incarnation, so that they read less, and answers to starts name the incarnation unless a random test removes it.

--- /dev/null
+++ b/internal/process/dispatch/anonymous_test.go
@@ -0,0 +1,69 @@
+package dispatch
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+)
+
+// nextAnswer is a start that the next incarnation of its worker answers, with a clock only, before the
+// leader knows of it.
+type nextAnswer struct {
+	ahead   time.Duration // of the next incarnation's clock, which reads as the former one's would if zero
+	runTime time.Duration // of the tasks
+	mute    bool          // the next incarnation is not heard after its answer
+	killed  time.Duration // when the leader changes, after the answer; never if zero
+}
+
+// play submits a job of two tasks. A second worker has room for them once they have started.
+func (n *nextAnswer) play(b *testCluster) {
+	b.workers.setRunTime(n.runTime)
+	time.Sleep(30 * time.Second)
+	b.changeWorker("a", func(w *fakeWorker) { n.ahead += b.workers.clock(w).Sub(time.UnixMilli(1000)) })
+	b.restart("a", 2)
+	b.changeWorker("a", func(w *fakeWorker) { w.origin, w.anonymous = n.ahead, true })
+	b.submit("one", tasks(2))
+	time.Sleep(20 * time.Millisecond)
+	b.add("b", 1)
+	b.changeWorker("a", func(w *fakeWorker) { w.unheard = n.mute })
+	if n.killed > 0 {
+		time.Sleep(n.killed)
+		b.log.set(false, 2)
+		time.Sleep(300 * time.Millisecond)
+		b.log.set(true, 3)
+	}
+	time.Sleep(60 * time.Second)
+}
+
+// Guards against a task that runs in two places, or again after it was done, because the next
+// incarnation of its worker has answered its start, with a clock that does not read less than the
+// former one's (rule TWICE, issue 56).
+func TestStartAnsweredByTheNextIncarnation(t *testing.T) {
+	const long = 12 * time.Second
+	for name, n := range map[string]nextAnswer{
+		"ahead":           {ahead: time.Minute, runTime: long},
+		"ahead-short":     {ahead: time.Minute, runTime: 200 * time.Millisecond},
+		"ahead-mute":      {ahead: time.Minute, runTime: long, mute: true},
+		"ahead-killed":    {ahead: time.Minute, runTime: long, killed: 50 * time.Millisecond},
+		"equal":           {runTime: long},
+		"equal-short":     {runTime: 200 * time.Millisecond},
+		"equal-mute":      {runTime: long, mute: true},
+		"equal-killed":    {runTime: long, killed: 50 * time.Millisecond},
+		"equal-mute-late": {runTime: long, mute: true, killed: 5500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newTestCluster(t, "a")
+				defer b.close()
+				n.play(b)
+				b.is.Equal(b.workers.copied(), "")
+				b.is.Equal(b.status("one"), job.Completed)
+				if n.runTime < time.Second {
+					b.is.Equal(len(b.workers.starts), 2) // each of the tasks once
+				}
+			})
+		})
+	}
+}
--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -109,17 +109,19 @@
 	delaysStarts       bool // answers no start and carries it out only with carryOutLate
 	delayedStarts      int  // so many starts are delayed likewise
 	late               []StartOrder
-	refusesCopies      bool  // executes starts, but answers that a second copy of them was refused
-	full               bool  // refuses starts for lack of room
-	repeats            bool  // answers the second copy of a start, and not the first one
-	refusesStops       bool  // is unhealthy: answers stops, but does nothing
-	unhealthy          bool  // answers all orders, but does nothing
-	draining           bool  // reports that it drains
-	fails              bool  // runs fail early
-	unread             bool  // the rows of its listings cannot be read
-	slowClock          bool  // its clock is slow by 2%
-	processors         int64 // thousandths; zero means 4000
-	slowdown           int   // factor by which new tasks take longer; zero means one
+	refusesCopies      bool          // executes starts, but answers that a second copy of them was refused
+	full               bool          // refuses starts for lack of room
+	repeats            bool          // answers the second copy of a start, and not the first one
+	refusesStops       bool          // is unhealthy: answers stops, but does nothing
+	unhealthy          bool          // answers all orders, but does nothing
+	draining           bool          // reports that it drains
+	fails              bool          // runs fail early
+	unread             bool          // the rows of its listings cannot be read
+	slowClock          bool          // its clock is slow by 2%
+	origin             time.Duration // reading of its clock at its start
+	anonymous          bool          // its answers to starts and stops state a clock only, as on the users' platform
+	processors         int64         // thousandths; zero means 4000
+	slowdown           int           // factor by which new tasks take longer; zero means one
 	listings           int
 	refusals           int // of orders, while unhealthy
 	lastListing        ListOrder
@@ -166,7 +168,7 @@
 	if w.slowClock {
 		passed = time.Duration(float64(passed) * minClockRate)
 	}
-	return time.UnixMilli(1000).Add(passed)
+	return time.UnixMilli(1000).Add(w.origin + passed)
 }
 
 // extendLease extends the lease of a worker, which shortens one that is too long.
@@ -261,7 +263,7 @@
 	if a = h.carryOut(target.ID, w, o, a); w.unheard {
 		return Answer{Result: Unanswered}
 	}
-	return h.slow.answer(p, h, w, h.fates.anonymous(a))
+	return h.slow.answer(p, h, w, h.fates.anonymous(w, a))
 }
 
 // carryOut has a worker carry out a start that arrives.
@@ -350,7 +352,7 @@
 		return Answer{Result: Unanswered}
 	}
 	h.fates.settle(target.ID, w, o.Task, o.Run)
-	return h.fates.anonymous(a)
+	return h.fates.anonymous(w, a)
 }
 
 // stop has a worker carry out a stop that arrives. It reports whether the order is of the
--- a/internal/process/dispatch/fates_test.go
+++ b/internal/process/dispatch/fates_test.go
@@ -198,8 +198,8 @@
 }
 
 // anonymous removes the incarnation from an answer to a start or a stop, unless answers state it.
-func (f *fates) anonymous(a Answer) Answer {
-	if f != nil && !f.named {
+func (f *fates) anonymous(w *fakeWorker, a Answer) Answer {
+	if w.anonymous || f != nil && !f.named {
 		a.Life = 0
 	}
 	return a
