Prove the starts on a worker by a listing only

Cause: answers to starts name no incarnation, and one whose clock did not read less than the known incarnation's was taken for its own. The clock of the next incarnation may start with any reading. Whatever it had accepted before the leader knew of it counted as answered, was lost at once when a listing named it, and started elsewhere beside it.

A start that was accepted stays in doubt until a listing that names the known incarnation was sent after the answer, or shows the run of a start that had one copy only. A doubt whose copies were all answered ends with the longest lease; no copy of it can arrive. Clocks are evidence now: one that reads too much or too little has the worker listed, and it gets no new tasks until then; a crash is not confirmed by such an answer. The next leaders are told of a start only if it is not proved after 2 s, since they keep those of the last 5 s anyway.

TestAnswerProvesItsIncarnation required a clock to prove an incarnation, which is what was wrong: it requires the opposite now, and that clocks which read too much do not fit.

--- a/internal/process/dispatch/attempt.go
+++ b/internal/process/dispatch/attempt.go
@@ -40,44 +40,88 @@
 // settleLate settles a copy by its late answer.
 func (t *term) settleLate(a *attempt, late Answer) {
 	r, w := a.run, a.run.worker
-	if !settles(w, late, a.sent) {
-		return
-	}
 	t.orderUse.late++
-	t.settleCopy(r)
-	if late.Result == Accepted && r.startResolvedAt.IsZero() && !r.endQueued && t.workers[w.ID] == w {
+	if settles(w, late) {
+		t.settleCopy(r)
+	} else {
+		t.noteUnproved(r)
+	}
+	if late.Result == Accepted && r.startResolvedAt.IsZero() && !r.endQueued && t.workers[w.ID] == w && (w.proves(late) || w.fits(late, a.sent, t.now())) {
 		t.resolveStart(r, late) // the listing shows whether the worker answers now
 	}
 }
 
-// settles reports whether an answer to a copy of a start shows that no incarnation carries the copy out
-// later.
-func settles(w *worker, a Answer, sent time.Time) bool {
-	return a.Result == NotSent || a.Result == Refused || a.Result == WrongWorker || a.Result == Accepted && w.proves(a, sent)
+// settles reports whether an answer to a copy of a start shows that no incarnation but the known one
+// carries the copy out.
+func settles(w *worker, a Answer) bool {
+	return a.Result == NotSent || a.Result == Refused || a.Result == WrongWorker || a.Result == Accepted && w.proves(a)
 }
 
 // noteCopies counts the copies of an attempt that are open, and settles the others. The attempt
 // counted as one.
 func (t *term) noteCopies(at *attempt, a Answer) {
-	open := a.Open
+	r, open := at.run, a.Open
+	unproved := a.Answered() && !settles(r.worker, a)
 	switch {
-	case !settles(at.run.worker, a, at.sent) && a.Answered():
+	case unproved:
 		open++
 	case a.Repeated, a.Result == Unanswered, a.Result == Undelivered:
 		open = max(1, open)
 	}
 	at.returned = true
 	if open > 1 {
-		at.run.copies += open - 1
+		r.copies += open - 1
 	} else if open == 0 {
-		t.settleCopy(at.run)
+		t.settleCopy(r)
+	}
+	if unproved {
+		t.noteUnproved(r)
 	}
 	for _, late := range at.late {
 		t.settleLate(at, late)
 	}
 	at.late = nil
-	if at.run.copies > 0 {
-		t.orders.Go(func() { t.awaitAnswers(at.run) })
+	if r.copies > r.unproved {
+		t.orders.Go(func() { t.awaitAnswers(r) })
+	}
+}
+
+// noteUnproved records that a copy of a start was accepted by an incarnation that is not proved.
+func (t *term) noteUnproved(r *run) {
+	r.unproved, r.answeredAt = min(r.unproved+1, r.copies), t.now()
+	t.noteAnswered(r)
+}
+
+// noteAnswered records that all copies of a start were answered, if they were, and some are not proved.
+func (t *term) noteAnswered(r *run) {
+	key := orphan{r.id, r.number}
+	if d := t.doubtsOf(r.worker); d != nil && r.unproved > 0 && r.unproved == r.copies {
+		if s, unclear := d.starts[key]; unclear {
+			s.answered = r.answeredAt
+			d.starts[key] = s
+		}
+	}
+}
+
+// proveStarts settles the copies that are proved by a listing of the known incarnation: those that were
+// answered before it was sent, and the only copy of a start that it shows.
+func (t *term) proveStarts(w *worker, sent time.Time, l *Listing) {
+	shown := map[orphan]bool{}
+	for i := range l.Running {
+		shown[orphan{l.Running[i].Task, l.Running[i].Run}] = true
+	}
+	for i := range l.Ended {
+		shown[orphan{l.Ended[i].Task, l.Ended[i].Run}] = true
+	}
+	for id, r := range w.runs {
+		if r.unproved == 0 || !r.answeredAt.Before(sent) && !(r.sentCopies == 1 && shown[orphan{id, r.number}]) {
+			continue
+		}
+		settled := r.unproved
+		r.unproved = 0
+		for range settled {
+			t.settleCopy(r)
+		}
 	}
 }
 
@@ -98,4 +142,5 @@
 	if d := t.doubtsOf(r.worker); d != nil && r.copies == 0 {
 		t.dropDoubt(d, orphan{r.id, r.number})
 	}
+	t.noteAnswered(r)
 }
--- a/internal/process/dispatch/attempt_test.go
+++ b/internal/process/dispatch/attempt_test.go
@@ -91,7 +91,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, d := range t.unclear[key.task] {
-		if !d.starts[key].IsZero() {
+		if _, unclear := d.starts[key]; unclear {
 			return true
 		}
 	}
--- a/internal/process/dispatch/classify.go
+++ b/internal/process/dispatch/classify.go
@@ -14,15 +14,17 @@
 // copiesOver returns when no copy of a start is carried out or executed any more, and what was sent
 // latest from which that derives.
 func (t *term) copiesOver(d *doubts, key orphan) (until, sent time.Time) {
-	sent = t.latestSent(d, d.starts[key])
-	return sent.Add(lateOrderTime + t.longestLease()), sent
+	s := d.starts[key]
+	return t.doubtOver(d, s, lateOrderTime), t.latestSent(d, s.sent)
 }
 
 // runOver returns when a run without an answer to a copy of its start is over, and what was sent
 // latest from which that derives. Both are zero if there is no such copy.
 func (t *term) runOver(r *run) (until, sent time.Time) {
-	if d := t.doubts[r.worker.ID]; d != nil && !d.starts[orphan{r.id, r.number}].IsZero() {
-		until, sent = t.overAt(d, r), t.latestSent(d, d.starts[orphan{r.id, r.number}])
+	if d := t.doubts[r.worker.ID]; d != nil {
+		if s, unclear := d.starts[orphan{r.id, r.number}]; unclear {
+			until, sent = t.overAt(d, r), t.latestSent(d, s.sent)
+		}
 	}
 	return until, sent
 }
--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -17,6 +17,12 @@
 	// clockSlack is how far a worker's clock may seem to go back, because answers
 	// overtake each other. Beyond it, another incarnation has answered.
 	clockSlack = 5 * time.Second
+	// clockAhead is how far it may seem to go ahead, because the answer with the latest reading was
+	// on its way for so long.
+	clockAhead = time.Second
+	// proofTime is how long after its answer a start is proved by a listing, which waits for an end
+	// for maxListWait. Later, the next leaders have to know of it.
+	proofTime = 2 * time.Second
 )
 
 // doubts are the starts that were sent to an incarnation of a worker, or to one before it,
@@ -29,12 +35,22 @@
 // Leases go only to an incarnation that has listed its runs and has just proved itself, and its first
 // proof after the copies can have arrived ends the doubt, so that each doubt ends.
 type doubts struct {
-	worker string
-	life   job.Incarnation
-	starts map[orphan]time.Time // when the latest copy was sent
-	leases []time.Time          // when orders with a lease were sent that have no answer yet
-	leased time.Time            // when the latest order with a lease was sent that got no answer
-	held   []*run               // runs of incarnations that have ended; they end when no copy can be carried out
+	worker  string
+	life    job.Incarnation
+	starts  map[orphan]doubt
+	leases  []time.Time // when orders with a lease were sent that have no answer yet
+	leased  time.Time   // when the latest order with a lease was sent that got no answer
+	granted time.Time   // when an incarnation that is not proved answered the latest order with a lease
+	held    []*run      // runs of incarnations that have ended; they end when no copy can be carried out
+}
+
+// doubt is what is known of the copies of a start.
+type doubt struct {
+	sent time.Time // when the latest copy was sent
+	// answered is when the latest copy was answered, if all were and one was accepted; zero before. Answers
+	// to starts name no incarnation, so that the next one may execute the run until a listing shows that
+	// the known one lives.
+	answered time.Time
 }
 
 // doubt records that a copy of a start is sent, which carries a lease.
@@ -45,13 +61,14 @@
 	t.endWait(r.id)
 	t.addDoubt(d, orphan{r.id, r.number}, sent)
 	d.leases = append(d.leases, sent)
+	d.leased = later(d.leased, r.worker.leaseLost)
 }
 
 // doubtsAbout returns the doubts about a worker. It creates them if there are none.
 func (t *term) doubtsAbout(worker string, life job.Incarnation) *doubts {
 	d := t.doubts[worker]
 	if d == nil {
-		d = &doubts{worker: worker, life: life, starts: map[orphan]time.Time{}}
+		d = &doubts{worker: worker, life: life, starts: map[orphan]doubt{}}
 		t.doubts[worker] = d
 	}
 	return d
@@ -62,29 +79,37 @@
 	if _, known := d.starts[key]; !known {
 		t.unclear[key.task] = append(t.unclear[key.task], d)
 	}
-	d.starts[key] = sent
+	d.starts[key] = doubt{sent: sent}
 }
 
 // settleLease records the answer to an order that carried a lease, or that there is none. An order
-// that the known incarnation has answered arrives nowhere else.
+// that is answered arrives nowhere else.
 func (t *term) settleLease(w *worker, sent time.Time, a Answer) {
 	d := t.doubts[w.ID]
-	if d == nil {
-		return
-	}
-	i := slices.IndexFunc(d.leases, sent.Equal)
-	if i < 0 {
-		return
+	if d != nil {
+		i := slices.IndexFunc(d.leases, sent.Equal)
+		if i < 0 {
+			return
+		}
+		d.leases = slices.Delete(d.leases, i, i+1)
 	}
-	d.leases = slices.Delete(d.leases, i, i+1)
 	switch {
 	case a.Repeated: // another copy may arrive late
-	case a.Result == NotSent, a.Result == WrongWorker, w.proves(a, sent):
+	case a.Result == NotSent, a.Result == WrongWorker, w.proves(a):
 		return
 	case a.Result == Refused && a.Reason != ReasonRunEnded && a.Reason != ReasonCapacity:
 		return // whichever incarnation it was, it did nothing
+	case a.Answered():
+		if d != nil {
+			d.granted = later(d.granted, t.now())
+		}
+		return
+	}
+	if d == nil {
+		w.leaseLost = later(w.leaseLost, sent)
+	} else {
+		d.leased = later(d.leased, sent)
 	}
-	d.leased = later(d.leased, sent)
 }
 
 // latestLease returns when the latest lease was sent that may arrive late.
@@ -249,13 +274,26 @@
 // nothing is heard of it. A long-running task waits for prompt copies only: while all
 // is well it must not be without a run for as long as an order may be late.
 func (t *term) overAt(d *doubts, r *run) time.Time {
-	sent, unclear := d.starts[orphan{r.id, r.number}]
+	s, unclear := d.starts[orphan{r.id, r.number}]
 	if !unclear || r.spec.Copies {
 		return time.Time{}
 	}
-	arrives := t.latestSent(d, sent)
-	if !r.spec.Lasting {
-		arrives = arrives.Add(lateOrderTime)
+	late := lateOrderTime
+	if r.spec.Lasting {
+		late = 0
+	}
+	return t.doubtOver(d, s, late)
+}
+
+// doubtOver returns when a start is over of which nothing is heard, if an order without an answer may be
+// carried out so late. If all copies were answered, it runs already, and only a lease may arrive.
+func (t *term) doubtOver(d *doubts, s doubt, late time.Duration) time.Time {
+	if s.answered.IsZero() {
+		return t.latestSent(d, s.sent).Add(late + t.longestLease())
+	}
+	arrives := later(s.answered, d.granted)
+	if lease := d.latestLease(); !lease.IsZero() {
+		arrives = later(arrives, earlier(lease, t.latestLeaseAfter(s.sent)).Add(late))
 	}
 	return arrives.Add(t.longestLease())
 }
@@ -275,7 +313,7 @@
 		r.keptSince = t.now()
 		t.orderUse.kept++
 		t.emit(event.RunKept, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", w.ID), zap.Int64("life", int64(w.Life)),
-			zap.Int("copies", r.copies), zap.Duration("age", t.now().Sub(d.starts[orphan{r.id, r.number}])), zap.Time("until", until), zap.String("reason", reason))
+			zap.Int("copies", r.copies), zap.Duration("age", t.now().Sub(d.starts[orphan{r.id, r.number}].sent)), zap.Time("until", until), zap.String("reason", reason))
 	}
 	return true
 }
@@ -322,24 +360,28 @@
 	}
 }
 
-// copyOver reports whether no copy of a start that was sent at a time, or before, will be carried out
-// any more, and none is executed. An answer proves that the copies reach no later incarnation, and
-// a listing what this one executes, which is known as an orphan.
-func (t *term) copyOver(d *doubts, key orphan, sent, now time.Time) bool {
-	arrived, w := sent.Add(lateOrderTime), t.workers[d.worker]
+// copyOver reports whether no copy of a start will be carried out any more, and none is executed by
+// an incarnation that is not known. A proof of the known one after the copies have arrived shows that they
+// reach no later incarnation, and a listing what it executes itself, which is known as an orphan if
+// the start was sent to a former one.
+func (t *term) copyOver(d *doubts, key orphan, s doubt, now time.Time) bool {
+	arrived, w := s.sent.Add(lateOrderTime), t.workers[d.worker]
+	if !s.answered.IsZero() {
+		arrived = s.answered
+	}
 	if now.Before(arrived) || w != nil && w.orphans[key] != nil {
 		return false
 	}
 	if w != nil && w.Life == d.life && w.missed == 0 {
-		if w.listed && w.provedAt.After(arrived) {
+		if w.completeAt.After(arrived) {
 			return true
 		}
-		if !w.refuses { // its reports have it listed
-			w.pollOnce = true // an idle worker is not asked otherwise
+		if !w.refuses && w.idle() { // its reports have it listed
+			w.pollOnce = true
 			t.startPolling(w)
 		}
 	}
-	return now.After(t.latestSent(d, sent).Add(lateOrderTime + t.longestLease()))
+	return now.After(t.doubtOver(d, s, lateOrderTime))
 }
 
 // dropDoubts records that orders to a worker's incarnation reach another process now, which refuses
@@ -365,9 +407,12 @@
 			}
 		}
 		d.held = kept
-		for key, sent := range d.starts {
-			if t.copyOver(d, key, sent, now) {
+		for key, s := range d.starts {
+			switch r := t.runs[key.task]; {
+			case t.copyOver(d, key, s, now):
 				t.dropDoubt(d, key)
+			case r != nil && r.number == key.run && !s.answered.IsZero() && now.Sub(s.answered) > proofTime:
+				t.noteUnclear(r)
 			}
 		}
 		if len(d.starts) == 0 && len(d.held) == 0 {
--- a/internal/process/dispatch/fates_test.go
+++ b/internal/process/dispatch/fates_test.go
@@ -30,6 +30,8 @@
 	settled bool
 	// prompt, if set, has no order carried out late.
 	prompt bool
+	// origins, if set, has the clocks of later incarnations start with any reading.
+	origins bool
 	// named, if set, has answers to starts and stops state the incarnation.
 	named bool
 
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -171,7 +171,9 @@
 	if a.Result == Unanswered || a.Result == NotSent {
 		t.orderUse.unlisted++
 	}
-	t.settleLease(w, sent, a)
+	if !o.Lease.IsZero() {
+		t.settleLease(w, sent, a)
+	}
 	if t.over || t.workers[w.ID] != w {
 		return nil
 	}
@@ -190,6 +192,12 @@
 	}
 	w.listed, w.pollOnce, w.refuses = true, false, false
 	w.forgotten = max(w.forgotten, o.Acknowledged)
+	if w.proves(a) {
+		t.proveStarts(w, sent, &l)
+		if l.Complete {
+			w.completeAt = later(w.completeAt, sent)
+		}
+	}
 	present := map[job.TaskID]int{}
 	unread := 0
 	for _, listed := range l.Running {
--- a/internal/process/dispatch/overlap_test.go
+++ b/internal/process/dispatch/overlap_test.go
@@ -226,12 +226,19 @@
 	}
 	r.restart(next, life)
 	r.workers.mu.Lock()
+	silence := time.Duration(0) // until its first report, while it answers orders
+	if r.fates.origins {
+		random := rand.New(rand.NewPCG(uint64(life), 10))
+		r.workers.all[next].origin = time.Duration(random.Int64N(int64(2 * overlapTime)))
+		silence = time.Duration(random.Int64N(int64(1500 * time.Millisecond)))
+	}
 	r.ids[vm] = next
 	r.workers.mu.Unlock()
 	r.change(next, func(*linkState) {})
 	r.fates.note("fault: %s life %d up", next, life)
+	time.Sleep(silence)
 	r.workers.mu.Lock()
-	heard := !r.workers.all[next].unheard
+	heard := r.workers.all[next] != nil && !r.workers.all[next].unheard
 	r.workers.mu.Unlock()
 	if heard {
 		r.report(next, false)
@@ -354,7 +361,7 @@
 		jobs: map[job.ID]job.Step{}, ended: map[job.ID]job.Status{}, time: map[job.ID]time.Duration{}, begun: map[doneRun]bool{}, lives: map[string]job.Incarnation{"a": 1, "b": 1, "c": 1, "d": 1},
 	}
 	defer r.close()
-	f.settled, f.prompt = *overlapSettled, seed%3 == 2
+	f.settled, f.prompt, f.origins = *overlapSettled, seed%3 == 2, seed%2 == 0
 	r.workers.mu.Lock()
 	r.workers.fates, r.workers.onStart, r.workers.serving = r.fates, r.started, false
 	r.workers.mu.Unlock()
@@ -382,8 +389,9 @@
 }
 
 // failedSeeds are seeds of TestNoTaskRunsTwice that have failed. In 173 a listing for the former
-// incarnation of a worker extends the lease of the next one.
-var failedSeeds = []uint64{173}
+// incarnation of a worker extends the lease of the next one. In 26 the next one answers a start, and its
+// clock reads more.
+var failedSeeds = []uint64{173, 26}
 
 // Guards against tasks that run in two places, or again after they are done, because a copy of
 // a start or of a listing that got no answer is carried out at once or late, by the incarnation
--- a/internal/process/dispatch/rebirth_test.go
+++ b/internal/process/dispatch/rebirth_test.go
@@ -145,35 +145,33 @@
 	})
 }
 
-// Guards against an answer of the next incarnation that is taken for one of the former one, whose
-// start counts as answered then: answers to starts state a clock only.
+// Guards against an answer of the next incarnation that is taken for one of the former one: answers to
+// starts state a clock only, which proves nothing.
 func TestAnswerProvesItsIncarnation(t *testing.T) {
 	is := is.New(t)
 	began := time.Now()
 	clock := func(d time.Duration) time.Time { return time.UnixMilli(1000).Add(d) }
 	w := newWorker(job.Worker{ID: "a", Life: 7}, began)
 	w.updateClock(clock(3*time.Second), began)
+	is.True(w.proves(Answer{Result: Accepted, Life: 7}))
+	is.True(!w.proves(Answer{Result: Accepted, Life: 8}))
+	is.True(!w.proves(Answer{Result: Accepted, Clock: clock(3 * time.Second)}))
 	for _, c := range []struct {
-		life  job.Incarnation
 		clock time.Duration
 		sent  time.Duration
 		want  bool
 	}{
-		{life: 7, want: true},
-		{life: 8, clock: time.Minute},
 		{clock: 5 * time.Second, sent: 2 * time.Second, want: true},
+		{clock: time.Minute, sent: 2 * time.Second},                                       // of the next one, which starts with any reading
 		{clock: 3*time.Second + 1960*time.Millisecond, sent: 2 * time.Second, want: true}, // 2% slow
 		{clock: 3 * time.Second, sent: 2 * time.Second},                                   // of the next one, 2 s younger
 		{clock: 2900 * time.Millisecond, sent: -100 * time.Millisecond, want: true},       // overtaken
 		{clock: 200 * time.Millisecond, sent: -100 * time.Millisecond},
 	} {
-		a := Answer{Result: Accepted, Life: c.life}
-		if c.clock > 0 {
-			a.Clock = clock(c.clock)
-		}
-		is.Equal(w.proves(a, began.Add(c.sent)), c.want)
+		a := Answer{Result: Accepted, Clock: clock(c.clock)}
+		is.Equal(w.fits(a, began.Add(c.sent), began.Add(max(0, c.sent))), c.want)
 	}
-	is.True(!w.proves(Answer{Result: Accepted}, began)) // states nothing
+	is.True(!w.fits(Answer{Result: Accepted}, began, began)) // states nothing
 }
 
 // Guards against a task that runs again after it was done: a listing that was sent to the former
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -47,7 +47,9 @@
 	confirmed       bool      // the worker has answered that it executes the run
 	trial           bool      // see package crash
 	sent            bool      // a copy of the start order may have reached the worker
-	copies          int       // of the start order, on their way or without an answer
+	copies          int       // of the start order, on their way, without an answer or not proved
+	unproved        int       // of these, accepted by an incarnation that is not proved
+	answeredAt      time.Time // when the latest of these was accepted
 	sentCopies      int       // of the start order
 	copiedAt        time.Time // when the latest copy was sent; zero if an earlier leader sent it
 	unclear         bool      // the next leaders know that a copy has no answer
@@ -215,7 +217,9 @@
 		t.noteOutcome(r, false)
 	}
 	r.startResolvedAt, r.worker.stale = t.now(), true
-	t.confirm(r)
+	if !r.worker.unproved {
+		t.confirm(r)
+	}
 	if !r.resumed {
 		r.firstSample = progressSample{at: a.Clock}
 		r.windowStart, r.nextWindowStart = r.firstSample, r.firstSample
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -52,7 +52,8 @@
 	knownAt           time.Time // when it became known; zero for one of an earlier term
 	lastSeen          time.Time // last report or answer
 	answeredAt        time.Time // last answer
-	provedAt          time.Time // when the latest order was sent that this incarnation has answered
+	completeAt        time.Time // when the latest listing was sent that this incarnation has answered in full
+	leaseLost         time.Time // when the latest order with a lease was sent that got no answer, while there were no doubts
 	unproved          bool      // its latest answer may be of another incarnation
 	undelivered       int       // consecutive orders that another process should have sent and did not
 	undeliveredAt     time.Time // when the latest of these was created
@@ -120,13 +121,14 @@
 	return !a.Clock.IsZero() && a.Clock.Add(clockSlack).Before(w.clockReading)
 }
 
-// proves reports whether an answer to an order that was sent at a time comes from the known
-// incarnation. Answers to starts may state a clock only; that of a later incarnation reads less.
-func (w *worker) proves(a Answer, sent time.Time) bool {
-	if a.Life != 0 {
-		return a.Life == w.Life
-	}
-	if a.Clock.IsZero() || w.clockReading.IsZero() {
+// proves reports whether an answer comes from the known incarnation. Answers to starts and stops name
+// none, and the clock of a later incarnation may read anything, so that these prove nothing.
+func (w *worker) proves(a Answer) bool { return a.Life != 0 && a.Life == w.Life }
+
+// fits reports whether an answer to an order that was sent at a time states a clock that the known
+// incarnation may have.
+func (w *worker) fits(a Answer, sent, now time.Time) bool {
+	if a.Clock.IsZero() || w.clockReading.IsZero() || a.Clock.After(w.clockReading.Add(now.Sub(w.clockReadAt)+clockAhead)) {
 		return false
 	}
 	passed := float64(sent.Sub(w.clockReadAt))
@@ -193,6 +195,7 @@
 	outUpkeep   = "upkeep"   // before the maintenance of its VM
 	outUnlisted = "unlisted" // has not answered a listing in this term
 	outRefusing = "refusing" // unhealthy
+	outUnproved = "unproved" // another incarnation may have answered
 	outOrphan   = "orphan"   // may still execute a run that was given up
 	outSilent   = "silent"   // answers no orders
 	outUnsent   = "unsent"   // orders to it are not delivered
@@ -211,6 +214,8 @@
 		return outUnlisted
 	case w.refuses:
 		return outRefusing
+	case w.unproved:
+		return outUnproved
 	case w.silent(now):
 		return outSilent
 	case w.undelivered >= maxMissedAnswers && now.Sub(w.answeredAt) >= silentTime:
@@ -247,7 +252,7 @@
 			t.removeWorker(w, reasonOtherLife)
 			return false
 		}
-		if a.Life == 0 && !a.Clock.IsZero() && !w.clockReading.IsZero() && !w.proves(a, sent) {
+		if a.Life == 0 && !a.Clock.IsZero() && !w.clockReading.IsZero() && !w.fits(a, sent, now) {
 			// Another incarnation may have answered. A listing states which one.
 			w.unproved, w.pollOnce = true, true
 			t.startPolling(w)
@@ -256,10 +261,7 @@
 		if !w.listed {
 			t.noteReplaced(w, later(w.knownAt, t.began))
 		}
-		w.unproved, w.undelivered = !w.proves(a, sent), 0
-		if !w.unproved {
-			w.provedAt = later(w.provedAt, sent)
-		}
+		w.unproved, w.undelivered = !w.proves(a) && !w.fits(a, sent, now), 0
 		t.lossShare.record(now, w.lost+max(a.Copies, 1)-1, now.Sub(w.answeredAt))
 		w.missed, w.lost, w.lastSeen, w.answeredAt, w.heardAt, w.silentLogged = 0, 0, now, now, now, false
 		w.lapsed, w.suspected, w.brokeAt, w.replacedAt, w.missing = nil, false, time.Time{}, time.Time{}, nil // it was cut off
