Ask again which incarnation answers at a worker

The listing that checks it broke with a kept connection to the former one (event 939, EOF), and the next one came with the next report, 1.5 s later. Until then tasks were started on the worker and lost, since they count for the former incarnation.

Such a listing is sent up to four times, as long as nothing is answered. TestClaimIsCheckedAgain failed before: the worker was still known by its former incarnation 200 ms after the report.

--- a/internal/process/dispatch/identity.go
+++ b/internal/process/dispatch/identity.go
@@ -5,18 +5,35 @@
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
+// identifyAttempts bounds the listings by which a worker is identified. Each kept connection to the
+// process that has ended breaks with one.
+const identifyAttempts = 4
+
 // A report proves nothing about its sender: it may be of another writer. So no worker is
 // removed, or replaced by its next incarnation, before an answer at its address shows that it
 // has ended.
 
+// identify asks who answers at a worker's address.
+func (t *term) identify(target *job.Worker, fence uint64) (a Answer) {
+	for range identifyAttempts {
+		_, a = t.dispatcher.options.Upstream.List(t.permit(listTimeoutMargin), target, ListOrder{Fence: fence})
+		if a.Answered() || !t.isLeading() {
+			break
+		}
+		sleep(t.ctx, orderRetryDelay)
+	}
+	return a
+}
+
 // checkFormer looks at a worker whose address a new one reports. If another process answers
 // there, it has ended. The caller holds the lock.
 func (t *term) checkFormer(w *worker) {
 	target, fence := w.Worker, t.fence(w)
 	t.orders.Go(func() {
-		_, a := t.dispatcher.options.Upstream.List(t.permit(listTimeoutMargin), &target, ListOrder{Fence: fence})
+		a := t.identify(&target, fence)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		if a.Result == WrongWorker && !t.over {
@@ -35,7 +52,7 @@
 	}
 	target, fence := r.Worker, t.fence(w)
 	t.orders.Go(func() {
-		_, a := t.dispatcher.options.Upstream.List(t.permit(listTimeoutMargin), &target, ListOrder{Fence: fence})
+		a := t.identify(&target, fence)
 		t.mu.Lock()
 		defer t.mu.Unlock()
 		claim := t.claims[w.ID]
--- a/internal/process/dispatch/identity_test.go
+++ b/internal/process/dispatch/identity_test.go
@@ -60,3 +60,20 @@
 		b.is.True(now != nil)
 	})
 }
+
+// Guards against starts to a worker whose next incarnation has reported itself: the listing that
+// identifies it breaks with a connection to the former one, and was not repeated (rule TWICE, issue 56).
+func TestClaimIsCheckedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.restart("a", 2)
+		b.changeWorker("a", func(w *fakeWorker) { w.keptConnections = 2 })
+		b.report("a", false)
+		time.Sleep(200 * time.Millisecond)
+		current := b.term()
+		current.mu.Lock()
+		defer current.mu.Unlock()
+		b.is.Equal(current.workers["a"].Life, job.Incarnation(2))
+	})
+}
