Check in the model what answers to starts prove, and log it

Model start assumed that an answer to a start comes from a known incarnation, with guard NO_PROOF for it, and the code took a clock for that proof. Now any incarnation answers, a listing that another one answers names it, and the doubt ends by a listing of the known one or after the longest lease. The first version of the model failed: a lease of the former leader without an answer prolonged the run. The fencing token of the next leader's start refuses it, which the model did not have; the guard NO_LOST is for one of the same leader.

run lost (908) states the copies that are not proved, and identity not proved (939) an answer whose clock does not fit, with the latest reading.

--- a/internal/process/dispatch/anonymous_test.go
+++ b/internal/process/dispatch/anonymous_test.go
@@ -67,3 +67,48 @@
 		})
 	}
 }
+
+// Guards against a task that runs in two places because a lease without an answer, sent before the start,
+// reaches the incarnation that has answered it (rule TWICE, issue 56).
+func TestLateLeaseProlongsAnAnsweredStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.workers.setRunTime(time.Minute)
+		b.changeWorker("a", func(w *fakeWorker) { w.anonymous = true })
+		current, sent := b.term(), time.Now()
+		current.mu.Lock()
+		current.settleLease(current.workers["a"], sent, Answer{Result: Unanswered})
+		current.mu.Unlock()
+		time.Sleep(2 * time.Second)
+		b.submit("one", tasks(1))
+		time.Sleep(20 * time.Millisecond)
+		current.mu.Lock()
+		defer current.mu.Unlock()
+		r := current.runs[job.TaskID{Job: "one"}]
+		d := current.doubts["a"]
+		d.leases = nil // of the listing that waits for the end of the run
+		b.is.Equal(current.overAt(d, r), sent.Add(lateOrderTime+current.longestLease()))
+		d.leased = time.Time{}
+		b.is.Equal(current.overAt(d, r), r.answeredAt.Add(current.longestLease()))
+	})
+}
+
+// Guards against a start that stays in doubt although the known incarnation executes it.
+func TestListingProvesStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.changeWorker("a", func(w *fakeWorker) { w.anonymous = true })
+		b.submit("one", tasks(3))
+		time.Sleep(200 * time.Millisecond)
+		for i := range 3 {
+			b.is.True(b.unclear(orphan{job.TaskID{Job: "one", Index: i}, 1}))
+		}
+		time.Sleep(time.Second) // the listing that waits for the first end shows them
+		for i := range 3 {
+			b.is.True(!b.unclear(orphan{job.TaskID{Job: "one", Index: i}, 1}))
+		}
+		b.is.Equal(b.status("one"), job.Completed)
+	})
+}
--- a/internal/process/dispatch/attempt.go
+++ b/internal/process/dispatch/attempt.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // lateAnswerTime is how long an answer to a copy of a start is awaited. A worker that is slow
 // answers copies of which the attempt is over.
@@ -106,25 +109,24 @@
 // proveStarts settles the copies that are proved by a listing of the known incarnation: those that were
 // answered before it was sent, and the only copy of a start that it shows.
 func (t *term) proveStarts(w *worker, sent time.Time, l *Listing) {
-	shown := map[orphan]bool{}
-	for i := range l.Running {
-		shown[orphan{l.Running[i].Task, l.Running[i].Run}] = true
-	}
-	for i := range l.Ended {
-		shown[orphan{l.Ended[i].Task, l.Ended[i].Run}] = true
-	}
-	for id, r := range w.runs {
-		if r.unproved == 0 || !r.answeredAt.Before(sent) && !(r.sentCopies == 1 && shown[orphan{id, r.number}]) {
+	for _, r := range w.runs {
+		if r.unproved == 0 || !r.answeredAt.Before(sent) && !(r.sentCopies == 1 && l.shows(r)) {
 			continue
 		}
-		settled := r.unproved
+		proved := r.unproved
 		r.unproved = 0
-		for range settled {
+		for range proved {
 			t.settleCopy(r)
 		}
 	}
 }
 
+// shows reports whether a run is listed as running or ended.
+func (l *Listing) shows(r *run) bool {
+	return slices.ContainsFunc(l.Running, func(e ListedRun) bool { return e.Task == r.id && e.Run == r.number }) ||
+		slices.ContainsFunc(l.Ended, func(e EndedRun) bool { return e.Task == r.id && e.Run == r.number })
+}
+
 // awaitAnswers has the next leaders know of a run whose copies are not answered in time either.
 func (t *term) awaitAnswers(r *run) {
 	sleep(t.ctx, lateAnswerTime)
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -254,6 +254,10 @@
 		}
 		if a.Life == 0 && !a.Clock.IsZero() && !w.clockReading.IsZero() && !w.fits(a, sent, now) {
 			// Another incarnation may have answered. A listing states which one.
+			if !w.unproved {
+				t.emit(event.IdentityUnproved, zap.String("worker", w.ID), zap.Int64("known", int64(w.Life)), zap.Time("clock", a.Clock),
+					zap.Time("reading", w.clockReading), zap.Duration("passed", now.Sub(w.clockReadAt)))
+			}
 			w.unproved, w.pollOnce = true, true
 			t.startPolling(w)
 			return true
@@ -349,7 +353,7 @@
 		kept = t.now().Sub(r.keptSince)
 	}
 	t.emit(event.RunLost, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", r.worker.ID),
-		zap.Int64("life", int64(r.worker.Life)), zap.Int("copies", r.copies), zap.Duration("kept", kept), zap.String("reason", reason))
+		zap.Int64("life", int64(r.worker.Life)), zap.Int("copies", r.copies), zap.Int("unproved", r.unproved), zap.Duration("kept", kept), zap.String("reason", reason))
 	t.inbox.ends = append(t.inbox.ends, r.end(job.Lost, r.checkpoint))
 	t.signal()
 }
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -49,7 +49,7 @@
 	TermEnded        = define(931, zapcore.WarnLevel, "leader steps down", "This process no longer leads the cell.")
 	RoundDropped     = define(932, zapcore.ErrorLevel, "round not committed", "The log did not commit a round; its decisions are dropped and made again.")
 	RoundSplit       = define(997, zapcore.WarnLevel, "round split", "The leader's decisions were larger than the log takes at a time; smaller rounds follow. The line has the sizes.")
-	IdentityUnproved = define(939, zapcore.WarnLevel, "identity not proved", "A report says that a later life of a worker runs, and the worker's own answer does not; the report is ignored. The line has both lives, and the one that answers.")
+	IdentityUnproved = define(939, zapcore.WarnLevel, "identity not proved", "A report says that a later life of a worker runs, and the worker's own answer does not; the report is ignored, and the line has both lives, and the one that answers. Or an answer states a clock that the known life cannot have; the line has that clock, the latest reading and the time since, and the worker gets no tasks before a listing says which life answers.")
 	EntryDropped     = define(938, zapcore.ErrorLevel, "entry dropped", "An end, a report or another entry that the log cannot hold was dropped, so that the others are committed; the line has it and the reason. Look for who sent it.")
 	LeaseLapsed      = define(933, zapcore.WarnLevel, "lease lapsed", "The leader may send no order and answer no call for now, because it has not heard from a majority; its term goes on.")
 	LeaseRegained    = define(934, zapcore.InfoLevel, "lease regained", "The leader acts again within the same term; the line has how long it could not.")
--- a/model/run.sh
+++ b/model/run.sh
@@ -59,7 +59,7 @@
       allotment) specification allotment -DLIMIT=2 -- NO_HOLD NO_RECORD NO_TAKEOVER NO_SHRINK NO_EXPIRE NO_ORDER ;;
       driver) specification driver -DRUNS=3 -DTERMS=2 -- NO_FENCE NO_STOP NO_NUMBER NO_DEADLINE NO_SENT NO_MEMORY ;;
       copies) specification copies -DATTEMPTS=2 -DTERMS=2 -- NO_JOIN NO_MEMORY NO_RECORD NO_WAITING NO_TERM NO_EXPIRY NO_RESENT NO_WITHDRAW NO_PAUSE ;;
-      start) specification start -DCOPIES=2 -DLIVES=2 -DRUNS=2 -- NO_LATE NO_LONGEST NO_SILENCE NO_DOUBTS NO_PROOF NO_HOLD NO_FORMER NO_BIND NO_ORPHAN NO_MOVE NO_RETRY NO_LEASES FORGETFUL -- RENEW RENEW_LEASE RENEW_TERM ABSENT PROOF_ONLY ;;
+      start) specification start -DCOPIES=2 -DLIVES=2 -DRUNS=2 -- NO_LATE NO_LONGEST NO_SILENCE NO_DOUBTS NO_PROOF NO_HOLD NO_FORMER NO_BIND NO_ORPHAN NO_MOVE NO_RETRY NO_LEASES NO_LOST FORGETFUL -- RENEW RENEW_LEASE RENEW_TERM ABSENT PROOF_ONLY ;;
       turn) specification turn -DSTEPS=4 -DLOSSES=2 -- -- NO_LINE NO_ORDER SAME_CLIENT ;;
       founding) specification founding -- NO_BOUND NO_MAJORITY NO_NOTE NO_ANSWER NO_QUORUM ;;
       *) echo "model: no specification called $one" >&2; exit 2 ;;
--- a/model/start.pml
+++ b/model/start.pml
@@ -7,15 +7,17 @@
  * or up to LATE later, by the incarnation that runs then, with an answer or without.
  * An incarnation that is not heard carries out what arrives. The clock of a later
  * incarnation starts anew, so that a lease for an earlier one is as long there as
- * the longest one.
+ * the longest one. Its answers to starts name no incarnation.
  *
  * A start with copies without an answer has a deadline, LATE + LONGEST after the
  * latest copy. Until then its task starts on an incarnation that refuses the copies
  * only, and from then on its run counts as over. A lease that is sent meanwhile to
  * an incarnation that has just proved itself moves the deadline; a worker that did
  * not answer its latest order, or refused it, gets none. A listing by the known
- * incarnation that was sent after the last copy has arrived ends the doubt. The next
- * leader takes the deadline from the time of the commit, which is replicated.
+ * incarnation that was sent after the last copy has arrived ends the doubt. Once all
+ * copies are answered none is on its way, and an incarnation that is not known may execute
+ * the run until the longest lease ends. The next leader takes the deadline from the time
+ * of the commit, which is replicated.
  *
  * The worker may answer, refuse or lose any order, begin anew or fall silent at any
  * time, for good as well. Leaders change any number of times while copies have no
@@ -36,7 +38,8 @@
  *   NO_LONGEST   it waits for the lease that it granted, not for the longest one
  *   NO_SILENCE   a listing carries a lease though the worker does not answer
  *   NO_DOUBTS    the next leader does not know that copies have no answer
- *   NO_PROOF     an answer of another incarnation counts as one of the known one
+ *   NO_PROOF     an answer to a start counts as one of the known incarnation
+ *   NO_LOST      it is forgotten that a lease without an answer may arrive after the answer to a start
  *   NO_HOLD      a run is lost when the record of its incarnation ends
  *   NO_FORMER    the lease of an incarnation is not extended by orders to the former one
  *   NO_BIND      a run that one incarnation has ended has no copies for later ones
@@ -89,6 +92,7 @@
 byte list;
 byte list_life;
 byte list_lease;
+bit list_stale;          /* of an earlier leader, and refused after an order of the present one */
 
 /* Replicated. */
 byte number = 1;  /* of the run */
@@ -104,6 +108,7 @@
 byte former;      /* time in which orders to a former incarnation may extend a lease */
 bit earlier;      /* copies of an earlier run have no answer */
 bit silent;       /* the latest order got no answer, or was refused */
+byte lost;        /* time in which a lease without an answer may arrive, plus one */
 byte changes;     /* of the leader, without such copies */
 
 byte i;
@@ -133,6 +138,12 @@
 #define for_leases LATE
 #endif
 
+#ifdef NO_LOST
+#define wait_lost 0
+#else
+#define wait_lost lost
+#endif
+
 #define unclear (doubt > 0)
 
 /* A lease that was sent to an incarnation arrives at the present one. */
@@ -147,6 +158,8 @@
 
 inline clear(x) { copy[x] = 0; copy_life[x] = 0; copy_lease[x] = 0; copy_run[x] = 0 }
 
+inline drop_list() { list = 0; list_life = 0; list_lease = 0; list_stale = 0 }
+
 inline settled() { doubt = 0; arrives = 0; earlier = 0 }
 
 /* The run is over. Copies of its start may be on their way. */
@@ -173,17 +186,19 @@
 	fi
 }
 
-/* The leader learns that a start was answered. */
+/* The leader learns that a start was answered, by any incarnation. */
 inline answered(x) {
 	if
-#ifdef NO_PROOF
 	:: copy_run[x] == number && place == 1 ->
-#else
-	:: copy_run[x] == number && place == 1 && life == known ->
-#endif
 		place = 2; fresh = 0; silent = 0;
+		if :: list_stale -> drop_list() :: else fi;
 		if
-		:: !earlier && (COPIES == 1 || copy[1 - x] == 0) -> settled()
+		:: !earlier && (COPIES == 1 || copy[1 - x] == 0) ->
+#ifdef NO_PROOF
+			settled()
+#else
+			arrives = 0; doubt = wait_lost + wait_lease
+#endif
 		:: else
 		fi
 	:: else
@@ -239,7 +254,7 @@
 inline unanswered(at_once) {
 	if
 	:: may_extend && place < 3 ->
-		if :: !silent -> granted = GRANT :: else fi;
+		if :: !silent -> granted = GRANT; lost = LATE + 1 :: else fi;
 #ifndef NO_MOVE
 		if :: !silent && unclear -> doubt = wait_late + wait_lease :: else fi;
 #endif
@@ -269,9 +284,21 @@
 #endif
 }
 
+/* A listing that another incarnation answers, which it names. */
+inline foreign() {
+	if
+	:: may_extend && place < 3 ->
+		if :: running -> extend(known, GRANT) :: else fi;
+		if :: unclear -> atleast(doubt, wait_lease) :: else fi
+	:: else
+	fi;
+	replace()
+}
+
 inline change() {
 	if :: !unclear -> changes++ :: else fi;
-	silent = 1; granted = LONGEST; fresh = 0; settled();
+	silent = 1; granted = LONGEST; fresh = 0; lost = 0; settled();
+	if :: list > 0 -> list_stale = 1 :: else fi;
 #ifdef FORGETFUL
 	former = 0;
 #endif
@@ -296,7 +323,7 @@
 	od;
 	i = 0;
 	decrement(list_lease); decrement(list);
-	if :: list == 0 -> list_life = 0; list_lease = 0 :: else fi;
+	if :: list == 0 -> drop_list() :: else fi;
 	decrement(lease);
 	if :: running && lease == 0 -> stop() :: else fi;
 #ifdef PROOF_ONLY
@@ -304,7 +331,7 @@
 #else
 	decrement(doubt);
 #endif
-	decrement(granted); decrement(arrives); decrement(former); decrement(fresh); decrement(limit);
+	decrement(granted); decrement(lost); decrement(arrives); decrement(former); decrement(fresh); decrement(limit);
 	if :: doubt == 0 -> earlier = 0 :: else fi
 }
 
@@ -322,6 +349,7 @@
 		if
 		:: heard && known == life -> d_step { listed(); skip }
 		:: heard && known == life -> d_step { refused(); skip }
+		:: heard && known != life -> d_step { foreign(); skip }
 		:: d_step { unanswered(true); skip }
 		:: d_step { unanswered(false); skip }
 		fi
@@ -349,7 +377,7 @@
 		:: place == 1 && copy[x] == 0 && fresh > 0 -> d_step { send(x); skip }
 		:: copy[x] > 0 -> d_step { carry_out(x); clear(x); skip }
 		:: copy[x] > 0 && heard && fresh > 0 -> d_step { carry_out(x); answered(x); clear(x); skip }
-		:: x == 0 && list > 0 -> d_step { if :: running -> extend(list_life, list_lease) :: else fi; list = 0; list_life = 0; list_lease = 0 }
+		:: x == 0 && list > 0 -> d_step { if :: running -> extend(list_life, list_lease) :: else fi; drop_list() }
 		/* A stop that is answered. */
 		:: x == 0 && heard && known == life && place < 3 -> d_step { stop(); atleast(stopped, number); silent = 0; over(); skip }
 		:: x == 0 && heard && known == life && place == 3 && running -> d_step { stop(); silent = 0; skip }
