Clear the suspicion of a worker that was only cut off

Cause, from the leader's log: its worker was cut off 0.4 s after the start. The run was suspected of a crash when the lease ended, since the worker may have crashed. The worker answered again with the same incarnation 4.5 s later, which proves that it had not, and the suspicion remained. A suspect counts as harmful: it waited for a trial, and its queries to the advice service came after those of all other work, for 7 s.

A listing of the known incarnation now takes back what was suspected of the runs there; any answer made the leader forget them before, also one of the next incarnation, whose crash was then not counted. TestTaskOfAWorkerThatWasCutOffIsNoSuspect failed before.

The comments of two tests of the founding no longer say that processes are told things.

--- a/internal/process/dispatch/crash.go
+++ b/internal/process/dispatch/crash.go
@@ -122,6 +122,15 @@
 	w.lapsed = runs
 }
 
+// clearLapsed takes back what is suspected of the runs on a worker that was silent: it has not crashed.
+func (t *term) clearLapsed(w *worker) {
+	for _, r := range w.lapsed {
+		t.inbox.cleared = append(t.inbox.cleared, job.Start{Task: r.id, Run: r.number, Worker: w.ID, Life: w.Life})
+		t.signal()
+	}
+	w.lapsed = nil
+}
+
 // crashedBefore reports whether there is evidence of a crash under the task of a run.
 func (t *term) crashedBefore(r *run) bool {
 	found := false
--- a/internal/process/dispatch/lapse_test.go
+++ b/internal/process/dispatch/lapse_test.go
@@ -58,3 +58,30 @@
 		b.is.Equal(b.status("one"), job.Completed)
 	})
 }
+
+// Guards against a long-running task that waits as a suspect, after the other work, though the worker of its
+// last run was only cut off and has answered since (rule LOST, day recut, seed 12).
+func TestTaskOfAWorkerThatWasCutOffIsNoSuspect(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.workers.setRunTime(time.Minute)
+		lasting := tasks(1)
+		lasting.Lasting = true
+		b.submit("one", lasting)
+		time.Sleep(100 * time.Millisecond)
+		b.changeWorker("a", func(w *fakeWorker) { w.silent = true })
+		time.Sleep(7 * time.Second)
+		suspect := func() (suspect bool) {
+			b.state.View(func(v *job.View) {
+				record, o, task := v.Find(job.TaskID{Job: "one"})
+				suspect = o.Steps[0].NeedsTrial(&record.Job.Steps[0], task)
+			})
+			return suspect
+		}
+		b.is.True(suspect()) // the worker may have crashed
+		b.changeWorker("a", func(w *fakeWorker) { w.silent = false })
+		time.Sleep(2 * time.Second)
+		b.is.True(!suspect())
+	})
+}
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -268,7 +268,10 @@
 		w.unproved, w.undelivered = !w.proves(a) && !w.fits(a, sent, now), 0
 		t.lossShare.record(now, w.lost+max(a.Copies, 1)-1, now.Sub(w.answeredAt))
 		w.missed, w.lost, w.lastSeen, w.answeredAt, w.heardAt, w.silentLogged = 0, 0, now, now, now, false
-		w.lapsed, w.suspected, w.brokeAt, w.replacedAt, w.missing = nil, false, time.Time{}, time.Time{}, nil // it was cut off
+		w.suspected, w.brokeAt, w.replacedAt, w.missing = false, time.Time{}, time.Time{}, nil // it was cut off
+		if w.proves(a) {
+			t.clearLapsed(w)
+		}
 		w.updateClock(a.Clock, now)
 	case WrongWorker:
 		t.removeWorker(w, reasonOtherWorker)
--- a/internal/version/raft/founding_test.go
+++ b/internal/version/raft/founding_test.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// Guards against a founding that ends when its founder restarts, and is told that the
+// Guards against a founding that ends when its founder restarts, and is started with the flag that the
 // system was started before, or that it was not (issue 53).
 func TestFounderRestartsBeforeTheEnd(t *testing.T) {
 	for _, first := range []bool{false, true} {
--- a/internal/version/raft/simulation_test.go
+++ b/internal/version/raft/simulation_test.go
@@ -91,7 +91,7 @@
 	clockRate   float64  // of its clock, relative to the simulation's
 	seeds       []string // names that a replacement starts with; nil for a founding node
 	started     bool     // it has started before
-	first       bool     // its later starts are told that the system starts for the first time, too
+	first       bool     // its later starts have the flag that the system starts for the first time, too
 	store       *disk.Memory
 	core        *core // nil when crashed
 	state       uint64
