--- a/internal/process/dispatch/stall.go
+++ b/internal/process/dispatch/stall.go
@@ -49,7 +49,7 @@
 }
 
 // stallTime returns how long the percentage of a run may stand still. known is false if
-// nothing tells.
+// there is no measure for it.
 func (t *term) stallTime(r *run) (d time.Duration, known bool) {
 	s := &t.step(r.id.StepID()).stalls
 	pace := max(r.spec.Estimate/100, t.baseline(r.queue).Expected(r.spec.Estimate)/100, r.pace, s.pace)
