Wait for leases that were on their way before a start was in doubt

A listing with a lease that was sent before there were doubts about its worker, and got no answer, was forgotten: its lease may prolong a start that the next incarnation has answered. And a lease that an unknown incarnation had accepted with one start was not waited for by another start without an answer, which the same incarnation may execute.

Both are waited for now, the latter until the first proof after the copies, as leases without an answer are. TestLateLeaseProlongsAnAnsweredStart failed in the first case before. A late answer counts as not proved only if it accepts the start.

--- a/internal/process/dispatch/anonymous_test.go
+++ b/internal/process/dispatch/anonymous_test.go
@@ -91,6 +91,14 @@
 		b.is.Equal(current.overAt(d, r), sent.Add(lateOrderTime+current.longestLease()))
 		d.leased = time.Time{}
 		b.is.Equal(current.overAt(d, r), r.answeredAt.Add(current.longestLease()))
+		earlier := sent.Add(time.Second) // of a listing that was on its way as the run started
+		current.settleLease(r.worker, earlier, Answer{Result: Unanswered})
+		b.is.Equal(current.overAt(d, r), earlier.Add(lateOrderTime+current.longestLease()))
+		granted := sent.Add(lateOrderTime + 3*time.Second)
+		d.leased, d.granted = time.Time{}, granted // by another start, to the incarnation that executes this one
+		b.is.Equal(current.overAt(d, r), granted.Add(current.longestLease()))
+		d.starts[orphan{r.id, r.number}] = doubt{sent: sent.Add(2 * time.Second)}
+		b.is.Equal(current.overAt(d, r), granted.Add(current.longestLease()))
 	})
 }
 
--- a/internal/process/dispatch/attempt.go
+++ b/internal/process/dispatch/attempt.go
@@ -44,9 +44,10 @@
 func (t *term) settleLate(a *attempt, late Answer) {
 	r, w := a.run, a.run.worker
 	t.orderUse.late++
-	if settles(w, late) {
+	switch {
+	case settles(w, late):
 		t.settleCopy(r)
-	} else {
+	case late.Result == Accepted:
 		t.noteUnproved(r)
 	}
 	if late.Result == Accepted && r.startResolvedAt.IsZero() && !r.endQueued && t.workers[w.ID] == w && (w.proves(late) || w.fits(late, a.sent, t.now())) {
--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -87,11 +87,9 @@
 func (t *term) settleLease(w *worker, sent time.Time, a Answer) {
 	d := t.doubts[w.ID]
 	if d != nil {
-		i := slices.IndexFunc(d.leases, sent.Equal)
-		if i < 0 {
-			return
+		if i := slices.IndexFunc(d.leases, sent.Equal); i >= 0 { // it may have been sent before there were doubts
+			d.leases = slices.Delete(d.leases, i, i+1)
 		}
-		d.leases = slices.Delete(d.leases, i, i+1)
 	}
 	switch {
 	case a.Repeated: // another copy may arrive late
@@ -288,14 +286,14 @@
 // doubtOver returns when a start is over of which nothing is heard, if an order without an answer may be
 // carried out so late. If all copies were answered, it runs already, and only a lease may arrive.
 func (t *term) doubtOver(d *doubts, s doubt, late time.Duration) time.Time {
-	if s.answered.IsZero() {
-		return t.latestSent(d, s.sent).Add(late + t.longestLease())
-	}
-	arrives := later(s.answered, d.granted)
-	if lease := d.latestLease(); !lease.IsZero() {
-		arrives = later(arrives, earlier(lease, t.latestLeaseAfter(s.sent)).Add(late))
+	arrives, latest := t.latestSent(d, s.sent).Add(late), t.latestLeaseAfter(s.sent)
+	if !s.answered.IsZero() {
+		arrives = s.answered
+		if lease := d.latestLease(); !lease.IsZero() {
+			arrives = later(arrives, earlier(lease, latest).Add(late))
+		}
 	}
-	return arrives.Add(t.longestLease())
+	return later(arrives, earlier(d.granted, latest)).Add(t.longestLease())
 }
 
 // keep reports whether a run of a worker that is not heard has to be kept, because a copy of its
