Add the replicated records of evacuations, speeds of workers and past use

The records are shared by parts that are built side by side: evacuations by availability zone, the normal speed of a worker, what a workspace has used of a pool, and whether a job is beyond the weight of its workspace. Nothing writes them yet, so that no decision changes.

--- a/internal/connection/cell/message.go
+++ b/internal/connection/cell/message.go
@@ -121,9 +121,10 @@
 // Report is the status report of a worker.
 type Report struct {
 	Worker    job.Worker `cbor:"1,keyasint"`
-	Sequence  int64      `cbor:"2,keyasint"` // increases within one incarnation of the worker
-	Clock     time.Time  `cbor:"3,keyasint"` // the worker's monotonic clock at the time of the report
-	Remaining int64      `cbor:"4,keyasint"` // minimum time in milliseconds that a draining worker keeps running
+	Sequence  int64      `cbor:"2,keyasint"`           // increases within one incarnation of the worker
+	Clock     time.Time  `cbor:"3,keyasint"`           // the worker's monotonic clock at the time of the report
+	Remaining int64      `cbor:"4,keyasint"`           // minimum time in milliseconds that a draining worker keeps running
+	Cold      int64      `cbor:"5,keyasint,omitempty"` // time in milliseconds for which the worker is still slow after its start
 }
 
 // maxSequence is the largest number of a report, some centuries of them. A later one of the
--- a/internal/process/dispatch/inbox.go
+++ b/internal/process/dispatch/inbox.go
@@ -11,7 +11,7 @@
 const (
 	runSize    = 64 // of the end of a run
 	startSize  = 36
-	workerSize = 160
+	workerSize = 200
 	jobSize    = 200
 	stepSize   = 160
 	queueSize  = 200 // of a queue, pool or workspace
@@ -19,28 +19,31 @@
 
 // inbox collects the input of the next rounds.
 type inbox struct {
-	catalogue *job.Catalogue
-	passed    bool // the catalogue did not fit into the latest round
-	workers   []job.Worker
-	gone      []job.Worker
-	crashes   []job.Crash
-	confirmed []job.Start // trials that their workers execute
-	cleared   []job.Start // runs whose workers crashed in common with others
-	faulty    []job.Start // runs whose tasks are given up
-	retried   []job.Start // runs whose tasks look faulty and are tried once more
-	ends      []job.End
-	orphans   []job.Start // runs that were given up and may still be executed
-	unclear   []job.Start // runs with a copy of their start without an answer
-	lost      []job.PoolCrash
-	replaced  []string    // workers at whose addresses others answer
-	settled   []job.Start // orphans that can no longer be executed
-	cancels   []job.ID
-	withdrawn []job.Withdrawal
-	submits   []job.Job
-	waves     []job.Wave
-	steps     []job.WaveStep
-	waiters   []chan bool // receive whether the input was committed
-	acks      []acknowledgement
+	catalogue   *job.Catalogue
+	passed      bool // the catalogue did not fit into the latest round
+	workers     []job.Worker
+	gone        []job.Worker
+	crashes     []job.Crash
+	confirmed   []job.Start // trials that their workers execute
+	cleared     []job.Start // runs whose workers crashed in common with others
+	faulty      []job.Start // runs whose tasks are given up
+	retried     []job.Start // runs whose tasks look faulty and are tried once more
+	ends        []job.End
+	orphans     []job.Start // runs that were given up and may still be executed
+	unclear     []job.Start // runs with a copy of their start without an answer
+	lost        []job.PoolCrash
+	replaced    []string    // workers at whose addresses others answer
+	settled     []job.Start // orphans that can no longer be executed
+	cancels     []job.ID
+	withdrawn   []job.Withdrawal
+	submits     []job.Job
+	waves       []job.Wave
+	steps       []job.WaveStep
+	evacuations []job.Evacuation
+	speeds      []job.WorkerSpeed
+	uses        []job.Use
+	waiters     []chan bool // receive whether the input was committed
+	acks        []acknowledgement
 }
 
 // acknowledgement says up to which number the ends of a worker are acknowledged
@@ -53,7 +56,7 @@
 // empty reports whether there is nothing to commit.
 func (n *inbox) empty() bool {
 	return n.catalogue == nil &&
-		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn)+len(n.cleared)+len(n.faulty)+len(n.unclear)+len(n.retried)+len(n.replaced)+len(n.lost) == 0
+		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn)+len(n.cleared)+len(n.faulty)+len(n.unclear)+len(n.retried)+len(n.replaced)+len(n.lost)+len(n.evacuations)+len(n.speeds)+len(n.uses) == 0
 }
 
 // take removes and returns input of about size bytes, and how many these are. Waiters and
@@ -65,6 +68,7 @@
 	}
 	all, left := *n, size
 	var in inbox
+	takeItems(&n.evacuations, &in.evacuations, &left, func(e *job.Evacuation) int { return runSize + len(e.Zone) })
 	takeItems(&n.workers, &in.workers, &left, sizeOfWorker)
 	takeItems(&n.gone, &in.gone, &left, sizeOfWorker)
 	takeItems(&n.unclear, &in.unclear, &left, sizeOfRun)
@@ -84,6 +88,8 @@
 	takeItems(&n.submits, &in.submits, &left, sizeOfJob)
 	takeItems(&n.waves, &in.waves, &left, sizeOfWave)
 	takeItems(&n.steps, &in.steps, &left, func(s *job.WaveStep) int { return runSize + len(s.VM) + len(s.Worker) })
+	takeItems(&n.speeds, &in.speeds, &left, func(s *job.WorkerSpeed) int { return runSize + len(s.Worker) })
+	takeItems(&n.uses, &in.uses, &left, func(u *job.Use) int { return runSize + len(u.Workspace) + len(u.Pool) })
 	rest := *n
 	rest.catalogue = nil
 	if !rest.empty() || n.catalogue != nil && !in.empty() && left < sizeOfCatalogue(n.catalogue) {
@@ -187,7 +193,8 @@
 	returned := func(g job.Worker) bool { return t.workers[g.ID] != nil && t.workers[g.ID].Life == g.Life }
 	in.gone = slices.DeleteFunc(in.gone, returned)
 	in.catalogue, in.cancels, in.withdrawn, in.submits, in.waves, in.steps, in.waiters = nil, nil, nil, nil, nil, nil, nil
-	in.faulty, in.retried = nil, nil // decided anew
+	in.faulty, in.retried = nil, nil                   // decided anew
+	in.evacuations, in.speeds, in.uses = nil, nil, nil // the first are sent again, the others measured again
 	t.inbox.putBack(in)
 }
 
@@ -205,5 +212,7 @@
 	n.settled, n.cancels = append(in.settled, n.settled...), append(in.cancels, n.cancels...)
 	n.withdrawn, n.submits = append(in.withdrawn, n.withdrawn...), append(in.submits, n.submits...)
 	n.waves, n.steps = append(in.waves, n.waves...), append(in.steps, n.steps...)
+	n.evacuations = append(in.evacuations, n.evacuations...)
+	n.speeds, n.uses = append(in.speeds, n.speeds...), append(in.uses, n.uses...)
 	n.waiters, n.acks = append(in.waiters, n.waiters...), append(in.acks, n.acks...)
 }
--- a/internal/process/event/event.go
+++ b/internal/process/event/event.go
@@ -10,7 +10,8 @@
 //
 // Numbers are grouped: 1xx process, 2xx replicated log, 3xx leader and
 // sessions, 4xx placement, 5xx entry VM's connection and runners, 6xx requests,
-// 7xx workers, 8xx operators, 9xx jobs with steps and their cell. Each group has
+// 7xx workers, 8xx operators, 9xx jobs with steps and their cell, 10xx evacuation, speed of workers, load
+// and shares. Each group has
 // its own file.
 package event
 
--- a/internal/process/event/event_test.go
+++ b/internal/process/event/event_test.go
@@ -23,7 +23,7 @@
 var groups = map[ID]string{
 	1: "Process, links and certificates", 2: "Replicated log", 3: "Leader and sessions", 4: "Placement",
 	5: "Entry VM's link and runners", 6: "Requests", 7: "Workers", 8: "Operators",
-	9: "Jobs with steps, their workers, and the cell",
+	9: "Jobs with steps, their workers, and the cell", 10: "Evacuation, speed of workers, load and shares",
 }
 
 const preface = `# Log events of rosemaryloft
--- a/internal/version/job/command.go
+++ b/internal/version/job/command.go
@@ -55,11 +55,15 @@
 	Retried   []Start      `cbor:"22,keyasint,omitempty"` // runs whose tasks look faulty and are tried once more
 	Replaced  []string     `cbor:"23,keyasint,omitempty"` // workers at whose addresses others answer, which refuse all copies of starts
 	Lost      []PoolCrash  `cbor:"24,keyasint,omitempty"` // workers that crashed
+
+	Evacuations []Evacuation  `cbor:"25,keyasint,omitempty"` // in the order in which they arrived; no starts are in the same round
+	Speeds      []WorkerSpeed `cbor:"26,keyasint,omitempty"`
+	Uses        []Use         `cbor:"27,keyasint,omitempty"`
 }
 
 // Empty reports whether the round changes nothing.
 func (r *Round) Empty() bool {
-	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans)+len(r.Waves)+len(r.Steps)+len(r.Crashes)+len(r.Confirmed)+len(r.Withdrawn)+len(r.Cleared)+len(r.Faulty)+len(r.Unclear)+len(r.Retried)+len(r.Replaced)+len(r.Lost) == 0
+	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans)+len(r.Waves)+len(r.Steps)+len(r.Crashes)+len(r.Confirmed)+len(r.Withdrawn)+len(r.Cleared)+len(r.Faulty)+len(r.Unclear)+len(r.Retried)+len(r.Replaced)+len(r.Lost)+len(r.Evacuations)+len(r.Speeds)+len(r.Uses) == 0
 }
 
 // Result is the outcome of applying a round.
--- a/internal/version/job/model.go
+++ b/internal/version/job/model.go
@@ -107,9 +107,10 @@
 	Workspace string        `cbor:"4,keyasint,omitempty"`
 	Payload   string        `cbor:"5,keyasint,omitempty"` // passed to every task
 	Steps     []Step        `cbor:"6,keyasint"`
-	Repeat    int           `cbor:"7,keyasint,omitempty"` // number of scheduled occurrences; zero means one that is due at once
-	First     time.Time     `cbor:"8,keyasint"`           // due time of occurrence 0
-	Every     time.Duration `cbor:"9,keyasint,omitempty"` // interval between occurrences
+	Repeat    int           `cbor:"7,keyasint,omitempty"`  // number of scheduled occurrences; zero means one that is due at once
+	First     time.Time     `cbor:"8,keyasint"`            // due time of occurrence 0
+	Every     time.Duration `cbor:"9,keyasint,omitempty"`  // interval between occurrences
+	Beyond    bool          `cbor:"10,keyasint,omitempty"` // beyond the weight of its workspace; set by the leader that accepts it
 }
 
 // Occurrences returns the number of times the steps run.
@@ -264,6 +265,7 @@
 	Life     Incarnation    `cbor:"8,keyasint"`
 	Draining bool           `cbor:"9,keyasint,omitempty"`
 	Sequence int64          `cbor:"10,keyasint,omitempty"` // number of the report that says this; rises within an incarnation
+	Warm     time.Time      `cbor:"11,keyasint"`           // when it is no longer cold, on its own clock; zero if it is not
 }
 
 // Limits of what a worker says of itself. One that says more is none: its sums with
--- a/internal/version/job/snapshot.go
+++ b/internal/version/job/snapshot.go
@@ -12,19 +12,22 @@
 
 // snapshot is the encoded form of View.
 type snapshot struct {
-	Term       uint64               `cbor:"1,keyasint"`
-	Catalogue  *Catalogue           `cbor:"2,keyasint"`
-	Jobs       []*Record            `cbor:"3,keyasint"`
-	Workers    map[string]Worker    `cbor:"4,keyasint"`
-	Sequence   uint64               `cbor:"5,keyasint"`
-	Over       []ID                 `cbor:"6,keyasint"`
-	Orphans    []orphanRecord       `cbor:"7,keyasint,omitempty"`
-	Limits     limits               `cbor:"8,keyasint,omitempty"`
-	Waves      waves                `cbor:"9,keyasint"`
-	Withdrawn  []withdrawalRecord   `cbor:"10,keyasint,omitempty"`
-	Updated    time.Time            `cbor:"11,keyasint"`
-	Unanswered map[string]time.Time `cbor:"12,keyasint,omitempty"`
-	Crashes    []PoolCrash          `cbor:"14,keyasint,omitempty"`
+	Term       uint64                 `cbor:"1,keyasint"`
+	Catalogue  *Catalogue             `cbor:"2,keyasint"`
+	Jobs       []*Record              `cbor:"3,keyasint"`
+	Workers    map[string]Worker      `cbor:"4,keyasint"`
+	Sequence   uint64                 `cbor:"5,keyasint"`
+	Over       []ID                   `cbor:"6,keyasint"`
+	Orphans    []orphanRecord         `cbor:"7,keyasint,omitempty"`
+	Limits     limits                 `cbor:"8,keyasint,omitempty"`
+	Waves      waves                  `cbor:"9,keyasint"`
+	Withdrawn  []withdrawalRecord     `cbor:"10,keyasint,omitempty"`
+	Updated    time.Time              `cbor:"11,keyasint"`
+	Unanswered map[string]time.Time   `cbor:"12,keyasint,omitempty"`
+	Crashes    []PoolCrash            `cbor:"14,keyasint,omitempty"`
+	Evacuated  map[string]time.Time   `cbor:"15,keyasint,omitempty"`
+	Speeds     map[string]WorkerSpeed `cbor:"16,keyasint,omitempty"`
+	Uses       []Use                  `cbor:"17,keyasint,omitempty"`
 }
 
 // Snapshot implements raft.StateMachine.
@@ -32,7 +35,7 @@
 	s.mu.RLock()
 	defer s.mu.RUnlock()
 	v := &s.view
-	d := snapshot{Term: v.Term, Catalogue: v.Catalogue, Workers: v.Workers, Sequence: v.Sequence, Over: v.finished, Limits: v.Limits, Waves: v.Waves, Updated: v.Updated, Unanswered: v.Unanswered, Crashes: v.PoolCrashes}
+	d := snapshot{Term: v.Term, Catalogue: v.Catalogue, Workers: v.Workers, Sequence: v.Sequence, Over: v.finished, Limits: v.Limits, Waves: v.Waves, Updated: v.Updated, Unanswered: v.Unanswered, Crashes: v.PoolCrashes, Evacuated: v.Evacuated, Speeds: v.Speeds, Uses: v.uses()}
 	for _, r := range v.Jobs {
 		d.Jobs = append(d.Jobs, r)
 	}
@@ -60,6 +63,11 @@
 	}
 	maps.Copy(v.Limits, d.Limits)
 	maps.Copy(v.Unanswered, d.Unanswered)
+	maps.Copy(v.Evacuated, d.Evacuated)
+	maps.Copy(v.Speeds, d.Speeds)
+	for _, u := range d.Uses {
+		v.Uses[UseKey{u.Workspace, u.Pool}] = u
+	}
 	maps.Copy(v.Waves.Open, d.Waves.Open)
 	v.Waves.Closed = d.Waves.Closed
 	if v.Catalogue != nil {
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -161,7 +161,10 @@
 	Updated      time.Time            // of the latest round that did not begin a term
 	Unanswered   map[string]time.Time // by worker: when it was last noted that a start to it has no answer
 	Waves        waves
-	PoolCrashes  []PoolCrash // of the last crash.RateTime, oldest first
+	PoolCrashes  []PoolCrash            // of the last crash.RateTime, oldest first
+	Evacuated    map[string]time.Time   // by availability zone: since when nothing starts there
+	Speeds       map[string]WorkerSpeed // by worker
+	Uses         map[UseKey]Use
 
 	withdrawn withdrawals
 	finished  []ID // finished jobs in the order in which they finished
@@ -188,6 +191,7 @@
 	v.Orphans, v.Limits = map[string]map[OrphanID]Orphan{}, limits{}
 	v.Waves.Open = map[int64]*WaveRecord{}
 	v.Unanswered = map[string]time.Time{}
+	v.Evacuated, v.Speeds, v.Uses = map[string]time.Time{}, map[string]WorkerSpeed{}, map[UseKey]Use{}
 	v.withdrawn.init()
 }
 
@@ -225,6 +229,9 @@
 		r.Catalogue.Normalize()
 		v.setCatalogue(r.Catalogue)
 	}
+	for i := range r.Evacuations {
+		v.evacuate(&r.Evacuations[i], r.Now)
+	}
 	for _, w := range r.Workers {
 		v.Workers[w.ID] = w
 	}
@@ -232,8 +239,11 @@
 		if v.Workers[w.ID].Life == w.Life {
 			delete(v.Workers, w.ID)
 		}
+		v.dropSpeed(w.ID, w.Life)
 		v.dropOrphans(w.ID, w.Life)
 	}
+	v.noteSpeeds(r.Speeds)
+	v.noteUses(r.Uses)
 	v.noteUnclear(r.Unclear, r.Now)
 	v.addPoolCrashes(r.Lost, r.Now)
 	v.noteReplaced(r.Replaced)
@@ -305,6 +315,7 @@
 	}
 	v.Limits = kept
 	v.addLimits(c)
+	v.dropUses()
 }
 
 // addLimits installs the limits of a catalogue.
