Let rosemaryctl reach the control processes of a cell on a platform

The operators' commands for evacuations, load and past use ask control processes, whose errors are plain texts. The client maps their status to the codes and exit codes that rosemaryctl has.

--- a/cmd/rosemaryctl/command.go
+++ b/cmd/rosemaryctl/command.go
@@ -23,6 +23,7 @@
 // command defines the command line: global flags and commands.
 type command struct {
 	Address []string      `help:"Addresses of entry VMs, tried in turn." env:"ROSEMARYLOFT_ADDRESS" default:"127.0.0.1:8600" placeholder:"HOST:PORT"`
+	Control []string      `help:"Addresses of control processes of a cell on a platform, tried in turn, for the commands that say so." env:"ROSEMARYLOFT_CONTROL" placeholder:"HOST:PORT"`
 	Key     string        `help:"Secret of your key. Prefer the environment variable or --key-file: other users can see command lines." env:"ROSEMARYLOFT_KEY"`
 	KeyFile string        `help:"File that holds the secret of your key." env:"ROSEMARYLOFT_KEY_FILE" type:"path"`
 	JSON    bool          `name:"json" help:"Print JSON instead of tables."`
@@ -50,6 +51,7 @@
 type session struct {
 	context.Context
 	*client.Client
+	control        *client.Control // nil without addresses
 	out            io.Writer
 	json           bool
 	idempotencyKey string // Idempotency-Key of the change that the command makes
@@ -108,9 +110,22 @@
 		return usageError("%v", err)
 	}
 	s.Client = k
+	if len(c.Control) > 0 {
+		if s.control, err = client.NewControl(client.Options{Addresses: c.Control, Timeout: c.Timeout}); err != nil {
+			return usageError("%v", err)
+		}
+	}
 	return nil
 }
 
+// cell returns the client of the control processes of a cell on a platform.
+func (s *session) cell() (*client.Control, error) {
+	if s.control == nil {
+		return nil, usageError("this command needs --control or ROSEMARYLOFT_CONTROL: addresses of control processes of a cell on a platform")
+	}
+	return s.control, nil
+}
+
 // report prints an error, with what the operator needs to retry the command, and
 // returns the exit code.
 func (s *session) report(err error, errout io.Writer) int {
--- a/pkg/client/client.go
+++ b/pkg/client/client.go
@@ -81,6 +81,8 @@
 	bases    []string // URLs without a path
 	http     *fasthttp.Client
 	lastGood atomic.Uint64 // index of the address that answered last
+
+	plainErrors bool // errors are texts; see Control
 }
 
 // New returns a Client. It does not connect yet.
@@ -298,6 +300,11 @@
 	if a.status < fasthttp.StatusBadRequest {
 		return a, nil
 	}
+	if c.plainErrors {
+		e := plainError(a.status, a.body)
+		e.Status = a.status
+		return a, e
+	}
 	e := &api.Error{}
 	if json.Unmarshal(a.body, e) != nil || e.Code == "" || e.Ran == "" {
 		// Not an error of an entry VM, but of a load balancer in between or of the
