Evacuate availability zones: the leader's part

Operators had no way to keep work from a zone that is about to fail. The leader now carries out orders about zones: it commits them, keeps from the state which zones are evacuated, and answers afterwards. The planner does not use workers of these zones, committed starts are not sent there any more, permits for copies of starts end, and tasks bound to such a worker wait until no copy can act. Copies of orders carry a stamp like those of calls, and one that was issued before a later order about its zone, or before the term, is not carried out. Admission leaves these workers out and refuses with a reason of its own what only they could run.

--- a/internal/connection/cell/link.go
+++ b/internal/connection/cell/link.go
@@ -345,10 +345,16 @@
 	}
 }
 
-// stamp prepares a call for its next copy. Other requests are sent as they are: a late one
-// changes nothing, since the leader compares their versions, sequences or incarnations.
+// stampable is a request whose copies expire.
+type stampable interface {
+	arrival() time.Time             // at this process, on the boot-time clock
+	renew(stamp Stamp, resent bool) // for the next copy; resent if an earlier one may have been carried out
+}
+
+// stamp prepares a request for its next copy. Requests that are not stampable are sent as they are: a
+// late one changes nothing, since the leader compares their versions, sequences or incarnations.
 func (l *Link) stamp(ctx context.Context, request any, resent bool, read func(context.Context) (*reading, error)) error {
-	c, ok := request.(*Call)
+	c, ok := request.(stampable)
 	if !ok {
 		return nil
 	}
@@ -361,7 +367,7 @@
 	if d, ok := ctx.Deadline(); ok {
 		deadline = now.Add(time.Until(d))
 	}
-	c.Resent, c.Stamp = resent, r.Stamp(c.Arrived, deadline)
+	c.renew(r.Stamp(c.arrival(), deadline), resent)
 	return nil
 }
 
--- a/internal/connection/cell/mark.go
+++ b/internal/connection/cell/mark.go
@@ -41,6 +41,10 @@
 // Validity returns the call's stamp.
 func (c *Call) Validity() *Stamp { return &c.Stamp }
 
+func (c *Call) arrival() time.Time { return c.Arrived }
+
+func (c *Call) renew(s Stamp, resent bool) { c.Stamp, c.Resent = s, resent }
+
 // Reading is a Mark of another process and when it arrived here.
 type Reading struct {
 	mark     Mark
--- a/internal/connection/cell/message.go
+++ b/internal/connection/cell/message.go
@@ -12,18 +12,20 @@
 // Methods that processes of a cell serve to each other, with the process that
 // serves each.
 const (
-	MethodWho      = "who"      // any control process: return the leader
-	MethodPing     = "ping"     // leader: heartbeat of a process
-	MethodCall     = "call"     // leader: a caller's call
-	MethodApply    = "apply"    // leader: apply an operator's catalogue
-	MethodRead     = "read"     // leader: return the catalogue in effect
-	MethodReports  = "reports"  // leader: status reports of workers
-	MethodLeave    = "leave"    // leader: a worker is shutting down
-	MethodMaintain = "maintain" // leader: an operator's maintenance wave
-	MethodWave     = "wave"     // leader: return the progress of a wave
-	MethodAdvise   = "advise"   // any process: query the advice service on behalf of the leader
-	MethodRelay    = "relay"    // any process: forward a call to the leader
-	MethodMark     = "mark"     // any process: return its reading of the leader's clock
+	MethodWho         = "who"         // any control process: return the leader
+	MethodPing        = "ping"        // leader: heartbeat of a process
+	MethodCall        = "call"        // leader: a caller's call
+	MethodApply       = "apply"       // leader: apply an operator's catalogue
+	MethodRead        = "read"        // leader: return the catalogue in effect
+	MethodReports     = "reports"     // leader: status reports of workers
+	MethodLeave       = "leave"       // leader: a worker is shutting down
+	MethodMaintain    = "maintain"    // leader: an operator's maintenance wave
+	MethodWave        = "wave"        // leader: return the progress of a wave
+	MethodEvacuate    = "evacuate"    // leader: evacuate an availability zone, or revoke that
+	MethodEvacuations = "evacuations" // leader: return the evacuated zones
+	MethodAdvise      = "advise"      // any process: query the advice service on behalf of the leader
+	MethodRelay       = "relay"       // any process: forward a call to the leader
+	MethodMark        = "mark"        // any process: return its reading of the leader's clock
 )
 
 // CodeNotLeader is the code of the peer.RemoteError that a process returns if
@@ -110,6 +112,7 @@
 	Pending int           `cbor:"4,keyasint,omitempty"` // if Queue
 	Wait    time.Duration `cbor:"5,keyasint,omitempty"`
 	Queue   bool          `cbor:"6,keyasint,omitempty"` // the path is that of a queue, not of a job
+	Workers int           `cbor:"7,keyasint,omitempty"` // known in the zone of an Evacuation
 }
 
 // Document is the catalogue as sent by the operator.
--- a/internal/process/dispatch/attempt.go
+++ b/internal/process/dispatch/attempt.go
@@ -20,6 +20,8 @@
 // attemptPermit returns the permit of an attempt.
 func (t *term) attemptPermit(a *attempt, timeout time.Duration) Permit {
 	p := t.permit(timeout)
+	w, valid := a.run.worker, p.Valid
+	p.Valid = func() bool { return !w.evacuated.Load() && valid() }
 	p.Late = func(late Answer) { t.handleLateAnswer(a, late) }
 	if p.Await = lateAnswerTime; t.lossy() {
 		p.Await = timeout // the places among the connections are needed
--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -14,6 +14,7 @@
 // cluster describes the workers and the limits of the workspaces. What is known of
 // a worker is kept between rounds, since few workers change in each.
 func (t *term) cluster(v *job.View, now time.Time) fit.Cluster {
+	t.noteEvacuations(v)
 	cluster := fit.Cluster{Limits: map[string]*fit.Limit{}, Headroom: map[string]work.Resources{}}
 	if t.sorted == nil {
 		for _, w := range t.workers {
@@ -33,6 +34,7 @@
 		w.planned = w.load
 		w.planned.Worker, w.planned.WasSlow, w.planned.Unanswering = w.Worker, w.wasSlow, w.missed > 0
 		w.planned.Trial, w.planned.Settled = w.trialAt(now), now.Sub(w.lastStart) >= settleTime
+		w.planned.Evacuated = w.evacuated.Load()
 		w.planned.Usable = w.usable(now, t.timing().ReportInterval)
 		cluster.Workers = append(cluster.Workers, &w.planned)
 	}
--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -121,6 +121,7 @@
 	origin             time.Duration // reading of its clock at its start
 	anonymous          bool          // its answers to starts and stops state a clock only, as on the users' platform
 	processors         int64         // thousandths; zero means 4000
+	zone               string        // availability zone that it reports
 	slowdown           int           // factor by which new tasks take longer; zero means one
 	listings           int
 	refusals           int // of orders, while unhealthy
@@ -533,7 +534,7 @@
 	w := b.workers.all[id]
 	b.sequence++
 	r := cell.Report{Sequence: b.sequence, Clock: b.workers.clock(w), Remaining: 2000, Worker: job.Worker{
-		ID: id, Pool: "p", Life: w.life, Draining: draining, Address: address(id),
+		ID: id, Pool: "p", Life: w.life, Draining: draining, Address: address(id), Zone: w.zone,
 		Capacity: work.Resources{Processors: cmp.Or(w.processors, 4000), Memory: 16 << 30},
 	}}
 	b.workers.mu.Unlock()
--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -193,8 +193,8 @@
 
 // boundTo returns the only worker on which a task may start, if copies of its earlier starts may still
 // be carried out: the incarnation that has refused them. What it has proved does not bind the next
-// one, which exists only once this one has ended. The task waits if there is no such worker, if that
-// worker may be what failed it, or if it has started there once already: its next start would have copies
+// one, which exists only once this one has ended. The task waits if there is no such worker, if the
+// worker's zone is evacuated, if that worker may be what failed it, or if it has started there once already: its next start would have copies
 // of its own.
 func (t *term) boundTo(s *job.Step, id job.TaskID) (name string, waits bool) {
 	list := t.unclear[id]
@@ -203,7 +203,7 @@
 	}
 	d := list[0]
 	w := t.workers[d.worker]
-	if w == nil || w.Life != d.life || w.faults >= maxBoundFaults || len(list) > 1 || t.retried[id] {
+	if w == nil || w.Life != d.life || w.evacuated.Load() || w.faults >= maxBoundFaults || len(list) > 1 || t.retried[id] {
 		return "", true
 	}
 	return d.worker, false
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -231,6 +231,9 @@
 	t.mu.Lock()
 	t.limits.input, t.limits.starts = fullRound.input, fullRound.starts
 	t.settleAdmitted(r.Submits)
+	if len(r.Evacuations) > 0 {
+		t.state().View(t.noteEvacuations) // before their operators are answered
+	}
 	for i := range r.Ends {
 		t.removeRun(&r.Ends[i])
 		t.markStale(r.Ends[i].Worker)
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -115,8 +115,15 @@
 			t.mu.Unlock()
 			return
 		}
-		if w.shrank && t.overcommitted(w) {
-			t.dropStart(r)
+		switch {
+		case w.evacuated.Load():
+			t.emit(event.StartWithheld, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", w.ID), zap.String("zone", w.Zone),
+				zap.Bool("sent", r.sent))
+			t.dropStart(r, "the availability zone of its worker is evacuated")
+			t.mu.Unlock()
+			return
+		case w.shrank && t.overcommitted(w):
+			t.dropStart(r, "the capacity of its worker has shrunk")
 			t.mu.Unlock()
 			return
 		}
@@ -154,13 +161,13 @@
 	return orderTimeout
 }
 
-// dropStart gives up a start that no longer fits its worker, or stops it if a copy of it
+// dropStart gives up a start that its worker may no longer get, or stops it if a copy of it
 // may have arrived.
-func (t *term) dropStart(r *run) {
+func (t *term) dropStart(r *run, reason string) {
 	if r.sent {
 		t.stop(r)
 	} else {
-		t.lose(r, "the capacity of its worker has shrunk")
+		t.lose(r, reason)
 	}
 	t.stopGang(r)
 }
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -42,6 +42,12 @@
 	mux.Handle(cell.MethodWave, whileLeading(d, func(t *term, _ context.Context, _ string, number *int64) (cell.Verdict, bool) {
 		return t.waveState(*number), true
 	}))
+	mux.Handle(cell.MethodEvacuate, whileLeading(d, func(t *term, ctx context.Context, _ string, e *cell.Evacuation) (cell.Verdict, bool) {
+		return t.evacuate(ctx, e)
+	}))
+	mux.Handle(cell.MethodEvacuations, whileLeading(d, func(t *term, _ context.Context, _ string, _ *cell.Who) (cell.Evacuations, bool) {
+		return t.evacuations(), true
+	}))
 }
 
 // whileLeading returns a handler that serves a method while this process leads.
@@ -366,6 +372,7 @@
 	}
 	t.setGeneration(w)
 	t.checkFormers(w)
+	t.noteZone(w)
 	t.workers[w.ID], t.sorted = w, nil
 	t.returnWorker(w)
 	t.settleDoubts(w)
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -90,6 +90,8 @@
 	retried        map[job.TaskID]bool      // tasks that have started again although copies of an earlier start may be carried out
 	leased         map[string]bool          // workers to which the former leader may have sent leases until the term began; used by adopt only
 	waits          waits                    // of tasks that are due
+	evacuated      map[string]time.Time     // by availability zone: as in the state, as of the latest round
+	zoneOrders     map[string]zoneOrder     // by availability zone
 	risky          map[string]time.Time     // by queue: until when its work is kept apart, because its tasks crash their workers
 }
 
@@ -123,7 +125,7 @@
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
 		doubts: map[string]*doubts{}, unclear: map[job.TaskID][]*doubts{}, copyWaits: map[job.TaskID]time.Time{}, generations: map[string]generation{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
 		risky: map[string]time.Time{}, retried: map[job.TaskID]bool{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
-		verdicts: map[job.TaskID]time.Time{}, commonUntil: map[string]time.Time{}, recheck: map[string]bool{},
+		verdicts: map[job.TaskID]time.Time{}, commonUntil: map[string]time.Time{}, recheck: map[string]bool{}, zoneOrders: map[string]zoneOrder{},
 	}
 }
 
@@ -217,6 +219,7 @@
 			}
 			t.workers[w.ID], t.sorted = m, nil
 		}
+		t.noteEvacuations(v)
 		t.adoptLeases(v)
 		for name, reservations := range v.Reservations {
 			t.adoptRuns(v, name, reservations, now)
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -96,6 +97,7 @@
 	trialEnds         time.Time        // only trials of that job start on it before this
 	committed         bool             // its incarnation is in the replicated state
 	cordoned          bool             // gets no new tasks before the maintenance of its VM
+	evacuated         atomic.Bool      // its availability zone is evacuated; written under the term's lock
 	load              fit.Worker       // what runs on it
 	changes           uint64           // job.View.Changes when load was computed
 	stale             bool             // load has to be computed anew for another reason
@@ -191,16 +193,17 @@
 
 // Causes for which a worker gets no new tasks.
 const (
-	outLeaving  = "leaving"  // drains, or announced its end
-	outUpkeep   = "upkeep"   // before the maintenance of its VM
-	outUnlisted = "unlisted" // has not answered a listing in this term
-	outRefusing = "refusing" // unhealthy
-	outUnproved = "unproved" // another incarnation may have answered
-	outOrphan   = "orphan"   // may still execute a run that was given up
-	outSilent   = "silent"   // answers no orders
-	outUnsent   = "unsent"   // orders to it are not delivered
-	outUnheard  = "unheard"  // neither reports nor answers
-	outAvoided  = "avoided"  // for faults or slowness
+	outLeaving   = "leaving"   // drains, or announced its end
+	outUpkeep    = "upkeep"    // before the maintenance of its VM
+	outEvacuated = "evacuated" // its availability zone is
+	outUnlisted  = "unlisted"  // has not answered a listing in this term
+	outRefusing  = "refusing"  // unhealthy
+	outUnproved  = "unproved"  // another incarnation may have answered
+	outOrphan    = "orphan"    // may still execute a run that was given up
+	outSilent    = "silent"    // answers no orders
+	outUnsent    = "unsent"    // orders to it are not delivered
+	outUnheard   = "unheard"   // neither reports nor answers
+	outAvoided   = "avoided"   // for faults or slowness
 )
 
 // out returns the cause for which the worker gets no new tasks, or an empty string.
@@ -210,6 +213,8 @@
 		return outLeaving
 	case w.cordoned:
 		return outUpkeep
+	case w.evacuated.Load():
+		return outEvacuated
 	case !w.listed, w.clockReading.IsZero():
 		return outUnlisted
 	case w.refuses:
--- a/internal/version/fit/admit.go
+++ b/internal/version/fit/admit.go
@@ -15,17 +15,21 @@
 	// remainingShare is the fraction of its estimated run time that a running task
 	// has left on average.
 	remainingShare = 0.5
+	// evacuatedRetryAfter is the time after which to retry while all workers that could run the job
+	// are in evacuated zones. When these come back is not known; the four retries of a caller cover 40 s.
+	evacuatedRetryAfter = 10 * time.Second
 )
 
 // Load is the outstanding work of a pool, for admission control. Under overload
 // that outlasts the patience of callers, a job that would finish too late to be
 // of use is refused at once.
 type Load struct {
-	capacity work.Resources // of all workers of the pool
-	workers  []*Worker
-	running  [tiers]time.Duration // by tier; time that the whole pool needs to finish its runs
-	waiting  []queuedWork
-	returns  *Returns
+	capacity  work.Resources // of all workers of the pool, but for those in evacuated zones
+	workers   []*Worker
+	evacuated []*Worker
+	running   [tiers]time.Duration // by tier; time that the whole pool needs to finish its runs
+	waiting   []queuedWork
+	returns   *Returns
 }
 
 // queuedWork is the waiting part of one demand.
@@ -37,8 +41,13 @@
 
 // NewLoad returns the load of an idle pool of the workers. The returns outlive it.
 func NewLoad(workers []*Worker, returns *Returns) *Load {
-	l := &Load{workers: workers, returns: returns}
+	l := &Load{returns: returns}
 	for _, w := range workers {
+		if w.Evacuated {
+			l.evacuated = append(l.evacuated, w)
+			continue
+		}
+		l.workers = append(l.workers, w)
 		l.capacity = l.capacity.Add(w.Capacity)
 	}
 	return l
@@ -75,18 +84,24 @@
 // Reasons to refuse a job.
 const (
 	Overload   = "the job would be of no use by the time of its turn"
+	Evacuated  = "the availability zones with workers for the job are evacuated"
 	Infeasible = "a task is larger than every worker of the pool, or no worker has its label"
 )
 
 // Admit decides whether to accept a job, given the demands of all its steps and
 // its estimated critical path.
 func (l *Load) Admit(now time.Time, steps []*Demand, chain time.Duration) Admission {
-	if len(l.workers) == 0 || len(steps) == 0 {
+	if len(l.workers)+len(l.evacuated) == 0 || len(steps) == 0 {
 		return Admission{} // the workers of the pool are not known yet
 	}
 	for _, d := range steps {
-		if !slices.ContainsFunc(l.workers, func(w *Worker) bool { return eligible(d, w) }) {
+		suits := func(w *Worker) bool { return eligible(d, w) }
+		switch {
+		case slices.ContainsFunc(l.workers, suits):
+		case !slices.ContainsFunc(l.evacuated, suits):
 			return Admission{Refused: true, Reason: Infeasible, RetryAfter: maxRetryAfter}
+		case !steps[0].Spec.Lasting: // those wait
+			return Admission{Refused: true, Reason: Evacuated, RetryAfter: evacuatedRetryAfter}
 		}
 	}
 	first := steps[0]
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -65,6 +65,7 @@
 	job.Worker
 	Free        work.Resources
 	Usable      bool           // accepts new tasks
+	Evacuated   bool           // its availability zone is; it counts for no pool meanwhile
 	WasSlow     bool           // was slow and has not shown normal speed since
 	Unanswering bool           // its latest order got no answer
 	TargetTasks int            // running tasks with a response time target
