--- a/cmd/rosemaryctl/command.go
+++ b/cmd/rosemaryctl/command.go
@@ -30,21 +30,22 @@
 	Timeout time.Duration `help:"How long to try." default:"30s"`
 	Request string        `help:"Idempotency-Key of a change, to repeat one whose outcome is unknown. The default is a random one."`
 
-	Teams     teamsCommand     `cmd:"" help:"Workspaces and their limits."`
-	Entries   entriesCommand   `cmd:"" help:"Services and queues."`
-	Keys      keysCommand      `cmd:"" help:"Keys of callers, upstreams, workers and operators."`
-	Workers   workersCommand   `cmd:"" help:"List workers."`
-	Upstreams upstreamsCommand `cmd:"" help:"List announced runners."`
-	Queues    queuesCommand    `cmd:"" help:"List the load of each queue."`
-	Status    statusCommand    `cmd:"" help:"Show the control group and the entry VMs."`
-	Members   membersCommand   `cmd:"" help:"Replicas of the control group."`
-	Drain     drainCommand     `cmd:"" help:"Keep new tasks from a worker."`
-	Undrain   undrainCommand   `cmd:"" help:"Let a worker get new tasks again."`
-	Explain   explainCommand   `cmd:"" help:"Tell why a job is where it is."`
-	Report    reportCommand    `cmd:"" help:"Sum up logs of a cell on the platform."`
-	Jobs      jobsCommand      `cmd:"" help:"Submit and follow jobs."`
-	Authority authorityCommand `cmd:"" help:"The private authority and the certificates of processes."`
-	Check     checkCommand     `cmd:"" help:"Check a settings file of rosemaryloftd."`
+	Teams       teamsCommand       `cmd:"" help:"Workspaces and their limits."`
+	Entries     entriesCommand     `cmd:"" help:"Services and queues."`
+	Keys        keysCommand        `cmd:"" help:"Keys of callers, upstreams, workers and operators."`
+	Workers     workersCommand     `cmd:"" help:"List workers."`
+	Upstreams   upstreamsCommand   `cmd:"" help:"List announced runners."`
+	Queues      queuesCommand      `cmd:"" help:"List the load of each queue."`
+	Status      statusCommand      `cmd:"" help:"Show the control group and the entry VMs."`
+	Members     membersCommand     `cmd:"" help:"Replicas of the control group."`
+	Drain       drainCommand       `cmd:"" help:"Keep new tasks from a worker."`
+	Undrain     undrainCommand     `cmd:"" help:"Let a worker get new tasks again."`
+	Evacuations evacuationsCommand `cmd:"" help:"Evacuated availability zones of a cell on a platform."`
+	Explain     explainCommand     `cmd:"" help:"Tell why a job is where it is."`
+	Report      reportCommand      `cmd:"" help:"Sum up logs of a cell on the platform."`
+	Jobs        jobsCommand        `cmd:"" help:"Submit and follow jobs."`
+	Authority   authorityCommand   `cmd:"" help:"The private authority and the certificates of processes."`
+	Check       checkCommand       `cmd:"" help:"Check a settings file of rosemaryloftd."`
 }
 
 // session is the context of one command: the client, the output and its format.
