Learn the normal speed of each worker and how slow cold workers are

A worker of a pool with speeds of 0.55 and 1.2 looked slow beside the fastest run of its step, and the baseline of a queue depended on who ran it. The speed is now learned from completions and progress, compared with the same step elsewhere or with the queue's baseline, which is that of a worker of speed 1. Progress is assessed against the worker's own speed and coldness. A run is moved only where it gains at the speed of the others.

--- a/internal/connection/cell/message.go
+++ b/internal/connection/cell/message.go
@@ -127,6 +127,10 @@
 	Cold      int64      `cbor:"5,keyasint,omitempty"` // time in milliseconds for which the worker is still slow after its start
 }
 
+// MaxCold is the longest time in milliseconds for which a worker may be cold. One that states
+// more has a fault, and would be cold for as long as it runs.
+const MaxCold = 3_600_000
+
 // maxSequence is the largest number of a report, some centuries of them. A later one of the
 // same incarnation would look old beside a larger number.
 const maxSequence = 1 << 33
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -150,7 +150,8 @@
 	}
 	for _, r := range w.runs {
 		if r.urgent && r.measurable() {
-			expected := overdueFactor * float64(t.baseline(r.queue).Expected(r.spec.Estimate))
+			speed, _ := t.workerSpeed(w, 0)
+			expected := overdueFactor * float64(t.baseline(r.queue).Expected(r.spec.Estimate)) / speed
 			o.Wait = min(o.Wait, max(r.startResolvedAt.Add(time.Duration(expected)).Sub(now), overdueListWait))
 		}
 		if r.startResolvedAt.IsZero() && !lossy || !r.stopAcceptedAt.IsZero() {
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -64,6 +64,7 @@
 	resumed         bool           // resumed from a checkpoint, or started by an earlier leader
 	inherited       bool           // started by an earlier leader, whose clock may differ
 	queue           string
+	paced           bool          // the speed of its worker was learned from its progress
 	usage           float64       // latest ListedRun.Usage
 	lastProgress    time.Time     // when percent last changed
 	pace            time.Duration // longest time per percent that was seen; zero if none was
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -314,6 +314,7 @@
 	w.Sequence, w.lastSeen, w.heardAt, w.brokeAt = r.Sequence, now, now, time.Time{}
 	w.updateClock(r.Clock, now)
 	changed := t.resize(w, &r.Worker)
+	changed = t.noteCold(w, r) || changed
 	if w.missed > 0 || w.pollOnce {
 		// The worker can send again; a listing tells whether it answers orders.
 		w.pollOnce = true
@@ -361,6 +362,8 @@
 	w.knownAt = now
 	w.Sequence, w.heardAt = r.Sequence, now
 	w.updateClock(r.Clock, now)
+	w.Warm = warmAt(r)
+	t.emitCold(w)
 	if w.Draining {
 		w.drainDeadline = now.Add(time.Duration(r.Remaining) * time.Millisecond)
 	}
--- a/internal/process/dispatch/speed.go
+++ b/internal/process/dispatch/speed.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -9,6 +10,10 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
+// minPacedPercent is the progress from which the speed of a worker is learned before a run ends. Percentages
+// are whole, so that less says little.
+const minPacedPercent = 10
+
 // queueKey returns a string that identifies a queue.
 func queueKey(q *job.Queue) string { return q.Host + q.Prefix }
 
@@ -59,19 +64,102 @@
 		Step: r.id.StepID(), StartTime: since.at, StartPercent: since.percent, Time: r.progressAt, Percent: r.percent, Estimate: r.spec.Estimate,
 		Baseline: t.baseline(r.queue),
 	}
-	if s := t.steps[m.Step]; s != nil {
-		for worker, lag := range s.lags {
-			if worker != r.worker.ID && (m.MinLag == 0 || lag < m.MinLag) {
-				m.MinLag = lag
-			}
+	m.Speed, m.Unclear = t.expectedSpeed(r, since)
+	t.comparePeers(r, &m)
+	return m
+}
+
+// comparePeers sets with what the run's progress is compared: the lags of its step's runs on other
+// workers, as they would be on a worker of speed 1.
+func (t *term) comparePeers(r *run, m *fit.Motion) {
+	s := t.steps[m.Step]
+	if s == nil {
+		return
+	}
+	sum := 0.0
+	for name, lag := range s.lags {
+		if name == r.worker.ID {
+			continue
+		}
+		if r.spec.Gang {
+			lag *= m.Speed // all members are as slow as the slowest
+		} else if w := t.workers[name]; w != nil {
+			lag *= w.pace.Speed()
+		}
+		if m.MinLag == 0 || lag < m.MinLag {
+			m.MinLag = lag
 		}
+		sum += math.Log(lag)
+		m.Peers++
+	}
+	if m.Peers > 0 {
+		m.PeerLag = math.Exp(sum / float64(m.Peers))
+	}
+}
+
+// expectedSpeed returns the speed at which a run should have progressed since a sample. unclear is set
+// if its worker was cold and it is not known how slow that makes the workers of the pool.
+func (t *term) expectedSpeed(r *run, since progressSample) (speed float64, unclear bool) {
+	speed, unclear = t.workerSpeed(r.worker, r.progressAt.Sub(since.at))
+	if !r.spec.Gang {
+		return speed, unclear
+	}
+	for i := range r.spec.Count {
+		if m := t.runs[r.id.StepID().Task(i)]; m != nil && m != r {
+			s, u := t.workerSpeed(m.worker, r.progressAt.Sub(since.at))
+			speed, unclear = min(speed, s), unclear || u
+		}
+	}
+	return speed, unclear
+}
+
+// workerSpeed returns the expected speed of a worker in the latest period of a length.
+func (t *term) workerSpeed(w *worker, period time.Duration) (speed float64, unclear bool) {
+	speed = w.pace.Speed()
+	if w.coldLeft(t.now().Add(-period)) > 0 {
+		c := t.coldnessOf(w.Pool)
+		return speed * c.Speed(), !c.Known()
+	}
+	return speed, false
+}
+
+// coldnessOf returns how slow the cold workers of a pool are.
+func (t *term) coldnessOf(pool string) *fit.Pace {
+	c := t.coldness[pool]
+	if c == nil {
+		c = fit.NewColdness()
+		t.coldness[pool] = c
+	}
+	return c
+}
+
+// learnSpeed learns the normal speed of a worker from a run's progress, or, while the worker is cold, how
+// slow the cold workers of its pool are. It must be called before the run's lag is recorded: where only the
+// estimate of a step says what to expect, a worker's runs of it count once.
+func (t *term) learnSpeed(r *run, m *fit.Motion) {
+	w := r.worker
+	if r.spec.Gang || r.spec.Rack != "" || w.wasSlow {
+		return // others, or where the data is, determine how fast it is
+	}
+	if s := t.steps[m.Step]; m.Peers == 0 && s != nil && s.lags[w.ID] > 0 {
+		return
+	}
+	switch {
+	case !m.Time.After(w.Warm):
+		t.coldnessOf(w.Pool).Learn(m, w.pace.Speed())
+	case m.StartTime.Before(w.Warm):
+		// It was cold for a part of the time only.
+	default:
+		w.pace.Learn(m, 1)
 	}
-	return m
 }
 
 // recordLag records the lag of a run, with which the other runs of its step are
-// compared.
-func (t *term) recordLag(r *run, lag float64) {
+// compared. That on a cold worker says nothing about others.
+func (t *term) recordLag(r *run, m *fit.Motion, lag float64) {
+	if m.StartTime.Before(r.worker.Warm) {
+		return
+	}
 	s := t.step(r.id.StepID())
 	if s.lags == nil {
 		s.lags = map[string]float64{}
@@ -96,10 +184,11 @@
 	if !ok {
 		return
 	}
-	t.recordLag(r, lag)
-	if s := t.step(m.Step); !w.wasSlow && !s.learned {
+	t.learnSpeed(r, &m)
+	t.recordLag(r, &m, lag)
+	if s := t.step(m.Step); !w.wasSlow && !m.Unclear && !s.learned {
 		s.learned = true // runs of one step share an estimate
-		m.Baseline.Learn(lag)
+		m.Baseline.Learn(lag * m.Speed)
 	}
 }
 
@@ -136,7 +225,11 @@
 		m := t.motion(r, r.windowStart)
 		runs, motions = append(runs, r), append(motions, m)
 		if lag, ok := m.Lag(); ok {
-			t.recordLag(r, lag)
+			if !r.paced && r.percent-r.windowStart.percent >= minPacedPercent {
+				r.paced = true
+				t.learnSpeed(r, &m)
+			}
+			t.recordLag(r, &m, lag)
 		}
 	}
 	return runs, motions
@@ -144,6 +237,7 @@
 
 // moveRun has a run start on another worker if it would be done sooner there.
 func (t *term) moveRun(r *run, m *fit.Motion) {
+	m.There = t.speedElsewhere(r.worker)
 	hasCheckpoint := r.spec.Checkpoints && r.checkpoint != ""
 	switch {
 	case r.spec.Copies && m.ShouldMove(hasCheckpoint, 0):
@@ -155,3 +249,19 @@
 		t.stopGang(r)
 	}
 }
+
+// speedElsewhere returns the mean speed of the usable workers of a pool other than a worker.
+func (t *term) speedElsewhere(w *worker) float64 {
+	sum, n, now := 0.0, 0, t.now()
+	for _, o := range t.workers {
+		if o != w && o.Pool == w.Pool && o.usable(now, t.timing().ReportInterval) {
+			s, _ := t.workerSpeed(o, 0)
+			sum += s
+			n++
+		}
+	}
+	if n == 0 {
+		return 1
+	}
+	return sum / float64(n)
+}
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -54,6 +54,7 @@
 		t.expireDoubts(now)
 		t.expireRisks(now)
 		t.recheckLosses(now)
+		t.writeSpeeds(now)
 		if now.Sub(t.stepsChecked) >= stepCheckInterval {
 			t.stepsChecked = now
 			t.dropSteps()
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -57,6 +57,8 @@
 	urgentPeaks    map[string]*fit.Peak      // by pool
 	urgentUse      map[string]work.Resources // by pool; reserved by urgent runs
 	baselines      map[string]*fit.Baseline  // by queue
+	coldness       map[string]*fit.Pace      // by pool; of cold workers, relative to their normal speed
+	nextSpeeds     time.Time                 // learned speeds are not written before this
 	allowedShares  map[string]float64        // by queue; of the workers that were asked about
 	claims         map[string]cell.Report    // by worker: a report of a later incarnation that is being checked
 	inbox          inbox
@@ -120,7 +122,7 @@
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*fit.Peak{},
 		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
 		shares: map[string]*fit.Share{}, beyond: map[job.ID]bool{},
-		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
+		baselines: map[string]*fit.Baseline{}, coldness: map[string]*fit.Pace{}, allowedShares: map[string]float64{},
 		doubts: map[string]*doubts{}, unclear: map[job.TaskID][]*doubts{}, copyWaits: map[job.TaskID]time.Time{}, generations: map[string]generation{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
 		risky: map[string]time.Time{}, retried: map[job.TaskID]bool{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
 		verdicts: map[job.TaskID]time.Time{}, commonUntil: map[string]time.Time{}, recheck: map[string]bool{},
@@ -205,6 +207,7 @@
 	t.state().View(func(v *job.View) {
 		for _, w := range v.Workers {
 			m := newWorker(w, now)
+			m.adoptSpeed(v)
 			if err := m.Check(); err != nil {
 				// Stored by an earlier build, which did not check reports.
 				t.emit(event.WorkerReport, event.Cause(err))
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -88,6 +88,7 @@
 	avoidedUntil      time.Time        // no new tasks before this
 	standing          job.StepID       // whose run was stopped for want of progress last, if no run has made any since
 	wasSlow           bool             // was slow and has not shown normal speed since
+	pace              fit.Pace         // its normal speed
 	lapsed            []*run           // runs whose lease ended while it was silent, under which it may have crashed
 	suspected         bool             // suspectRuns has looked at its runs since its last answer
 	shrank            bool             // its capacity has shrunk since its first report in this term
--- a/internal/version/fit/motion.go
+++ b/internal/version/fit/motion.go
@@ -14,8 +14,9 @@
 	// slowDeviations is the number of standard deviations by which they must be
 	// slower, because estimates of single jobs are rough.
 	slowDeviations = 4.0
-	// normalFactor is the largest factor between two normal workers, whose speeds
-	// are between 0.8 and 1.25 times the average.
+	// normalFactor is the largest factor by which a sound worker's runs differ from its
+	// own speed, before that is learned: speeds are usually between 0.8 and 1.25 times
+	// the average.
 	normalFactor = 1.6
 	// windowShare is the fraction of its estimate, and minWindow the minimum time,
 	// that a run must work before its progress is significant.
@@ -42,8 +43,8 @@
 )
 
 // Baseline is the learned baseline of a queue: the mean and the standard
-// deviation of the logarithm of its runs' lags. A lag is the ratio of run time
-// to estimate.
+// deviation of the logarithm of its runs' lags on a worker of speed 1. A lag is the
+// ratio of run time to estimate.
 type Baseline struct {
 	mean   float64
 	spread float64
@@ -55,7 +56,7 @@
 func NewBaseline() *Baseline { return &Baseline{spread: initialSpread} }
 
 // Learn adds the lag of the first finished run of a step. Runs of one step share
-// an estimate, so the others add no information.
+// an estimate, so the others add no information. The lag is that on a worker of speed 1.
 func (n *Baseline) Learn(lag float64) {
 	x := min(max(math.Log(lag), -maxLogLag), maxLogLag)
 	n.spread += learnRate * (deviationFactor*math.Abs(x-n.mean) - n.spread)
@@ -77,7 +78,12 @@
 	Percent      int
 	Estimate     time.Duration // of the whole run
 	Baseline     *Baseline     // of its queue
-	MinLag       float64       // smallest lag of the step's runs on other workers; zero if unknown
+	MinLag       float64       // smallest lag of the step's runs on other workers, as if their speed were 1; zero if unknown
+	PeerLag      float64       // mean of these lags, likewise
+	Peers        int           // number of these lags
+	Speed        float64       // expected of the worker, as learned; zero counts as 1
+	Unclear      bool          // the worker was cold, and how slow that makes it is not known
+	There        float64       // speed of where the run would start if it were moved; zero counts as 1
 }
 
 // Window returns how long a run with an estimate must work before its progress is
@@ -98,8 +104,19 @@
 	return float64(worked) / (done * float64(m.Estimate)), true
 }
 
+// expectedHere returns the logarithm of the lag that is expected on the run's worker.
+func (m *Motion) expectedHere() float64 { return m.expectedLogLag() - math.Log(speedOr1(m.Speed)) }
+
+// speedOr1 returns a speed, of which zero counts as 1.
+func speedOr1(speed float64) float64 {
+	if speed <= 0 {
+		return 1
+	}
+	return speed
+}
+
 // expectedLogLag returns the logarithm of the lag that is expected on a worker of
-// normal speed.
+// speed 1.
 func (m *Motion) expectedLogLag() float64 {
 	if m.MinLag > 0 {
 		return max(m.Baseline.mean, math.Log(m.MinLag))
@@ -127,8 +144,8 @@
 
 // Assess assesses a worker's speed from the progress of its runs. It detects
 // workers that still accept tasks and answer orders while their tasks take
-// several times as long as elsewhere. Runs of one step count once, because they
-// share an estimate.
+// several times as long as the worker's own speed and its coldness explain. Runs of one
+// step count once, because they share an estimate.
 func Assess(runs []Motion) Assessment {
 	type evidence struct {
 		sum, weight float64
@@ -139,7 +156,7 @@
 	for i := range runs {
 		m := &runs[i]
 		lag, ok := m.Lag()
-		if !ok {
+		if !ok || m.Unclear {
 			continue
 		}
 		e := steps[m.Step]
@@ -149,7 +166,7 @@
 			steps[m.Step] = e
 		}
 		founded = founded || m.MinLag > 0 || m.Baseline.steps >= knownSteps
-		e.sum += math.Log(lag) - m.expectedLogLag()
+		e.sum += math.Log(lag) - m.expectedHere()
 		e.runs++
 	}
 	if len(steps) == 0 {
@@ -178,7 +195,7 @@
 // progress, otherwise it starts over.
 func (m *Motion) ShouldMove(saves bool, delay time.Duration) bool {
 	lag, ok := m.Lag()
-	if !ok {
+	if !ok || m.Unclear {
 		return false
 	}
 	left := float64(100-m.Percent) / 100
@@ -187,6 +204,6 @@
 		redo = left
 	}
 	here := lag * left * float64(m.Estimate)
-	there := math.Exp(m.expectedLogLag()) * redo * float64(m.Estimate)
+	there := math.Exp(m.expectedLogLag()) / speedOr1(m.There) * redo * float64(m.Estimate)
 	return here > float64(delay)+moveGain*there
 }
