Place work by the speed and the coldness of workers

Quick work on a slow worker was late while batches ran on fast ones. Urgent work now prefers fast and warm workers, and waits up to half a second for one where it would be late on a slow one and not on a fast one; others use the slow one meanwhile. Work that is in time on slow workers leaves the fast ones free, gangs get workers of equal speed, and a cold worker takes two starts at a time while nobody knows how slow it is. Admission counts a worker by its speed; deadlines stay as promised. Workers of equal speed change no decision.

--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -32,6 +32,10 @@
 		}
 		w.planned = w.load
 		w.planned.Worker, w.planned.WasSlow, w.planned.Unanswering = w.Worker, w.wasSlow, w.missed > 0
+		w.planned.Speed, w.planned.Cold = w.pace.Factor(), w.coldLeft(now)
+		if c := t.coldnessOf(w.Pool); w.planned.Cold > 0 && c.Known() {
+			w.planned.ColdSpeed = c.Speed()
+		}
 		w.planned.Trial, w.planned.Settled = w.trialAt(now), now.Sub(w.lastStart) >= settleTime
 		w.planned.Usable = w.usable(now, t.timing().ReportInterval)
 		cluster.Workers = append(cluster.Workers, &w.planned)
--- a/internal/version/fit/admit.go
+++ b/internal/version/fit/admit.go
@@ -21,7 +21,7 @@
 // that outlasts the patience of callers, a job that would finish too late to be
 // of use is refused at once.
 type Load struct {
-	capacity work.Resources // of all workers of the pool
+	capacity work.Resources // of all workers of the pool, as if their speed were 1
 	workers  []*Worker
 	running  [tiers]time.Duration // by tier; time that the whole pool needs to finish its runs
 	waiting  []queuedWork
@@ -39,7 +39,7 @@
 func NewLoad(workers []*Worker, returns *Returns) *Load {
 	l := &Load{workers: workers, returns: returns}
 	for _, w := range workers {
-		l.capacity = l.capacity.Add(w.Capacity)
+		l.capacity = l.capacity.Add(w.delivers())
 	}
 	return l
 }
--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -121,12 +121,12 @@
 			add(w)
 		}
 	}
-	for i := 0; i < len(l.workers) && len(workers) < queryWorkers; i++ {
-		// Steps begin at different workers, so that they do not all wait for the same.
-		if w := l.workers[(i+int(d.Sequence))%len(l.workers)]; !d.Advice.known(w.ID) {
+	l.preferred(d, func(visit func(*Worker) bool) { l.turn(d, visit) }, func(w *Worker) bool {
+		if !d.Advice.known(w.ID) {
 			add(w)
 		}
-	}
+		return len(workers) < queryWorkers
+	})
 	return workers
 }
 
@@ -343,7 +343,7 @@
 		}
 	}
 	more := true
-	l.freest(d.Spec.Reservation(), func(w *Worker) bool {
+	l.preferred(d, func(visit func(*Worker) bool) { l.freest(d.Spec.Reservation(), visit) }, func(w *Worker) bool {
 		more = consider(w)
 		return more
 	})
--- a/internal/version/fit/claim.go
+++ b/internal/version/fit/claim.go
@@ -106,7 +106,7 @@
 
 // reservable reports whether a worker may be reserved for the demand.
 func (p *planner) reservable(d *Demand, w *Worker) bool {
-	if w.reservedFor != nil && w.reservedFor != d || !eligible(d, w) || !p.mayBeAllowed(d, w) {
+	if w.reservedFor != nil && w.reservedFor != d || !eligible(d, w) || !p.mayBeAllowed(d, w) || !suits(d, w) {
 		return false
 	}
 	if d.Spec.Filler && w.TargetTasks > 0 || d.Spec.Target > 0 && w.FillerTasks > 0 {
@@ -119,7 +119,7 @@
 type candidate struct {
 	worker    *Worker
 	tasks     int     // that fit after preemption
-	shortage  float64 // fraction of the worker that has to become free for one task
+	shortage  float64 // fraction of the worker that has to become free for one task, and what its speed costs the task
 	preempted int     // runs to preempt for one task
 }
 
@@ -127,7 +127,7 @@
 // priority were preempted.
 func (p *planner) evaluate(d *Demand, w *Worker, size work.Resources) candidate {
 	free := w.Free.Add(w.Releasing)
-	c := candidate{worker: w, shortage: shortage(size, free, w.Capacity)}
+	c := candidate{worker: w, shortage: shortage(size, free, w.Capacity) + speedCost(d, w)}
 	total := free
 	for i := range w.Runs {
 		r := &w.Runs[i]
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -66,6 +66,9 @@
 	Free        work.Resources
 	Usable      bool           // accepts new tasks
 	WasSlow     bool           // was slow and has not shown normal speed since
+	Speed       float64        // normal speed; 1 is the usual one of the pool, and 0 counts as 1
+	Cold        time.Duration  // for which it is still slower than normally
+	ColdSpeed   float64        // its speed meanwhile, as a fraction of the normal one; 0 if unknown
 	Unanswering bool           // its latest order got no answer
 	TargetTasks int            // running tasks with a response time target
 	FillerTasks int            // running filler tasks
@@ -165,6 +168,8 @@
 	Waited        time.Duration // time since tasks of the step became ready
 
 	rank        rank
+	now         time.Time // of the plan
+	fastest     float64   // largest speed of the pool's warm workers; 0 if there are none
 	prepared    bool
 	gangRun     int // next run number of all members of a gang
 	runNumbers  map[int]int
@@ -303,7 +308,10 @@
 func decide(now time.Time, demands []*Demand, cluster Cluster, off rules) Plan {
 	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers), off: off}
 	for _, d := range demands {
-		d.rank = d.rankAt(now)
+		d.rank, d.now = d.rankAt(now), now
+		if l := p.pools[d.Pool]; l != nil {
+			d.fastest = l.fastest
+		}
 	}
 	slices.SortFunc(demands, compareDemands)
 	for _, d := range demands {
--- a/internal/version/fit/inventory.go
+++ b/internal/version/fit/inventory.go
@@ -31,6 +31,8 @@
 	open     int            // workers that are not reserved
 	own      []*Worker      // reserved for the demand that is being planned
 	index    [indexes]index
+	uneven   bool            // workers differ in speed
+	fastest  float64         // largest speed of the warm workers; 0 if there are none
 	trials   map[job.ID]bool // jobs that have trials, or reserve workers for them
 }
 
@@ -57,6 +59,7 @@
 		}
 		w.order, w.reservedFor = len(l.workers), nil
 		l.workers = append(l.workers, w)
+		l.noteSpeed(w)
 		l.named[w.ID] = w
 		l.racks[w.Rack] = append(l.racks[w.Rack], w)
 		l.free, l.capacity = l.free.Add(w.Free.Positive()), l.capacity.Add(w.Capacity)
@@ -171,6 +174,16 @@
 	}
 }
 
+// turn calls visit for all workers until it returns false. Steps begin at different workers,
+// so that they do not all wait for the same.
+func (l *inventory) turn(d *Demand, visit func(*Worker) bool) {
+	for i := range l.workers {
+		if !visit(l.workers[(i+int(d.Sequence))%len(l.workers)]) {
+			return
+		}
+	}
+}
+
 // smallest returns the n first items of a list in the order of compare, without
 // sorting the others. Equal items stay in their order.
 func smallest[T any](list []T, n int, compare func(a, b T) int) []T {
--- a/internal/version/fit/place.go
+++ b/internal/version/fit/place.go
@@ -141,7 +141,7 @@
 
 // fits reports whether the worker can take a task of the demand now.
 func fits(d *Demand, w *Worker) bool {
-	if w.reservedFor != nil && w.reservedFor != d || !d.Spec.Reservation().Fits(w.Free) || !eligible(d, w) || !admits(d, w) {
+	if w.reservedFor != nil && w.reservedFor != d || !d.Spec.Reservation().Fits(w.Free) || !eligible(d, w) || !admits(d, w) || !suits(d, w) {
 		return false
 	}
 	if d.Spec.Spread > 0 && d.Placed[w.ID] >= d.Spec.Spread {
@@ -169,7 +169,7 @@
 		}
 	}
 	wanted := max(minCandidates, candidatesPerTask*len(d.Tasks))
-	l.tightest(d.Spec.Reservation(), func(w *Worker) bool {
+	l.preferred(d, func(visit func(*Worker) bool) { l.tightest(d.Spec.Reservation(), visit) }, func(w *Worker) bool {
 		if fits(d, w) && (d.Spec.Rack == "" || w.Rack != d.Spec.Rack) {
 			list = append(list, w)
 			if !mixes(d, w) {
@@ -206,6 +206,7 @@
 	if d.Trial && w.Trial == "" {
 		s = w.others() + trialPenalty
 	}
+	s += speedCost(d, w)
 	if d.Spec.Rack != "" && d.Spec.Rack != w.Rack {
 		s += remoteRackPenalty
 	}
@@ -265,17 +266,27 @@
 
 // fitGang returns a worker for each task of a gang, or nil if they do not all
 // fit. If the step asks for a single rack, a rack that takes the whole gang is
-// preferred.
+// preferred. Workers of equal speed come first.
 func (p *planner) fitGang(l *inventory, d *Demand) []*Worker {
 	candidates := p.candidates(l, d)
 	if d.Spec.SameRack {
 		for _, rack := range racks(candidates) {
-			if chosen := tryGang(d, rack); chosen != nil {
+			if chosen := tryBands(d, rack); chosen != nil {
 				return chosen
 			}
 		}
 	}
-	return tryGang(d, candidates)
+	return tryBands(d, candidates)
+}
+
+// tryBands fits all tasks of a gang onto workers of equal speed, if it can.
+func tryBands(d *Demand, workers []*Worker) []*Worker {
+	for _, band := range bands(d, workers) {
+		if chosen := tryGang(d, band); chosen != nil {
+			return chosen
+		}
+	}
+	return nil
 }
 
 // racks groups workers by rack, in order of first occurrence.
--- a/internal/version/fit/replay_test.go
+++ b/internal/version/fit/replay_test.go
@@ -61,6 +61,9 @@
 	restoreTime = 100 * time.Millisecond
 )
 
+// replayPlan decides in replays. Tests replace it by decisions without a rule.
+var replayPlan = Decide
+
 // replay simulates a load in virtual time with steps of 20 ms and returns the
 // fraction of jobs that met their deadline, by kind.
 func replay(workers []*Worker, kinds []kind, headroom func(kinds map[string]work.Resources) work.Resources) map[string]float64 {
@@ -107,7 +110,7 @@
 		size = k.sizes[random.IntN(len(k.sizes))]
 	}
 	d := demand(job.ID(fmt.Sprintf("%s-%d", k.name, number)), k.priority, tasks, size)
-	d.Spec.Gang = k.gang
+	d.Spec.Gang, d.Spec.Estimate = k.gang, k.runTime
 	d.Sequence = uint64(number)
 	d.Spec.Checkpoints = k.checkpoints
 	length := time.Duration(k.stretch*float64(k.runTime)) + k.target
@@ -185,7 +188,7 @@
 	for _, w := range workers {
 		slices.SortStableFunc(w.Runs, func(a, b Run) int { return a.Priority - b.Priority })
 	}
-	p := Decide(at, demands, Cluster{Workers: workers, Headroom: map[string]work.Resources{"p": headroom(use)}, Early: len(workers)})
+	p := replayPlan(at, demands, Cluster{Workers: workers, Headroom: map[string]work.Resources{"p": headroom(use)}, Early: len(workers)})
 	for _, a := range p.Queries {
 		if j := byDemand[a.Demand]; j.answerAt.IsZero() || j.answerAt.Equal(at.Add(j.kind.answerTime)) {
 			if j.Advice.Asked == nil {
@@ -213,7 +216,7 @@
 		}
 		delete(j.remaining, s.Index)
 		j.running[s.Index] = true
-		started = append(started, taskEnd{at: at.Add(length), job: j, index: s.Index, worker: s.Worker})
+		started = append(started, taskEnd{at: at.Add(s.Worker.takes(length)), job: j, index: s.Index, worker: s.Worker})
 	}
 	return started
 }
