--- a/internal/version/fit/admit.go
+++ b/internal/version/fit/admit.go
@@ -24,7 +24,7 @@
 // that outlasts the patience of callers, a job that would finish too late to be
 // of use is refused at once.
 type Load struct {
-	capacity  work.Resources // of all workers of the pool, but for those in evacuated zones
+	capacity  work.Resources // of all workers of the pool, as if their speed were 1, but for those in evacuated zones
 	workers   []*Worker
 	evacuated []*Worker
 	running   [tiers]time.Duration // by tier; time that the whole pool needs to finish its runs
@@ -48,7 +48,7 @@
 			continue
 		}
 		l.workers = append(l.workers, w)
-		l.capacity = l.capacity.Add(w.Capacity)
+		l.capacity = l.capacity.Add(w.delivers())
 	}
 	return l
 }
