Tell operators of cold and slow workers, and test what leaders know of them

A run on a cold worker is not stopped for want of progress before it is known how slow that makes it.

--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -33,8 +33,8 @@
 		w.planned = w.load
 		w.planned.Worker, w.planned.WasSlow, w.planned.Unanswering = w.Worker, w.wasSlow, w.missed > 0
 		w.planned.Speed, w.planned.Cold = w.pace.Factor(), w.coldLeft(now)
-		if c := t.coldnessOf(w.Pool); w.planned.Cold > 0 && c.Known() {
-			w.planned.ColdSpeed = c.Speed()
+		if w.planned.Cold > 0 {
+			w.planned.ColdSpeed = t.knownColdness(w.Pool)
 		}
 		w.planned.Trial, w.planned.Settled = w.trialAt(now), now.Sub(w.lastStart) >= settleTime
 		w.planned.Usable = w.usable(now, t.timing().ReportInterval)
--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -121,6 +121,7 @@
 	origin             time.Duration // reading of its clock at its start
 	anonymous          bool          // its answers to starts and stops state a clock only, as on the users' platform
 	processors         int64         // thousandths; zero means 4000
+	coldUntil          time.Time     // its reports say that it is slow until then
 	slowdown           int           // factor by which new tasks take longer; zero means one
 	listings           int
 	refusals           int // of orders, while unhealthy
@@ -536,6 +537,7 @@
 		ID: id, Pool: "p", Life: w.life, Draining: draining, Address: address(id),
 		Capacity: work.Resources{Processors: cmp.Or(w.processors, 4000), Memory: 16 << 30},
 	}}
+	r.Cold = max(0, time.Until(w.coldUntil)).Milliseconds()
 	b.workers.mu.Unlock()
 	if t := b.term(); t != nil {
 		t.reports(context.Background(), []cell.Report{r})
--- a/internal/process/dispatch/pace.go
+++ b/internal/process/dispatch/pace.go
@@ -92,3 +92,14 @@
 		t.signal()
 	}
 }
+
+// countSpeed counts a usable worker by its speed.
+func (u *poolUsage) countSpeed(w *fit.Worker) {
+	u.speed += w.Speed
+	if w.Cold > 0 {
+		u.cold++
+	}
+	if w.Speed < 1 {
+		u.slow++
+	}
+}
--- a/internal/process/dispatch/speed.go
+++ b/internal/process/dispatch/speed.go
@@ -133,6 +133,15 @@
 	return c
 }
 
+// knownColdness returns the speed of the cold workers of a pool relative to their normal one, or zero while it
+// is not known.
+func (t *term) knownColdness(pool string) float64 {
+	if c := t.coldnessOf(pool); c.Known() {
+		return c.Speed()
+	}
+	return 0
+}
+
 // learnSpeed learns the normal speed of a worker from a run's progress, or, while the worker is cold, how
 // slow the cold workers of its pool are. It must be called before the run's lag is recorded: where only the
 // estimate of a step says what to expect, a worker's runs of it count once.
--- a/internal/process/dispatch/stall.go
+++ b/internal/process/dispatch/stall.go
@@ -70,8 +70,9 @@
 	if stood <= stallTimeout {
 		return false
 	}
+	speed, unclear := t.workerSpeed(r.worker, stood)
 	d, known := t.stallTime(r)
-	return known && stood > d
+	return known && !unclear && float64(stood) > float64(d)/min(1, speed)
 }
 
 // stopStalled stops the runs of a worker that make no progress.
--- a/internal/process/dispatch/use.go
+++ b/internal/process/dispatch/use.go
@@ -27,6 +27,9 @@
 	free     work.Resources
 	waiting  [3]int         // tasks by priority; the last entry includes all lower priorities
 	empty    int            // usable workers without runs
+	cold     int            // usable workers that are slow for some time after their start
+	slow     int            // usable workers whose normal speed is below that of others
+	speed    float64        // sum of the normal speeds of usable workers
 	trials   int            // workers kept for a trial
 	untried  int            // steps that wait for a trial
 	out      map[string]int // workers that get no new tasks, by cause
@@ -57,6 +60,7 @@
 			if w.Tenants == 0 {
 				usage.empty++
 			}
+			usage.countSpeed(w)
 			usage.capacity, usage.free = usage.capacity.Add(w.Capacity), usage.free.Add(w.Free.Positive())
 		}
 	}
@@ -93,6 +97,7 @@
 			zap.Int64("memory", used.Memory>>20), zap.Int64("ofMemory", usage.capacity.Memory>>20),
 			zap.Int64("spare", cluster.Headroom[name].Processors), zap.Ints("waiting", usage.waiting[:]),
 			zap.Int("empty", usage.empty), zap.Int("trials", usage.trials), zap.Int("untried", usage.untried),
+			zap.Int("cold", usage.cold), zap.Float64("coldSpeed", t.coldnessOf(name).Speed()), zap.Int("slow", usage.slow), zap.Float64("speed", usage.speed/float64(max(1, usage.workers))),
 			zap.Dict("out", countFields(usage.out)...), zap.Dict("idle", idleFields(idle[name], processors)...), zap.Dict("idleAccelerators", idleFields(idle[name], accelerators)...))
 	}
 }
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -26,7 +26,7 @@
 	WaitOverdue      = define(996, zapcore.ErrorLevel, "wait overdue", "A task waits for longer than the bounds of the platform explain. It is a fault of the scheduler: report it with the lines about the task and the worker.")
 	RunStalled       = define(998, zapcore.WarnLevel, "run without progress", "The percentage of a run stood still for longer than its estimate and the progress of its step explain; it starts on another worker, with twice the time.")
 	RunPreempted     = define(923, zapcore.InfoLevel, "run makes way", "A run of low priority with checkpoints is stopped for more urgent work and goes on later.")
-	PoolUse          = define(924, zapcore.InfoLevel, "pool use", "What of a pool is in use, kept and waited for, and what holds the capacity that is idle while tasks wait; the line is written once a second while work waits, else every 10 s. It counts workers that get no new tasks by cause.")
+	PoolUse          = define(924, zapcore.InfoLevel, "pool use", "What of a pool is in use, kept and waited for, and what holds the capacity that is idle while tasks wait; the line is written once a second while work waits, else every 10 s. It counts workers that get no new tasks by cause, and the usable ones that are slow for a time after their start (cold, with their learned relative speed) or for good (slow); speed is the mean normal speed of the usable ones.")
 	WorkerKnown      = define(910, zapcore.InfoLevel, "worker known", "A worker reported itself for the first time in this life.")
 	WorkerLeaving    = define(911, zapcore.InfoLevel, "worker leaving", "A worker drains; it gets nothing new from now on.")
 	WorkerOver       = define(912, zapcore.InfoLevel, "worker over", "The worker's life ended, for the reason given.")
--- a/internal/version/fit/speed.go
+++ b/internal/version/fit/speed.go
@@ -54,11 +54,13 @@
 // Known reports whether runs have shown the speed.
 func (p *Pace) Known() bool { return p.weight >= knownWeight }
 
+var minLogDifference = math.Log1p(minDifference)
+
 // Factor returns the speed for decisions. It is 1 unless it certainly differs, so that
 // rough estimates do not change where work goes.
 func (p *Pace) Factor() float64 {
 	mean := p.mean()
-	if math.Abs(mean) < math.Log1p(minDifference) || math.Abs(mean)*math.Sqrt(p.weight+usualWeight) < sureDeviations {
+	if math.Abs(mean) < minLogDifference || mean*mean*(p.weight+usualWeight) < sureDeviations*sureDeviations {
 		return 1
 	}
 	return math.Exp(mean)
