Query about different free capacity, and serve first what is likely in time

Cause: under a flood hundreds of steps queried the advice service about the same few free workers, so that most answers found them full; and work counted as in time while half of its estimated run time fitted before its deadline, so that work which would be late came before work that could still be in time.

--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -45,6 +45,7 @@
 	if !d.Advised || d.Advice.Paused || d.Advice.Queries >= maxQueries {
 		return
 	}
+	defer func() { p.seek(l, d, tasks) }()
 	early := d.rank != onTime && !p.off.wideQueries
 	if early && !p.mayAskEarly(d) {
 		return
@@ -270,7 +271,7 @@
 	}
 	var list []expired
 	for _, w := range p.allowedWorkers(l, d) {
-		n := room(d, w)
+		n := unsought(d, w)
 		fit += n
 		if n > 0 && !p.now.Before(d.Advice.Answers[w.ID].Expiry) && !d.Advice.Asked[w.ID] {
 			list = append(list, expired{w.ID, n})
@@ -325,7 +326,7 @@
 		least = queryWorkers
 	}
 	consider := func(w *Worker) bool {
-		if n := room(d, w); !d.Advice.known(w.ID) && (n > 0 || first && eligible(d, w)) {
+		if n := unsought(d, w); !d.Advice.known(w.ID) && (n > 0 || first && eligible(d, w)) {
 			names = append(names, w.ID)
 			if n > 0 && missing > 0 {
 				needed = len(names)
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -81,9 +81,10 @@
 	Settled     bool           // nothing has started on it for a while
 	Runs        []Run          // preemptible runs, which can resume from a checkpoint
 
-	reservedFor *Demand // only this demand may use the free capacity now
-	asked       bool    // reservedFor waits for the advice service's answer about the worker
-	order       int     // position in the pool
+	reservedFor *Demand        // only this demand may use the free capacity now
+	asked       bool           // reservedFor waits for the advice service's answer about the worker
+	sought      work.Resources // free capacity for which demands planned before wait for tickets; see seek
+	order       int            // position in the pool
 	places      [indexes]place
 }
 
@@ -297,8 +298,9 @@
 
 // rules names rules that can be switched off, for comparison only.
 type rules struct {
-	wideQueries bool // a query names many workers, and late work asks only idle clients
-	wholeGangs  bool // a gang preempts only if it then fits as a whole
+	wideQueries   bool // a query names many workers, and late work asks only idle clients
+	wholeGangs    bool // a gang preempts only if it then fits as a whole
+	sharedQueries bool // demands seek different free capacity
 }
 
 // Decide plans one scheduling round.
@@ -337,7 +339,7 @@
 
 // certainShare is the fraction of an estimated run time that is taken as the
 // minimum. Actual run times can be as little as half the estimate.
-const certainShare = 0.5
+const certainShare = 0.95
 
 // rankAt returns the rank at a time. A demand counts as late once even the
 // minimum remaining run time would end after its deadline.
--- a/internal/version/fit/inventory.go
+++ b/internal/version/fit/inventory.go
@@ -57,7 +57,7 @@
 		if !w.Usable {
 			continue
 		}
-		w.order, w.reservedFor = len(l.workers), nil
+		w.order, w.reservedFor, w.sought = len(l.workers), nil, work.Resources{}
 		l.workers = append(l.workers, w)
 		l.noteSpeed(w)
 		l.named[w.ID] = w
