Keep a few advice clients for expired work beside free capacity

Change: while expired work waits for tickets beside free capacity, a twentieth of the clients, one at least, sends queries for it only.

--- a/internal/process/dispatch/advice.go
+++ b/internal/process/dispatch/advice.go
@@ -38,7 +38,7 @@
 // queryAdvice sends a query, if one of the clients can send it soon, and updates the
 // list of clients. The caller holds the lock.
 func (t *term) queryAdvice(a fit.Query, clients []fit.Client, now time.Time) {
-	i := fit.PickClient(now, clients, a)
+	i := fit.PickClient(now, clients, a, t.floor)
 	if i < 0 {
 		return
 	}
--- a/internal/process/dispatch/advice_test.go
+++ b/internal/process/dispatch/advice_test.go
@@ -20,12 +20,12 @@
 	broken, busy := &adviceClient{name: "a", lastPing: now, idleAt: now}, &adviceClient{name: "b", lastPing: now, idleAt: now.Add(300 * time.Millisecond)}
 	tm := &term{adviceClients: map[string]*adviceClient{"a": broken, "b": busy}}
 	query := fit.Query{Demand: &fit.Demand{Priority: 1}, Early: true}
-	is.Equal(fit.PickClient(now, tm.liveAdviceClients(now), query), 0)
+	is.Equal(fit.PickClient(now, tm.liveAdviceClients(now), query, false), 0)
 	for range 3 {
 		broken.noteFailure(now)
 	}
 	now = now.Add(300 * time.Millisecond)
-	is.Equal(fit.PickClient(now, tm.liveAdviceClients(now), query), 1)
+	is.Equal(fit.PickClient(now, tm.liveAdviceClients(now), query, false), 1)
 	broken.noteFailure(now)
 	is.True(!broken.idleAt.After(now.Add(maxClientRest)))
 }
@@ -58,7 +58,7 @@
 	clients := tm.liveAdviceClients(now)
 	is.Equal(len(clients), 6) // one has gone
 	query := func(priority int) int {
-		i := fit.PickClient(now, clients, fit.Query{Demand: &fit.Demand{Priority: priority}})
+		i := fit.PickClient(now, clients, fit.Query{Demand: &fit.Demand{Priority: priority}}, false)
 		if i >= 0 {
 			clients[i].IdleAt = clients[i].IdleAt.Add(time.Second)
 		}
@@ -67,7 +67,7 @@
 	for range 20 {
 		query(1)
 	}
-	_, urgent := fit.IdleClients(now, clients)
+	_, urgent, _ := fit.IdleClients(now, clients, false)
 	is.Equal(urgent, 2)
 	is.Equal(clients[query(0)].Name, "c0")
 }
@@ -85,7 +85,7 @@
 	for b.Loop() {
 		clients := tm.liveAdviceClients(now)
 		for range 300 {
-			fit.PickClient(now, clients, q)
+			fit.PickClient(now, clients, q, false)
 		}
 	}
 }
--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -46,7 +46,7 @@
 		cluster.Limits[name] = &fit.Limit{Max: limit, Used: v.Used[name]}
 	}
 	t.setHeadroom(v, cluster, now)
-	cluster.Early, cluster.Urgent = fit.IdleClients(now, t.liveAdviceClients(now))
+	cluster.Early, cluster.Urgent, cluster.Floor = fit.IdleClients(now, t.liveAdviceClients(now), t.floor)
 	return cluster
 }
 
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -45,6 +45,7 @@
 		for i := range plan.Starts {
 			plan.Starts[i].Demand.Prepare()
 		}
+		t.floor = plan.Floor
 	})
 	clients := t.liveAdviceClients(now)
 	for _, a := range plan.Queries {
--- a/internal/version/fit/clients.go
+++ b/internal/version/fit/clients.go
@@ -7,6 +7,11 @@
 	// queries for urgent work only, and minUrgentClients their least number.
 	urgentClientShare = 0.25
 	minUrgentClients  = 2
+	// floorClientShare is the share of the clients that send queries for expired work only, while
+	// such work waits for tickets beside free capacity, and minFloorClients their least number.
+	// A twentieth of the clients starts 30 expired steps a second at the size of 32 clients.
+	floorClientShare = 0.05
+	minFloorClients  = 1
 	// maxBacklog bounds the time that queries wait at one client. The advice service
 	// handles one query of a client at a time, and tickets expire.
 	maxBacklog = 400 * time.Millisecond
@@ -25,12 +30,19 @@
 // clients can send: some clients are kept for urgent work, whose queries are short
 // and would otherwise wait behind the long ones about wide tasks, and early queries
 // take only idle clients.
-func PickClient(now time.Time, clients []Client, q Query) int {
+//
+// While floor is set, the last clients send queries for expired work only, so that the backlog of
+// a flood ends although other work waits for advice as well.
+func PickClient(now time.Time, clients []Client, q Query, floor bool) int {
 	first, best := 0, -1
 	if q.Demand.Priority != 0 {
 		first = keptClients(len(clients))
 	}
-	for i := first; i < len(clients); i++ {
+	last := len(clients)
+	if floor && !q.Floor {
+		last -= floorClients(len(clients))
+	}
+	for i := first; i < last; i++ {
 		if best < 0 || clients[i].IdleAt.Before(clients[best].IdleAt) {
 			best = i
 		}
@@ -50,18 +62,32 @@
 	return 0
 }
 
-// IdleClients returns the number of clients that can send early queries now for all
-// work, and of further ones that can for urgent work.
-func IdleClients(now time.Time, clients []Client) (others, urgent int) {
-	kept := keptClients(len(clients))
+// floorClients returns how many of the clients, the last ones, send queries for expired work only
+// while such work waits for tickets.
+func floorClients(clients int) int {
+	if n := max(minFloorClients, int(floorClientShare*float64(clients))); clients > 2*minUrgentClients+n {
+		return n
+	}
+	return 0
+}
+
+// IdleClients counts the clients that can send early queries now. Floor tells whether some are kept
+// for expired work.
+func IdleClients(now time.Time, clients []Client, floor bool) (others, urgent, expired int) {
+	kept, last := keptClients(len(clients)), len(clients)
+	if floor {
+		last -= floorClients(len(clients))
+	}
 	for i, c := range clients {
 		switch {
 		case c.IdleAt.After(now):
 		case i < kept:
 			urgent++
+		case i >= last:
+			expired++
 		default:
 			others++
 		}
 	}
-	return others, urgent
+	return others, urgent, expired
 }
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -217,6 +217,7 @@
 type Query struct {
 	Demand  *Demand
 	Workers []string
+	Floor   bool // for expired work; see PickClient
 	Early   bool // no capacity is free yet, or the deadline is past; send only if an advice client is idle
 }
 
@@ -254,6 +255,7 @@
 	Headroom map[string]work.Resources // by pool; headroom that only urgent work and long-running or filler tasks may use
 	Early    int                       // number of early queries that can be sent now
 	Urgent   int                       // number of further ones for urgent work
+	Floor    int                       // number of further ones for expired work
 	Explain  bool                      // the plan tells what holds idle capacity
 }
 
@@ -281,6 +283,7 @@
 	Queries     []Query
 	Blocks      []Block
 	Preemptions []job.TaskID    // runs to preempt
+	Floor       bool            // expired work waits for tickets beside free capacity
 	Idle        map[string]Idle // by pool with waiting tasks, if Cluster.Explain is set
 }
 
@@ -291,6 +294,7 @@
 	pools   map[string]*inventory
 	plan    Plan
 	off     rules
+	scarce  bool      // few clients of the advice service are idle
 	asking  []string  // workers in the queries of the demand that is being planned
 	queries int       // number of these queries
 	allowed []*Worker // workers that the demand that is being planned may use; see allowedWorkers
@@ -300,7 +304,8 @@
 type rules struct {
 	wideQueries   bool // a query names many workers, and late work asks only idle clients
 	wholeGangs    bool // a gang preempts only if it then fits as a whole
-	sharedQueries bool // demands seek different free capacity
+	sharedQueries bool // demands seek different free capacity while advice is scarce
+	unlikely      bool // work that is probably late counts as late
 }
 
 // Decide plans one scheduling round.
@@ -309,9 +314,13 @@
 }
 
 func decide(now time.Time, demands []*Demand, cluster Cluster, off rules) Plan {
-	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers), off: off}
+	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers), off: off, scarce: cluster.Early < idleClients}
+	certain := certainShare
+	if off.unlikely {
+		certain = oldCertainShare
+	}
 	for _, d := range demands {
-		d.rank, d.now = d.rankAt(now), now
+		d.rank, d.now = d.rankWith(now, certain), now
 		if l := p.pools[d.Pool]; l != nil {
 			d.fastest = l.fastest
 		}
@@ -337,19 +346,24 @@
 	harmful             // probably crashes its worker
 )
 
-// certainShare is the fraction of an estimated run time that is taken as the
-// minimum. Actual run times can be as little as half the estimate.
-const certainShare = 0.95
+// certainShare is the fraction of the remaining estimated run time that must fit before the
+// deadline. Estimates are off either way, and the deadline derives from the same one, so that work
+// with less time is usually late; with 0.5, a third of what was served first in a flood was.
+const (
+	certainShare    = 1.0
+	oldCertainShare = 0.5 // for comparison only
+)
+
+// rankAt returns the rank at a time.
+func (d *Demand) rankAt(now time.Time) rank { return d.rankWith(now, certainShare) }
 
-// rankAt returns the rank at a time. A demand counts as late once even the
-// minimum remaining run time would end after its deadline.
-func (d *Demand) rankAt(now time.Time) rank {
+func (d *Demand) rankWith(now time.Time, certain float64) rank {
 	switch {
 	case d.Likely:
 		return harmful
 	case d.Spec.Lasting:
 		return onTime
-	case !now.Add(time.Duration(certainShare * float64(d.CriticalPath))).After(d.Deadline):
+	case !now.Add(time.Duration(certain * float64(d.CriticalPath))).After(d.Deadline):
 		if d.Beyond {
 			return excess
 		}
--- a/internal/version/fit/load_replay_test.go
+++ b/internal/version/fit/load_replay_test.go
@@ -52,11 +52,18 @@
 	r.gone, r.back = now.Add(7*time.Second), now.Add(10*time.Second)
 }
 
-// Replays a burst of all kinds of work with the leader gone for 3 s. Guards against
-// a query for each worker that becomes free, which kept a pool half idle behind
-// tickets.
+// Replays a burst of all kinds of work with the leader gone for 3 s, and the same with half of the
+// clients of the advice service. Guards against a query for each worker that becomes free, which
+// kept a pool half idle behind tickets. With all clients, quick jobs no longer lack advice since
+// work that is probably late waits.
 func TestReplayBurstWithLeaderGone(t *testing.T) {
-	after, before := compare(t, "burst.txt", leaderGone, func(r *loadReplay) { r.off.wideQueries = true })
+	narrow := func(r *loadReplay) { r.off.wideQueries = true }
+	after, before := compare(t, "burst.txt", leaderGone, narrow)
+	moreServed(t, after, before)
+	after, before = compare(t, "burst.txt", func(r *loadReplay) {
+		leaderGone(r)
+		r.clients = r.clients[:len(r.clients)/2]
+	}, narrow)
 	betterServed(t, after, before, "quote")
 	moreServed(t, after, before)
 }
@@ -77,11 +84,11 @@
 // queries of urgent work that wait behind long ones.
 func TestReplayBurstOfWide(t *testing.T) {
 	after, before := compare(t, "wide.txt", leaderGone, func(r *loadReplay) {
-		r.pick = func(now time.Time, clients []Client, q Query) int {
+		r.pick = func(now time.Time, clients []Client, q Query, floor bool) int {
 			d := *q.Demand
 			first := min(d.Priority, 1) * minUrgentClients
 			d.Priority, q.Demand = 0, &d
-			if i := PickClient(now, clients[first:], q); i >= 0 {
+			if i := PickClient(now, clients[first:], q, floor); i >= 0 {
 				return first + i
 			}
 			return -1
@@ -169,3 +176,18 @@
 		t.Errorf("%d callers served in time, before %d", after.inTime, before.inTime)
 	}
 }
+
+// Replays a burst of all kinds of work with a third of the clients of the advice service. Guards
+// against queries of several steps for the same free capacity, of which one step can use it.
+func TestReplayScarceAdvice(t *testing.T) {
+	after, before := compare(t, "burst.txt", func(r *loadReplay) { r.clients = r.clients[:len(r.clients)/3] }, func(r *loadReplay) { r.off.sharedQueries = true })
+	moreServed(t, after, before)
+}
+
+// Replays a burst of small and wide work. Guards against work that can no longer be in time by its
+// own estimate and is served, as the earliest deadline, before work that still can.
+func TestReplayHopelessWorkWaits(t *testing.T) {
+	after, before := compare(t, "wide.txt", leaderGone, func(r *loadReplay) { r.off.unlikely = true })
+	betterServed(t, after, before, "scan")
+	moreServed(t, after, before)
+}
--- a/internal/version/fit/load_test.go
+++ b/internal/version/fit/load_test.go
@@ -127,7 +127,8 @@
 	load     *recordedLoad
 	off      rules
 	headroom func(k *Peak, use, capacity work.Resources) work.Resources
-	pick     func(now time.Time, clients []Client, q Query) int
+	pick     func(now time.Time, clients []Client, q Query, floor bool) int
+	floor    bool // expired work waited for tickets in the round before
 
 	crashes    *crashLoad         // jobs that crash their workers; nil if there are none
 	weights    map[string]float64 // of workspaces, in submissions a second
@@ -433,8 +434,9 @@
 		k.Record(r.use[name], at)
 		headroom[name] = r.headroom(k, r.use[name], r.capacity[name])
 	}
-	others, urgent := IdleClients(at, r.clients)
-	p := decide(at, demands, Cluster{Workers: r.workers, Headroom: headroom, Early: others, Urgent: urgent}, r.off)
+	others, urgent, expired := IdleClients(at, r.clients, r.floor)
+	p := decide(at, demands, Cluster{Workers: r.workers, Headroom: headroom, Early: others, Urgent: urgent, Floor: expired}, r.off)
+	r.floor = p.Floor
 	for _, q := range p.Queries {
 		r.ask(q, byDemand[q.Demand], at)
 	}
@@ -481,7 +483,7 @@
 
 // ask sends a query through a client.
 func (r *loadReplay) ask(q Query, j *playedJob, at time.Time) {
-	i := r.pick(at, r.clients, q)
+	i := r.pick(at, r.clients, q, r.floor)
 	if i < 0 {
 		return
 	}
