--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -294,7 +294,6 @@
 	pools   map[string]*inventory
 	plan    Plan
 	off     rules
-	scarce  bool      // few clients of the advice service are idle
 	asking  []string  // workers in the queries of the demand that is being planned
 	queries int       // number of these queries
 	allowed []*Worker // workers that the demand that is being planned may use; see allowedWorkers
@@ -304,7 +303,7 @@
 type rules struct {
 	wideQueries   bool // a query names many workers, and late work asks only idle clients
 	wholeGangs    bool // a gang preempts only if it then fits as a whole
-	sharedQueries bool // demands seek different free capacity while advice is scarce
+	sharedQueries bool // demands seek different free capacity
 	unlikely      bool // work that is probably late counts as late
 }
 
@@ -314,7 +313,7 @@
 }
 
 func decide(now time.Time, demands []*Demand, cluster Cluster, off rules) Plan {
-	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers), off: off, scarce: cluster.Early < idleClients}
+	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers), off: off}
 	certain := certainShare
 	if off.unlikely {
 		certain = oldCertainShare
--- a/internal/version/fit/seek.go
+++ b/internal/version/fit/seek.go
@@ -8,14 +8,10 @@
 // there with tickets that they have. Answers this load: a backlog of hundreds of advised steps, of
 // which each queried the same few free workers, so that most answers found them full.
 
-// idleClients is the number of idle clients of the advice service from which on queries are not
-// scarce. Two queries about the same capacity then cost less than one that comes later.
-const idleClients = 3
-
 // seek records which free capacity a demand waits for, by the queries that are in flight and
 // those of the plan.
 func (p *planner) seek(l *inventory, d *Demand, tasks int) {
-	if p.off.sharedQueries || !p.scarce {
+	if p.off.sharedQueries {
 		return
 	}
 	total := 0
