Merge queries about different free capacity and the floor for expired work

While advice is scarce, demands query about different free capacity; work that is likely in time comes first; expired work beside free capacity has clients of its own.

--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -45,7 +45,11 @@
 	if !d.Advised || d.Advice.Paused || d.Advice.Queries >= maxQueries {
 		return
 	}
+	defer func() { p.seek(l, d, tasks) }()
 	early := d.rank != onTime && !p.off.wideQueries
+	if d.rank == expired && !p.plan.Floor {
+		p.plan.Floor = p.hasRoom(l, d)
+	}
 	if early && !p.mayAskEarly(d) {
 		return
 	}
@@ -163,11 +167,14 @@
 	}
 	size := min((len(workers)+n-1)/n, maxQueryWorkers)
 	for chunk := range slices.Chunk(workers[:min(len(workers), n*size)], size) {
-		p.plan.Queries = append(p.plan.Queries, Query{d, chunk, early})
+		floor := early && d.rank == expired && p.cluster.Floor > 0
+		p.plan.Queries = append(p.plan.Queries, Query{Demand: d, Workers: chunk, Early: early, Floor: floor})
 		p.asking = append(p.asking, chunk...)
 		p.queries++
 		switch {
 		case !early:
+		case floor:
+			p.cluster.Floor--
 		case d.Priority == 0 && p.cluster.Urgent > 0:
 			p.cluster.Urgent--
 		default:
@@ -178,7 +185,7 @@
 
 // mayAskEarly reports whether an early query about a demand can be sent now.
 func (p *planner) mayAskEarly(d *Demand) bool {
-	return p.cluster.Early > 0 || d.Priority == 0 && p.cluster.Urgent > 0
+	return p.cluster.Early > 0 || d.Priority == 0 && p.cluster.Urgent > 0 || d.rank == expired && p.cluster.Floor > 0
 }
 
 // explore queries workers that are not known yet while few workers per task are
@@ -270,7 +277,7 @@
 	}
 	var list []expired
 	for _, w := range p.allowedWorkers(l, d) {
-		n := room(d, w)
+		n := unsought(d, w)
 		fit += n
 		if n > 0 && !p.now.Before(d.Advice.Answers[w.ID].Expiry) && !d.Advice.Asked[w.ID] {
 			list = append(list, expired{w.ID, n})
@@ -325,7 +332,7 @@
 		least = queryWorkers
 	}
 	consider := func(w *Worker) bool {
-		if n := room(d, w); !d.Advice.known(w.ID) && (n > 0 || first && eligible(d, w)) {
+		if n := unsought(d, w); !d.Advice.known(w.ID) && (n > 0 || first && eligible(d, w)) {
 			names = append(names, w.ID)
 			if n > 0 && missing > 0 {
 				needed = len(names)
