Leave runs in evacuated zones out of the load of their pool

They go on, and hold up nothing on the workers that are left. Orders are also tested as messages: with stamps of another term and expired ones. Measured: the new test fails with the runs counted; the tests of evacuations in dispatch and those of connection/cell pass.

--- a/internal/connection/cell/mark_test.go
+++ b/internal/connection/cell/mark_test.go
@@ -65,14 +65,22 @@
 }
 
 func (f *leaderOf) call(_ context.Context, _ string, decode peer.Decode) (any, error) {
-	var c Call
-	if err := decode(&c); err != nil {
+	return f.take(decode, &Call{})
+}
+
+func (f *leaderOf) evacuate(_ context.Context, _ string, decode peer.Decode) (any, error) {
+	return f.take(decode, &Evacuation{})
+}
+
+// take records the stamp of a request and answers it.
+func (f *leaderOf) take(decode peer.Decode, request interface{ Validity() *Stamp }) (any, error) {
+	if err := decode(request); err != nil {
 		return nil, err
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.stamps = append(f.stamps, c.Stamp)
-	if c.Stamp.Term != f.term {
+	f.stamps = append(f.stamps, *request.Validity())
+	if request.Validity().Term != f.term {
 		return nil, &peer.RemoteError{Code: CodeNotLeader}
 	}
 	return Verdict{Code: OK}, nil
@@ -86,7 +94,7 @@
 		is := is.New(t)
 		f := &leaderOf{term: 1, began: time.Now()}
 		all, cut := map[string]map[string]peer.Handler{}, &cuts{all: map[string]bool{}}
-		all["core"] = map[string]peer.Handler{MethodWho: f.answer, MethodPing: f.answer, MethodCall: f.call}
+		all["core"] = map[string]peer.Handler{MethodWho: f.answer, MethodPing: f.answer, MethodCall: f.call, MethodEvacuate: f.evacuate}
 		ctx, cancel := context.WithCancel(context.Background())
 		links, done := runLinks(ctx, t, all, cut, "one", "two")
 		time.Sleep(time.Second)
@@ -109,6 +117,11 @@
 		is.Equal(s.Term, uint64(3))
 		is.True(s.Issued <= at && s.Issued > at-100*time.Millisecond)
 		is.True(s.Expires <= at+3*time.Second && s.Expires > at+2800*time.Millisecond)
+		_, err = links[0].Evacuate(short, Evacuation{Zone: "z", Active: true, Arrived: boottime.Now().Add(-time.Second)})
+		is.NoErr(err)
+		s = f.latest()
+		is.Equal(s.Term, uint64(3))
+		is.True(s.Issued <= time.Since(began)-time.Second && s.Issued > time.Since(began)-1200*time.Millisecond)
 		cancel()
 		done()
 	})
--- a/internal/process/dispatch/admit.go
+++ b/internal/process/dispatch/admit.go
@@ -87,7 +87,7 @@
 		t.loads[name] = fit.NewLoad(workers, t.returns[name])
 	}
 	for _, r := range t.runs {
-		if l, record := t.loads[r.worker.Pool], v.Jobs[r.id.Job]; l != nil && record != nil && !r.spec.Lasting {
+		if l, record := t.loads[r.worker.Pool], v.Jobs[r.id.Job]; l != nil && record != nil && !r.spec.Lasting && !r.worker.evacuated.Load() {
 			l.AddRunning(&fit.Demand{Spec: r.spec, Priority: record.Queue.Priority})
 		}
 	}
--- a/internal/process/dispatch/evacuation.go
+++ b/internal/process/dispatch/evacuation.go
@@ -19,9 +19,9 @@
 // committed and not answered are not sent any more (sendStart), and tasks that are bound to such a
 // worker wait until no copy of their earlier starts can be carried out (boundTo).
 
-// evacuationFull is the time after which an operator may try again whose order was refused because
+// fullRetryAfter is the time after which an operator may try again whose order was refused because
 // too many zones are evacuated.
-const evacuationFull = time.Second
+const fullRetryAfter = time.Second
 
 // zoneOrder is the latest order of this term that changes whether a zone is evacuated.
 type zoneOrder struct {
@@ -98,7 +98,7 @@
 	return cell.Verdict{Code: cell.OK}, t.enqueue(func(n *inbox) { n.evacuations = append(n.evacuations, order) })
 }
 
-var tooManyZones = cell.Verdict{Code: cell.Busy, Message: "too many zones are evacuated", Wait: evacuationFull}
+var tooManyZones = cell.Verdict{Code: cell.Busy, Message: "too many zones are evacuated", Wait: fullRetryAfter}
 
 // evacuationOutcome returns the answer to an order whose round is committed. Other orders may have
 // taken the last place.
--- a/internal/process/dispatch/evacuation_test.go
+++ b/internal/process/dispatch/evacuation_test.go
@@ -238,6 +238,18 @@
 		b.ordered(true, b.stampNow())
 		b.ordered(true, b.stampNow()) // another operator
 		b.is.True(b.evacuated())
+		h := handlers{}
+		b.leader.Register(h)
+		arrive := func(stamp cell.Stamp) string {
+			_, err := h[cell.MethodEvacuate](context.Background(), "control", func(into any) error {
+				*into.(*cell.Evacuation) = cell.Evacuation{Zone: "z", Stamp: stamp}
+				return nil
+			})
+			return codeOf(err)
+		}
+		b.is.Equal(arrive(cell.Stamp{Term: 1, Issued: b.term().clock(), Expires: b.term().clock() - 1}), cell.CodeExpired)
+		b.is.Equal(arrive(cell.Stamp{Term: 7, Issued: 0, Expires: time.Hour}), cell.CodeNotLeader)
+		b.is.True(b.evacuated())
 
 		issued := b.term().clock()
 		b.ordered(false)
@@ -279,3 +291,26 @@
 		b.is.Equal(v.Code, cell.Invalid)
 	})
 }
+
+// Guards against jobs that are refused for lack of room, because runs that go on in an evacuated zone count
+// as work of the workers that are left.
+func TestRunsInAnEvacuatedZoneHoldUpNoOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t)
+		defer b.close()
+		b.addIn("z", "a")
+		time.Sleep(discoveryTime)
+		long := tasks(4)
+		long.Estimate = 100 * time.Second
+		b.workers.setRunTime(long.Estimate)
+		b.submit("long", long)
+		time.Sleep(time.Second)
+		b.add("b", 1)
+		b.ordered(true)
+		time.Sleep(time.Second)
+		b.workers.setRunTime(time.Second)
+		b.submit("short", tasks(1)) // accepted
+		time.Sleep(2 * time.Second)
+		b.is.Equal(b.status("short"), job.Completed)
+	})
+}
