Store with a job that it is beyond the weight of its workspace

A new leader had neither the jobs beyond the weight of their workspace nor what the workspaces had saved up: a flood counted as work within the weight, and got a fresh allowance, at each change of the leader.

The leader now sets job.Job.Beyond when it accepts a job, and reads it from the record. A copy that joins another takes the flag of the first and is charged once. A clock that goes back saves nothing twice.

--- a/internal/process/dispatch/admit.go
+++ b/internal/process/dispatch/admit.go
@@ -32,11 +32,12 @@
 	for i := range j.Steps {
 		steps = append(steps, &fit.Demand{
 			Spec: &j.Steps[i], Priority: q.Priority, Deadline: now.Add(timeToDeadline), Expiry: now.Add(expiryFactor * timeToDeadline),
-			CriticalPath: criticalPathFrom(j, i), Beyond: t.beyond[j.ID],
+			CriticalPath: criticalPathFrom(j, i), Beyond: j.Beyond,
 		})
 	}
 	v := l.Admit(now, steps, path)
 	if v.Refused {
+		t.refundShare(j)
 		return cell.Verdict{Code: cell.Busy, Message: v.Reason, Wait: v.RetryAfter}
 	}
 	for i, d := range steps {
@@ -47,27 +48,6 @@
 	return cell.Verdict{Code: cell.OK}
 }
 
-// noteShare records whether a job is beyond the weight of its workspace. The caller
-// holds the lock.
-func (t *term) noteShare(j *job.Job, now time.Time) {
-	weight := 0.0
-	t.state().View(func(v *job.View) {
-		for i := range v.Catalogue.Workspaces {
-			if w := &v.Catalogue.Workspaces[i]; w.Name == j.Workspace {
-				weight = w.Weight
-			}
-		}
-	})
-	s := t.shares[j.Workspace]
-	if s == nil {
-		s = &fit.Share{}
-		t.shares[j.Workspace] = s
-	}
-	if s.Beyond(weight, now) {
-		t.beyond[j.ID] = true
-	}
-}
-
 // updateLoads computes the load of each pool, at intervals. The caller holds the
 // lock.
 func (t *term) updateLoads(v *job.View, cluster fit.Cluster, demands []*fit.Demand, now time.Time) {
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -190,7 +190,7 @@
 	}
 	_, d.Risky = t.risky[d.Queue]
 	d.Deadline, d.Expiry = t.deadlines(r, number)
-	d.Beyond = t.beyond[r.Job.ID]
+	d.Beyond = r.Job.Beyond
 	d.CriticalPath = criticalPathFrom(&r.Job, index)
 	for i := range p.Tasks {
 		switch k := &p.Tasks[i]; {
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -105,6 +105,7 @@
 	if v.Code == cell.OK && t.admitted[key] == 0 {
 		v = t.checkAdmission(j, &target.queue)
 	} else if v.Code == cell.OK {
+		j.Beyond = t.excess[key]
 		t.emit(event.CopyJoined, zap.String("request", c.Request), zap.String("job", string(target.id)))
 	}
 	if v.Code != cell.OK {
@@ -112,6 +113,9 @@
 		return v, nil
 	}
 	t.admitted[key]++
+	if j.Beyond {
+		t.excess[key] = true
+	}
 	return v, t.enqueue(func(n *inbox) { n.submits = append(n.submits, *j) })
 }
 
@@ -138,6 +142,7 @@
 	}
 	j := *c.Job
 	j.ID, j.Host, j.Prefix, j.Workspace = target.id, target.queue.Host, target.queue.Prefix, target.workspace
+	j.Beyond = false // the leader decides that; see noteShare
 	if err := errors.CombineErrors(errors.CombineErrors(j.Check(), t.checkGangs(&j)), holds(job.Round{Submits: []job.Job{j}}, maxItem)); err != nil {
 		return nil, cell.Verdict{Code: cell.Invalid, Message: err.Error()}
 	}
@@ -196,6 +201,7 @@
 	for _, key := range settled {
 		if t.admitted[key]--; t.admitted[key] <= 0 {
 			delete(t.admitted, key)
+			delete(t.excess, key)
 		}
 	}
 }
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -114,11 +114,6 @@
 				delete(t.verdicts, id)
 			}
 		}
-		for id := range t.beyond {
-			if v.Active[id] == nil {
-				delete(t.beyond, id)
-			}
-		}
 	})
 }
 
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -67,7 +67,7 @@
 	loads          map[string]*fit.Load           // by pool
 	returns        map[string]*fit.Returns        // by pool
 	shares         map[string]*fit.Share          // by workspace
-	beyond         map[job.ID]bool                // jobs beyond the weight of their workspace
+	excess         map[string]bool                // keys of admitted whose job is beyond the weight of its workspace
 	stepsChecked   time.Time                      // when dropSteps was last called
 	loadsAt        time.Time                      // when loads were computed
 	doubts         map[string]*doubts             // by worker
@@ -119,7 +119,7 @@
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*stepState{},
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*fit.Peak{},
 		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
-		shares: map[string]*fit.Share{}, beyond: map[job.ID]bool{},
+		shares: map[string]*fit.Share{}, excess: map[string]bool{},
 		baselines: map[string]*fit.Baseline{}, allowedShares: map[string]float64{},
 		doubts: map[string]*doubts{}, unclear: map[job.TaskID][]*doubts{}, copyWaits: map[job.TaskID]time.Time{}, generations: map[string]generation{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
 		risky: map[string]time.Time{}, retried: map[job.TaskID]bool{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
@@ -226,6 +226,7 @@
 		}
 		t.adoptWaits(v)
 		t.adoptPast(v)
+		t.adoptShares(v, now)
 		t.emit(event.TermBegun, zap.Uint64("term", t.number), zap.Int("workers", len(v.Workers)),
 			zap.Int("runs", len(t.runs)), zap.Int("jobs", len(v.Active)))
 	})
--- a/internal/version/fit/share.go
+++ b/internal/version/fit/share.go
@@ -19,16 +19,43 @@
 	if weight <= 0 {
 		return false
 	}
-	most := max(1, weight*shareWindow.Seconds())
-	if s.at.IsZero() {
-		s.saved = most
-	} else {
-		s.saved = min(most, s.saved+weight*now.Sub(s.at).Seconds())
-	}
-	s.at = now
+	s.fill(weight, now)
 	if s.saved < 1 {
 		return true
 	}
 	s.saved--
 	return false
 }
+
+// Refund returns what Beyond charged for a submission that was refused.
+func (s *Share) Refund() { s.saved++ }
+
+// Replay records a submission that an earlier leader accepted, and whether that leader found it
+// beyond the weight.
+func (s *Share) Replay(weight float64, at time.Time, beyond bool) {
+	if weight <= 0 {
+		return
+	}
+	s.fill(weight, at)
+	if beyond {
+		s.saved = min(s.saved, mostBeyond)
+	} else {
+		s.saved = max(0, s.saved-1)
+	}
+}
+
+// mostBeyond is the most that was saved up when a submission was found beyond the weight.
+const mostBeyond = 0.99
+
+// fill adds what the workspace may submit since the last submission. A clock that goes back
+// adds nothing until it has caught up.
+func (s *Share) fill(weight float64, now time.Time) {
+	most := max(1, weight*shareWindow.Seconds())
+	switch {
+	case s.at.IsZero():
+		s.saved, s.at = most, now
+	case now.After(s.at):
+		s.saved, s.at = s.saved+weight*now.Sub(s.at).Seconds(), now
+	}
+	s.saved = min(most, s.saved)
+}
--- a/internal/version/fit/share_test.go
+++ b/internal/version/fit/share_test.go
@@ -32,3 +32,24 @@
 	p := Decide(now, []*Demand{flood, late, due}, Cluster{Workers: pool(1, cores(32))})
 	is.Equal([]int{startsOf(p, due), startsOf(p, flood), startsOf(p, late)}, []int{4, 4, 0})
 }
+
+// Guards against a leader that gives a flood a fresh allowance because it cannot tell from the
+// last accepted jobs what was saved up, and against a clock that goes back and saves up twice.
+func TestReplayedShareGoesOn(t *testing.T) {
+	is := is.New(t)
+	var first, next, partial Share
+	for i := range 200 {
+		at := now.Add(time.Duration(i) * 17 * time.Millisecond)
+		beyond := first.Beyond(10, at)
+		next.Replay(10, at, beyond)
+		if i > 150 {
+			partial.Replay(10, at, beyond)
+		}
+	}
+	is.True(next.saved-first.saved < 1e-6 && first.saved-next.saved < 1e-6)
+	is.True(partial.saved < 2) // of 20
+	last := next.at
+	next.fill(10, last.Add(-time.Second))
+	next.fill(10, last)
+	is.True(next.saved-first.saved < 1e-6)
+}
--- a/internal/version/job/use.go
+++ b/internal/version/job/use.go
@@ -31,6 +31,19 @@
 	}
 }
 
+// Weight returns the weight of a workspace, or zero if it has none. A nil catalogue has no weights.
+func (c *Catalogue) Weight(workspace string) float64 {
+	if c == nil {
+		return 0
+	}
+	for i := range c.Workspaces {
+		if c.Workspaces[i].Name == workspace {
+			return c.Workspaces[i].Weight
+		}
+	}
+	return 0
+}
+
 // hasWorkspace reports whether the catalogue has a workspace.
 func (v *View) hasWorkspace(name string) bool {
 	return v.Catalogue != nil && slices.ContainsFunc(v.Catalogue.Workspaces, func(w Workspace) bool { return w.Name == name })
