Order waiting work by the past use of its workspace

The order of waiting work knew nothing of what a workspace had used before.

Records of removed pools end as well.

--- a/internal/process/dispatch/admit.go
+++ b/internal/process/dispatch/admit.go
@@ -33,6 +33,7 @@
 		steps = append(steps, &fit.Demand{
 			Spec: &j.Steps[i], Priority: q.Priority, Deadline: now.Add(timeToDeadline), Expiry: now.Add(expiryFactor * timeToDeadline),
 			CriticalPath: criticalPathFrom(j, i), Beyond: j.Beyond,
+			Delay: t.past.delays[job.UseKey{Workspace: j.Workspace, Pool: q.Pool}],
 		})
 	}
 	v := l.Admit(now, steps, path)
--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -60,6 +60,7 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/peer"
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/raft"
 )
@@ -97,6 +98,7 @@
 	current atomic.Pointer[term]
 	waiting [numWaits]atomic.Int64 // see Waiting
 	overdue atomic.Int64           // see Overdue
+	use     atomic.Pointer[fit.UseSettings]
 }
 
 // New returns a Dispatcher. It fails if a required option is missing.
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -284,6 +284,7 @@
 	if r == nil || r.number != e.Run || r.worker.ID != e.Worker || r.worker.Life != e.Life {
 		return
 	}
+	t.creditUse(r, e)
 	t.deleteRun(r)
 }
 
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -80,6 +80,7 @@
 	fence           uint64    // of an orphan: of its start, if this leader sent that to the same incarnation
 	throttlePercent int       // share of the full speed; zero means full speed
 	urgent          bool      // its queue has the highest priority
+	use             runUse
 }
 
 func (r *run) end(outcome job.Outcome, saved string) job.End {
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -67,17 +67,18 @@
 	loads          map[string]*fit.Load           // by pool
 	returns        map[string]*fit.Returns        // by pool
 	shares         map[string]*fit.Share          // by workspace
-	excess         map[string]bool                // keys of admitted whose job is beyond the weight of its workspace
-	stepsChecked   time.Time                      // when dropSteps was last called
-	loadsAt        time.Time                      // when loads were computed
-	doubts         map[string]*doubts             // by worker
-	unclear        map[job.TaskID][]*doubts       // those about starts of a task, each as often as starts
-	copyWaits      map[job.TaskID]time.Time       // since when tasks wait for copies of their earlier starts
-	generations    map[string]generation          // by worker
-	missing        map[string]time.Time           // by VM: since when the platform does not list it; used by runWaves only
-	begunAt        map[string]time.Time           // by VM: when its maintenance was accepted in this term; used by runWaves only
-	nextWaveLog    time.Time                      // what holds the waves up is not logged before this; used by runWaves only
-	lastPoolLog    time.Time                      // when the usage of the pools was last logged
+	past           pastUse
+	excess         map[string]bool          // keys of admitted whose job is beyond the weight of its workspace
+	stepsChecked   time.Time                // when dropSteps was last called
+	loadsAt        time.Time                // when loads were computed
+	doubts         map[string]*doubts       // by worker
+	unclear        map[job.TaskID][]*doubts // those about starts of a task, each as often as starts
+	copyWaits      map[job.TaskID]time.Time // since when tasks wait for copies of their earlier starts
+	generations    map[string]generation    // by worker
+	missing        map[string]time.Time     // by VM: since when the platform does not list it; used by runWaves only
+	begunAt        map[string]time.Time     // by VM: when its maintenance was accepted in this term; used by runWaves only
+	nextWaveLog    time.Time                // what holds the waves up is not logged before this; used by runWaves only
+	lastPoolLog    time.Time                // when the usage of the pools was last logged
 	orderUse       orderUse
 	lossShare      lossShare
 	unanswered     map[string]time.Time     // by worker; when an order last got no answer
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -22,7 +22,8 @@
 // everything behind it late too under overload, and one workspace could take the places
 // of the others.
 // Within a rank, urgent work and long-running tasks come first, then demands are
-// ordered by deadline, with a head start for each higher priority.
+// ordered by deadline, with a head start for each higher priority and a bounded delay for
+// past use of the workspace.
 // A gang that does not fit reserves the workers where it would fit soonest, so
 // that smaller work behind it cannot starve it. After a delay, it preempts runs
 // of lower priority that have checkpoints, if it then fits as a whole.
@@ -147,6 +148,7 @@
 	Tasks         []int         // indices of the waiting tasks
 	Workspace     string        // of the job; its limit applies
 	Beyond        bool          // the job is beyond the weight of its workspace; see Share
+	Delay         time.Duration // how far past use of the workspace puts the effective deadline back; see Part
 	Payload       string        // of the job
 	Progress      *job.Progress
 	Placed        map[string]int   // running tasks of the step by worker
@@ -365,7 +367,9 @@
 const tiers = 3
 
 // effectiveDeadline orders the demands of one tier.
-func (d *Demand) effectiveDeadline() time.Time { return EffectiveDeadline(d.Deadline, d.Priority) }
+func (d *Demand) effectiveDeadline() time.Time {
+	return EffectiveDeadline(d.Deadline, d.Priority).Add(d.Delay)
+}
 
 // EffectiveDeadline returns the effective deadline by which work is ordered. A
 // higher priority is only a head start, so that lower ones are not starved
--- a/internal/version/fit/load_test.go
+++ b/internal/version/fit/load_test.go
@@ -131,6 +131,8 @@
 
 	crashes    *crashLoad         // jobs that crash their workers; nil if there are none
 	weights    map[string]float64 // of workspaces, in submissions a second
+	uses       *playedUse         // nil if past use is off
+	planned    func(Plan)         // called with each plan, unless it is nil
 	admission  bool               // jobs are admitted, and callers that are refused retry
 	oldReturns bool               // without Returns
 	gone, back time.Time          // no leader from gone to back; the next one knows no answers
@@ -422,12 +424,14 @@
 			}
 		}
 		d.Waited, d.AllowedShare = at.Sub(j.ready), r.shares[j.kind.name]
+		d.Delay = r.uses.delay(d)
 		for _, part := range r.crashes.split(j) {
 			demands, byDemand[part] = append(demands, part), j
 		}
 	}
 	r.updateLoads(demands, at)
 	r.listRuns(at)
+	r.uses.charge(r, at)
 	headroom := map[string]work.Resources{}
 	for name, k := range r.peaks {
 		k.Record(r.use[name], at)
@@ -435,6 +439,9 @@
 	}
 	others, urgent := IdleClients(at, r.clients)
 	p := decide(at, demands, Cluster{Workers: r.workers, Headroom: headroom, Early: others, Urgent: urgent}, r.off)
+	if r.planned != nil {
+		r.planned(p)
+	}
 	for _, q := range p.Queries {
 		r.ask(q, byDemand[q.Demand], at)
 	}
--- a/internal/version/job/use.go
+++ b/internal/version/job/use.go
@@ -21,11 +21,11 @@
 }
 
 // noteUses records uses. An earlier one than that known is ignored, and so is one of a workspace
-// that the catalogue does not have.
+// or a pool that the catalogue does not have.
 func (v *View) noteUses(list []Use) {
 	for _, u := range list {
 		k := UseKey{u.Workspace, u.Pool}
-		if v.hasWorkspace(u.Workspace) && !u.At.Before(v.Uses[k].At) && u.Amount >= 0 {
+		if v.hasWorkspace(u.Workspace) && v.hasPool(u.Pool) && !u.At.Before(v.Uses[k].At) && u.Amount >= 0 {
 			v.Uses[k] = u
 		}
 	}
@@ -49,9 +49,14 @@
 	return v.Catalogue != nil && slices.ContainsFunc(v.Catalogue.Workspaces, func(w Workspace) bool { return w.Name == name })
 }
 
-// dropUses drops the uses of workspaces that the catalogue no longer has.
+// hasPool reports whether the catalogue has a pool.
+func (v *View) hasPool(name string) bool {
+	return v.Catalogue != nil && slices.ContainsFunc(v.Catalogue.Pools, func(p Pool) bool { return p.Name == name })
+}
+
+// dropUses drops the uses of workspaces and pools that the catalogue no longer has.
 func (v *View) dropUses() {
-	maps.DeleteFunc(v.Uses, func(k UseKey, _ Use) bool { return !v.hasWorkspace(k.Workspace) })
+	maps.DeleteFunc(v.Uses, func(k UseKey, _ Use) bool { return !v.hasWorkspace(k.Workspace) || !v.hasPool(k.Pool) })
 }
 
 // uses returns all uses in a fixed order.
