Configure and show the past use of workspaces

Past use had no setting and no view. The settings of a control process take the section use (half_life, strength, delay), checked at the start and at a reload, and the leader applies a change from its next round on. GET /v1/use on any control process and rosemaryctl use show amount, parts and delay; event 1030 and two gauges tell of delays.

--- a/cmd/rosemaryctl/command.go
+++ b/cmd/rosemaryctl/command.go
@@ -40,6 +40,7 @@
 	Members   membersCommand   `cmd:"" help:"Replicas of the control group."`
 	Drain     drainCommand     `cmd:"" help:"Keep new tasks from a worker."`
 	Undrain   undrainCommand   `cmd:"" help:"Let a worker get new tasks again."`
+	Use       useCommand       `cmd:"" help:"Show what workspaces have used of the pools, and how that delays their work (--control)."`
 	Explain   explainCommand   `cmd:"" help:"Tell why a job is where it is."`
 	Report    reportCommand    `cmd:"" help:"Sum up logs of a cell on the platform."`
 	Jobs      jobsCommand      `cmd:"" help:"Submit and follow jobs."`
--- a/internal/process/dispatch/past.go
+++ b/internal/process/dispatch/past.go
@@ -1,7 +1,9 @@
 package dispatch
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -153,3 +155,32 @@
 	t.emit(event.UseDelay, zap.String("workspace", k.Workspace), zap.String("pool", k.Pool), zap.Duration("delay", delay),
 		zap.Float64("amount", part.Amount), zap.Float64("ofUse", part.OfUse), zap.Float64("ofWeight", part.OfWeight))
 }
+
+// UseStatus is what a workspace has used of a pool, and how that delays its work.
+type UseStatus struct {
+	job.UseKey
+	fit.Part
+	Delay time.Duration
+}
+
+// Uses returns the recorded past use, decayed to now, by workspace and pool. Every replica knows it;
+// it is up to useWriteInterval old. The list is empty while past use is off.
+func (d *Dispatcher) Uses() []UseStatus {
+	s := d.useSettings()
+	if !s.On() {
+		return nil
+	}
+	var list []UseStatus
+	d.options.State.View(func(v *job.View) {
+		if v.Catalogue == nil {
+			return
+		}
+		for k, part := range fit.NewLedger(d.options.Now(), v.Uses, s).Parts(v.Catalogue.Workspaces) {
+			list = append(list, UseStatus{k, part, part.Delay(s)})
+		}
+	})
+	slices.SortFunc(list, func(a, b UseStatus) int {
+		return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Pool, b.Pool))
+	})
+	return list
+}
