Serve work beyond the weights by what workspaces hold of a pool

A weight counts submissions. Of two workspaces beyond their weights, the one with wider work got more of a short pool. Among jobs beyond the weight, within a tier, those of workspaces that hold less of the pool (dominant share over weight, in steps of a factor of 4) now come first. Without weights nothing changes.

All tests of dispatch and fit pass.

--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -35,6 +35,7 @@
 			return
 		}
 		t.updateUse(v, now)
+		t.updateHeld(v, now)
 		cluster := t.cluster(v, now)
 		demands := t.demands(v, now)
 		t.updateLoads(v, cluster, demands, now)
@@ -191,6 +192,7 @@
 	}
 	_, d.Risky = t.risky[d.Queue]
 	d.Deadline, d.Expiry = t.deadlines(r, number)
+	d.Held = t.heldLevel(d.Workspace, d.Pool)
 	d.Beyond, d.Delay = r.Job.Beyond, t.past.delays[job.UseKey{Workspace: d.Workspace, Pool: d.Pool}]
 	d.CriticalPath = criticalPathFrom(&r.Job, index)
 	for i := range p.Tasks {
--- a/internal/process/dispatch/past.go
+++ b/internal/process/dispatch/past.go
@@ -11,7 +11,6 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
-	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
 const (
@@ -108,10 +107,7 @@
 // chargeRuns charges the runs that work for the time since the last call.
 func (t *term) chargeRuns(v *job.View, now time.Time) {
 	elapsed, left := t.past.ledger.Advance(now, t.past.settings)
-	capacity := map[string]work.Resources{}
-	for _, w := range t.workers {
-		capacity[w.Pool] = capacity[w.Pool].Add(w.Capacity)
-	}
+	capacity := t.poolCapacity()
 	for _, r := range t.runs {
 		record := v.Jobs[r.id.Job]
 		if record == nil || r.startResolvedAt.IsZero() || r.endQueued {
@@ -130,7 +126,8 @@
 // creditUse credits the workspace of a run with the work that is lost with its end, if the end is no
 // fault of the workspace. A long-running task serves while it runs, so that its work is not lost.
 func (t *term) creditUse(r *run, e *job.End) {
-	if t.past.ledger == nil || r.use.amount <= 0 || r.spec.Lasting || e.Outcome == job.Done || e.Outcome == job.RunFailed ||
+	ofTask := e.Outcome == job.RunFailed && r.worker.faults < maxFaults // otherwise the worker fails all its runs
+	if t.past.ledger == nil || r.use.amount <= 0 || r.spec.Lasting || e.Outcome == job.Done || ofTask ||
 		e.Saved != "" && e.Saved != r.use.checkpoint {
 		return
 	}
--- a/internal/process/dispatch/past_test.go
+++ b/internal/process/dispatch/past_test.go
@@ -99,3 +99,33 @@
 		b.is.Equal(b.used(), job.Use{})
 	})
 }
+
+// Guards against a workspace that is charged for runs that fail because of their worker, and against
+// one that is not charged for its own failures or for work that is saved.
+func TestFailedWorkIsCreditedByFault(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.leader.SetUse(hours)
+		b.workers.setRunTime(time.Minute)
+		b.submit("one", tasks(1))
+		time.Sleep(3 * time.Second)
+		credit := func(faults int, saved string, outcome job.Outcome) bool {
+			term := b.term()
+			term.mu.Lock()
+			defer term.mu.Unlock()
+			k := job.UseKey{Workspace: "depot", Pool: "p"}
+			before := term.past.ledger.Parts(nil)[k].Amount
+			for _, r := range term.runs {
+				w, copied := *r.worker, *r
+				w.faults, copied.worker = faults, &w
+				term.creditUse(&copied, &job.End{Task: r.id, Outcome: outcome, Saved: saved})
+			}
+			return term.past.ledger.Parts(nil)[k].Amount < before
+		}
+		b.is.True(!credit(1, "", job.RunFailed))
+		b.is.True(!credit(1, "", job.Done))
+		b.is.True(!credit(1, "new", job.Stopped))
+		b.is.True(credit(maxFaults, "", job.RunFailed))
+	})
+}
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -68,6 +68,7 @@
 	returns        map[string]*fit.Returns        // by pool
 	shares         map[string]*fit.Share          // by workspace
 	past           pastUse
+	held           heldShares
 	excess         map[string]bool          // keys of admitted whose job is beyond the weight of its workspace
 	stepsChecked   time.Time                // when dropSteps was last called
 	loadsAt        time.Time                // when loads were computed
--- a/internal/process/dispatch/workspace_test.go
+++ b/internal/process/dispatch/workspace_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
@@ -109,3 +110,29 @@
 		b.is.True(!beyond)
 	})
 }
+
+// Guards against a leader that does not see how much of a pool a workspace holds.
+func TestHeldLevels(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.workers.setRunTime(time.Minute)
+		levels := func() (list []int) {
+			term := b.term()
+			term.mu.Lock()
+			defer term.mu.Unlock()
+			b.state.View(func(v *job.View) {
+				for _, d := range term.demands(v, term.now()) {
+					list = append(list, d.Held)
+				}
+			})
+			return list
+		}
+		b.submit("one", tasks(6))
+		time.Sleep(time.Second)
+		b.is.Equal(levels(), []int{fit.HeldLevel(0, 0)}) // no workspace has a weight
+		b.addWeight(2, 4)
+		time.Sleep(time.Second)
+		b.is.Equal(levels(), []int{fit.HeldLevel(1, 4)}) // all of the pool
+	})
+}
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -16,7 +16,8 @@
 // # Order
 //
 // Demands that can meet their deadline come first, then those of them that are
-// beyond the weight of their workspace, then those past their deadline, then
+// beyond the weight of their workspace (of these, those of workspaces that hold less of the
+// pool come first within a tier), then those past their deadline, then
 // expired ones whose result nobody needs any more, then trials of tasks that probably
 // crash their workers. Without this order, work that is already late would make
 // everything behind it late too under overload, and one workspace could take the places
@@ -149,6 +150,7 @@
 	Workspace     string        // of the job; its limit applies
 	Beyond        bool          // the job is beyond the weight of its workspace; see Share
 	Delay         time.Duration // how far past use of the workspace puts the effective deadline back; see Part
+	Held          int           // see HeldLevel; counts if Beyond
 	Payload       string        // of the job
 	Progress      *job.Progress
 	Placed        map[string]int   // running tasks of the step by worker
@@ -390,6 +392,9 @@
 	if c := cmp.Compare(a.tier(), b.tier()); c != 0 {
 		return c
 	}
+	if c := cmp.Compare(a.Held, b.Held); c != 0 && a.rank == excess {
+		return c
+	}
 	if c := a.effectiveDeadline().Compare(b.effectiveDeadline()); c != 0 {
 		return c
 	}
--- a/internal/version/fit/load_test.go
+++ b/internal/version/fit/load_test.go
@@ -132,6 +132,7 @@
 	crashes    *crashLoad         // jobs that crash their workers; nil if there are none
 	weights    map[string]float64 // of workspaces, in submissions a second
 	uses       *playedUse         // nil if past use is off
+	held       *playedHeld        // nil if what workspaces hold does not count
 	planned    func(Plan)         // called with each plan, unless it is nil
 	admission  bool               // jobs are admitted, and callers that are refused retry
 	oldReturns bool               // without Returns
@@ -432,6 +433,7 @@
 	r.updateLoads(demands, at)
 	r.listRuns(at)
 	r.uses.charge(r, at)
+	r.held.set(r, demands, at)
 	headroom := map[string]work.Resources{}
 	for name, k := range r.peaks {
 		k.Record(r.use[name], at)
--- a/internal/version/fit/share.go
+++ b/internal/version/fit/share.go
@@ -1,6 +1,9 @@
 package fit
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // shareWindow is how long a workspace may save up what it does not submit.
 const shareWindow = 2 * time.Second
@@ -47,6 +50,20 @@
 // mostBeyond is the most that was saved up when a submission was found beyond the weight.
 const mostBeyond = 0.99
 
+// heldStep is the factor between two levels of what workspaces hold. With any difference, fewer
+// callers were served in time in replays of narrow work; see docs/policy.md, section 7.
+const heldStep = 4
+
+// HeldLevel returns the level of a workspace that holds a dominant share of a pool. Among work
+// beyond the weights, that of workspaces with a lower level comes first: a weight counts
+// submissions, of which some are far wider than others.
+func HeldLevel(held, weight float64) int {
+	if held <= 0 || weight <= 0 {
+		return math.MinInt
+	}
+	return int(math.Floor(math.Log(held/weight) / math.Log(heldStep)))
+}
+
 // fill adds what the workspace may submit since the last submission. A clock that goes back
 // adds nothing until it has caught up.
 func (s *Share) fill(weight float64, now time.Time) {
