Merge shares that survive the leader and past use in the order of work

Which jobs are beyond the weight of their workspace is stored with the job; past use puts the effective deadline back by a bounded time where a half-life is set; work beyond the weights is ordered by what workspaces hold of a pool.

--- a/cmd/rosemaryctl/command.go
+++ b/cmd/rosemaryctl/command.go
@@ -41,6 +41,7 @@
 	Drain       drainCommand       `cmd:"" help:"Keep new tasks from a worker."`
 	Undrain     undrainCommand     `cmd:"" help:"Let a worker get new tasks again."`
 	Evacuations evacuationsCommand `cmd:"" help:"Evacuated availability zones of a cell on a platform."`
+	Use         useCommand         `cmd:"" help:"Show what workspaces have used of the pools, and how that delays their work (--control)."`
 	Explain     explainCommand     `cmd:"" help:"Tell why a job is where it is."`
 	Report      reportCommand      `cmd:"" help:"Sum up logs of a cell on the platform."`
 	Jobs        jobsCommand        `cmd:"" help:"Submit and follow jobs."`
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -69,18 +69,20 @@
 	loads          map[string]*fit.Load           // by pool
 	returns        map[string]*fit.Returns        // by pool
 	shares         map[string]*fit.Share          // by workspace
-	beyond         map[job.ID]bool                // jobs beyond the weight of their workspace
-	stepsChecked   time.Time                      // when dropSteps was last called
-	loadsAt        time.Time                      // when loads were computed
-	doubts         map[string]*doubts             // by worker
-	unclear        map[job.TaskID][]*doubts       // those about starts of a task, each as often as starts
-	copyWaits      map[job.TaskID]time.Time       // since when tasks wait for copies of their earlier starts
-	generations    map[string]generation          // by worker
-	missing        map[string]time.Time           // by VM: since when the platform does not list it; used by runWaves only
-	begunAt        map[string]time.Time           // by VM: when its maintenance was accepted in this term; used by runWaves only
-	nextWaveLog    time.Time                      // what holds the waves up is not logged before this; used by runWaves only
-	lastPoolLog    time.Time                      // when the usage of the pools was last logged
-	floor          bool                           // expired work waits for tickets beside free capacity, as of the latest plan
+	past           pastUse
+	held           heldShares
+	excess         map[string]bool          // keys of admitted whose job is beyond the weight of its workspace
+	stepsChecked   time.Time                // when dropSteps was last called
+	loadsAt        time.Time                // when loads were computed
+	doubts         map[string]*doubts       // by worker
+	unclear        map[job.TaskID][]*doubts // those about starts of a task, each as often as starts
+	copyWaits      map[job.TaskID]time.Time // since when tasks wait for copies of their earlier starts
+	generations    map[string]generation    // by worker
+	missing        map[string]time.Time     // by VM: since when the platform does not list it; used by runWaves only
+	begunAt        map[string]time.Time     // by VM: when its maintenance was accepted in this term; used by runWaves only
+	nextWaveLog    time.Time                // what holds the waves up is not logged before this; used by runWaves only
+	lastPoolLog    time.Time                // when the usage of the pools was last logged
+	floor          bool                     // expired work waits for tickets beside free capacity, as of the latest plan
 	orderUse       orderUse
 	lossShare      lossShare
 	unanswered     map[string]time.Time     // by worker; when an order last got no answer
@@ -124,7 +126,7 @@
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*stepState{},
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*fit.Peak{},
 		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
-		shares: map[string]*fit.Share{}, beyond: map[job.ID]bool{},
+		shares: map[string]*fit.Share{}, excess: map[string]bool{},
 		baselines: map[string]*fit.Baseline{}, coldness: map[string]*fit.Pace{}, allowedShares: map[string]float64{},
 		doubts: map[string]*doubts{}, unclear: map[job.TaskID][]*doubts{}, copyWaits: map[job.TaskID]time.Time{}, generations: map[string]generation{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
 		risky: map[string]time.Time{}, retried: map[job.TaskID]bool{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
@@ -233,6 +235,7 @@
 		}
 		t.adoptWaits(v)
 		t.adoptPast(v)
+		t.adoptShares(v, now)
 		t.emit(event.TermBegun, zap.Uint64("term", t.number), zap.Int("workers", len(v.Workers)),
 			zap.Int("runs", len(t.runs)), zap.Int("jobs", len(v.Active)))
 	})
--- a/internal/version/fit/load_test.go
+++ b/internal/version/fit/load_test.go
@@ -132,6 +132,9 @@
 
 	crashes    *crashLoad         // jobs that crash their workers; nil if there are none
 	weights    map[string]float64 // of workspaces, in submissions a second
+	uses       *playedUse         // nil if past use is off
+	held       *playedHeld        // nil if what workspaces hold does not count
+	planned    func(Plan)         // called with each plan, unless it is nil
 	admission  bool               // jobs are admitted, and callers that are refused retry
 	oldReturns bool               // without Returns
 	gone, back time.Time          // no leader from gone to back; the next one knows no answers
@@ -423,12 +426,15 @@
 			}
 		}
 		d.Waited, d.AllowedShare = at.Sub(j.ready), r.shares[j.kind.name]
+		d.Delay = r.uses.delay(d)
 		for _, part := range r.crashes.split(j) {
 			demands, byDemand[part] = append(demands, part), j
 		}
 	}
 	r.updateLoads(demands, at)
 	r.listRuns(at)
+	r.uses.charge(r, at)
+	r.held.set(r, demands, at)
 	headroom := map[string]work.Resources{}
 	for name, k := range r.peaks {
 		k.Record(r.use[name], at)
@@ -437,6 +443,9 @@
 	others, urgent, expired := IdleClients(at, r.clients, r.floor)
 	p := decide(at, demands, Cluster{Workers: r.workers, Headroom: headroom, Early: others, Urgent: urgent, Floor: expired}, r.off)
 	r.floor = p.Floor
+	if r.planned != nil {
+		r.planned(p)
+	}
 	for _, q := range p.Queries {
 		r.ask(q, byDemand[q.Demand], at)
 	}
