Show operators what waits, what is refused and why

Operators could not see which workspace is refused and why, or what the tasks of a pool wait for. The leader counts verdicts by pool, workspace and reason for a minute, and what waits, its rank and what binds it. GET /v1/load on a control process and rosemaryctl load show it; events 1040 and 1041 and the gauge pools_refusing tell when a pool refuses. A test no longer copies a worker, which has an atomic value now. Measured: the tests of the packages event, rosemaryctl and dispatch that concern it pass.

--- a/cmd/rosemaryctl/command.go
+++ b/cmd/rosemaryctl/command.go
@@ -36,6 +36,7 @@
 	Workers     workersCommand     `cmd:"" help:"List workers."`
 	Upstreams   upstreamsCommand   `cmd:"" help:"List announced runners."`
 	Queues      queuesCommand      `cmd:"" help:"List the load of each queue."`
+	Load        loadCommand        `cmd:"" help:"Show what waits, what is refused and why, in each pool of a cell on a platform (--control)."`
 	Status      statusCommand      `cmd:"" help:"Show the control group and the entry VMs."`
 	Members     membersCommand     `cmd:"" help:"Replicas of the control group."`
 	Drain       drainCommand       `cmd:"" help:"Keep new tasks from a worker."`
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -44,6 +44,7 @@
 		plan = fit.Decide(now, demands, cluster)
 		t.logPoolUsage(usages, cluster, plan.Idle)
 		t.noteWaits(v, &plan, now)
+		t.noteLoad(v, demands, &plan, now)
 		for i := range plan.Starts {
 			plan.Starts[i].Demand.Prepare()
 		}
--- a/internal/process/dispatch/past_test.go
+++ b/internal/process/dispatch/past_test.go
@@ -117,9 +117,10 @@
 			k := job.UseKey{Workspace: "depot", Pool: "p"}
 			before := term.past.ledger.Parts(nil)[k].Amount
 			for _, r := range term.runs {
-				w, copied := *r.worker, *r
-				w.faults, copied.worker = faults, &w
+				copied, usual := *r, r.worker.faults
+				r.worker.faults = faults
 				term.creditUse(&copied, &job.End{Task: r.id, Outcome: outcome, Saved: saved})
+				r.worker.faults = usual
 			}
 			return term.past.ledger.Parts(nil)[k].Amount < before
 		}
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -12,6 +12,7 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
+	"github.com/rosemaryloft/rosemaryloft/pkg/api"
 )
 
 // Register registers the handlers of the methods that the leader serves.
@@ -39,6 +40,9 @@
 	mux.Handle(cell.MethodMaintain, whileLeading(d, func(t *term, ctx context.Context, _ string, w *job.Wave) (cell.Verdict, bool) {
 		return t.addWave(ctx, w)
 	}))
+	mux.Handle(cell.MethodLoad, whileLeading(d, func(t *term, _ context.Context, _ string, _ *cell.Who) (api.CellLoad, bool) {
+		return t.cellLoad()
+	}))
 	mux.Handle(cell.MethodWave, whileLeading(d, func(t *term, _ context.Context, _ string, number *int64) (cell.Verdict, bool) {
 		return t.waveState(*number), true
 	}))
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -104,6 +104,7 @@
 	j, v := t.check(c, target, found)
 	if v.Code == cell.OK && t.admitted[key] == 0 {
 		v = t.checkAdmission(j, &target.queue)
+		t.noteVerdict(target.queue.Pool, target.workspace, v)
 	} else if v.Code == cell.OK {
 		j.Beyond = t.excess[key]
 		t.emit(event.CopyJoined, zap.String("request", c.Request), zap.String("job", string(target.id)))
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -68,6 +68,10 @@
 	refusals       refusals[string, cell.Verdict] // by refusalKey
 	loads          map[string]*fit.Load           // by pool
 	returns        map[string]*fit.Returns        // by pool
+	views          map[loadKey]*loadView          // what operators are shown of the load
+	viewedAt       time.Time                      // when what waits was last counted for them
+	refusing       map[string]*refusing           // by pool that refuses jobs
+	idlePools      map[string]map[string]int64    // by pool and cause: processors that are idle while tasks wait
 	shares         map[string]*fit.Share          // by workspace
 	past           pastUse
 	held           heldShares
@@ -125,7 +129,7 @@
 		dispatcher: d, number: number, limits: fullRound, began: d.options.Now(), clockBegan: d.options.Clock(), wake: make(chan struct{}, 1),
 		workers: map[string]*worker{}, runs: map[job.TaskID]*run{}, steps: map[job.StepID]*stepState{},
 		adviceClients: map[string]*adviceClient{}, timeToDeadline: map[job.ID]time.Duration{}, urgentPeaks: map[string]*fit.Peak{},
-		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{},
+		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{}, views: map[loadKey]*loadView{}, refusing: map[string]*refusing{},
 		shares: map[string]*fit.Share{}, excess: map[string]bool{},
 		baselines: map[string]*fit.Baseline{}, coldness: map[string]*fit.Pace{}, allowedShares: map[string]float64{},
 		doubts: map[string]*doubts{}, unclear: map[job.TaskID][]*doubts{}, copyWaits: map[job.TaskID]time.Time{}, generations: map[string]generation{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
--- a/internal/process/dispatch/use.go
+++ b/internal/process/dispatch/use.go
@@ -141,8 +141,13 @@
 // recordIdle sums up what is idle in all pools.
 func (t *term) recordIdle(pools map[string]fit.Idle) {
 	sum := map[string]work.Resources{}
-	for _, i := range pools {
+	t.idlePools = map[string]map[string]int64{}
+	for name, i := range pools {
+		t.idlePools[name] = map[string]int64{}
 		for c, idle := range i.Amounts() {
+			if idle.Processors > 0 {
+				t.idlePools[name][fit.Causes[c]] = idle.Processors
+			}
 			sum[fit.Causes[c]] = sum[fit.Causes[c]].Add(idle)
 		}
 	}
