Let speed count only where it decides, and keep the bound of what is in time

Change: a worker's speed ranks it only for work that is in time on a fast worker and not there; nothing waits for a faster worker; half of the estimate is the bound again.

--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -308,7 +308,6 @@
 	wideQueries   bool // a query names many workers, and late work asks only idle clients
 	wholeGangs    bool // a gang preempts only if it then fits as a whole
 	sharedQueries bool // demands seek different free capacity
-	unlikely      bool // work that is probably late counts as late
 }
 
 // Decide plans one scheduling round.
@@ -318,12 +317,8 @@
 
 func decide(now time.Time, demands []*Demand, cluster Cluster, off rules) Plan {
 	p := &planner{now: now, cluster: cluster, pools: newPools(cluster.Workers), off: off}
-	certain := certainShare
-	if off.unlikely {
-		certain = oldCertainShare
-	}
 	for _, d := range demands {
-		d.rank, d.now = d.rankWith(now, certain), now
+		d.rank, d.now = d.rankAt(now), now
 		if l := p.pools[d.Pool]; l != nil {
 			d.fastest = l.fastest
 		}
@@ -349,24 +344,19 @@
 	harmful             // probably crashes its worker
 )
 
-// certainShare is the fraction of the remaining estimated run time that must fit before the
-// deadline. Estimates are off either way, and the deadline derives from the same one, so that work
-// with less time is usually late; with 0.5, a third of what was served first in a flood was.
-const (
-	certainShare    = 1.0
-	oldCertainShare = 0.5 // for comparison only
-)
-
-// rankAt returns the rank at a time.
-func (d *Demand) rankAt(now time.Time) rank { return d.rankWith(now, certainShare) }
+// certainShare is the fraction of an estimated run time that is taken as the
+// minimum. Actual run times can be as little as half the estimate.
+const certainShare = 0.5
 
-func (d *Demand) rankWith(now time.Time, certain float64) rank {
+// rankAt returns the rank at a time. A demand counts as late once even the
+// minimum remaining run time would end after its deadline.
+func (d *Demand) rankAt(now time.Time) rank {
 	switch {
 	case d.Likely:
 		return harmful
 	case d.Spec.Lasting:
 		return onTime
-	case !now.Add(time.Duration(certain * float64(d.CriticalPath))).After(d.Deadline):
+	case !now.Add(time.Duration(certainShare * float64(d.CriticalPath))).After(d.Deadline):
 		if d.Beyond {
 			return excess
 		}
--- a/internal/version/fit/uneven.go
+++ b/internal/version/fit/uneven.go
@@ -99,27 +99,26 @@
 // indifferent reports whether the speed of a worker does not matter to the demand.
 func (d *Demand) indifferent() bool { return d.Spec.Estimate <= 0 || d.Spec.Lasting }
 
-// speedCost rates the speed of the worker for a task; lower is better.
+// speedCost rates the speed of the worker for a task; lower is better. It counts only where it
+// decides whether the job is in time.
 func speedCost(d *Demand, w *Worker) float64 {
-	if !w.uneven() || d.indifferent() {
+	if !w.uneven() || d.indifferent() || d.inTimeOn(w) || !d.inTime(d.shortest()) {
 		return 0
 	}
-	longer := 1/d.speedOn(w) - 1
-	if d.tier() == 0 || !d.inTimeOn(w) {
-		return haste * longer
-	}
-	return -tolerance * longer
+	return haste * (1/d.speedOn(w) - 1)
+}
+
+// shortest returns how long a task works on the fastest worker of the pool.
+func (d *Demand) shortest() time.Duration {
+	return time.Duration(float64(d.Spec.Estimate) / speedOr1(d.fastest))
 }
 
-// suits reports whether a task should start on the worker rather than wait for another.
+// suits reports whether a task may start on the worker although that is cold.
 func suits(d *Demand, w *Worker) bool {
-	if !w.uneven() || d.indifferent() || d.Only != "" || d.Trial || d.Spec.Gang {
+	if w.Cold <= 0 || d.indifferent() || d.Only != "" || d.Trial || d.Spec.Gang {
 		return true
 	}
-	if w.Cold > 0 && w.Tenants >= coldTenants && d.Waited < coldWait && !d.inTimeOn(w) {
-		return false
-	}
-	return d.tier() != 0 || d.Waited >= maxHold || d.inTimeOn(w) || d.fastest <= 0 || !d.inTime(time.Duration(float64(d.Spec.Estimate)/d.fastest))
+	return w.Tenants < coldTenants || d.Waited >= coldWait || d.inTimeOn(w)
 }
 
 // noteSpeed keeps the largest speed of a pool's workers, and whether they differ.
