--- a/internal/version/fit/clients.go
+++ b/internal/version/fit/clients.go
@@ -71,7 +71,7 @@
 	return 0
 }
 
-// IdleClients counts the clients that can send early queries now. Floor tells whether some are kept
+// IdleClients counts the clients that can send early queries now. Floor reports whether some are kept
 // for expired work.
 func IdleClients(now time.Time, clients []Client, floor bool) (others, urgent, expired int) {
 	kept, last := keptClients(len(clients)), len(clients)
--- a/internal/version/fit/uneven.go
+++ b/internal/version/fit/uneven.go
@@ -8,23 +8,17 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
-// Workers of one pool differ in speed, for good or while they are cold. Where a task goes
-// depends on what that does to its caller: urgent work prefers fast and warm workers, and
-// work that is in time on a slow one leaves the fast ones to it. Nothing here changes the
-// order in which demands are served. Without unequal workers nothing is changed.
+// Workers of one pool differ in speed, for good or while they are cold. That counts where it decides
+// whether a job is in time. Nothing here changes the order in which demands are served. Without
+// unequal workers nothing is changed.
 
 const (
 	// haste is what the score of a worker rises by for each part of its estimate that a task
-	// takes longer there, if it is urgent or would be late. It matches remoteRackPenalty,
-	// where tasks take half as long again. tolerance is what the score falls by if the task
-	// would be in time nevertheless: as much as a difference in fit.
-	haste     = remoteRackPenalty / 0.5
-	tolerance = 1.0
+	// takes longer there, if the job would be late for it. It matches remoteRackPenalty, where
+	// tasks take half as long again.
+	haste = remoteRackPenalty / 0.5
 	// startTime is the time that the commit and the order of a start take.
 	startTime = 50 * time.Millisecond
-	// maxHold limits how long an urgent task waits for a faster worker than one that is free.
-	// In longer waits for free capacity the pool would stand idle.
-	maxHold = 500 * time.Millisecond
 	// estimateMargin is the part of its estimate by which tolerant work on a slow worker must
 	// be in time, because estimates are rough.
 	estimateMargin = 0.25
--- a/internal/version/fit/uneven_test.go
+++ b/internal/version/fit/uneven_test.go
@@ -68,7 +68,7 @@
 }
 
 // Replays the same load on a pool of which a zone of a quarter has returned and is slow for 15 s,
-// which nobody has learned yet. Guards against cold workers that are filled with work that is late there.
+// which is not learned yet. Guards against cold workers that are filled with work that is late there.
 func TestReplayColdReturn(t *testing.T) {
 	isCold := func(w *Worker) bool { return w.order%4 == 0 }
 	returned := func(decide func(time.Time, []*Demand, Cluster) Plan) func(time.Time, []*Demand, Cluster) Plan {
@@ -177,7 +177,7 @@
 	is.Equal(speed(2, 6*time.Second), 1.2)
 }
 
-// Guards against a cold worker that is filled while nobody knows how slow it is, and against one
+// Guards against a cold worker that is filled while its speed is not known, and against one
 // that stands idle while work waits.
 func TestColdWorkerTakesFewStarts(t *testing.T) {
 	is := is.New(t)
--- a/pkg/api/load.go
+++ b/pkg/api/load.go
@@ -4,7 +4,7 @@
 
 // CellLoad is the load of the pools of a cell on a platform, as its leader sees it.
 type CellLoad struct {
-	Leading time.Time  `json:"leading"` // since when the leader leads; what it counts begins there
+	Leading time.Time  `json:"leading"` // since when the leader leads; its counts start there
 	At      time.Time  `json:"at"`
 	Pools   []PoolLoad `json:"pools"`
 }
