Keep more advice clients for late work, and find free capacity behind others

The search for free capacity ended at the first worker that the demand may not use, work that is late and not yet expired had no share, and one client of 32 starts three steps a second. Measured: the tests of fit pass; TestFloorLooksBehindWorkersThatAreAvoided is red with the search as it was.

--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -86,7 +86,7 @@
 	begunAt        map[string]time.Time     // by VM: when its maintenance was accepted in this term; used by runWaves only
 	nextWaveLog    time.Time                // what holds the waves up is not logged before this; used by runWaves only
 	lastPoolLog    time.Time                // when the usage of the pools was last logged
-	floor          bool                     // expired work waits for tickets beside free capacity, as of the latest plan
+	floor          bool                     // work that is not in time waits for tickets beside free capacity, as of the latest plan
 	orderUse       orderUse
 	lossShare      lossShare
 	unanswered     map[string]time.Time     // by worker; when an order last got no answer
--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -47,9 +47,7 @@
 	}
 	defer func() { p.seek(l, d, tasks) }()
 	early := d.rank != onTime && !p.off.wideQueries
-	if d.rank == expired && !p.plan.Floor {
-		p.plan.Floor = p.hasRoom(l, d)
-	}
+	p.noteFloor(l, d)
 	if early && !p.mayAskEarly(d) {
 		return
 	}
@@ -167,7 +165,7 @@
 	}
 	size := min((len(workers)+n-1)/n, maxQueryWorkers)
 	for chunk := range slices.Chunk(workers[:min(len(workers), n*size)], size) {
-		floor := early && d.rank == expired && p.cluster.Floor > 0
+		floor := early && d.atFloor() && p.cluster.Floor > 0
 		p.plan.Queries = append(p.plan.Queries, Query{Demand: d, Workers: chunk, Early: early, Floor: floor})
 		p.asking = append(p.asking, chunk...)
 		p.queries++
@@ -185,7 +183,7 @@
 
 // mayAskEarly reports whether an early query about a demand can be sent now.
 func (p *planner) mayAskEarly(d *Demand) bool {
-	return p.cluster.Early > 0 || d.Priority == 0 && p.cluster.Urgent > 0 || d.rank == expired && p.cluster.Floor > 0
+	return p.cluster.Early > 0 || d.Priority == 0 && p.cluster.Urgent > 0 || d.atFloor() && p.cluster.Floor > 0
 }
 
 // explore queries workers that are not known yet while few workers per task are
--- a/internal/version/fit/clients.go
+++ b/internal/version/fit/clients.go
@@ -7,10 +7,11 @@
 	// queries for urgent work only, and minUrgentClients their least number.
 	urgentClientShare = 0.25
 	minUrgentClients  = 2
-	// floorClientShare is the share of the clients that send queries for expired work only, while
-	// such work waits for tickets beside free capacity, and minFloorClients their least number.
-	// A twentieth of the clients starts 30 expired steps a second at the size of 32 clients.
-	floorClientShare = 0.05
+	// floorClientShare is the share of the clients that send queries only for work that is not in
+	// time, while such work waits for tickets beside free capacity, and minFloorClients their least
+	// number. With 32 clients and queries of 0.3 s, an eighth of them starts the 35 steps that such
+	// a flood leaves within 3 s, the time after which they would be LOST.
+	floorClientShare = 0.125
 	minFloorClients  = 1
 	// maxBacklog bounds the time that queries wait at one client. The advice service
 	// handles one query of a client at a time, and tickets expire.
@@ -31,7 +32,7 @@
 // and would otherwise wait behind the long ones about wide tasks, and early queries
 // take only idle clients.
 //
-// While floor is set, the last clients send queries for expired work only, so that the backlog of
+// While floor is set, the last clients send queries only for work that is not in time, so that the backlog of
 // a flood ends although other work waits for advice as well.
 func PickClient(now time.Time, clients []Client, q Query, floor bool) int {
 	first, best := 0, -1
@@ -62,8 +63,8 @@
 	return 0
 }
 
-// floorClients returns how many of the clients, the last ones, send queries for expired work only
-// while such work waits for tickets.
+// floorClients returns how many of the clients, the last ones, send queries only for work
+// that is not in time while such work waits for tickets.
 func floorClients(clients int) int {
 	if n := max(minFloorClients, int(floorClientShare*float64(clients))); clients > 2*minUrgentClients+n {
 		return n
@@ -72,7 +73,7 @@
 }
 
 // IdleClients counts the clients that can send early queries now. Floor reports whether some are kept
-// for expired work.
+// for work that is not in time.
 func IdleClients(now time.Time, clients []Client, floor bool) (others, urgent, expired int) {
 	kept, last := keptClients(len(clients)), len(clients)
 	if floor {
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -221,7 +221,7 @@
 type Query struct {
 	Demand  *Demand
 	Workers []string
-	Floor   bool // for expired work; see PickClient
+	Floor   bool // for work that is not in time; see PickClient
 	Early   bool // no capacity is free yet, or the deadline is past; send only if an advice client is idle
 }
 
@@ -259,7 +259,7 @@
 	Headroom map[string]work.Resources // by pool; headroom that only urgent work and long-running or filler tasks may use
 	Early    int                       // number of early queries that can be sent now
 	Urgent   int                       // number of further ones for urgent work
-	Floor    int                       // number of further ones for expired work
+	Floor    int                       // number of further ones for work that is not in time
 	Explain  bool                      // the plan tells what holds idle capacity
 }
 
@@ -287,20 +287,21 @@
 	Queries     []Query
 	Blocks      []Block
 	Preemptions []job.TaskID    // runs to preempt
-	Floor       bool            // expired work waits for tickets beside free capacity
+	Floor       bool            // work that is not in time waits for tickets beside free capacity
 	Idle        map[string]Idle // by pool with waiting tasks, if Cluster.Explain is set
 }
 
 // planner holds the working state of one call of Decide.
 type planner struct {
-	now     time.Time
-	cluster Cluster
-	pools   map[string]*inventory
-	plan    Plan
-	off     rules
-	asking  []string  // workers in the queries of the demand that is being planned
-	queries int       // number of these queries
-	allowed []*Worker // workers that the demand that is being planned may use; see allowedWorkers
+	now         time.Time
+	cluster     Cluster
+	pools       map[string]*inventory
+	plan        Plan
+	off         rules
+	floorChecks int       // see noteFloor
+	asking      []string  // workers in the queries of the demand that is being planned
+	queries     int       // number of these queries
+	allowed     []*Worker // workers that the demand that is being planned may use; see allowedWorkers
 }
 
 // rules names rules that can be switched off, for comparison only.
--- a/internal/version/fit/floor_test.go
+++ b/internal/version/fit/floor_test.go
@@ -30,6 +30,19 @@
 	is.Equal(PickClient(now, clients, Query{Demand: demand("b", 2, 1, cores(4))}, false), 31)
 }
 
+// Guards against free capacity that is not seen because a worker with more of it may not be used.
+func TestFloorLooksBehindWorkersThatAreAvoided(t *testing.T) {
+	is := is.New(t)
+	late := advised(demand("a", 2, 4, cores(4)), map[string]Answer{})
+	late.Deadline, late.Expiry, late.Waited = now.Add(-time.Second), now.Add(time.Minute), floorWait
+	workers := pool(3, cores(32))
+	workers[1].Free, workers[2].Free = cores(8), cores(0)
+	late.Avoid = map[string]bool{workers[0].ID: true}
+	is.True(Decide(now, []*Demand{late}, Cluster{Workers: workers}).Floor)
+	late.Waited = floorWait - time.Millisecond
+	is.True(!Decide(now, []*Demand{late}, Cluster{Workers: workers}).Floor)
+}
+
 // Guards against clients that are kept for expired work which nothing could start.
 func TestNoClientIsKeptWithoutFreeCapacity(t *testing.T) {
 	is := is.New(t)
