--- a/internal/version/fit/ask.go
+++ b/internal/version/fit/ask.go
@@ -165,7 +165,7 @@
 	}
 	size := min((len(workers)+n-1)/n, maxQueryWorkers)
 	for chunk := range slices.Chunk(workers[:min(len(workers), n*size)], size) {
-		floor := early && d.atFloor() && p.cluster.Floor > 0
+		floor := early && p.cluster.Floor > 0 && d.atFloor(p.pools[d.Pool])
 		p.plan.Queries = append(p.plan.Queries, Query{Demand: d, Workers: chunk, Early: early, Floor: floor})
 		p.asking = append(p.asking, chunk...)
 		p.queries++
@@ -183,7 +183,7 @@
 
 // mayAskEarly reports whether an early query about a demand can be sent now.
 func (p *planner) mayAskEarly(d *Demand) bool {
-	return p.cluster.Early > 0 || d.Priority == 0 && p.cluster.Urgent > 0 || d.atFloor() && p.cluster.Floor > 0
+	return p.cluster.Early > 0 || d.Priority == 0 && p.cluster.Urgent > 0 || p.cluster.Floor > 0 && d.atFloor(p.pools[d.Pool])
 }
 
 // explore queries workers that are not known yet while few workers per task are
