--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/third"
 mkdir -p ../../target/review-3
-go build -trimpath -o ../../target/review-3/review3 .
+GOWORK=off GOPROXY=off go build -trimpath -o ../../target/review-3/review3 .
--- a/review/third/runner.go
+++ b/review/third/runner.go
@@ -27,19 +27,19 @@
 
 // execution is one run of a task, as the runners know it.
 type execution struct {
-	runner *runner
-	life   int64
-	task   string
-	run    int
-	began  time.Time
-	ended  time.Time // zero while it runs
-	how    string
-	gang   bool
-	number int64         // of its end
-	work   time.Duration // from when it works until it ends; negative for one that lasts, zero while it waits
-	works  time.Time     // when it began to work
-	timer  *time.Timer
-	noted  bool // its end was acknowledged by ack_cursor
+	runner        *runner
+	life          int64
+	task          string
+	run           int
+	began         time.Time
+	ended         time.Time // zero while it runs
+	how           string
+	specification string
+	number        int64         // of its end
+	work          time.Duration // from when it works until it ends; negative for one that lasts, zero while it waits
+	works         time.Time     // when it began to work
+	timer         *time.Timer
+	noted         bool // its end was acknowledged by ack_cursor
 }
 
 // runner is one runner, with the state of its present lifetime.
@@ -258,7 +258,7 @@
 	if !r.lease.After(time.Now()) {
 		return 409, "late"
 	}
-	e := &execution{runner: r, life: r.born, task: c.Task, run: c.Run, began: time.Now()}
+	e := &execution{runner: r, life: r.born, task: c.Task, run: c.Run, specification: c.Specification, began: time.Now()}
 	r.runs[c.Task] = e
 	r.pool.mu.Lock()
 	r.pool.all = append(r.pool.all, e)
