Show that an acknowledgement reaches the next lifetime of a runner

A listing that acknowledges an end gets no answer and is carried out after its runner has started again under its id. The runner forgets an end that the leader has not seen, and the task starts again (TWICE).

--- a/review/third/runner.go
+++ b/review/third/runner.go
@@ -70,6 +70,7 @@
 	server   *http.Server
 	proxy    *proxy
 	sick     bool // refuses all orders with 503, and does nothing
+	mute     bool // sends no status reports
 }
 
 const (
@@ -189,6 +190,13 @@
 	r.pool.note("%s is unhealthy: %v", r.id, sick)
 }
 
+// silent has the runner send no status reports, or send them again.
+func (r *runner) silent(mute bool) {
+	r.mu.Lock()
+	r.mute = mute
+	r.mu.Unlock()
+}
+
 // fenced checks and keeps the fence number; the caller holds the lock.
 func (r *runner) fenced(n uint64) bool {
 	if n < r.fence {
@@ -455,7 +463,10 @@
 // address for the next one.
 func (r *runner) send(target string, body []byte) string {
 	c := r.pool.cell
-	if r.proxy != nil && r.proxy.isCut.Load() {
+	r.mu.Lock()
+	mute := r.mute || r.proxy != nil && r.proxy.isCut.Load()
+	r.mu.Unlock()
+	if mute {
 		return target // it reaches nobody
 	}
 	tries := []string{}
