End the processes of a case when its script is ended

A signal to the stand-in program left the processes of the cell running. It ends them now: none was left after a script was ended with SIGTERM.

--- a/review/third/main.go
+++ b/review/third/main.go
@@ -5,9 +5,15 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
+// started is the cell of the case, whose processes end with this one.
+var started atomic.Pointer[cell]
+
 var cases = map[string]func(r *record, trouble bool) error{}
 
 func main() {
@@ -15,6 +21,15 @@
 		fmt.Fprintln(os.Stderr, "usage: review3 CASE RECORD")
 		os.Exit(2)
 	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-signals
+		if c := started.Load(); c != nil {
+			c.stop(false)
+		}
+		os.Exit(2)
+	}()
 	r, err := newRecord(os.Args[2])
 	if err == nil {
 		err = cases[os.Args[1]](r, os.Getenv("TROUBLE") != "0")
@@ -42,6 +57,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	started.Store(c)
 	for range controls {
 		c.add(true)
 	}
