List an idle worker until it has proved itself

A worker that refused one start with 503 and no body got no task any more as long as the same leader led.

Cause: an answer without a clock proves no incarnation, so the worker counted as unproved, which only a listing ends. An idle worker is listed only after an order without an answer, or if a listing is wanted, and such a refusal was neither.

Change: an answer that proves nothing asks for a listing at once, and each report of a worker that owes a listing asks for one. Whether it owes one derives from its state: not listed, no clock, no answer, not delivered, refusing, not proved.

--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -123,6 +123,7 @@
 	processors         int64         // thousandths; zero means 4000
 	zone               string        // availability zone that it reports
 	coldUntil          time.Time     // its reports say that it is slow until then
+	answers            answerShape   // of its answers; nil if they are complete
 	slowdown           int           // factor by which new tasks take longer; zero means one
 	listings           int
 	refusals           int // of orders, while unhealthy
@@ -216,7 +217,7 @@
 
 // contact returns the worker that answers under an ID, or else the result of
 // the failed attempt.
-func (h *fakeWorkers) contact(id string) (*fakeWorker, Answer, bool) {
+func (h *fakeWorkers) contact(id string, o orderKind) (*fakeWorker, Answer, bool) {
 	w := h.all[id]
 	switch {
 	case w != nil && w.keptConnections > 0:
@@ -236,7 +237,11 @@
 		w.refusals++
 		return nil, Answer{Result: Refused, Reason: ReasonOther}, false
 	}
-	return w, Answer{Result: Accepted, Clock: h.clock(w), Life: w.life}, true
+	a := Answer{Result: Accepted, Clock: h.clock(w), Life: w.life}
+	if w.answers != nil {
+		a = w.answers(o, a)
+	}
+	return w, a, a.Result == Accepted
 }
 
 func (h *fakeWorkers) Start(p Permit, target *job.Worker, o StartOrder) Answer {
@@ -250,7 +255,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	w, a, ok := h.contact(target.ID)
+	w, a, ok := h.contact(target.ID, startOrder)
 	if a.Result == Refused {
 		h.refused++
 	}
@@ -338,7 +343,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	w, a, ok := h.contact(target.ID)
+	w, a, ok := h.contact(target.ID, stopOrder)
 	if !ok {
 		return a
 	}
@@ -389,7 +394,7 @@
 func (h *fakeWorkers) list(id string, o ListOrder, over bool) (Listing, Answer, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	w, a, ok := h.contact(id)
+	w, a, ok := h.contact(id, listOrder)
 	if !ok {
 		return Listing{}, a, true
 	}
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -325,7 +325,7 @@
 	w.updateClock(r.Clock, now)
 	changed := t.resize(w, &r.Worker)
 	changed = t.noteCold(w, r) || changed
-	if w.missed > 0 || w.pollOnce {
+	if w.owesListing() {
 		// The worker can send again; a listing tells whether it answers orders.
 		w.pollOnce = true
 		t.startPolling(w)
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -149,6 +149,12 @@
 	return w.missed == 0 && w.undelivered == 0 && !w.refuses && !w.unproved
 }
 
+// owesListing reports whether the worker gets no new tasks, or none for long, before it has answered a
+// listing. It is listed after each of its reports until then, whatever it executes.
+func (w *worker) owesListing() bool {
+	return w.pollOnce || !w.listed || w.clockReading.IsZero() || !w.answers()
+}
+
 // extendLease returns the end of a new lease, on the worker's clock. While the
 // worker does not answer or refuses listings, the end does not move, so that the
 // lease expires.
@@ -264,14 +270,16 @@
 				t.emit(event.IdentityUnproved, zap.String("worker", w.ID), zap.Int64("known", int64(w.Life)), zap.Time("clock", a.Clock),
 					zap.Time("reading", w.clockReading), zap.Duration("passed", now.Sub(w.clockReadAt)))
 			}
-			w.unproved, w.pollOnce = true, true
-			t.startPolling(w)
+			t.requireProof(w)
 			return true
 		}
 		if !w.listed {
 			t.noteReplaced(w, later(w.knownAt, t.began))
 		}
-		w.unproved, w.undelivered = !w.proves(a) && !w.fits(a, sent, now), 0
+		w.unproved, w.undelivered = false, 0
+		if !w.proves(a) && !w.fits(a, sent, now) {
+			t.requireProof(w)
+		}
 		t.lossShare.record(now, w.lost+max(a.Copies, 1)-1, now.Sub(w.answeredAt))
 		w.missed, w.lost, w.lastSeen, w.answeredAt, w.heardAt, w.silentLogged = 0, 0, now, now, now, false
 		w.suspected, w.brokeAt, w.replacedAt, w.missing = false, time.Time{}, time.Time{}, nil // it was cut off
@@ -301,6 +309,12 @@
 	return true
 }
 
+// requireProof keeps new tasks off a worker until a listing states its incarnation, and asks for one.
+func (t *term) requireProof(w *worker) {
+	w.unproved, w.pollOnce = true, true
+	t.startPolling(w)
+}
+
 // removeWorker removes a worker whose incarnation has ended, with all its runs.
 // The caller holds the term's lock.
 func (t *term) removeWorker(w *worker, reason string) {
