Count each failed run of a gang once

Cause: a gang's failed run counts once, and the state compared with the run that was counted last. An end of run 1 that is listed after run 2 has been counted counted as a third failed run.

Change: the state keeps all counted runs, and the leader proposes further failures of a counted run as ends of a broken gang, which count for nothing.

--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -108,6 +108,9 @@
 		limits.input = 0
 	}
 	in, used := t.inbox.take(limits.input)
+	if len(in.ends) > 0 {
+		t.state().View(func(v *job.View) { v.MergeFailures(in.ends) })
+	}
 	r := job.Round{
 		Catalogue: in.catalogue, Workers: in.workers, Gone: in.gone, Ends: in.ends, Cancels: in.cancels, Submits: in.submits,
 		Crashes: in.crashes, Confirmed: in.confirmed, Orphans: in.orphans, Settled: in.settled, Waves: in.waves, Steps: in.steps,
--- a/internal/version/job/end.go
+++ b/internal/version/job/end.go
@@ -83,7 +83,7 @@
 }
 
 // countFailure counts a failed run and fails the job after too many. A failed run
-// of a gang counts once, not once per member.
+// of a gang counts once, not once per member; see MergeFailures.
 func (v *View) countFailure(r *Record, s *Step, p *Progress, t *Task, run int, now time.Time, result *Result) {
 	if t.Done || s.Lasting {
 		return
@@ -92,12 +92,51 @@
 	if s.Gang && p.FaultedRun != run {
 		p.FaultedRun = run
 		p.Faults++
+		if !slices.Contains(p.FailedRuns, run) {
+			p.FailedRuns = append(p.FailedRuns, run)
+		}
 	}
 	if r.Spent(s, p, t) {
 		v.finishJob(r, Failed, now, result)
 	}
 }
 
+// MergeFailures changes the outcome of ends that are further failures of a gang's run, of which another
+// member's failure is counted already, to GangBroken, which counts for nothing. Leaders propose ends in this form,
+// since replicas of earlier builds compare a failed run with the one that was counted last only, and
+// count an end that is listed late once more. The ends are in the order in which they will be applied.
+func (v *View) MergeFailures(ends []End) {
+	merged := map[StepID][]int{}
+	for i := range ends {
+		e := &ends[i]
+		if e.Outcome != RunFailed {
+			continue
+		}
+		r, o, t := v.Find(e.Task)
+		if t == nil || !r.Job.Steps[e.Task.Step].Gang {
+			continue
+		}
+		id := e.Task.StepID()
+		if slices.Contains(merged[id], e.Run) || o.Steps[e.Task.Step].failureCounted(e.Run) {
+			e.Outcome = GangBroken
+			continue
+		}
+		merged[id] = append(merged[id], e.Run)
+	}
+}
+
+// failureCounted reports whether a failure of a gang's run is counted in Faults. Where an earlier build
+// counted, only the latest such run is known; a run counts then if any of its ends was counted.
+func (p *Progress) failureCounted(run int) bool {
+	if run == p.FaultedRun || slices.Contains(p.FailedRuns, run) {
+		return true
+	}
+	if len(p.FailedRuns) >= p.Faults {
+		return false
+	}
+	return slices.ContainsFunc(p.Tasks, func(t Task) bool { return slices.Contains(t.Counted, run) })
+}
+
 // Spent reports whether a task that is not done has failed as often as its queue allows now.
 func (r *Record) Spent(s *Step, p *Progress, t *Task) bool {
 	n := t.Faults
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -35,6 +35,7 @@
 	FaultedRun int           `cbor:"4,keyasint,omitempty"` // last run of the gang that was counted in Faults
 	Checkpoint string        `cbor:"5,keyasint,omitempty"` // of the whole gang
 	Crashes    *crash.Record `cbor:"6,keyasint,omitempty"` // of the whole gang
+	FailedRuns []int         `cbor:"7,keyasint,omitempty"` // runs of the gang that were counted in Faults; those before an update of the program are missing
 }
 
 // Occurrence is the state of one repetition of the steps.
