Process an end that could not be read once it can be

Callers saw, in a test only: a task that was done starts again (TWICE).

Cause: the highest number of the ends that were processed stood for all of them. An end whose row could not be read was skipped for good if a later end was read in the same listing, and then acknowledged.

Change: an end that cannot be read holds the number back. Later ones are known by their numbers until then.

Evidence: TestUnreadEndIsProcessedOnceItIsRead fails without the change and passes with it; the tests of the package pass.

--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -219,14 +220,7 @@
 	if l.Complete {
 		t.dropOrphans(w, o.Fence, sent, present)
 	}
-	last := w.lastEnd
-	for _, e := range l.Ended {
-		if e.Number > w.lastEnd {
-			last = max(last, e.Number)
-			t.handleEnd(w, e, a.Clock)
-		}
-	}
-	w.lastEnd = last
+	t.handleEnds(w, &l, a.Clock)
 	if l.Complete {
 		t.loseMissing(w, sent, present)
 	}
@@ -237,6 +231,23 @@
 	return t.enqueue(func(n *inbox) { n.acks = append(n.acks, ack) })
 }
 
+// handleEnds processes the ends of a listing that were not processed before. An end that cannot be read
+// holds lastEnd back, since a later listing may have it in full.
+func (t *term) handleEnds(w *worker, l *Listing, clock time.Time) {
+	last, beyond := w.lastEnd, []int64(nil)
+	for _, e := range l.Ended {
+		if e.Number > w.lastEnd && !slices.Contains(w.laterEnds, e.Number) {
+			t.handleEnd(w, e, clock)
+		}
+		if l.UnreadEnd == 0 || e.Number < l.UnreadEnd {
+			last = max(last, e.Number)
+		} else {
+			beyond = append(beyond, e.Number)
+		}
+	}
+	w.lastEnd, w.laterEnds = last, beyond
+}
+
 // handleUnreadRun stops a run whose rows cannot be read for some time, so that its task does not wait
 // for good.
 func (t *term) handleUnreadRun(w *worker, id job.TaskID) {
--- a/internal/process/dispatch/odd_test.go
+++ b/internal/process/dispatch/odd_test.go
@@ -48,6 +48,27 @@
 	}
 }
 
+// Guards against the end of a run that is never processed, and whose task starts again after it was done,
+// because its row could be read only after that of a later end (rule TWICE).
+func TestUnreadEndIsProcessedOnceItIsRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.workers.setRunTime(time.Minute)
+		b.submit("one", tasks(2))
+		time.Sleep(time.Second)
+		first := EndedRun{Number: 1, Task: job.TaskID{Job: "one"}, Run: 1, Outcome: job.Done}
+		second := EndedRun{Number: 2, Task: job.TaskID{Job: "one", Index: 1}, Run: 1, Outcome: job.Done}
+		b.list("a", Listing{Running: []ListedRun{{Task: first.Task, Run: Unread}}, Ended: []EndedRun{second}, UnreadEnd: 1, Complete: true})
+		b.list("a", Listing{Ended: []EndedRun{first, second}, Complete: true})
+		time.Sleep(time.Second)
+		b.is.Equal(b.status("one"), job.Completed)
+		b.is.Equal(len(b.workers.started()), 2)
+		w := b.term().workers["a"]
+		b.is.Equal(w.acknowledged, int64(2))
+	})
+}
+
 // Guards against a VM that counts as one that has left because its entry in the platform's
 // list cannot be read: its wave would be finished without it (rule MIXED).
 func TestUnreadVMHasNotLeft(t *testing.T) {
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -73,7 +73,8 @@
 	pollOnce          bool             // one listing is needed even without runs
 	listed            bool             // has answered a listing in this term
 	orphans           map[orphan]*run  // runs that were given up and that it may still execute
-	lastEnd           int64            // highest number of an end that was processed
+	lastEnd           int64            // highest number of an end that was processed, as were all before it
+	laterEnds         []int64          // numbers beyond an end that cannot be read, of ends that were processed
 	acknowledged      int64            // highest number of an end that is committed
 	forgotten         int64            // highest number that was acknowledged by a listing with an answer
 	unreadEnd         int64            // lowest number that an end of the latest listing may have that cannot be read; zero if there was none
