Separate acknowledgements from starts that may arrive late

A listing that acknowledges ends of a worker's incarnation, and a start, both without an answer, were carried out by the next incarnation. It forgot the end of that start, since ends are numbered anew.

Cause: the fencing token tells incarnations apart that the leader knows of, not two orders that were sent to one of them.

Change: a start after an acknowledgement without an answer raises the token, so that who has seen the start refuses the acknowledgement. If the start was sent first, no token helps: nothing is acknowledged to a worker while a copy of a start may still arrive there. A worker that lists 300 ends gets no new tasks until they are acknowledged. The token counts 27 bits within a term.

The tests of dispatch and driver pass.

--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -124,6 +124,7 @@
 	zone               string        // availability zone that it reports
 	coldUntil          time.Time     // its reports say that it is slow until then
 	answers            answerShape   // of its answers; nil if they are complete
+	lostListings       []ListOrder   // that had no answer for the shape
 	slowdown           int           // factor by which new tasks take longer; zero means one
 	listings           int
 	refusals           int // of orders, while unhealthy
@@ -396,6 +397,9 @@
 	defer h.mu.Unlock()
 	w, a, ok := h.contact(id, listOrder)
 	if !ok {
+		if w != nil {
+			w.lostListings = append(w.lostListings, o)
+		}
 		return Listing{}, a, true
 	}
 	if w.hidesRuns {
--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -138,8 +138,8 @@
 		return
 	}
 	delete(d.starts, key)
-	if w := t.workers[d.worker]; w != nil && len(w.unclearEnds) > 0 {
-		w.pollOnce = true // the worker may forget the end now
+	if w := t.workers[d.worker]; w != nil && w.acknowledged > w.forgotten && !d.mayArrive() {
+		w.pollOnce = true // the worker may forget its ends now
 		t.startPolling(w)
 	}
 	list := t.unclear[key.task]
@@ -170,14 +170,25 @@
 	w.unclearEnds[e.Number] = orphan{e.Task, e.Run}
 }
 
-// acknowledgedEnd returns the number up to which a worker may forget its ends. It keeps those of runs of
-// which a copy of the start may still arrive. If the worker ends before, such an end
-// was not acknowledged, so that a later incarnation that carries the copy out repeats no run that was.
+// mayArrive reports whether a copy of a start may still arrive at the worker.
+func (d *doubts) mayArrive() bool {
+	for _, s := range d.starts {
+		if s.answered.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// acknowledgedEnd returns the number up to which a worker may forget its ends: none while a copy of a start
+// may still arrive. If the worker ends before, the next incarnation may carry the copy out, and
+// a listing that arrives late there would have it forget that end, as ends are numbered anew. Those
+// of runs whose start is not proved are kept, too.
 func (t *term) acknowledgedEnd(w *worker) int64 {
-	if t.now().Before(w.acknowledgeFrom) {
+	number, d := w.acknowledged, t.doubtsOf(w)
+	if t.now().Before(w.acknowledgeFrom) || d != nil && d.mayArrive() {
 		return 0
 	}
-	number, d := w.acknowledged, t.doubtsOf(w)
 	if w.unreadEnd > 0 {
 		number = min(number, w.unreadEnd-1) // it may be one of a task that is done
 	}
--- a/internal/process/dispatch/fence.go
+++ b/internal/process/dispatch/fence.go
@@ -2,20 +2,23 @@
 
 import "github.com/rosemaryloft/rosemaryloft/internal/version/job"
 
-// generationBits is the number of low bits of a fencing token that count the incarnations of a
-// worker. Tokens pass through JSON, whose numbers are exact up to 53 bits, which leaves 33
-// for terms.
-const generationBits = 20
+// generationBits is the number of low bits of a fencing token, which number the orders to a worker within
+// a term. Tokens pass through JSON, whose numbers are exact up to 53 bits, which leaves 26 for terms.
+const generationBits = 27
 
-// generation counts the incarnations of a worker that this leader has known under one ID.
+// maxGeneration is the highest number. Beyond it tokens no longer rise within the term.
+const maxGeneration = 1<<generationBits - 1
+
+// generation numbers the orders that this leader sends under one worker ID. The number rises with each
+// incarnation, and with a start after an acknowledgement that may still arrive.
 type generation struct {
 	life   job.Incarnation // the latest one
 	number uint64
 }
 
 // fence returns the fencing token of orders to a worker's incarnation. It rises with the term and
-// with each incarnation, so that an incarnation that has received one order refuses whatever was
-// sent to the former ones: starts, and listings with their lease and acknowledgement.
+// with the generation, so that an incarnation that has received one order refuses whatever was
+// sent in former ones: starts, and listings with their lease and acknowledgement.
 func (t *term) fence(w *worker) uint64 {
 	return t.number<<generationBits | w.generation
 }
@@ -23,13 +26,26 @@
 // TermOf returns the term of a fencing token.
 func TermOf(fence uint64) uint64 { return fence >> generationBits }
 
-// setGeneration numbers a worker's incarnation among those of its ID.
+// setGeneration numbers the orders to a worker's incarnation.
 func (t *term) setGeneration(w *worker) {
 	g, known := t.generations[w.ID]
-	if known && g.life != w.Life && g.number < 1<<generationBits-1 {
+	if known && g.life != w.Life && g.number < maxGeneration {
 		g.number++
 	}
 	g.life = w.Life
 	t.generations[w.ID] = g
 	w.generation = g.number
 }
+
+// separateStart has the worker refuse, once it has received the next start, an acknowledgement that was
+// sent before. Ends are numbered anew in each incarnation, so that the next one, if it receives both
+// late, would forget the end of that start.
+func (t *term) separateStart(w *worker) {
+	g := t.generations[w.ID]
+	if w.openAcks == 0 || g.number == maxGeneration {
+		return
+	}
+	g.number++
+	t.generations[w.ID] = g
+	w.generation, w.openAcks = g.number, 0
+}
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -76,7 +76,7 @@
 			return
 		}
 		o := t.listOrder(w)
-		held, interval := t.acknowledgedEnd(w) < w.acknowledged, t.lossShare.heldInterval(t.now())
+		held, interval := w.acknowledged > max(w.forgotten, t.acknowledgedEnd(w)), t.lossShare.heldInterval(t.now())
 		timeout := o.Wait + listTimeoutMargin
 		if t.lossy() {
 			timeout = o.Wait + lossyTimeoutMargin
@@ -137,6 +137,7 @@
 		if ack := t.acknowledgedEnd(w); w.missed == 0 && ack > w.forgotten {
 			// Once only, since a copy that arrives late has the next incarnation forget its own ends.
 			o.Acknowledged = ack
+			w.openAcks++
 		}
 	}
 	if len(w.runs) == 0 || w.silent(now) || w.clockReading.IsZero() {
@@ -182,8 +183,12 @@
 	if !t.handleAnswer(w, a, sent) {
 		return nil
 	}
+	if o.Acknowledged > 0 && o.Fence == t.fence(w) && a.Answered() && !a.Repeated && a.Open == 0 {
+		w.openAcks--
+	}
 	if a.Result == Refused {
-		w.refuses, w.pollOnce = true, true
+		w.pollOnce = true
+		w.refuses = a.Reason != ReasonStaleLeader || o.Fence == t.fence(w) // otherwise a start has overtaken it
 	}
 	if a.Result != Accepted {
 		return nil
@@ -214,7 +219,7 @@
 		present[listed.Task] = listed.Run
 		t.handleListedRun(w, listed, a.Clock)
 	}
-	w.unreadEnd = l.UnreadEnd
+	w.unreadEnd, w.listedEnds = l.UnreadEnd, len(l.Ended)
 	t.noteUnread(w.ID, unread)
 	t.checkSpeed(w)
 	if l.Complete {
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -313,7 +313,7 @@
 		t.state().View(func(v *job.View) { t.noteTrial(v, r) })
 	}
 	t.sendStartAsync(r, StartOrder{
-		Task: s.Task, Run: s.Run, Payload: d.Demand.Payload, Fence: t.fence(w),
+		Task: s.Task, Run: s.Run, Payload: d.Demand.Payload,
 		Checkpoint: d.Demand.Checkpoint(d.Index), Ticket: d.Ticket,
 	})
 }
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -142,7 +142,8 @@
 			}
 			continue
 		}
-		o.Lease = w.extendLease(t.now(), t.leaseDuration())
+		t.separateStart(w)
+		o.Lease, o.Fence = w.extendLease(t.now(), t.leaseDuration()), t.fence(w)
 		target, at := w.Worker, &attempt{run: r, sent: t.now()}
 		t.doubt(r, at.sent)
 		p := t.attemptPermit(at, t.attemptTimeout(number))
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -29,6 +29,9 @@
 	// with each repetition, up to maxAvoidTime.
 	minAvoidTime = 3 * time.Second
 	maxAvoidTime = 6 * time.Second
+	// maxListedEnds is the number of ends in a listing, of which the platform returns up to 500, from
+	// which on a worker gets no new tasks until they are acknowledged.
+	maxListedEnds = 300
 	// leaveGracePeriod is how long a worker may still execute tasks after it
 	// announced its termination.
 	leaveGracePeriod = 250 * time.Millisecond
@@ -49,7 +52,7 @@
 // worker is the leader's in-memory record of one incarnation of a worker.
 type worker struct {
 	job.Worker
-	generation        uint64    // see term.fence
+	generation        uint64    // number of its orders; see term.fence
 	knownAt           time.Time // when it became known; zero for one of an earlier term
 	lastSeen          time.Time // last report or answer
 	answeredAt        time.Time // last answer
@@ -77,6 +80,8 @@
 	laterEnds         []int64          // numbers beyond an end that cannot be read, of ends that were processed
 	acknowledged      int64            // highest number of an end that is committed
 	forgotten         int64            // highest number that was acknowledged by a listing with an answer
+	openAcks          int              // listings of this generation that acknowledge ends and have no answer
+	listedEnds        int              // ends in the latest listing
 	unreadEnd         int64            // lowest number that an end of the latest listing may have that cannot be read; zero if there was none
 	unclearEnds       map[int64]orphan // ends of tasks with copies of a start without an answer, by number
 	missed            int              // consecutive unanswered orders
@@ -153,7 +158,7 @@
 // owesListing reports whether the worker gets no new tasks, or none for long, before it has answered a
 // listing. It is listed after each of its reports until then, whatever it executes.
 func (w *worker) owesListing() bool {
-	return w.pollOnce || !w.listed || w.clockReading.IsZero() || !w.answers()
+	return w.pollOnce || !w.listed || w.clockReading.IsZero() || !w.answers() || w.listedEnds >= maxListedEnds
 }
 
 // extendLease returns the end of a new lease, on the worker's clock. While the
@@ -207,6 +212,7 @@
 	outUnlisted  = "unlisted"  // has not answered a listing in this term
 	outRefusing  = "refusing"  // unhealthy
 	outUnproved  = "unproved"  // another incarnation may have answered
+	outEnds      = "ends"      // lists many ends, which cannot be acknowledged yet
 	outOrphan    = "orphan"    // may still execute a run that was given up
 	outSilent    = "silent"    // answers no orders
 	outUnsent    = "unsent"    // orders to it are not delivered
@@ -235,6 +241,8 @@
 		return outUnsent
 	case now.Sub(w.lastSeen) >= maxMissedReports*every:
 		return outUnheard
+	case w.listedEnds >= maxListedEnds:
+		return outEnds
 	case len(w.orphans) > 0:
 		return outOrphan
 	case now.Before(w.avoidedUntil):
