Bound the task count of each step before their sum

One submission with two steps of 2^62 tasks ended each leader in turn, again after each restart.

Cause: the sum of the counts was bounded and wraps around in 64 bits. The job is in the log, and the first round makes a slice of so many tasks.

Change: each count is bounded first.

--- a/internal/version/job/malformed_test.go
+++ b/internal/version/job/malformed_test.go
@@ -134,3 +134,26 @@
 		}
 	})
 }
+
+// Guards against a replica that does not start, because its snapshot has a job that an earlier build
+// accepted and that cannot be run.
+func TestSnapshotWithAJobThatCannotBeRun(t *testing.T) {
+	for _, status := range []Status{Queued, Cancelled} {
+		is := is.New(t)
+		huge := Job{ID: "one", Host: "h", Prefix: "/s/", Steps: []Step{{Count: math.MaxInt}, {Count: math.MaxInt}, {Count: 4}}}
+		b, err := codec.Encode(snapshot{Jobs: []*Record{{Job: huge, Status: status, Accepted: start}}})
+		is.NoErr(err)
+		m := newMachine(is)
+		is.NoErr(m.state.Restore(b))
+		want := status
+		if status == Queued {
+			want = Failed
+		}
+		is.Equal(m.record("one").Status, want)
+		b, err = m.state.Snapshot()
+		is.NoErr(err)
+		is.NoErr(m.state.Restore(b))
+		m.apply(Round{Cancels: []ID{"one"}})
+		is.Equal(m.record("one").Status, want)
+	}
+}
--- a/internal/version/job/model.go
+++ b/internal/version/job/model.go
@@ -173,8 +173,8 @@
 	return nil
 }
 
-// checkSteps returns an error if the numbers of the steps do not fit together. It holds for
-// jobs that earlier builds accepted, too.
+// checkSteps returns an error if the numbers of the steps do not fit together. Jobs of earlier builds
+// that fail it have failed; see giveUpInvalid.
 func (j *Job) checkSteps() error {
 	if len(j.Steps) == 0 || len(j.Steps) > maxSteps {
 		return errors.Newf("a job has 1 to %d steps, not %d", maxSteps, len(j.Steps))
@@ -185,8 +185,11 @@
 	tasks := 0
 	for i := range j.Steps {
 		s := &j.Steps[i]
-		if s.Count < 1 || !s.Size.Representable() {
-			return errors.Newf("step %d has no tasks, or a negative or too large size", i)
+		if s.Count < 1 || s.Count > maxTasks {
+			return errors.Newf("step %d has %d tasks, want 1 to %d", i, s.Count, maxTasks)
+		}
+		if !s.Size.Representable() {
+			return errors.Newf("step %d has a negative or too large size", i)
 		}
 		tasks += s.Count
 		for _, a := range s.After {
--- a/internal/version/job/snapshot.go
+++ b/internal/version/job/snapshot.go
@@ -85,6 +85,11 @@
 			v.restoreReservations(r, n)
 		}
 	}
+	for _, r := range d.Jobs {
+		if r.invalid() {
+			v.giveUpInvalid(r)
+		}
+	}
 	for _, o := range d.Orphans {
 		v.putOrphan(o.Worker, o.ID, o.Orphan)
 	}
@@ -124,8 +129,17 @@
 	return nil
 }
 
+// invalid reports whether the record is of a job that an earlier build has accepted and that cannot be
+// run. No part of it has begun.
+func (r *Record) invalid() bool {
+	return len(r.Open)+len(r.Finished) == 0 && r.Behind == 0 && r.Job.checkSteps() != nil
+}
+
 // check returns an error if the state of the job does not fit its steps.
 func (r *Record) check() error {
+	if r.invalid() {
+		return nil
+	}
 	if err := r.Job.checkSteps(); err != nil {
 		return err
 	}
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -280,7 +280,7 @@
 		v.withdraw(&r.Withdrawn[i], r.Now, &result)
 	}
 	for i := range r.Submits {
-		v.submit(&r.Submits[i], r.Now)
+		v.submit(&r.Submits[i], r.Now, &result)
 	}
 	for i := range r.Waves {
 		v.addWave(&r.Waves[i])
@@ -338,7 +338,7 @@
 
 // submit adds a job. It ignores jobs that are already known or withdrawn, or whose queue
 // does not exist.
-func (v *View) submit(j *Job, now time.Time) {
+func (v *View) submit(j *Job, now time.Time, result *Result) {
 	if v.Jobs[j.ID] != nil || v.Withdrawn(j.ID) || v.Catalogue == nil {
 		return
 	}
@@ -350,6 +350,27 @@
 	v.Sequence++
 	r := &Record{Job: *j, Queue: *q, Accepted: now, Unscheduled: true, Sequence: v.Sequence}
 	v.Jobs[j.ID], v.Active[j.ID] = r, r
+	if r.Job.checkSteps() != nil {
+		v.giveUpInvalid(r)
+		result.Ended = append(result.Ended, j.ID)
+	}
+}
+
+// giveUpInvalid fails a job that cannot be run, and drops what cannot be represented of it. Earlier builds
+// have accepted some. Its end depends on the job only, so that replicas that restore it from a
+// snapshot agree with those that apply its submission.
+func (v *View) giveUpInvalid(r *Record) {
+	r.Job.Steps, r.Job.Repeat, r.Job.Payload = []Step{{Count: 1}}, 0, "" // earlier builds restore no job without steps
+	delete(v.Active, r.Job.ID)
+	if r.Status.Final() {
+		return
+	}
+	r.Status, r.Over, r.Unscheduled = Failed, r.Accepted, false
+	i := slices.IndexFunc(v.finished, func(id ID) bool { o := v.Jobs[id]; return o != nil && o.Over.After(r.Over) })
+	if i < 0 {
+		i = len(v.finished)
+	}
+	v.finished = slices.Insert(v.finished, i, r.Job.ID)
 }
 
 // start starts a run of a task on a worker. It reports whether the start was
