Keep the work of a round apart from how many occurrences are due

Cause: each round walked all due occurrences of every job, and made the state of each while it only read it.

Change: a round looks at the occurrences that have begun, and at as many of the next ones that are due as could start in the room of their pool, and some more. The state of an occurrence exists from its first start on; until then all of a job share one that is not stored.

--- a/internal/process/dispatch/classify.go
+++ b/internal/process/dispatch/classify.go
@@ -5,6 +5,7 @@
 
 	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
 // Deadlines of waits. Each derives from bounds of the platform and from what was sent before the
@@ -44,9 +45,9 @@
 	return r.committedAt.Add(startRetryTimeout + orderTimeout + listTimeoutMargin)
 }
 
-// noteWaits classifies the waits of all tasks that are due, at most once in
+// noteWaits classifies the waits of the tasks that the round has looked at, at most once in
 // waitCheckInterval. The caller holds both locks.
-func (t *term) noteWaits(v *job.View, plan *fit.Plan, now time.Time) {
+func (t *term) noteWaits(v *job.View, plan *fit.Plan, room map[string]work.Resources, now time.Time) {
 	gap := now.Sub(t.waits.checked)
 	if gap < waitCheckInterval {
 		return
@@ -58,8 +59,8 @@
 		if r.Status.Final() {
 			continue
 		}
-		for _, number := range t.dueOccurrences(r, now) {
-			if o := r.Occurrence(number); o != nil {
+		for _, number := range t.due(r, room[r.Queue.Pool], now) {
+			if o := r.Peek(number); o != nil {
 				t.noteOccurrence(r, o, number, planned, now)
 			}
 		}
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -9,6 +9,7 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
 const (
@@ -37,13 +38,14 @@
 		t.updateUse(v, now)
 		t.updateHeld(v, now)
 		cluster := t.cluster(v, now)
-		demands := t.demands(v, now)
+		room := poolRoom(&cluster)
+		demands := t.demands(v, room, now)
 		t.updateLoads(v, cluster, demands, now)
 		usages := t.poolUsages(cluster, demands, now)
 		cluster.Explain = len(usages) > 0
 		plan = fit.Decide(now, demands, cluster)
 		t.logPoolUsage(usages, cluster, plan.Idle)
-		t.noteWaits(v, &plan, now)
+		t.noteWaits(v, &plan, room, now)
 		t.noteLoad(v, demands, &plan, now)
 		for i := range plan.Starts {
 			plan.Starts[i].Demand.Prepare()
@@ -78,14 +80,14 @@
 }
 
 // demands lists the steps with waiting tasks.
-func (t *term) demands(v *job.View, now time.Time) []*fit.Demand {
+func (t *term) demands(v *job.View, room map[string]work.Resources, now time.Time) []*fit.Demand {
 	var demands []*fit.Demand
 	for _, r := range v.Active {
 		if r.Status.Final() {
 			continue
 		}
-		for _, number := range t.dueOccurrences(r, now) {
-			if o := r.Occurrence(number); o != nil {
+		for _, number := range t.due(r, room[r.Queue.Pool], now) {
+			if o := r.Peek(number); o != nil {
 				for i := range r.Job.Steps {
 					demands = t.addDemand(demands, t.demand(r, o, number, i, now))
 				}
@@ -161,21 +163,6 @@
 	return append(demands, &trial)
 }
 
-// dueOccurrences returns the occurrences of a job that may start and are not
-// done.
-func (t *term) dueOccurrences(r *job.Record, now time.Time) []int {
-	if r.Job.Repeat == 0 {
-		return []int{0}
-	}
-	var numbers []int
-	for k := r.Behind; k < r.Job.Repeat && !r.Job.Due(k).After(now); k++ {
-		if !r.Finished[k] {
-			numbers = append(numbers, k)
-		}
-	}
-	return numbers
-}
-
 // demand describes one step. It returns nil if the step has no tasks to start
 // and needs no advice yet.
 func (t *term) demand(r *job.Record, o *job.Occurrence, number, index int, now time.Time) *fit.Demand {
--- a/internal/process/dispatch/wait_test.go
+++ b/internal/process/dispatch/wait_test.go
@@ -82,7 +82,7 @@
 	defer t.mu.Unlock()
 	change(t)
 	t.waits.checked = time.Time{}
-	t.state().View(func(v *job.View) { t.noteWaits(v, plan, t.now()) })
+	t.state().View(func(v *job.View) { t.noteWaits(v, plan, nil, t.now()) })
 }
 
 // fail ends a run of a worker as failed.
--- a/internal/process/dispatch/workspace_test.go
+++ b/internal/process/dispatch/workspace_test.go
@@ -56,7 +56,7 @@
 		}
 		b.is.Equal(b.beyond(), 14)
 		b.state.View(func(v *job.View) {
-			for _, d := range b.term().demands(v, time.Now()) {
+			for _, d := range b.term().demands(v, nil, time.Now()) {
 				b.is.Equal(d.Beyond, v.Jobs[d.Step.Job].Job.Beyond)
 			}
 		})
@@ -122,7 +122,7 @@
 			term.mu.Lock()
 			defer term.mu.Unlock()
 			b.state.View(func(v *job.View) {
-				for _, d := range term.demands(v, term.now()) {
+				for _, d := range term.demands(v, nil, term.now()) {
 					list = append(list, d.Held)
 				}
 			})
--- a/internal/version/job/end.go
+++ b/internal/version/job/end.go
@@ -150,7 +150,7 @@
 // occurrence as done and completes the job if nothing is left, and drops state
 // that is no longer needed.
 func (v *View) closeOccurrence(r *Record, number int, o *Occurrence, now time.Time, result *Result) {
-	if o.unfinishedSteps() == 0 && !r.Status.Final() && !r.done(number) {
+	if o.unfinishedSteps() == 0 && !r.Status.Final() && !r.Done(number) {
 		if r.Finished == nil {
 			r.Finished = map[int]bool{}
 		}
@@ -163,7 +163,7 @@
 			v.finishJob(r, Completed, now, result)
 		}
 	}
-	if (r.done(number) || r.Status.Final()) && !o.holdsWorkers() {
+	if (r.Done(number) || r.Status.Final()) && !o.holdsWorkers() {
 		delete(r.Open, number)
 	}
 	v.deactivate(r)
@@ -190,6 +190,6 @@
 func (v *View) deactivate(r *Record) {
 	if r.Status.Final() && len(r.Open) == 0 {
 		delete(v.Active, r.Job.ID)
-		r.Job.Payload, r.Finished = "", nil
+		r.Job.Payload, r.Finished, r.blank = "", nil, nil
 	}
 }
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -78,28 +78,51 @@
 	Behind      int                 `cbor:"8,keyasint,omitempty"` // all occurrences below this are done
 	Unscheduled bool                `cbor:"-"`                    // see unscheduled
 	Sequence    uint64              `cbor:"9,keyasint"`           // position in order of acceptance
+
+	blank *Occurrence // see Peek; nil if not needed yet
 }
 
-// done reports whether an occurrence is done.
-func (r *Record) done(occurrence int) bool {
+// Done reports whether an occurrence is done.
+func (r *Record) Done(occurrence int) bool {
 	return occurrence < r.Behind || r.Finished[occurrence]
 }
 
-// Occurrence returns the state of an occurrence, or nil if it is done or out of
-// range, or if the job is finished. It creates the state of an occurrence that
-// has not started.
-func (r *Record) Occurrence(number int) *Occurrence {
+// Peek returns the state of an occurrence, or nil if it is done or out of range, or if the job is
+// finished. The caller must not change it. Occurrences that have not started share one.
+func (r *Record) Peek(number int) *Occurrence {
 	if o := r.Open[number]; o != nil {
 		return o
 	}
-	if number < 0 || number >= r.Job.Occurrences() || r.done(number) || r.Status.Final() {
+	if number < 0 || number >= r.Job.Occurrences() || r.Done(number) || r.Status.Final() {
 		return nil
 	}
+	if r.blank == nil {
+		r.blank = r.newOccurrence()
+	}
+	return r.blank
+}
+
+// newOccurrence returns the state of an occurrence that has not started.
+func (r *Record) newOccurrence() *Occurrence {
 	o := &Occurrence{Steps: make([]Progress, len(r.Job.Steps))}
 	for i := range r.Job.Steps {
 		n := r.Job.Steps[i].Count
 		o.Steps[i] = Progress{Tasks: make([]Task, n), Left: n}
 	}
+	return o
+}
+
+// open returns the state of an occurrence for which Peek does not return nil, to be changed.
+func (r *Record) open(number int) *Occurrence {
+	if o := r.Open[number]; o != nil {
+		return o
+	}
+	o := r.blank
+	if r.Job.Repeat > 0 || o == nil {
+		o = r.newOccurrence() // others share the blank one
+	} else {
+		r.blank = nil
+	}
 	if r.Open == nil {
 		r.Open = map[int]*Occurrence{}
 	}
@@ -197,8 +220,6 @@
 }
 
 // View calls read with the current state, which read must not retain or change.
-// Record.Occurrence may be called; creating the state of an occurrence that has
-// not started does not count as a change.
 func (s *State) View(read func(v *View)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -380,7 +401,7 @@
 	if r == nil || r.Status.Final() || s.Task.Step < 0 || s.Task.Step >= len(r.Job.Steps) {
 		return false
 	}
-	o := r.Occurrence(s.Task.Occurrence)
+	o := r.Peek(s.Task.Occurrence)
 	if o == nil || s.Task.Index < 0 || s.Task.Index >= len(o.Steps[s.Task.Step].Tasks) || !r.Ready(o, s.Task.Step) {
 		return false
 	}
@@ -390,6 +411,8 @@
 	if !ok || w.Life != s.Life || t.Done || t.Worker != "" || s.Run <= t.Run || p.Paused(&r.Job.Steps[s.Task.Step], t, now) {
 		return false
 	}
+	p = &r.open(s.Task.Occurrence).Steps[s.Task.Step]
+	t = &p.Tasks[s.Task.Index]
 	t.Retried = t.Unclear == s.Worker && now.Sub(t.Started()) < maxCopyAge
 	if !t.Retried {
 		t.Unclear = ""
