Refuse a submission with the ID of another queue's job

Cause: a call was answered by the job that has the ID, whatever queue it was submitted to.

Change: a job belongs to a call if it was submitted with the path of the call. A submission with the ID of another queue's job is refused with 400, since tasks are named by the ID alone; calls about it get 410.

The tests of dispatch pass.

--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -118,15 +118,18 @@
 // callTarget is the queue, workspace and job that a call is about.
 type callTarget struct {
 	queue     job.Queue
+	host      string // that the caller asked for
 	id        job.ID
 	workspace string
 	exists    bool
+	taken     bool // another queue's job has the ID
 	status    job.Status
 }
 
 // lookup finds the queue, the workspace and the job of a call. Its verdict is
 // the answer to calls that only read.
 func (t *term) lookup(v *job.View, c *cell.Call, target *callTarget) cell.Verdict {
+	target.host = c.Host
 	if v.Catalogue == nil {
 		return cell.Verdict{Code: cell.NoCatalogue, Wait: time.Second}
 	}
@@ -144,12 +147,8 @@
 	if target.id == "" {
 		return cell.Verdict{Code: cell.OK, Queue: true, Pending: v.Pending(q.Host, q.Prefix)}
 	}
-	r := v.Jobs[target.id]
-	if r == nil {
-		// Its own queue was removed, and an outer one matches its path now.
-		r = findByPath(v, c.Host, c.Path)
-	}
-	if r != nil {
+	r, taken := findJob(v, target.host, c.Path, target.id)
+	if target.taken = taken; r != nil {
 		target.id, target.exists, target.status = r.Job.ID, true, r.Status
 	}
 	if c.Verb != cell.Submit && c.Verb != cell.Cancel && !target.exists {
@@ -158,6 +157,22 @@
 	return cell.Verdict{Code: cell.OK, State: target.status}
 }
 
+// findJob returns the job that was submitted with a path, of which the part after the prefix of its queue is the
+// ID now, or nil. It also reports whether a job that was submitted with another path has the ID. Tasks are
+// named by the ID alone, so that a further job cannot have it.
+func findJob(v *job.View, host, path string, id job.ID) (r *job.Record, taken bool) {
+	if r = v.Jobs[id]; r != nil && hasPath(r, host, path) {
+		return r, false
+	}
+	taken = r != nil
+	return findByPath(v, host, path), taken // its own queue may be removed, so that an outer one matches its path now
+}
+
+// hasPath reports whether a job was submitted with a path.
+func hasPath(r *job.Record, host, path string) bool {
+	return job.HostMatches(r.Job.Host, host) && r.Job.Prefix+string(r.Job.ID) == path
+}
+
 // findByPath returns the job that was submitted with a path, or nil. Its queue may have left
 // the catalogue since.
 func findByPath(v *job.View, host, path string) *job.Record {
@@ -165,7 +180,7 @@
 		if path[i] != '/' {
 			continue
 		}
-		if r := v.Jobs[job.ID(path[i+1:])]; r != nil && job.HostMatches(r.Job.Host, host) && r.Job.Prefix == path[:i+1] {
+		if r := v.Jobs[job.ID(path[i+1:])]; r != nil && hasPath(r, host, path) {
 			return r
 		}
 	}
@@ -209,7 +224,7 @@
 // withdraw serves the cancellation of a job that is not known. Copies of its submission may
 // still be under way, which are refused from now on, by the next leaders too.
 func (t *term) withdraw(ctx context.Context, c *cell.Call, target *callTarget) (cell.Verdict, bool) {
-	if target.id.Check() != nil {
+	if target.id.Check() != nil || target.taken {
 		return cell.Verdict{Code: cell.NoJob}, true
 	}
 	t.mu.Lock()
--- a/internal/process/dispatch/submit.go
+++ b/internal/process/dispatch/submit.go
@@ -59,8 +59,12 @@
 func (t *term) outcome(c *cell.Call, target *callTarget) cell.Verdict {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	stored := false
-	t.state().View(func(v *job.View) { stored = v.Jobs[target.id] != nil })
+	stored, taken := false, false
+	t.state().View(func(v *job.View) {
+		var r *job.Record
+		r, taken = findJob(v, target.host, c.Path, target.id)
+		stored = r != nil
+	})
 	switch {
 	case stored:
 		return cell.Verdict{Code: cell.OK}
@@ -68,13 +72,18 @@
 		return cell.Verdict{Code: cell.Unclear}
 	}
 	v := cell.Verdict{Code: cell.NoQueue}
-	if t.withdrawn(target.id) {
+	if taken {
+		v = takenVerdict
+	} else if t.withdrawn(target.id) {
 		v.Code = cell.Withdrawn
 	}
 	t.refusals.add(refusalKey(c), v, t.clock())
 	return v
 }
 
+// takenVerdict is the answer to a submission with the ID of another queue's job.
+var takenVerdict = cell.Verdict{Code: cell.Invalid, Message: "a submission to another queue has this ID"}
+
 // admit puts a submission into the next round and returns a channel that receives
 // whether the round was committed, or a nil channel and the answer. The caller holds the
 // lock, so that no other copy is decided on meanwhile.
@@ -138,6 +147,9 @@
 	if err := target.id.Check(); err != nil {
 		return nil, cell.Verdict{Code: cell.Invalid, Message: err.Error()}
 	}
+	if target.taken {
+		return nil, takenVerdict
+	}
 	if t.withdrawn(target.id) {
 		return nil, cell.Verdict{Code: cell.Withdrawn}
 	}
@@ -179,11 +191,7 @@
 // have left the catalogue.
 func (t *term) findStored(c *cell.Call, target *callTarget, found cell.Verdict) (stored bool, status job.Status) {
 	t.state().View(func(v *job.View) {
-		if r := v.Jobs[target.id]; r != nil && found.Code == cell.OK {
-			stored, status = true, r.Status
-			return
-		}
-		if r := findByPath(v, c.Host, c.Path); r != nil {
+		if r, _ := findJob(v, target.host, c.Path, target.id); r != nil {
 			stored, status = true, r.Status
 		}
 	})
