--- a/internal/version/disk/directory.go
+++ b/internal/version/disk/directory.go
@@ -40,6 +40,22 @@
 	last     uint64 // highest index of an entry in it
 }
 
+// operated is called after each operation on the files of a directory. Tests simulate crashes with it.
+var operated = func(d *Directory, kind operation, name string) {}
+
+// operation is an operation on files that a crash may follow.
+type operation uint8
+
+// Operations. Until a file is synced, what was written to it may be lost, and until the directory
+// is, what was created, renamed or removed in it.
+const (
+	wrote operation = iota
+	synced
+	renamed
+	removed
+	syncedDirectory
+)
+
 // Directory is a Store in a data directory.
 type Directory struct {
 	path     string
@@ -99,12 +115,20 @@
 	if err := d.readSnapshots(names); err != nil {
 		return err
 	}
+	d.contents.Snapshot = d.snapshot
 	if err := d.readSegments(names); err != nil {
 		return err
 	}
-	d.contents.Snapshot = d.snapshot
 	d.hard = d.contents.Hard
-	return d.contents.reconcile()
+	dropped, err := d.contents.reconcile()
+	if err != nil || !dropped {
+		return err
+	}
+	// The next start would find the entries again, with those that are appended from now on after them.
+	if err := d.Append(Batch{Reset: &Position{d.snapshot.Index, d.snapshot.Term}}); err != nil {
+		return err
+	}
+	return d.Sync()
 }
 
 // list returns the names in the directory and removes unfinished files.
@@ -181,10 +205,12 @@
 	for _, p := range parts {
 		if err == nil {
 			_, err = f.Write(p)
+			operated(d, wrote, name+tempSuffix)
 		}
 	}
 	if err == nil {
 		err = f.Sync()
+		operated(d, synced, name+tempSuffix)
 	}
 	if err = errors.CombineErrors(err, f.Close()); err != nil {
 		return errors.Wrapf(err, "write %s", name)
@@ -192,6 +218,7 @@
 	if err := os.Rename(path+tempSuffix, path); err != nil {
 		return errors.Wrapf(err, "rename %s", name)
 	}
+	operated(d, renamed, name)
 	return d.syncDirectory()
 }
 
@@ -200,7 +227,9 @@
 	if err != nil {
 		return errors.Wrap(err, "open data directory")
 	}
-	return errors.Wrap(errors.CombineErrors(f.Sync(), f.Close()), "sync data directory")
+	err = errors.CombineErrors(f.Sync(), f.Close())
+	operated(d, syncedDirectory, "")
+	return errors.Wrap(err, "sync data directory")
 }
 
 func segmentName(sequence uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, sequence) }
@@ -322,6 +351,7 @@
 	if err := f.Sync(); err != nil {
 		return errors.Wrap(err, "sync segment")
 	}
+	operated(d, synced, name)
 	if _, err := f.Seek(valid, io.SeekStart); err != nil {
 		return errors.Wrap(err, "seek in segment")
 	}
@@ -337,7 +367,9 @@
 	b := appendBatch(beginRecord(nil), Batch{Hard: &d.hard})
 	finishRecord(b, 0, d.sequence)
 	if _, err = f.Write(b); err == nil {
+		operated(d, wrote, segmentName(d.sequence))
 		err = f.Sync()
+		operated(d, synced, segmentName(d.sequence))
 	}
 	if err == nil {
 		err = d.syncDirectory()
@@ -414,9 +446,11 @@
 	if _, err := d.active.Write(d.buffer); err != nil {
 		return errors.Wrap(err, "write log")
 	}
+	operated(d, wrote, filepath.Base(d.active.Name()))
 	if err := d.active.Sync(); err != nil {
 		return errors.Wrap(err, "sync log")
 	}
+	operated(d, synced, filepath.Base(d.active.Name()))
 	d.size += int64(len(d.buffer))
 	d.sequence++
 	d.batches = 0
@@ -436,14 +470,15 @@
 	for n < len(d.segments)-1 && d.segments[n].last <= index {
 		n++
 	}
-	removed := slices.Clone(d.segments[:n])
+	dropped := slices.Clone(d.segments[:n])
 	d.segments = slices.Delete(d.segments, 0, n)
 	d.mu.Unlock()
 	// Oldest first, so that a crash in between leaves no gap.
-	for _, s := range removed {
+	for _, s := range dropped {
 		if err := os.Remove(filepath.Join(d.path, segmentName(s.sequence))); err != nil {
 			return errors.Wrap(err, "remove segment")
 		}
+		operated(d, removed, segmentName(s.sequence))
 		if err := d.syncDirectory(); err != nil {
 			return err
 		}
--- a/internal/version/disk/disk.go
+++ b/internal/version/disk/disk.go
@@ -138,6 +138,8 @@
 	if len(c.Entries) > 0 {
 		start, end := c.Entries[0].Index, c.Entries[len(c.Entries)-1].Index
 		switch {
+		case first > end+1 && first <= c.Snapshot.Index+1:
+			c.Entries = nil // the snapshot has what is missing; builds before 2026-12-07 wrote such logs
 		case first > end+1:
 			return errors.Wrapf(ErrDamaged, "entry %d follows entry %d", first, end)
 		case first <= start:
@@ -151,21 +153,22 @@
 }
 
 // reconcile drops the entries if they end before the snapshot or conflict with
-// it. A crash between saving a received snapshot and resetting the log leaves such
+// it, and reports whether it did. A crash between saving a received snapshot and resetting the log leaves such
 // entries.
-func (c *Contents) reconcile() error {
+func (c *Contents) reconcile() (dropped bool, err error) {
 	if len(c.Entries) == 0 {
-		return nil
+		return false, nil
 	}
 	first, last := c.Entries[0].Index, c.Entries[len(c.Entries)-1].Index
 	s := c.Snapshot
 	switch {
 	case first > s.Index+1:
-		return errors.Wrapf(ErrDamaged, "the log begins at entry %d but the snapshot ends at entry %d", first, s.Index)
+		return false, errors.Wrapf(ErrDamaged, "the log begins at entry %d but the snapshot ends at entry %d", first, s.Index)
 	case first == s.Index+1:
-		return nil
+		return false, nil
 	case last < s.Index || c.Entries[s.Index-first].Term != s.Term:
-		c.Entries = nil
+		c.Entries, c.Commit = nil, 0
+		return true, nil
 	}
-	return nil
+	return false, nil
 }
--- a/internal/version/disk/memory.go
+++ b/internal/version/disk/memory.go
@@ -30,7 +30,11 @@
 	c.Entries = slices.Clone(c.Entries)
 	c.Snapshot = m.snapshot
 	c.Snapshot.Data = nil
-	return c, c.reconcile()
+	dropped, err := c.reconcile()
+	if dropped {
+		m.synced.Entries, m.synced.Commit = nil, 0
+	}
+	return c, err
 }
 
 // Append implements Store.
--- a/internal/version/disk/snapshot.go
+++ b/internal/version/disk/snapshot.go
@@ -23,9 +23,13 @@
 	old := d.snapshot.Index
 	d.snapshot = snapshot
 	d.snapshot.Data = nil
-	if old != 0 && old != snapshot.Index {
-		return errors.Wrap(os.Remove(filepath.Join(d.path, snapshotName(old))), "remove old snapshot")
+	if old == 0 || old == snapshot.Index {
+		return nil
+	}
+	if err := os.Remove(filepath.Join(d.path, snapshotName(old))); err != nil {
+		return errors.Wrap(err, "remove old snapshot")
 	}
+	operated(d, removed, snapshotName(old))
 	return nil
 }
 
