--- a/internal/process/dispatch/acknowledge_test.go
+++ b/internal/process/dispatch/acknowledge_test.go
@@ -89,3 +89,25 @@
 		})
 	}
 }
+
+// Guards against a worker that lists more ends than one answer can have, because they cannot be acknowledged and
+// new tasks start there all the same, and against one that stays out of use then (rule LOST).
+func TestManyListedEndsKeepNewTasksOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		time.Sleep(time.Second)
+		ends := make([]EndedRun, maxListedEnds)
+		for i := range ends {
+			ends[i] = EndedRun{Number: int64(i + 1), Task: job.TaskID{Job: "forgotten", Index: i}, Run: 1, Outcome: job.Done}
+		}
+		b.list("a", Listing{Ended: ends, Complete: true})
+		current := b.term()
+		current.mu.Lock()
+		b.is.Equal(current.workers["a"].out(current.now(), current.timing().ReportInterval), outEnds)
+		current.mu.Unlock()
+		b.submit("one", tasks(1))
+		time.Sleep(5 * time.Second)
+		b.is.Equal(b.status("one"), job.Completed)
+	})
+}
