--- a/internal/process/dispatch/acknowledge_test.go
+++ b/internal/process/dispatch/acknowledge_test.go
@@ -101,11 +101,13 @@
 		for i := range ends {
 			ends[i] = EndedRun{Number: int64(i + 1), Task: job.TaskID{Job: "forgotten", Index: i}, Run: 1, Outcome: job.Done}
 		}
+		b.changeWorker("a", func(w *fakeWorker) { w.number = maxListedEnds })
 		b.list("a", Listing{Ended: ends, Complete: true})
 		current := b.term()
 		current.mu.Lock()
-		b.is.Equal(current.workers["a"].out(current.now(), current.timing().ReportInterval), outEnds)
+		cause := current.workers["a"].out(current.now(), current.timing().ReportInterval)
 		current.mu.Unlock()
+		b.is.Equal(cause, outEnds)
 		b.submit("one", tasks(1))
 		time.Sleep(5 * time.Second)
 		b.is.Equal(b.status("one"), job.Completed)
