--- a/internal/process/dispatch/due_test.go
+++ b/internal/process/dispatch/due_test.go
@@ -40,7 +40,7 @@
 			time.Sleep(4 * time.Second)
 			b.is.Equal(b.status("other"), job.Completed)
 			b.state.View(func(v *job.View) {
-				b.is.True(len(v.Jobs["many"].Open) <= 5) // one begins while the end of the one before is committed
+				b.is.True(len(v.Jobs["many"].Open) <= 5) // one starts while the end of the one before is committed
 			})
 			b.is.True(time.Since(began) < 6*time.Second)
 		})
