--- a/internal/process/dispatch/due.go
+++ b/internal/process/dispatch/due.go
@@ -13,13 +13,10 @@
 const (
 	// minDueTasks is the number of tasks of due occurrences that a round looks at beyond those that have room.
 	minDueTasks = 64
-	// maxOpenTasks bounds the tasks of the occurrences of one job that have begun.
+	// maxOpenTasks bounds the tasks of the occurrences of one job that have started.
 	maxOpenTasks = 40_000
 )
 
-// Occurrences that are due and have not begun cost a round nothing but the few that could start now. A job
-// may have 100,000 of them.
-
 // poolRoom returns the free capacity of each pool.
 func poolRoom(c *fit.Cluster) map[string]work.Resources {
 	room := map[string]work.Resources{}
@@ -31,20 +28,21 @@
 	return room
 }
 
-// due returns the occurrences of a job that a round looks at, in ascending order: those that have begun and are not
-// done, and as many of the next ones that are due as could start in the room of the pool, and some more.
+// due returns the occurrences of a job that a round looks at, in ascending order: those that have started and are not
+// done, and as many of the next ones that are due as could start in the room of the pool, and some more. A job
+// may have 100,000 that are due, which cost a round nothing.
 func (t *term) due(r *job.Record, room work.Resources, now time.Time) []int {
 	if r.Job.Repeat == 0 {
 		return []int{0}
 	}
 	numbers := slices.DeleteFunc(r.OpenOccurrences(), r.Done)
-	first, tasks := firstTasks(&r.Job)
-	left := first.startable(room) + minDueTasks
+	roots, tasks := rootsOf(&r.Job)
+	left := roots.startable(room) + minDueTasks
 	open := maxOpenTasks - len(numbers)*tasks
 	for k := r.Behind; k < r.Job.Repeat && left > 0 && (open >= tasks || len(numbers) == 0) && !r.Job.Due(k).After(now); k++ {
 		if r.Open[k] == nil && !r.Done(k) {
 			numbers = append(numbers, k)
-			left -= first.tasks
+			left -= roots.tasks
 			open -= tasks
 		}
 	}
@@ -52,14 +50,14 @@
 	return numbers
 }
 
-// rootSteps describes the steps of a job that wait for no others.
+// rootSteps are the steps of a job that wait for no others.
 type rootSteps struct {
 	tasks int
 	size  work.Resources // the least of each resource that one of their tasks reserves
 }
 
-// firstTasks describes the first steps of a job, and returns the number of all tasks of an occurrence.
-func firstTasks(j *job.Job) (f rootSteps, tasks int) {
+// rootsOf describes the steps of a job that wait for no others, and returns the number of all tasks of an occurrence.
+func rootsOf(j *job.Job) (f rootSteps, tasks int) {
 	f.size = work.Resources{Processors: math.MaxInt64, Memory: math.MaxInt64, Accelerators: math.MaxInt64}
 	for i := range j.Steps {
 		s := &j.Steps[i]
