Log and count ends that workers list and that are not acknowledged

Cause of the gap: no line and no metric told how many ends are kept, since when and why, so that a record could not distinguish the hypotheses of the postmortem.

--- a/internal/process/dispatch/dispatch.go
+++ b/internal/process/dispatch/dispatch.go
@@ -94,11 +94,12 @@
 
 // Dispatcher schedules jobs while its replica is the leader.
 type Dispatcher struct {
-	options Options
-	current atomic.Pointer[term]
-	waiting [numWaits]atomic.Int64 // see Waiting
-	overdue atomic.Int64           // see Overdue
-	use     atomic.Pointer[fit.UseSettings]
+	options        Options
+	current        atomic.Pointer[term]
+	waiting        [numWaits]atomic.Int64 // see Waiting
+	overdue        atomic.Int64           // see Overdue
+	unacknowledged [numHolds]atomic.Int64 // see Unacknowledged
+	use            atomic.Pointer[fit.UseSettings]
 }
 
 // New returns a Dispatcher. It fails if a required option is missing.
--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -46,7 +46,8 @@
 
 // doubt is what is known of the copies of a start.
 type doubt struct {
-	sent time.Time // when the latest copy was sent
+	sent    time.Time // when the latest copy was sent
+	adopted bool      // by an earlier leader
 	// answered is when the latest copy was answered, if all were and one was accepted; zero before. Answers
 	// to starts name no incarnation, so that the next one may execute the run until a listing shows that
 	// the known one lives.
@@ -464,6 +465,7 @@
 func (t *term) adoptDoubt(w *worker, key orphan, task *job.Task, ago time.Duration) {
 	d, sent := t.doubtsAbout(w.ID, w.Life), t.now().Add(-ago)
 	t.addDoubt(d, key, sent)
+	d.starts[key] = doubt{sent: sent, adopted: true}
 	if t.leased[w.ID] {
 		d.leased = later(d.leased, earlier(t.now(), t.latestLeaseAfter(sent)))
 	}
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -72,14 +72,15 @@
 	leaseEnd          time.Time // latest end of a lease that was sent, on the worker's clock
 	inheritedLeaseEnd time.Time // leases from earlier leaders may last until then
 	runs              map[job.TaskID]*run
-	polling           bool             // a loop lists its runs
-	pollOnce          bool             // one listing is needed even without runs
-	listed            bool             // has answered a listing in this term
-	orphans           map[orphan]*run  // runs that were given up and that it may still execute
-	lastEnd           int64            // highest number of an end that was processed, as were all before it
-	laterEnds         []int64          // numbers beyond an end that cannot be read, of ends that were processed
-	acknowledged      int64            // highest number of an end that is committed
-	forgotten         int64            // highest number that was acknowledged by a listing with an answer
+	polling           bool            // a loop lists its runs
+	pollOnce          bool            // one listing is needed even without runs
+	listed            bool            // has answered a listing in this term
+	orphans           map[orphan]*run // runs that were given up and that it may still execute
+	lastEnd           int64           // highest number of an end that was processed, as were all before it
+	laterEnds         []int64         // numbers beyond an end that cannot be read, of ends that were processed
+	acknowledged      int64           // highest number of an end that is committed
+	forgotten         int64           // highest number that was acknowledged by a listing with an answer
+	held              heldEnds
 	openAcks          int              // listings of this generation that acknowledge ends and have no answer
 	listedEnds        int              // ends in the latest listing
 	unreadEnd         int64            // lowest number that an end of the latest listing may have that cannot be read; zero if there was none
