--- /dev/null
+++ b/internal/process/dispatch/ends_test.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
+)
+
+// acknowledgeTime is the time within which the platform's pages ask for the acknowledgement of an end.
+const acknowledgeTime = 4 * time.Second
+
+// endWatch follows the ends that workers list.
+type endWatch struct {
+	cluster *testCluster
+	since   map[string]time.Time // by worker, incarnation and number
+	late    map[string]bool      // listed for longer than acknowledgeTime
+	total   int
+}
+
+// watchEnds follows the ends that begin to be listed from now on, until ctx ends.
+func watchEnds(ctx context.Context, b *testCluster) *endWatch {
+	e := &endWatch{cluster: b, since: map[string]time.Time{}, late: map[string]bool{}}
+	go func() {
+		for ctx.Err() == nil {
+			e.look()
+			sleep(ctx, 20*time.Millisecond)
+		}
+	}()
+	return e
+}
+
+// look notes what is listed.
+func (e *endWatch) look() {
+	h := e.cluster.workers
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for name, w := range h.all {
+		h.endDueRuns(w)
+		for _, end := range w.ended {
+			key := fmt.Sprintf("%s/%d/%d", name, w.life, end.Number)
+			if e.since[key].IsZero() {
+				e.since[key] = time.Now()
+				e.total++
+			}
+			if time.Since(e.since[key]) > acknowledgeTime {
+				e.late[key] = true
+			}
+		}
+	}
+}
+
+// changeLeader has another leader take over at once.
+func (b *testCluster) changeLeader(term uint64) {
+	b.log.set(false, term)
+	time.Sleep(100 * time.Millisecond)
+	b.log.set(true, term+1)
+	time.Sleep(100 * time.Millisecond)
+}
+
+// submitSteadily submits a job of one task to each of some workers every 250 ms for a time.
+func (b *testCluster) submitSteadily(prefix string, workers int, length time.Duration) {
+	for end, i := time.Now().Add(length), 0; time.Now().Before(end); i++ {
+		b.submit(fmt.Sprint(prefix, i), tasks(workers))
+		time.Sleep(250 * time.Millisecond)
+	}
+}
+
+// Guards against the last end of a worker that is never acknowledged, because its listings end with its runs
+// (rule LOST, issue 71).
+func TestLastEndIsAcknowledged(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b", "c")
+		defer b.close()
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		e := watchEnds(ctx, b)
+		for i := range 3 {
+			b.submit(fmt.Sprint("j", i), tasks(3))
+			time.Sleep(3 * time.Second)
+		}
+		time.Sleep(10 * time.Second)
+		b.is.Equal(e.total, 9)
+		b.is.Equal(len(e.late), 0)
+	})
+}
+
+// Guards against a new leader that acknowledges nothing for seconds, since it takes all young runs for ones whose
+// start may still arrive (rule LOST, issue 71).
+func TestEndsAreAcknowledgedAfterChangesOfTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b", "c", "d", "e")
+		defer b.close()
+		b.workers.setRunTime(500 * time.Millisecond)
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		term := uint64(1)
+		for i := range 3 {
+			b.submitSteadily(fmt.Sprint("j", i, "-"), 5, 3*time.Second)
+			b.changeLeader(term)
+			term++
+		}
+		e := watchEnds(ctx, b)
+		b.submitSteadily("k", 5, 6*time.Second)
+		time.Sleep(5 * time.Second)
+		b.is.True(e.total > 100)
+		b.is.True(len(e.late) <= e.total/5)
+	})
+}
+
+// Guards against all ends of a worker that wait because one start, which the worker executed, got no answer (rule
+// LOST, issue 71).
+func TestEndsAreAcknowledgedBesideAnExecutedStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b", "c", "d", "e")
+		defer b.close()
+		b.workers.setRunTime(500 * time.Millisecond)
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		b.submitSteadily("j", 5, 2*time.Second)
+		drop := func(drops bool) {
+			for _, name := range []string{"a", "b", "c", "d", "e"} {
+				b.changeWorker(name, func(w *fakeWorker) { w.dropsAnswers = drops })
+			}
+		}
+		drop(true)
+		b.submit("lost", tasks(5))
+		time.Sleep(60 * time.Millisecond)
+		drop(false)
+		e := watchEnds(ctx, b)
+		b.submitSteadily("k", 5, 6*time.Second)
+		time.Sleep(5 * time.Second)
+		b.is.True(e.total > 100)
+		b.is.True(len(e.late) <= e.total/5)
+		b.is.Equal(b.status("lost"), job.Completed)
+	})
+}
