Acknowledge the last ends of a worker that becomes idle

Cause: the loop that lists a worker ended once the end of its last run was committed, one listing before the one that would acknowledge it. Two more paths set a flag that a listing already under way cleared.

Change: whether a worker owes a listing derives from what it may forget and has not been told (owesAcknowledgement), asked by the loop, by each report and by the checks of a worker that answers. The flag became the time of the request, which only a listing sent later meets.

TestEndsAreAcknowledgedUntilAnswered had the fault as its expectation (3 of 4 ends acknowledged); it asks for 4 of 4 now and checks a later end as before.

--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -139,10 +139,6 @@
 		return
 	}
 	delete(d.starts, key)
-	if w := t.workers[d.worker]; w != nil && w.acknowledged > w.forgotten && !d.mayArrive() {
-		w.pollOnce = true // the worker may forget its ends now
-		t.startPolling(w)
-	}
 	list := t.unclear[key.task]
 	i := slices.Index(list, d)
 	if list = slices.Delete(list, i, i+1); len(list) > 0 {
@@ -203,6 +199,11 @@
 	return number
 }
 
+// owesAcknowledgement reports whether a worker may forget ends that it still lists.
+func (t *term) owesAcknowledgement(w *worker) bool {
+	return w.acknowledged > w.forgotten && t.acknowledgedEnd(w) > w.forgotten
+}
+
 // boundTo returns the only worker on which a task may start, if copies of its earlier starts may still
 // be carried out: the incarnation that has refused them. What it has proved does not bind the next
 // one, which exists only once this one has ended. The task waits if there is no such worker, if the
@@ -386,9 +387,8 @@
 		if w.completeAt.After(arrived) {
 			return true
 		}
-		if !w.refuses && w.idle() { // its reports have it listed
-			w.pollOnce = true
-			t.startPolling(w)
+		if !w.refuses && t.idleWorker(w) { // its reports have it listed
+			t.requestListing(w)
 		}
 	}
 	return now.After(t.doubtOver(d, s, lateOrderTime))
--- a/internal/process/dispatch/former_test.go
+++ b/internal/process/dispatch/former_test.go
@@ -57,7 +57,7 @@
 		b.is.True(current.handleAnswer(w, other, now))
 		b.is.Equal(w.clockReading, reading)
 		b.is.Equal(w.missed, 1)
-		b.is.True(w.pollOnce && w.polling)
+		b.is.True(!w.pollAt.IsZero() && w.polling)
 		known := Answer{Result: Accepted, Clock: reading.Add(now.Sub(w.clockReadAt))}
 		b.is.True(current.handleAnswer(w, known, now))
 		b.is.Equal(w.clockReading, known.Clock)
@@ -105,12 +105,13 @@
 		current.mu.Lock()
 		defer current.mu.Unlock()
 		w := current.workers["a"]
-		b.is.Equal(w.forgotten, int64(3)) // the last end is acknowledged with the next listing
-		b.is.Equal(current.listOrder(w).Acknowledged, int64(4))
+		b.is.Equal(w.forgotten, int64(4))
+		w.lastEnd, w.acknowledged = 5, 5
+		b.is.Equal(current.listOrder(w).Acknowledged, int64(5))
 		current.handleAnswer(w, Answer{Result: Unanswered}, current.now())
 		b.is.Equal(current.listOrder(w).Acknowledged, int64(0)) // another incarnation may run
 		current.handleAnswer(w, Answer{Result: Accepted}, current.now())
-		w.forgotten = 4
+		w.forgotten = 5
 		b.is.Equal(current.listOrder(w).Acknowledged, int64(0))
 	})
 }
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -60,9 +60,15 @@
 	t.orders.Go(func() { t.poll(w) })
 }
 
-// idle reports whether there is nothing to list.
-func (w *worker) idle() bool {
-	return len(w.runs)+len(w.orphans) == 0 && w.acknowledged >= w.lastEnd && !w.pollOnce
+// idleWorker reports whether there is nothing to list.
+func (t *term) idleWorker(w *worker) bool {
+	return len(w.runs)+len(w.orphans) == 0 && w.acknowledged >= w.lastEnd && w.pollAt.IsZero() && !t.owesAcknowledgement(w)
+}
+
+// requestListing has a worker listed once more, by a listing that is sent after now, whatever it executes.
+func (t *term) requestListing(w *worker) {
+	w.pollAt = t.now()
+	t.startPolling(w)
 }
 
 // poll lists a worker's runs, extends its lease and acknowledges its ended
@@ -70,7 +76,7 @@
 func (t *term) poll(w *worker) {
 	for t.awaitLease() {
 		t.mu.Lock()
-		if t.over || t.workers[w.ID] != w || w.idle() {
+		if t.over || t.workers[w.ID] != w || t.idleWorker(w) {
 			w.polling = false
 			t.mu.Unlock()
 			return
@@ -187,7 +193,7 @@
 		w.openAcks--
 	}
 	if a.Result == Refused {
-		w.pollOnce = true
+		w.pollAt = t.now()
 		w.refuses = a.Reason != ReasonStaleLeader || o.Fence == t.fence(w) // otherwise a start has overtaken it
 	}
 	if a.Result != Accepted {
@@ -197,7 +203,10 @@
 		// Until this listing it accepted leases sent to a former incarnation, or by a former leader.
 		w.inheritedLeaseEnd = later(w.inheritedLeaseEnd, t.now().Add(t.longestLease()))
 	}
-	w.listed, w.pollOnce, w.refuses = true, false, false
+	w.listed, w.refuses = true, false
+	if sent.After(w.pollAt) {
+		w.pollAt = time.Time{}
+	}
 	w.forgotten = max(w.forgotten, o.Acknowledged)
 	if w.proves(a) {
 		t.proveStarts(w, sent, &l)
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -266,8 +266,7 @@
 		t.avoidWorker(r.worker, "it refuses orders")
 	case ReasonCapacity:
 		// A listing shows what runs there that this leader does not know.
-		r.worker.pollOnce = true
-		t.startPolling(r.worker)
+		t.requestListing(r.worker)
 		t.avoidForStep(r, t.now())
 	}
 	return true
--- a/internal/process/dispatch/serve.go
+++ b/internal/process/dispatch/serve.go
@@ -340,10 +340,9 @@
 	w.updateClock(r.Clock, now)
 	changed := t.resize(w, &r.Worker)
 	changed = t.noteCold(w, r) || changed
-	if w.owesListing() {
+	if w.owesListing() || t.owesAcknowledgement(w) {
 		// The worker can send again; a listing tells whether it answers orders.
-		w.pollOnce = true
-		t.startPolling(w)
+		t.requestListing(w)
 	}
 	if r.Worker.Draining && !w.Draining {
 		changed = true
@@ -398,8 +397,7 @@
 	t.workers[w.ID], t.sorted = w, nil
 	t.returnWorker(w)
 	t.settleDoubts(w)
-	w.pollOnce = true // it gets tasks once it has shown what it runs
-	t.startPolling(w)
+	t.requestListing(w) // it gets tasks once it has shown what it runs
 	t.emit(event.WorkerKnown, zap.String("worker", w.ID), zap.Int64("life", int64(w.Life)), zap.String("pool", w.Pool),
 		zap.Stringer("address", w.Address), zap.String("rack", w.Rack))
 	return t.enqueue(func(n *inbox) { n.workers = append(n.workers, w.Worker) })
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -135,9 +135,8 @@
 	if w.silent(now) {
 		t.loseCopies(w, now)
 	}
-	if !w.acknowledgeFrom.IsZero() && now.After(w.acknowledgeFrom) {
-		w.acknowledgeFrom, w.pollOnce = time.Time{}, true // the worker may forget its ends now
-		t.startPolling(w)
+	if !w.polling && w.answers() && t.owesAcknowledgement(w) {
+		t.startPolling(w) // what kept its ends is over
 	}
 	if w.Draining && !w.drainDeadline.IsZero() && now.After(w.drainDeadline.Add(-t.timing().StopTime-drainMargin)) {
 		t.stopForDrain(w)
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -248,8 +248,7 @@
 	for _, idle := range []bool{false, true} {
 		for _, w := range t.workers {
 			if idle == (len(w.runs) == 0) {
-				w.pollOnce = true
-				t.startPolling(w)
+				t.requestListing(w)
 			}
 		}
 	}
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -72,15 +72,15 @@
 	leaseEnd          time.Time // latest end of a lease that was sent, on the worker's clock
 	inheritedLeaseEnd time.Time // leases from earlier leaders may last until then
 	runs              map[job.TaskID]*run
-	polling           bool            // a loop lists its runs
-	pollOnce          bool            // one listing is needed even without runs
-	listed            bool            // has answered a listing in this term
-	orphans           map[orphan]*run // runs that were given up and that it may still execute
-	lastEnd           int64           // highest number of an end that was processed, as were all before it
-	laterEnds         []int64         // numbers beyond an end that cannot be read, of ends that were processed
-	acknowledged      int64           // highest number of an end that is committed
-	forgotten         int64           // highest number that was acknowledged by a listing with an answer
-	held              heldEnds
+	polling           bool             // a loop lists its runs
+	pollAt            time.Time        // a listing that is sent later is needed even without runs; zero if none is
+	listed            bool             // has answered a listing in this term
+	orphans           map[orphan]*run  // runs that were given up and that it may still execute
+	lastEnd           int64            // highest number of an end that was processed, as were all before it
+	laterEnds         []int64          // numbers beyond an end that cannot be read, of ends that were processed
+	acknowledged      int64            // highest number of an end that is committed
+	forgotten         int64            // highest number that was acknowledged by a listing with an answer
+	held              heldEnds         // the oldest of the ends that are not acknowledged
 	openAcks          int              // listings of this generation that acknowledge ends and have no answer
 	listedEnds        int              // ends in the latest listing
 	unreadEnd         int64            // lowest number that an end of the latest listing may have that cannot be read; zero if there was none
@@ -159,7 +159,7 @@
 // owesListing reports whether the worker gets no new tasks, or none for long, before it has answered a
 // listing. It is listed after each of its reports until then, whatever it executes.
 func (w *worker) owesListing() bool {
-	return w.pollOnce || !w.listed || w.clockReading.IsZero() || !w.answers() || w.listedEnds >= maxListedEnds
+	return !w.pollAt.IsZero() || !w.listed || w.clockReading.IsZero() || !w.answers() || w.listedEnds >= maxListedEnds
 }
 
 // extendLease returns the end of a new lease, on the worker's clock. While the
@@ -321,8 +321,8 @@
 
 // requireProof keeps new tasks off a worker until a listing states its incarnation, and asks for one.
 func (t *term) requireProof(w *worker) {
-	w.unproved, w.pollOnce = true, true
-	t.startPolling(w)
+	w.unproved = true
+	t.requestListing(w)
 }
 
 // removeWorker removes a worker whose incarnation has ended, with all its runs.
