Keep a report of the next incarnation while the known one is removed

Callers saw: a worker that has started again gets no work for 1.5 s, until its next report. Cause: its report was being checked by a listing while another answer of the same incarnation removed the known one; the check then dropped the report, as if it were about another worker.

Change: the incarnation that answers the check is added whether or not the known one is still there.

--- a/internal/process/dispatch/identity.go
+++ b/internal/process/dispatch/identity.go
@@ -57,14 +57,18 @@
 		defer t.mu.Unlock()
 		claim := t.claims[w.ID]
 		delete(t.claims, w.ID)
-		if t.over || t.workers[w.ID] != w {
+		present := t.workers[w.ID]
+		if t.over || present != nil && present != w {
 			return
 		}
 		if (a.Result == Accepted || a.Result == Refused) && a.Life == claim.Worker.Life {
-			t.removeWorker(w, reasonNewLife)
+			t.removeWorker(w, reasonNewLife) // another answer of this incarnation may have removed it before
 			t.addWorker(&claim, t.now())
 			return
 		}
+		if present == nil {
+			return
+		}
 		t.emit(event.IdentityUnproved, zap.String("worker", w.ID), zap.Int64("life", int64(claim.Worker.Life)), zap.Int64("known", int64(w.Life)),
 			zap.Int64("answers", int64(a.Life)), event.Cause(a.Error))
 	})
--- a/internal/process/dispatch/identity_test.go
+++ b/internal/process/dispatch/identity_test.go
@@ -77,3 +77,27 @@
 		b.is.Equal(current.workers["a"].Life, job.Incarnation(2))
 	})
 }
+
+// Guards against a report of the next incarnation that is dropped, since another answer of that incarnation has the
+// known one removed while the report is checked: the worker then gets no work before its next report (rule LOST).
+func TestClaimOutlivesTheWorkerThatItReplaces(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		time.Sleep(2 * time.Second)
+		b.restart("a", 2)
+		b.report("a", false) // the answer to the check comes 2 ms later
+		time.Sleep(time.Millisecond)
+		current := b.term()
+		current.mu.Lock()
+		current.handleAnswer(current.workers["a"], Answer{Result: Accepted, Life: 2}, current.now())
+		removed := current.workers["a"] == nil
+		current.mu.Unlock()
+		b.is.True(removed)
+		time.Sleep(10 * time.Millisecond)
+		current.mu.Lock()
+		defer current.mu.Unlock()
+		b.is.True(current.workers["a"] != nil)
+		b.is.Equal(current.workers["a"].Life, job.Incarnation(2))
+	})
+}
