Settle a start by what proves that no copy of it is on its way

Cause: a start without an answer counted as on its way for as long as any order may be late, whatever had been proved since, and while it does nothing is acknowledged to its worker. A new leader took all runs of the last 5 s for such ones, and a mark of theirs held the leader after it back as well.

Change, three proofs in place of the time: - A start without a ticket is sent once until the run is noted as unclear in the replicated state. While it has not been, a listing of the known incarnation that shows the run proves that the only copy has arrived, for its leader and for the next one. The worker is listed before a further copy is sent. - Only the incarnation that lived when a ticket was issued takes it, so that a listing which that one answered later proves that no other one executes the start. - A worker's mark in the replicated state ends with the last start that it stood for, not after 25 s.

How a start is sent is replicated (Round.Sendings), so that starts of earlier builds count as before.

The first attempt has one copy now, so that TestCopiesOfOneAttempt plays its second copy on the second attempt.

--- a/internal/process/dispatch/attempt.go
+++ b/internal/process/dispatch/attempt.go
@@ -22,6 +22,7 @@
 	p := t.permit(timeout)
 	w, valid := a.run.worker, p.Valid
 	p.Valid = func() bool { return !w.evacuated.Load() && valid() }
+	p.Single = a.run.once
 	p.Late = func(late Answer) { t.handleLateAnswer(a, late) }
 	if p.Await = lateAnswerTime; t.lossy() {
 		p.Await = timeout // the places among the connections are needed
@@ -75,6 +76,9 @@
 		open = max(1, open)
 	}
 	at.returned = true
+	if a.Copies > 1 || a.Open > 1 || a.Repeated {
+		r.once = false // a driver of an earlier build has sent several
+	}
 	if open > 1 {
 		r.copies += open - 1
 	} else if open == 0 {
@@ -112,7 +116,13 @@
 // proveStarts settles the copies that are proved by a listing of the known incarnation: those that were
 // answered before it was sent, and the only copy of a start that it shows.
 func (t *term) proveStarts(w *worker, sent time.Time, l *Listing) {
+	t.proveTickets(w, sent)
 	for _, r := range w.runs {
+		if r.once && r.copies > 0 && l.shows(r) {
+			r.copies, r.unproved = 1, 0
+			t.settleCopy(r)
+			continue
+		}
 		if r.unproved == 0 || !r.answeredAt.Before(sent) && !(r.sentCopies == 1 && l.shows(r)) {
 			continue
 		}
--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -274,6 +274,9 @@
 	return h.slow.answer(p, h, w, h.fates.anonymous(w, a))
 }
 
+// ticket returns the ticket of the worker's incarnation, which no other one takes.
+func (w *fakeWorker) ticket(name string) string { return fmt.Sprint(name, " ", w.life) }
+
 // carryOut has a worker carry out a start that arrives.
 func (h *fakeWorkers) carryOut(name string, w *fakeWorker, o StartOrder, a Answer) Answer {
 	refuse := func(r Reason) Answer { a.Result, a.Reason = Refused, r; return a }
@@ -286,6 +289,8 @@
 		return refuse(ReasonRunEnded)
 	case !o.Lease.After(h.clock(w)):
 		return refuse(ReasonLeaseExpired)
+	case o.Ticket != "" && o.Ticket != w.ticket(name):
+		return refuse(ReasonTicket)
 	case w.full:
 		h.extendLease(w, o.Lease) // such a start extends the lease, too
 		return refuse(ReasonCapacity)
@@ -470,7 +475,7 @@
 	b := &testCluster{
 		is: is.New(t), waits: waitLines{t: t}, state: job.New(), workers: &fakeWorkers{all: map[string]*fakeWorker{}, runTime: time.Second}, done: make(chan struct{}),
 	}
-	b.vms = newFakeVMs(b)
+	b.vms, b.peers.workers = newFakeVMs(b), b.workers
 	b.log = &fakeLog{machine: b.state, term: 1, leads: true, lease: time.Second, changed: make(chan struct{})}
 	var err error
 	b.leader, err = New(Options{
--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -48,6 +48,10 @@
 type doubt struct {
 	sent    time.Time // when the latest copy was sent
 	adopted bool      // by an earlier leader
+	noted   bool      // in the replicated state
+	// ticketAt is when the ticket of the copies had been issued; zero if they have none. An incarnation that
+	// proves itself later is the only one that takes them.
+	ticketAt time.Time
 	// answered is when the latest copy was answered, if all were and one was accepted; zero before. Answers
 	// to starts name no incarnation, so that the next one may execute the run until a listing shows that
 	// the known one lives.
@@ -56,11 +60,19 @@
 
 // doubt records that a copy of a start is sent, which carries a lease.
 func (t *term) doubt(r *run, sent time.Time) {
-	d := t.doubtsAbout(r.worker.ID, r.worker.Life)
 	r.copies++
 	r.copiedAt = sent
 	t.endWait(r.id)
-	t.addDoubt(d, orphan{r.id, r.number}, sent)
+	if r.proved && t.doubts[r.worker.ID] == nil {
+		return
+	}
+	d := t.doubtsAbout(r.worker.ID, r.worker.Life)
+	if !r.proved {
+		t.addDoubt(d, orphan{r.id, r.number}, sent)
+		if r.sending == job.SendTicket {
+			t.setTicket(d, orphan{r.id, r.number}, r.committedAt)
+		}
+	}
 	d.leases = append(d.leases, sent)
 	d.leased = later(d.leased, r.worker.leaseLost)
 }
@@ -83,6 +95,31 @@
 	d.starts[key] = doubt{sent: sent}
 }
 
+// setTicket records that the copies of a start have a ticket that had been issued at a time.
+func (t *term) setTicket(d *doubts, key orphan, at time.Time) {
+	s := d.starts[key]
+	s.ticketAt = at
+	d.starts[key] = s
+}
+
+// proveTickets drops the doubts about starts with a ticket that was issued before a listing was sent which
+// the known incarnation has answered: no later one takes it. Such a start is as good as answered.
+func (t *term) proveTickets(w *worker, sent time.Time) {
+	d := t.doubtsOf(w)
+	if d == nil {
+		return
+	}
+	for key, s := range d.starts {
+		if s.ticketAt.IsZero() || !sent.After(s.ticketAt) {
+			continue
+		}
+		if r := w.runs[key.task]; r != nil && r.number == key.run {
+			r.proved = true
+		}
+		t.dropDoubt(d, key)
+	}
+}
+
 // settleLease records the answer to an order that carried a lease, or that there is none. An order
 // that is answered arrives nowhere else.
 func (t *term) settleLease(w *worker, sent time.Time, a Answer) {
@@ -135,10 +172,14 @@
 
 // dropDoubt records that no copy of a start will be carried out any more.
 func (t *term) dropDoubt(d *doubts, key orphan) {
-	if _, known := d.starts[key]; !known {
+	s, known := d.starts[key]
+	if !known {
 		return
 	}
 	delete(d.starts, key)
+	if w := t.workers[d.worker]; s.noted && !d.noted() && w != nil && !t.now().Before(w.acknowledgeFrom) {
+		t.inbox.replaced = append(t.inbox.replaced, d.worker)
+	}
 	list := t.unclear[key.task]
 	i := slices.Index(list, d)
 	if list = slices.Delete(list, i, i+1); len(list) > 0 {
@@ -154,6 +195,21 @@
 	t.signal()
 }
 
+// noted reports whether the next leaders know of any of the starts.
+func (d *doubts) noted() bool {
+	for _, s := range d.starts {
+		if s.noted {
+			return true
+		}
+	}
+	return false
+}
+
+// dropReplaced drops the workers from a list about which the next leaders have to know more since it was made.
+func (t *term) dropReplaced(names []string) []string {
+	return slices.DeleteFunc(names, func(name string) bool { d := t.doubts[name]; return d != nil && d.noted() })
+}
+
 // noteUnclearEnd records an end of a task with copies of a start without an answer: of the run that
 // ended, or of an earlier one.
 func (t *term) noteUnclearEnd(w *worker, e EndedRun) {
@@ -232,14 +288,43 @@
 
 // noteUnclear has the next leaders know that a copy of a run's start has no answer.
 func (t *term) noteUnclear(r *run) {
-	if r.copies > 0 && !r.unclear && !r.spec.Copies {
-		r.unclear = true
-		t.orderUse.unclear++
-		t.inbox.unclear = append(t.inbox.unclear, job.Start{Task: r.id, Run: r.number, Worker: r.worker.ID, Life: r.worker.Life})
+	if r.copies > 0 && !r.unclear && !r.proved && !r.spec.Copies {
+		t.setUnclear(r)
 		t.signal()
 	}
 }
 
+// setUnclear adds a run with a copy of its start without an answer to the next round.
+func (t *term) setUnclear(r *run) {
+	r.unclear = true
+	t.orderUse.unclear++
+	t.inbox.unclear = append(t.inbox.unclear, job.Start{Task: r.id, Run: r.number, Worker: r.worker.ID, Life: r.worker.Life})
+	if d := t.doubts[r.worker.ID]; d != nil {
+		key := orphan{r.id, r.number}
+		if s, known := d.starts[key]; known {
+			s.noted = true
+			d.starts[key] = s
+		}
+	}
+}
+
+// noteFurtherCopies has the next leaders know that a run gets further copies of its start, before any is sent:
+// until then they take the one for arrived that a listing shows. It reports whether they do.
+func (t *term) noteFurtherCopies(r *run) bool {
+	for t.ctx.Err() == nil {
+		t.mu.Lock()
+		c := t.enqueue(func(*inbox) { t.setUnclear(r) })
+		t.mu.Unlock()
+		if t.awaitCommit(t.ctx, c) {
+			t.mu.Lock()
+			r.once = false
+			t.mu.Unlock()
+			return true
+		}
+	}
+	return false
+}
+
 // lease returns the end of the lease that a listing carries, and whether it may carry one. A
 // worker that does not answer may have started again, and would extend what it executes of
 // the former incarnation's starts, and forget ends that are not known. One that has never listed
@@ -465,7 +550,11 @@
 func (t *term) adoptDoubt(w *worker, key orphan, task *job.Task, ago time.Duration) {
 	d, sent := t.doubtsAbout(w.ID, w.Life), t.now().Add(-ago)
 	t.addDoubt(d, key, sent)
-	d.starts[key] = doubt{sent: sent, adopted: true}
+	s := doubt{sent: sent, adopted: true, noted: task.Unclear != ""}
+	if task.Sending == job.SendTicket && w.Life == task.Life {
+		s.ticketAt = t.now()
+	}
+	d.starts[key] = s
 	if t.leased[w.ID] {
 		d.leased = later(d.leased, earlier(t.now(), t.latestLeaseAfter(sent)))
 	}
@@ -474,10 +563,16 @@
 	}
 }
 
-// adoptRunDoubt does so for a run, and has it known to the next leaders.
-func (t *term) adoptRunDoubt(w *worker, r *run, task *job.Task, ago time.Duration) {
+// adoptRunDoubt does so for a run, and has it known to the next leaders. A young run is known to them by
+// its age for a while.
+func (t *term) adoptRunDoubt(w *worker, r *run, task *job.Task, ago time.Duration, young bool) {
 	t.adoptDoubt(w, orphan{r.id, r.number}, task, ago)
-	r.copies, r.unclear = 1, task.Unclear != ""
+	r.copies, r.unclear, r.sending = 1, task.Unclear != "", task.Sending
+	r.once = task.Sending == job.SendOnce && !r.unclear
+	if young && (r.once || r.sending == job.SendTicket) {
+		t.orders.Go(func() { t.awaitAnswers(r) }) // most are proved by the first listing
+		return
+	}
 	t.noteUnclear(r)
 }
 
@@ -485,7 +580,7 @@
 // execute it. It reports whether the run is kept.
 func (t *term) adoptHeld(r *run, name string, task *job.Task, ago time.Duration) bool {
 	r.worker = newWorker(job.Worker{ID: name, Life: task.Life}, t.now())
-	t.adoptRunDoubt(r.worker, r, task, ago)
+	t.adoptRunDoubt(r.worker, r, task, ago, false)
 	return t.hold(r.worker, r, "an earlier leader removed its worker")
 }
 
--- a/internal/process/dispatch/ends_test.go
+++ b/internal/process/dispatch/ends_test.go
@@ -58,7 +58,9 @@
 	b.log.set(false, term)
 	time.Sleep(100 * time.Millisecond)
 	b.log.set(true, term+1)
-	time.Sleep(100 * time.Millisecond)
+	for b.term() == nil || b.term().number != term+1 {
+		time.Sleep(10 * time.Millisecond)
+	}
 }
 
 // submitSteadily submits a job of one task to each of some workers every 250 ms for a time.
@@ -138,3 +140,105 @@
 		b.is.Equal(b.status("lost"), job.Completed)
 	})
 }
+
+// Guards against ends that wait because starts with a ticket, which no other incarnation takes, got no answer (rule
+// LOST, issue 71).
+func TestEndsAreAcknowledgedBesideALostStartWithATicket(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a", "b", "c", "d", "e")
+		defer b.close()
+		b.workers.setRunTime(500 * time.Millisecond)
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		b.advise(ctx)
+		b.submitSteadily("j", 5, 2*time.Second)
+		for _, name := range []string{"a", "b", "c", "d", "e"} {
+			b.changeWorker(name, func(w *fakeWorker) { w.delayedStarts = 1 }) // never carried out
+		}
+		b.submitTo("/advised/", "lost", tasks(5))
+		time.Sleep(300 * time.Millisecond)
+		e := watchEnds(ctx, b)
+		b.submitSteadily("k", 5, 6*time.Second)
+		time.Sleep(5 * time.Second)
+		b.is.True(e.total > 100)
+		b.is.True(len(e.late) <= e.total/5)
+		b.is.Equal(b.status("lost"), job.Completed)
+	})
+}
+
+// Guards against a ticket that counts as one of the incarnation that the leader knows, though the next one was up
+// when it was issued, and executes the start (rule TWICE).
+func TestTicketOfAnIncarnationThatIsNotKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		ctx, stop := context.WithCancel(context.Background())
+		defer stop()
+		b.workers.setRunTime(15 * time.Second)
+		b.advise(ctx)
+		time.Sleep(2 * time.Second)
+		b.restart("a", 2)
+		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts, w.hidesRuns = true, true }) // the advice is about this one
+		b.submitTo("/advised/", "one", tasks(1))
+		time.Sleep(400 * time.Millisecond)
+		b.changeWorker("a", func(w *fakeWorker) { w.unheard = true })
+		b.workers.carryOutLate("a")
+		b.is.Equal(b.workers.startsOn("a"), 1)
+		b.add("b", 1)
+		time.Sleep(40 * time.Second)
+		b.is.Equal(b.workers.copied(), "")
+	})
+}
+
+// Guards against a next leader that takes a start of which two copies were sent for one that has arrived, because
+// a listing shows its run (rule TWICE).
+func TestSecondCopyIsKnownToTheNextLeader(t *testing.T) {
+	for _, soon := range []time.Duration{90 * time.Millisecond, 105 * time.Millisecond, 130 * time.Millisecond, 200 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestCluster(t, "a")
+			defer b.close()
+			b.workers.setRunTime(3 * time.Second)
+			time.Sleep(2 * time.Second)
+			b.changeWorker("a", func(w *fakeWorker) { w.delayedStarts, w.dropsAnswers, w.hidesRuns = 1, true, true })
+			b.submit("one", tasks(1))
+			time.Sleep(soon) // the first copy is held up, the second one executed, or not yet sent
+			b.log.set(false, 2)
+			b.changeWorker("a", func(w *fakeWorker) { w.dropsAnswers, w.hidesRuns = false, false })
+			time.Sleep(100 * time.Millisecond)
+			b.log.set(true, 3)
+			time.Sleep(8 * time.Second)
+			b.is.Equal(len(b.workers.worker("a").late), 1)
+			b.is.True(len(b.workers.worker("a").ended) > 0) // the next incarnation may execute the first copy
+			b.changeWorker("a", func(w *fakeWorker) { w.late = nil })
+			time.Sleep(20 * time.Second)
+			b.is.Equal(len(b.workers.worker("a").ended), 0)
+			b.is.Equal(b.status("one"), job.Completed)
+		})
+	}
+}
+
+// Guards against a start whose ticket counts as bound to the known incarnation by a listing that was sent before the
+// ticket was issued, when the next one may not have been up yet (rule TWICE).
+func TestTicketNeedsALaterProof(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		time.Sleep(time.Second)
+		current := b.term()
+		key := orphan{job.TaskID{Job: "one"}, 1}
+		current.mu.Lock()
+		w := current.workers["a"]
+		d := current.doubtsAbout("a", w.Life)
+		current.addDoubt(d, key, current.now())
+		current.setTicket(d, key, current.now())
+		current.mu.Unlock()
+		for _, c := range []struct {
+			after time.Duration // of the listing, from the ticket on
+			open  int
+		}{{-time.Second, 1}, {0, 1}, {time.Millisecond, 0}} {
+			sent := d.starts[key].ticketAt.Add(c.after)
+			current.handleListing(w, &ListOrder{Fence: current.fence(w)}, sent, Listing{Complete: true}, Answer{Result: Accepted, Life: w.Life, Clock: w.clockReading})
+			b.is.Equal(len(d.starts), c.open)
+		}
+	})
+}
--- a/internal/process/dispatch/proof_test.go
+++ b/internal/process/dispatch/proof_test.go
@@ -102,8 +102,8 @@
 		time.Sleep(20 * time.Second)
 		b.submit("zero", tasks(1))
 		time.Sleep(time.Second)
-		b.changeWorker("a", func(w *fakeWorker) { w.dropsAnswers = true })
-		var second StartOrder // copy of the first attempt that is held up
+		b.changeWorker("a", func(w *fakeWorker) { w.dropsAnswers, w.delayedStarts = true, 1 }) // the first attempt has one copy
+		var second StartOrder                                                                  // copy of the second attempt that is held up
 		b.workers.mu.Lock()
 		b.workers.onStart = func(worker string, o StartOrder) {
 			if worker == "a" && o.Task.Job == "one" && second.Run == 0 {
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -103,6 +103,7 @@
 func (t *term) buildRound() (job.Round, inbox, []fit.Start) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.inbox.replaced = t.dropReplaced(t.inbox.replaced)
 	limits := t.limits
 	if limits.gang != (job.StepID{}) {
 		limits.input = 0
@@ -138,6 +139,7 @@
 		r.Starts = append(r.Starts, job.Start{
 			Task: s.Demand.Step.Task(s.Index), Run: s.Demand.RunNumber(s.Index), Worker: s.Worker.ID, Life: s.Worker.Life,
 		})
+		r.Sendings = append(r.Sendings, sendingOf(&s))
 	}
 	return r, in, starts
 }
@@ -304,7 +306,8 @@
 		return
 	}
 	r := &run{id: s.Task, number: s.Run, worker: w, spec: d.Demand.Spec, committedAt: now, startedAt: now, lastProgress: now, urgent: d.Demand.Priority == 0,
-		queue: d.Demand.Queue, resumed: d.Demand.Checkpoint(d.Index) != ""}
+		queue: d.Demand.Queue, resumed: d.Demand.Checkpoint(d.Index) != "", sending: sendingOf(&d)}
+	r.once = r.sending == job.SendOnce
 	t.addRun(r)
 	if len(t.unclear[r.id]) > 0 {
 		t.retried[r.id] = true
@@ -318,6 +321,14 @@
 	})
 }
 
+// sendingOf returns how a start is sent.
+func sendingOf(s *fit.Start) job.Sending {
+	if s.Ticket != "" {
+		return job.SendTicket
+	}
+	return job.SendOnce
+}
+
 // finishJob stops the remaining runs of a finished job and removes what is kept
 // about it in memory.
 func (t *term) finishJob(id job.ID) {
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -51,6 +51,9 @@
 	unproved        int       // of these, accepted by an incarnation that is not proved
 	answeredAt      time.Time // when the latest of these was accepted
 	sentCopies      int       // of the start order
+	sending         job.Sending
+	once            bool      // no leader has sent a second copy
+	proved          bool      // only its worker's known incarnation takes copies; see proveTickets
 	copiedAt        time.Time // when the latest copy was sent; zero if an earlier leader sent it
 	unclear         bool      // the next leaders know that a copy has no answer
 	keptSince       time.Time // when it was kept in spite of an ended lease or incarnation; zero if it was not
@@ -151,11 +154,30 @@
 		if t.handleStartAnswer(at, t.dispatcher.options.Upstream.Start(p, &target, o), number) {
 			return
 		}
+		if number == 1 && r.sending == job.SendOnce {
+			if t.listStart(r) || !t.noteFurtherCopies(r) {
+				return
+			}
+		}
 		number++
 		sleep(t.ctx, orderRetryDelay)
 	}
 }
 
+// listStart has a worker listed that has not answered a start, and reports whether the listing shows the run. Until
+// a second copy is sent, such a listing proves that none is on its way.
+func (t *term) listStart(r *run) bool {
+	t.mu.Lock()
+	w := r.worker
+	target, o, timeout, sent := w.Worker, ListOrder{Fence: t.fence(w)}, t.attemptTimeout(1), t.now()
+	t.mu.Unlock()
+	l, a := t.dispatcher.options.Upstream.List(t.permit(timeout), &target, o)
+	t.handleListing(w, &o, sent, l, a)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !r.startResolvedAt.IsZero()
+}
+
 // attemptTimeout returns the bound of an attempt of an order.
 func (t *term) attemptTimeout(attempt int) time.Duration {
 	if attempt <= lossyAttempts && t.lossy() {
--- a/internal/process/dispatch/upstream.go
+++ b/internal/process/dispatch/upstream.go
@@ -128,6 +128,7 @@
 type Permit struct {
 	Timeout time.Duration // for the answer, from when the order is sent
 	Valid   func() bool   // called right before each copy of the order is sent, which it must allow
+	Single  bool          // only one copy of a start is sent
 	// Late, if set, is called with each answer to a copy that is open when the order returns,
 	// if it comes within Await from when the copy was to be sent, at most once for each copy. It
 	// may be called before the order has returned to its caller.
--- a/internal/process/dispatch/wait_states_test.go
+++ b/internal/process/dispatch/wait_states_test.go
@@ -144,9 +144,9 @@
 
 // fakePeers is a peer.Caller of processes that answer queries for advice only. Other calls time
 // out.
-type fakePeers struct{}
+type fakePeers struct{ workers *fakeWorkers }
 
-func (*fakePeers) Call(ctx context.Context, _, method string, request, response any) error {
+func (f *fakePeers) Call(ctx context.Context, _, method string, request, response any) error {
 	q, ok := request.(cell.AdviceQuery)
 	if !ok || method != cell.MethodAdvise {
 		return context.DeadlineExceeded
@@ -154,8 +154,12 @@
 	sleep(ctx, 100*time.Millisecond+time.Duration(len(q.Workers))*time.Millisecond)
 	a := response.(*cell.Advice)
 	a.Tickets = map[string]string{}
-	for _, w := range q.Workers {
-		a.Tickets[w] = "ticket"
+	f.workers.mu.Lock()
+	defer f.workers.mu.Unlock()
+	for _, name := range q.Workers {
+		if w := f.workers.all[name]; w != nil {
+			a.Tickets[name] = w.ticket(name)
+		}
 	}
 	return ctx.Err()
 }
--- a/internal/process/driver/fleet.go
+++ b/internal/process/driver/fleet.go
@@ -311,8 +311,12 @@
 
 // Start implements dispatch.Upstream.
 func (f *Fleet) Start(p dispatch.Permit, w *job.Worker, o dispatch.StartOrder) dispatch.Answer {
+	copies := 0
+	if p.Single {
+		copies = 1
+	}
 	r, ok := f.send(p, w, order{
-		Kind: start, Task: o.Task, Run: o.Run, Payload: o.Payload, Lease: milliseconds(o.Lease), Fence: o.Fence, Checkpoint: o.Checkpoint,
+		Kind: start, Copies: copies, Task: o.Task, Run: o.Run, Payload: o.Payload, Lease: milliseconds(o.Lease), Fence: o.Fence, Checkpoint: o.Checkpoint,
 		Ticket: o.Ticket, Wait: p.Await,
 	})
 	if !ok {
--- a/internal/process/driver/hedge.go
+++ b/internal/process/driver/hedge.go
@@ -131,7 +131,7 @@
 		case <-c.changed:
 		case <-next.C:
 			left := p.Timeout - time.Since(began)
-			if c.launched < maxCopies && left > delay/2 && p.Valid() && h.reserve() {
+			if !p.Single && c.launched < maxCopies && left > delay/2 && p.Valid() && h.reserve() {
 				c.launch(left, order)
 				next.Reset(delay)
 			}
--- a/internal/process/driver/server.go
+++ b/internal/process/driver/server.go
@@ -154,6 +154,7 @@
 		return newReply(o.Number, dispatch.Answer{Result: dispatch.Undelivered, Error: err}, nil), true
 	}
 	p := dispatch.Permit{Timeout: o.Timeout, Valid: func() bool { return s.options.Now().Before(deadline) }}
+	p.Single = o.Kind == start && o.Copies == 1
 	if o.Kind == start && o.Wait > 0 {
 		var late atomic.Int32
 		p.Await, p.Late = o.Wait, func(a dispatch.Answer) {
--- a/internal/version/job/command.go
+++ b/internal/version/job/command.go
@@ -59,6 +59,15 @@
 	Evacuations []Evacuation  `cbor:"25,keyasint,omitempty"` // in the order in which they arrived; no starts are in the same round
 	Speeds      []WorkerSpeed `cbor:"26,keyasint,omitempty"`
 	Uses        []Use         `cbor:"27,keyasint,omitempty"`
+	Sendings    []Sending     `cbor:"28,keyasint,omitempty"` // of Starts; missing in rounds of earlier builds
+}
+
+// sending returns how a start of the round is sent.
+func (r *Round) sending(i int) Sending {
+	if i < len(r.Sendings) {
+		return r.Sendings[i]
+	}
+	return SendCopies
 }
 
 // Empty reports whether the round changes nothing.
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -22,6 +22,7 @@
 	StartedMS  int64         `cbor:"9,keyasint,omitempty"`  // when Run was committed, in Unix milliseconds
 	Unclear    string        `cbor:"10,keyasint,omitempty"` // worker that has not answered a copy of the start of Run; empty if none
 	Retried    bool          `cbor:"11,keyasint,omitempty"` // Run started on that worker although copies of an earlier start may be on their way there
+	Sending    Sending       `cbor:"12,keyasint,omitempty"` // how the start of Run is sent
 }
 
 // Started returns when the current run was committed.
@@ -311,7 +312,7 @@
 	}
 	result.Refused = make([]bool, len(r.Starts))
 	for i := range r.Starts {
-		result.Refused[i] = !v.start(&r.Starts[i], r.Now)
+		result.Refused[i] = !v.start(&r.Starts[i], r.sending(i), r.Now)
 	}
 	v.dropFinished(r.Forget)
 	v.withdrawn.drop(earlier(r.Forget, r.Now.Add(-minWithdrawn)))
@@ -396,7 +397,7 @@
 
 // start starts a run of a task on a worker. It reports whether the start was
 // valid.
-func (v *View) start(s *Start, now time.Time) bool {
+func (v *View) start(s *Start, sending Sending, now time.Time) bool {
 	r := v.Jobs[s.Task.Job]
 	if r == nil || r.Status.Final() || s.Task.Step < 0 || s.Task.Step >= len(r.Job.Steps) {
 		return false
@@ -417,7 +418,7 @@
 	if !t.Retried {
 		t.Unclear = ""
 	}
-	t.Run, t.Worker, t.Life, t.StartedMS = s.Run, s.Worker, s.Life, now.UnixMilli()
+	t.Run, t.Worker, t.Life, t.StartedMS, t.Sending = s.Run, s.Worker, s.Life, now.UnixMilli(), sending
 	if c := *p.crashes(&r.Job.Steps[s.Task.Step], t); c != nil {
 		c.Started(s.Run)
 	}
--- a/internal/version/job/unclear.go
+++ b/internal/version/job/unclear.go
@@ -15,6 +15,18 @@
 	maxCopyAge = 25 * time.Second
 )
 
+// Sending says how a leader sends the copies of a start, which bounds where they may be carried out.
+type Sending uint8
+
+const (
+	// SendCopies: there may be several from the beginning on, as in earlier builds.
+	SendCopies Sending = iota
+	// SendOnce: there is no second copy before the run is noted as unclear.
+	SendOnce
+	// SendTicket: each copy has a ticket. Only the incarnation takes it that lived when it was issued.
+	SendTicket
+)
+
 // noteUnclear records that copies of the starts of runs have no answer, so that an incarnation of
 // their workers may carry them out later.
 func (v *View) noteUnclear(runs []Start, now time.Time) {
@@ -24,10 +36,14 @@
 	maps.DeleteFunc(v.Unanswered, func(_ string, at time.Time) bool { return now.Sub(at) >= maxCopyAge })
 	for i := range runs {
 		s := &runs[i]
-		v.Unanswered[s.Worker] = now
-		if _, _, t := v.Find(s.Task); t != nil && t.Run == s.Run && t.Worker == s.Worker && t.Life == s.Life {
+		_, _, t := v.Find(s.Task)
+		latest := t != nil && t.Run == s.Run && t.Worker == s.Worker && t.Life == s.Life
+		if latest {
 			t.Unclear = s.Worker
 		}
+		if !latest || t.Sending != SendTicket { // ends are kept for starts that a later incarnation may carry out
+			v.Unanswered[s.Worker] = now
+		}
 	}
 }
 
@@ -38,6 +54,10 @@
 	return max(0, age-copyTime), age < copyTime || t.Unclear != "" && age < maxCopyAge
 }
 
+// Young reports whether a task's run has just started, so that the next leaders take copies of its start for
+// unclear for seconds to come.
+func (v *View) Young(t *Task) bool { return v.Updated.Sub(t.Started()) < copyTime/2 }
+
 // Doubtful reports whether an earlier leader has sent starts to a worker that have no answer and may
 // still be carried out, and how long ago the latest was noted at least.
 func (v *View) Doubtful(worker string) (ago time.Duration, unclear bool) {
