Have a new leader note unproved starts at once again

By reading: a leader that commits a round 6 s after such a start and ends before the note leaves the next one with a start that looks settled, so that a late copy may run beside another (rule TWICE). Change: the notes are in the first round, as before; a note ends with its start.

--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -563,16 +563,11 @@
 	}
 }
 
-// adoptRunDoubt does so for a run, and has it known to the next leaders. A young run is known to them by
-// its age for a while.
-func (t *term) adoptRunDoubt(w *worker, r *run, task *job.Task, ago time.Duration, young bool) {
+// adoptRunDoubt does so for a run, and has it known to the next leaders.
+func (t *term) adoptRunDoubt(w *worker, r *run, task *job.Task, ago time.Duration) {
 	t.adoptDoubt(w, orphan{r.id, r.number}, task, ago)
 	r.copies, r.unclear, r.sending = 1, task.Unclear != "", task.Sending
 	r.once = task.Sending == job.SendOnce && !r.unclear
-	if young && (r.once || r.sending == job.SendTicket) {
-		t.orders.Go(func() { t.awaitAnswers(r) }) // most are proved by the first listing
-		return
-	}
 	t.noteUnclear(r)
 }
 
@@ -580,7 +575,7 @@
 // execute it. It reports whether the run is kept.
 func (t *term) adoptHeld(r *run, name string, task *job.Task, ago time.Duration) bool {
 	r.worker = newWorker(job.Worker{ID: name, Life: task.Life}, t.now())
-	t.adoptRunDoubt(r.worker, r, task, ago, false)
+	t.adoptRunDoubt(r.worker, r, task, ago)
 	return t.hold(r.worker, r, "an earlier leader removed its worker")
 }
 
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -281,7 +281,7 @@
 			r.worker.Life = life
 		}
 		if unclear {
-			t.adoptRunDoubt(w, r, task, ago, v.Young(task))
+			t.adoptRunDoubt(w, r, task, ago)
 		}
 		if w.Life != life {
 			t.addRun(r)
--- a/internal/version/job/unclear.go
+++ b/internal/version/job/unclear.go
@@ -54,10 +54,6 @@
 	return max(0, age-copyTime), age < copyTime || t.Unclear != "" && age < maxCopyAge
 }
 
-// Young reports whether a task's run has just started, so that the next leaders take copies of its start for
-// unclear for seconds to come.
-func (v *View) Young(t *Task) bool { return v.Updated.Sub(t.Started()) < copyTime/2 }
-
 // Doubtful reports whether an earlier leader has sent starts to a worker that have no answer and may
 // still be carried out, and how long ago the latest was noted at least.
 func (v *View) Doubtful(worker string) (ago time.Duration, unclear bool) {
