Check with a model what settles a start

Model acknowledge gets second copies of starts (a listing that shows the run settles only a start without one) and tickets (settled by a listing that was sent later).

--- a/model/acknowledge.pml
+++ b/model/acknowledge.pml
@@ -11,9 +11,14 @@
  *
  * Invariant: no incarnation forgets an end that the leader has not processed.
  *
+ * With TWINS, each start may have a second copy, which the leader knows of. With TICKETS, a start has a ticket, which only
+ * the incarnation takes that is up when the start is sent, whichever one the leader knows.
+ *
  * Guards, each removed by defining:
  *   NO_RAISE   the token rises with a start while an acknowledgement has no answer
  *   NO_HOLD    nothing is acknowledged while a start has no answer
+ *   NO_ONCE    a listing that shows a start settles it only if it has no second copy (TWINS)
+ *   NO_PROOF   a ticket settles a start only once a listing that was sent later is answered (TICKETS)
  */
 #ifndef STARTS
 #define STARTS 2
@@ -34,9 +39,28 @@
 byte list[STARTS], list_token[STARTS], list_life[STARTS];
 bit ended[STARTS];  /* the incarnation lists the end of the start */
 bit noted[STARTS];  /* the leader has processed it */
+byte twin[STARTS];  /* the second copy of the start */
+byte ticket[STARTS]; /* incarnation that takes the start */
+bit proved[STARTS]; /* no other incarnation than the one that was listed takes it */
 byte i, k;
 
 #define unanswered(x) (x == SENT || x == RAN)
+#ifdef TICKETS
+#define takes(k) (ticket[k] == life)
+#ifdef NO_PROOF
+#define open_start(k) false
+#else
+#define open_start(k) (unanswered(start[k]) && !proved[k])
+#endif
+#else
+#define takes(k) true
+#ifdef NO_ONCE
+bit shown[STARTS];
+#define open_start(k) (unanswered(start[k]) || unanswered(twin[k]) && !shown[k])
+#else
+#define open_start(k) (unanswered(start[k]) || unanswered(twin[k]))
+#endif
+#endif
 
 /* Carries out a listing that acknowledges. */
 inline forget(n) {
@@ -58,11 +82,25 @@
 	fi
 }
 
+/* A listing shows a start of which the leader takes no further copy for on its way. */
+inline settle(n) {
+#ifdef NO_ONCE
+	shown[n] = 1
+#else
+	skip
+#endif
+}
+
+/* A start is carried out, which does nothing where its run has ended. */
+inline execute(n) {
+	if :: !ended[n] -> ended[n] = 1; noted[n] = 0 :: else fi
+}
+
 inline sum_open() {
 	k = 0; open = 0;
 	do
 	:: k < STARTS ->
-		if :: unanswered(start[k]) -> open++ :: else fi;
+		if :: open_start(k) -> open++ :: else fi;
 		if :: unanswered(list[k]) -> acks++ :: else fi;
 		k++
 	:: else -> break
@@ -80,7 +118,10 @@
 #ifndef NO_RAISE
 		if :: acks > 0 -> token++ :: else fi;
 #endif
-		start[i] = SENT; start_token[i] = token;
+		start[i] = SENT; start_token[i] = token; ticket[i] = life;
+#ifdef TWINS
+		if :: twin[i] = SENT :: skip fi;
+#endif
 		open = 0; acks = 0
 	}
 	/* the leader sends a listing with an acknowledgement */
@@ -105,17 +146,24 @@
 	:: atomic {
 		start[0] == SENT ->
 		if
-		:: start_token[0] >= seen -> seen = start_token[0]; ended[0] = 1; start[0] = RAN
+		:: start_token[0] >= seen && takes(0) -> seen = start_token[0]; execute(0); start[0] = RAN
 		:: else -> start[0] = OVER
 		fi
 	}
 	:: atomic {
 		start[1] == SENT ->
 		if
-		:: start_token[1] >= seen -> seen = start_token[1]; ended[1] = 1; start[1] = RAN
+		:: start_token[1] >= seen && takes(1) -> seen = start_token[1]; execute(1); start[1] = RAN
 		:: else -> start[1] = OVER
 		fi
 	}
+#ifdef TWINS
+	/* a second copy is carried out, or can no longer be */
+	:: atomic { twin[0] == SENT -> if :: start_token[0] >= seen -> seen = start_token[0]; execute(0); twin[0] = RAN :: else -> twin[0] = OVER fi }
+	:: unanswered(twin[0]) && !ended[0] -> twin[0] = OVER
+	:: atomic { twin[1] == SENT -> if :: start_token[1] >= seen -> seen = start_token[1]; execute(1); twin[1] = RAN :: else -> twin[1] = OVER fi }
+	:: unanswered(twin[1]) && !ended[1] -> twin[1] = OVER
+#endif
 	/* a listing is carried out; its answer arrives, or not */
 	:: atomic { list[0] == SENT -> forget(0); if :: list[0] = OVER :: list[0] = RAN fi }
 	:: atomic { list[1] == SENT -> forget(1); if :: list[1] = OVER :: list[1] = RAN fi }
@@ -138,7 +186,8 @@
 		k = 0;
 		do
 		:: k < STARTS ->
-			if :: ended[k] -> noted[k] = 1; if :: start[k] == RAN -> start[k] = OVER :: else fi :: else fi;
+			if :: ended[k] -> noted[k] = 1; if :: start[k] == RAN -> start[k] = OVER; settle(k) :: else fi :: else fi;
+			if :: start[k] != IDLE -> proved[k] = 1 :: else fi;
 			k++
 		:: else -> break
 		od;
--- a/model/run.sh
+++ b/model/run.sh
@@ -62,7 +62,10 @@
       start) specification start -DCOPIES=2 -DLIVES=2 -DRUNS=2 -- NO_LATE NO_LONGEST NO_SILENCE NO_DOUBTS NO_PROOF NO_HOLD NO_FORMER NO_BIND NO_ORPHAN NO_MOVE NO_RETRY NO_LEASES NO_LOST FORGETFUL -- RENEW RENEW_LEASE RENEW_TERM ABSENT PROOF_ONLY ;;
       turn) specification turn -DSTEPS=4 -DLOSSES=2 -- -- NO_LINE NO_ORDER SAME_CLIENT ;;
       founding) specification founding -- NO_BOUND NO_MAJORITY NO_NOTE NO_ANSWER NO_QUORUM ;;
-      acknowledge) specification acknowledge -DSTARTS=2 -DLIVES=3 -- NO_RAISE NO_HOLD ;;
+      acknowledge)
+        specification acknowledge -DSTARTS=2 -DLIVES=3 -- NO_RAISE NO_HOLD
+        specification acknowledge -DSTARTS=2 -DLIVES=3 -DTWINS -- NO_RAISE NO_HOLD NO_ONCE
+        specification acknowledge -DSTARTS=2 -DLIVES=3 -DTICKETS -- NO_PROOF ;;
       evacuation) specification evacuation -DCOPIES=2 -DTERMS=3 -- NO_SEND NO_COMMIT NO_ADOPT NO_ISSUED NO_TERM NO_LEASE ;;
       *) echo "model: no specification called $one" >&2; exit 2 ;;
     esac
