List a worker until an end that could not be read is readable

One end whose row cannot be read for a while holds back all ends after it. Cause: such ends count neither as processed nor as waiting, so that the loop of listings ended with the worker's last run, and nothing listed the worker again before its next task.

Change: a worker whose latest listing has such an end is listed after each of its reports, as one that refuses listings is. A worker with runs is listed anyway.

Evidence: TestEndsAreAcknowledgedAfterDisturbances plays 14 disturbances of 0.6 to 80 s and six others, and asks for an acknowledgement within 4 s of their end. The simulated workers list 500 ends at most, as on the platform.

--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
@@ -22,6 +23,8 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
+var errCommit = errors.New("the outcome of the commit is not known")
+
 // fakeLog is a raft.Log of a single replica. It commits at once and leads until
 // it is told otherwise.
 type fakeLog struct {
@@ -31,6 +34,7 @@
 	term    uint64
 	leads   bool
 	lease   time.Duration
+	fails   bool // commits nothing
 	changed chan struct{}
 }
 
@@ -41,6 +45,9 @@
 	if !l.leads {
 		return nil, raft.ErrNotLeader
 	}
+	if l.fails {
+		return nil, errCommit
+	}
 	if len(command) > raft.MaxCommand {
 		return nil, raft.ErrTooLarge
 	}
@@ -48,6 +55,13 @@
 	return l.machine.Apply(l.index, command), nil
 }
 
+// setFails has commits fail or succeed.
+func (l *fakeLog) setFails(fails bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fails = fails
+}
+
 func (l *fakeLog) Leader() (string, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -116,6 +130,7 @@
 	unhealthy          bool          // answers all orders, but does nothing
 	draining           bool          // reports that it drains
 	fails              bool          // runs fail early
+	unreadEnd          int64         // number of an end whose row cannot be read; zero if there is none
 	unread             bool          // the rows of its listings cannot be read
 	slowClock          bool          // its clock is slow by 2%
 	origin             time.Duration // reading of its clock at its start
@@ -147,6 +162,8 @@
 const (
 	maxLease = 6 * time.Second        // the longest lease that a simulated worker grants
 	failTime = 100 * time.Millisecond // until a run fails
+	// maxEndsListed is the number of ends in one listing, as on the platform.
+	maxEndsListed = 500
 )
 
 // fakeWorkers is an Upstream of simulated workers. A task runs for a second
@@ -421,9 +438,16 @@
 	}
 	w.listings++
 	l := Listing{Complete: true, Ended: slices.Clone(w.ended)}
+	if len(l.Ended) > maxEndsListed {
+		l.Ended, l.Complete = l.Ended[:maxEndsListed], false
+	}
 	for _, e := range l.Ended {
 		h.fates.settle(id, w, e.Task, e.Run)
 	}
+	if i := slices.IndexFunc(l.Ended, func(e EndedRun) bool { return e.Number == w.unreadEnd }); i >= 0 {
+		l.Running, l.UnreadEnd = append(l.Running, ListedRun{Task: l.Ended[i].Task, Run: Unread}), w.unreadEnd
+		l.Ended = slices.Delete(l.Ended, i, i+1)
+	}
 	for id, r := range w.running {
 		percent := r.percent()
 		if h.serving {
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -157,9 +157,10 @@
 }
 
 // owesListing reports whether the worker gets no new tasks, or none for long, before it has answered a
-// listing. It is listed after each of its reports until then, whatever it executes.
+// listing, or listed an end that could not be read. It is listed after each of its reports until then,
+// whatever it executes.
 func (w *worker) owesListing() bool {
-	return !w.pollAt.IsZero() || !w.listed || w.clockReading.IsZero() || !w.answers() || w.listedEnds >= maxListedEnds
+	return !w.pollAt.IsZero() || !w.listed || w.clockReading.IsZero() || !w.answers() || w.listedEnds >= maxListedEnds || w.unreadEnd > 0
 }
 
 // extendLease returns the end of a new lease, on the worker's clock. While the
