--- a/internal/process/dispatch/acknowledge_test.go
+++ b/internal/process/dispatch/acknowledge_test.go
@@ -1,10 +1,12 @@
 package dispatch
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
@@ -113,3 +115,57 @@
 		b.is.Equal(b.status("one"), job.Completed)
 	})
 }
+
+// Guards against a task that starts again after its run was done and acknowledged: the record of its worker was
+// removed and made anew between a listing without an answer and the start, and the next incarnation receives both
+// late (rule TWICE).
+func TestLateAcknowledgementOfAFormerRecordForgetsNoLateStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.submit("one", tasks(1))
+		time.Sleep(1030 * time.Millisecond) // its end is listed, and not acknowledged yet
+		b.changeWorker("a", func(w *fakeWorker) {
+			w.answers = answerListings(func() Answer { return Answer{Result: Unanswered} })
+		})
+		time.Sleep(100 * time.Millisecond)
+		b.term().leave(&cell.Leave{Worker: "a", Life: 1})
+		time.Sleep(leaveGracePeriod + 2*checkInterval)
+		var listings []ListOrder
+		b.changeWorker("a", func(w *fakeWorker) {
+			listings = w.lostListings
+			w.answers, w.delaysStarts = nil, true
+		})
+		b.is.True(listings[0].Acknowledged > 0) // the case is played as meant
+		b.report("a", false)
+		time.Sleep(100 * time.Millisecond)
+		b.submit("two", tasks(1))
+		time.Sleep(20 * time.Millisecond)
+		var starts []StartOrder
+		b.changeWorker("a", func(w *fakeWorker) { starts = w.late })
+		b.is.True(len(starts) > 0)
+		b.restart("a", 2)
+		b.changeWorker("a", func(w *fakeWorker) {
+			b.workers.carryOut("a", w, starts[0], Answer{})
+			w.silent = true
+		})
+		time.Sleep(1100 * time.Millisecond)
+		b.changeWorker("a", func(w *fakeWorker) {
+			b.workers.endDueRuns(w)
+			for _, l := range listings {
+				b.workers.prepareList(w, l)
+			}
+			w.silent = false
+		})
+		b.report("a", false)
+		time.Sleep(40 * time.Second)
+		runs := 0
+		for _, s := range b.workers.started() {
+			if strings.HasPrefix(s, "two.") {
+				runs++
+			}
+		}
+		b.is.Equal(runs, 1)
+		b.is.Equal(b.status("two"), job.Completed)
+	})
+}
