List a worker again that reports itself during a lost listing

One of the paths: the loop that lists a worker without runs ends with a listing that gets no answer, and its next report starts the loop again. A report that came while that listing was under way was forgotten, and the ends waited for the one after it, 1.5 s later. Cause: the report finds the loop running and leaves the request to it, and the loop ends without a look at the request.

Change: the loop goes on if the worker was heard since the lost listing was sent. A refusal is an answer, and ends the loop as before.

--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -94,7 +94,7 @@
 		if committed := t.handleListing(w, &o, sent, listing, a); committed != nil {
 			t.awaitCommit(t.ctx, committed)
 		}
-		if t.pausePolling(w, a) {
+		if t.pausePolling(w, sent, a) {
 			return
 		}
 		switch {
@@ -110,15 +110,15 @@
 	}
 }
 
-// pausePolling ends the loop of a worker that does not answer and is not known to
-// run anything. The loop starts again with the worker's next report.
-func (t *term) pausePolling(w *worker, a Answer) bool {
+// pausePolling ends the loop of a worker that does not answer a listing, has not been heard since
+// that was sent, and is not known to run anything. The loop starts again with the worker's next report.
+func (t *term) pausePolling(w *worker, sent time.Time, a Answer) bool {
 	if a.Result == Accepted || a.Result == Undelivered {
 		return false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if len(w.runs)+len(w.orphans) > 0 || w.acknowledged < w.lastEnd {
+	if len(w.runs)+len(w.orphans) > 0 || w.acknowledged < w.lastEnd || a.Result != Refused && w.heardAt.After(sent) {
 		return false
 	}
 	w.polling = false
