Send orders that did not reach a lost driver another way

Cause: all orders that a lost driver has not answered count as not delivered, also those that still waited in this process, and those of a batch that certainly did not leave. A start among them counts as one that may arrive late, and no end of its worker is acknowledged meanwhile.

Change: the leader knows which orders have left, and sends the others through the present driver of their worker, or itself, if their permit still holds. An order that may have left is not sent again here.

Evidence: TestOrderThatDidNotLeaveTakesAnotherWay, a driver that accepts no connection and one that is cut off with a batch on its way, failed before and passes; the other tests of driver pass, with the race detector as well.

--- a/internal/process/driver/driver_test.go
+++ b/internal/process/driver/driver_test.go
@@ -26,13 +26,14 @@
 	mu       sync.Mutex
 	handlers map[string]map[string]peer.Handler // by process and method
 	cut      map[string]bool                    // processes that receive nothing; calls to them hang
+	down     map[string]bool                    // processes that accept no connection
 	oneWay   map[[2]string]bool                 // calls from the first to the second process hang
 	paused   map[string]chan struct{}           // processes that handle nothing until the channel is closed
 	delay    time.Duration                      // additional time for a request, and for its answer
 }
 
 func newFakeNetwork() *fakeNetwork {
-	return &fakeNetwork{handlers: map[string]map[string]peer.Handler{}, cut: map[string]bool{}, oneWay: map[[2]string]bool{}, paused: map[string]chan struct{}{}}
+	return &fakeNetwork{handlers: map[string]map[string]peer.Handler{}, cut: map[string]bool{}, down: map[string]bool{}, oneWay: map[[2]string]bool{}, paused: map[string]chan struct{}{}}
 }
 
 // endpoint is the view of one process of the network.
@@ -54,8 +55,11 @@
 	time.Sleep(time.Millisecond)
 	e.network.mu.Lock()
 	handler, cut, paused := e.network.handlers[to][method], e.network.cut[to] || e.network.cut[e.name] || e.network.oneWay[[2]string{e.name, to}], e.network.paused[to]
-	delay := e.network.delay
+	delay, down := e.network.delay, e.network.down[to]
 	e.network.mu.Unlock()
+	if down {
+		return peer.ErrNotSent
+	}
 	if cut || handler == nil {
 		<-ctx.Done()
 		return errors.CombineErrors(peer.ErrUnknown, ctx.Err())
@@ -308,6 +312,31 @@
 	})
 }
 
+// Guards against an order that counts as one that may be carried out later, although its driver was lost
+// before it was handed over: after such a start no end of its worker is acknowledged for 13 s (rule LOST, issue 71).
+func TestOrderThatDidNotLeaveTakesAnotherWay(t *testing.T) {
+	for name, lose := range map[string]func(*fakeNetwork){
+		"the driver accepts no connection": func(n *fakeNetwork) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			n.down["c"] = true
+		},
+		"the order waits behind a batch without an answer": func(n *fakeNetwork) {
+			n.set("c", true)
+			time.Sleep(2 * presenceInterval) // a batch is on its way
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(is *is.I, f *testFleet) {
+				lose(f.network)
+				a := f.Start(always(time.Second), worker(1), dispatch.StartOrder{Task: task(1), Run: 1, Lease: time.UnixMilli(1)})
+				is.Equal(a.Result, dispatch.Refused) // the answer of recorder
+				is.Equal(len(f.all.senders("start w001 j.0.0.1 1 0    1")), 1)
+			})
+		})
+	}
+}
+
 // Guards against a driver that takes orders but cannot call the leader, so that its
 // workers count as not answering for as long as that lasts.
 func TestAnswersOfACutDriverAreFetched(t *testing.T) {
--- a/internal/process/driver/fleet.go
+++ b/internal/process/driver/fleet.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/boottime"
@@ -73,6 +74,8 @@
 // flight is an order that a driver holds.
 type flight struct {
 	answer   chan reply
+	left     bool                  // it may have reached the driver
+	unsent   bool                  // it was given up and has not left this process; set before answer is sent to
 	answered bool                  // only late answers follow
 	late     func(dispatch.Answer) // see dispatch.Permit; nil if none is waited for
 	known    map[int]bool          // late answers that have arrived; a batch may arrive twice
@@ -186,12 +189,13 @@
 		f.mu.Lock()
 		orders := d.queue
 		d.queue = nil
+		d.setLeft(orders, true)
 		f.mu.Unlock()
 		var p presence
 		call, cancel := context.WithTimeout(ctx, batchTimeout)
 		err := f.options.Peer.Call(call, d.name, MethodDrive, batch{Session: f.session, Orders: orders}, &p)
 		cancel()
-		f.note(d, &p, err)
+		f.note(d, &p, orders, err)
 		pause := presenceInterval
 		if err == nil && p.Cut {
 			f.receive(d.name, p.Replies)
@@ -212,9 +216,18 @@
 	}
 }
 
-// note records whether a driver took a batch. If not, whatever it holds counts as
+// setLeft records whether orders may have reached the driver. The caller holds the lock of the fleet.
+func (d *remote) setLeft(orders []order, left bool) {
+	for i := range orders {
+		if o := d.flight[orders[i].Number]; o != nil {
+			o.left = left
+		}
+	}
+}
+
+// note records whether a driver took a batch of orders. If not, whatever it holds counts as
 // not delivered, and its workers are reached through others until it answers.
-func (f *Fleet) note(d *remote, p *presence, err error) {
+func (f *Fleet) note(d *remote, p *presence, orders []order, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.drivers[d.name] != d {
@@ -227,6 +240,9 @@
 		}
 		return
 	}
+	if errors.Is(err, peer.ErrNotSent) {
+		d.setLeft(orders, false)
+	}
 	if f.routes.drop(d.name) {
 		f.options.Log.Emit(event.DriverLost, zap.String("driver", d.name), zap.Int("orders", len(d.flight)), event.Cause(err))
 	}
@@ -238,6 +254,7 @@
 func (d *remote) abandon() {
 	for n, o := range d.flight {
 		if !o.answered {
+			o.unsent = !o.left
 			o.answer <- reply{Number: n, Result: dispatch.Undelivered}
 		}
 	}
@@ -251,20 +268,32 @@
 	return f.drivers[f.routes.choose(w.ID, w.Zone, len(f.workers))]
 }
 
-// send sends an order through a driver and waits for its answer. It returns false
-// if this process has to send the order itself.
+// send sends an order through a driver and waits for its answer. An order that is given up with its
+// driver before it has left this process takes another way: it would count as one that may be
+// carried out later. send returns false if this process has to send the order itself.
 func (f *Fleet) send(p dispatch.Permit, w *job.Worker, o order) (reply, bool) {
+	for {
+		r, unsent, ok := f.try(p, w, o)
+		if !unsent || !p.Valid() {
+			return r, ok
+		}
+	}
+}
+
+// try sends an order through the present driver of its worker. It also reports whether the order was given up
+// with the driver before it left this process.
+func (f *Fleet) try(p dispatch.Permit, w *job.Worker, o order) (r reply, unsent, ok bool) {
 	o.Number, o.Timeout, o.Worker, o.Address = f.number.Add(1), p.Timeout, w.ID, address(w)
 	sent, now := &flight{answer: make(chan reply, 1), late: p.Late, known: map[int]bool{}}, boottime.Now()
 	f.mu.Lock()
 	d := f.route(w)
 	if d == nil {
 		f.mu.Unlock()
-		return reply{}, false
+		return reply{}, false, false
 	}
 	if len(d.queue) >= maxQueued || !p.Valid() {
 		f.mu.Unlock()
-		return reply{Result: dispatch.Undelivered}, true
+		return reply{Result: dispatch.Undelivered}, false, true
 	}
 	o.Stamp = d.reading.Stamp(now, now.Add(dispatch.MaxOrderAge))
 	d.queue, d.flight[o.Number] = append(d.queue, o), sent
@@ -275,14 +304,14 @@
 	}
 	t := time.NewTimer(p.Timeout + answerMargin)
 	defer t.Stop()
-	r, ok := f.await(d, o.Number, sent, t.C)
+	r, ok = f.await(d, o.Number, sent, t.C)
 	if !ok {
-		return reply{Result: dispatch.Undelivered}, true
+		return reply{Result: dispatch.Undelivered}, false, true
 	}
 	if r.Open > 0 && p.Late != nil {
 		time.AfterFunc(p.Await+answerMargin, func() { f.drop(d, o.Number) })
 	}
-	return r, true
+	return r, sent.unsent, true
 }
 
 // await waits for the answer to an order until the end of its time, and drops an order that has none by
