Count the ends behind one that cannot be read

The cause `unread` could hardly occur.

Change: the ends that are known to be listed count, and their hold is `unread`.

Evidence: TestEndsBehindAnUnreadOneAreCounted failed before, and passes.

--- a/internal/process/dispatch/ends.go
+++ b/internal/process/dispatch/ends.go
@@ -65,6 +65,8 @@
 func (t *term) holdOf(w *worker) Hold {
 	d := t.doubtsOf(w)
 	switch {
+	case w.lastEnd <= w.forgotten:
+		return HoldUnread
 	case w.acknowledged <= w.forgotten:
 		return HoldCommit
 	case t.now().Before(w.acknowledgeFrom), d != nil && d.mayArrive() && d.adopted():
@@ -86,21 +88,22 @@
 func (t *term) noteHeldEnds(now time.Time) {
 	var counts [numHolds]int64
 	for _, w := range t.workers {
-		if w.lastEnd <= w.forgotten {
+		last := w.lastListed()
+		if last <= w.forgotten {
 			w.held = heldEnds{}
 			continue
 		}
 		h := t.holdOf(w)
-		counts[h] += w.lastEnd - w.forgotten
+		counts[h] += last - w.forgotten
 		if w.held.number <= w.forgotten {
-			w.held = heldEnds{number: w.lastEnd, since: now, nextLog: now.Add(heldLogDelay)}
+			w.held = heldEnds{number: last, since: now, nextLog: now.Add(heldLogDelay)}
 		}
 		if now.Before(w.held.nextLog) {
 			continue
 		}
 		w.held.nextLog = now.Add(heldLogInterval)
 		t.emit(event.EndsHeld, append([]zap.Field{zap.String("worker", w.ID), zap.Int64("life", int64(w.Life)), zap.Int64("number", w.held.number),
-			zap.Int64("last", w.lastEnd), zap.Int64("acknowledged", w.forgotten), zap.Stringer("hold", h), zap.Time("since", w.held.since),
+			zap.Int64("last", last), zap.Int64("acknowledged", w.forgotten), zap.Stringer("hold", h), zap.Time("since", w.held.since),
 			zap.Int("runs", len(w.runs)), zap.Bool("listing", w.polling)}, t.holdFields(w)...)...)
 	}
 	for h, n := range counts {
@@ -108,6 +111,16 @@
 	}
 }
 
+// lastListed returns the highest number of an end that is known to be listed, also of one that could not be
+// read and of those after it.
+func (w *worker) lastListed() int64 {
+	last := max(w.lastEnd, w.unreadEnd)
+	for _, n := range w.laterEnds {
+		last = max(last, n)
+	}
+	return last
+}
+
 // holdFields returns the fields about the starts that keep ends from being acknowledged.
 func (t *term) holdFields(w *worker) []zap.Field {
 	var f []zap.Field
--- a/internal/process/dispatch/ends_test.go
+++ b/internal/process/dispatch/ends_test.go
@@ -166,3 +166,19 @@
 		b.is.Equal(b.status("unsent"), job.Completed)
 	})
 }
+
+// Guards against ends that wait behind one that cannot be read and that no metric counts.
+func TestEndsBehindAnUnreadOneAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		b.changeWorker("a", func(w *fakeWorker) { w.unreadEnd = 1 })
+		b.submit("one", tasks(4))
+		time.Sleep(5 * time.Second)
+		b.is.True(b.leader.Unacknowledged(HoldUnread) >= 4)
+		b.changeWorker("a", func(w *fakeWorker) { w.unreadEnd = 0 })
+		time.Sleep(acknowledgeTime)
+		b.is.Equal(b.leader.Unacknowledged(HoldUnread), 0)
+		b.is.Equal(len(b.workers.worker("a").ended), 0)
+	})
+}
