Count late answers to orders whose driver was given up

Cause: when a driver does not take a batch in time, or an order's time ends, the leader forgets the orders that the driver holds, and with them the late answers that are awaited for starts. Such a start counts as one that may arrive late, although its answer comes a moment later.

Change: a start that was given up stays known for as long as late answers are awaited. It counts as one open copy, so that it is settled once, when all copies that its driver sent are known; one that was accepted needs a proof, as any other. Orders that had an answer keep waiting for their further copies.

Evidence: TestLateAnswerOfASlowDriverCounts failed before in both cases, and passes; TestGivenUpOrderIsSettledByAllItsCopies plays eleven sequences of answers.

--- a/internal/process/driver/fleet.go
+++ b/internal/process/driver/fleet.go
@@ -79,6 +79,15 @@
 	answered bool                  // only late answers follow
 	late     func(dispatch.Answer) // see dispatch.Permit; nil if none is waited for
 	known    map[int]bool          // late answers that have arrived; a batch may arrive twice
+	givenUp  *givenUp              // nil unless it was, and late answers are waited for
+}
+
+// givenUp is an order that counts as not delivered, with one open copy. Once all of its copies are
+// known, that one is settled by a late answer.
+type givenUp struct {
+	answered bool            // the driver has answered the order
+	open     int             // copies without an answer by then
+	outcome  dispatch.Answer // that an incarnation accepted, if one did; else any
 }
 
 // NewFleet returns a Fleet.
@@ -118,6 +127,11 @@
 	o := d.flight[r.Number]
 	switch {
 	case o == nil:
+	case o.givenUp != nil:
+		if a, known := o.conclude(r); known {
+			delete(d.flight, r.Number)
+			go o.late(a)
+		}
 	case r.Late > 0:
 		if _, a := r.answer(); o.late != nil && !o.known[r.Late] {
 			o.known[r.Late] = true
@@ -132,6 +146,38 @@
 	}
 }
 
+// conclude notes an answer to an order that was given up. It returns the order's outcome once all copies are
+// known.
+func (o *flight) conclude(r *reply) (dispatch.Answer, bool) {
+	g := o.givenUp
+	_, a := r.answer()
+	switch {
+	case r.Late > 0:
+		o.known[r.Late] = true
+	case g.answered:
+		return dispatch.Answer{}, false // a batch may arrive twice
+	default:
+		g.answered, g.open = true, a.Open
+	}
+	if a.Result == dispatch.Undelivered && a.Open == 0 {
+		a.Result = dispatch.NotSent // its permit has ended
+	}
+	if a.Result == dispatch.Accepted || g.outcome.Result == 0 && (a.Answered() || a.Result == dispatch.NotSent) {
+		g.outcome = a
+	}
+	return g.outcome, g.answered && len(o.known) >= g.open && g.outcome.Result != 0
+}
+
+// giveUp keeps an order without an answer if late answers are waited for, and drops it otherwise. The caller
+// holds the lock of the fleet.
+func (d *remote) giveUp(number uint64) {
+	if o := d.flight[number]; o != nil && o.late != nil && o.left && !o.answered {
+		o.answered, o.givenUp = true, &givenUp{}
+	} else if o != nil && !(o.answered && o.late != nil) {
+		delete(d.flight, number)
+	}
+}
+
 // Run keeps in touch with the drivers while this process leads, until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
 	var senders sync.WaitGroup
@@ -249,8 +295,8 @@
 	d.abandon()
 }
 
-// abandon answers all orders that a driver holds. The caller holds the lock of the
-// fleet.
+// abandon answers all orders that a driver holds. Late answers to those that have left still
+// count. The caller holds the lock of the fleet.
 func (d *remote) abandon() {
 	for n, o := range d.flight {
 		if !o.answered {
@@ -260,8 +306,9 @@
 			}
 			o.answer <- r
 		}
+		d.giveUp(n)
 	}
-	d.flight, d.queue = map[uint64]*flight{}, nil
+	d.queue = nil
 }
 
 // route returns the driver for a worker, or nil if this process sends the order
@@ -309,7 +356,7 @@
 	defer t.Stop()
 	r, ok = f.await(d, o.Number, sent, t.C)
 	if !ok {
-		return reply{Result: dispatch.Undelivered, Open: 1}, false, true
+		r = reply{Result: dispatch.Undelivered, Open: 1}
 	}
 	if r.Open > 0 && p.Late != nil {
 		time.AfterFunc(p.Await+answerMargin, func() { f.drop(d, o.Number) })
@@ -317,7 +364,7 @@
 	return r, sent.unsent, true
 }
 
-// await waits for the answer to an order until the end of its time, and drops an order that has none by
+// await waits for the answer to an order until the end of its time, and gives up an order that has none by
 // then. An answer and the end may come together if this process is paused.
 func (f *Fleet) await(d *remote, number uint64, sent *flight, end <-chan time.Time) (reply, bool) {
 	select {
@@ -325,7 +372,9 @@
 		return r, true
 	case <-end:
 	}
-	f.drop(d, number)
+	f.mu.Lock()
+	d.giveUp(number)
+	f.mu.Unlock()
 	select {
 	case r := <-sent.answer:
 		return r, true
--- a/internal/process/driver/late_test.go
+++ b/internal/process/driver/late_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
@@ -65,3 +67,79 @@
 		is.Equal(s.deadline(&order{Timeout: orderTimeout, Stamp: c.stamp}, received), c.want)
 	}
 }
+
+// Guards against an answer that is forgotten because its driver was slow: the start counts as one that may be carried
+// out late, and no end of its worker is acknowledged for 13 s (rule LOST, issue 71).
+func TestLateAnswerOfASlowDriverCounts(t *testing.T) {
+	for name, timeout := range map[string]time.Duration{"the time of the order ends first": orderTimeout, "the driver is given up first": time.Second} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(is *is.I, f *testFleet) {
+				f.network.mu.Lock()
+				f.network.delay = 150 * time.Millisecond
+				f.network.mu.Unlock()
+				late := make(chan dispatch.Answer, 3)
+				p := always(timeout)
+				p.Await, p.Late = time.Second, func(a dispatch.Answer) { late <- a }
+				a := f.Start(p, worker(1), dispatch.StartOrder{Task: task(1), Run: 1, Lease: time.UnixMilli(1)})
+				time.Sleep(time.Second)
+				answers := len(late)
+				time.Sleep(2 * time.Second)
+				f.mu.Lock()
+				held := len(f.drivers["c"].flight)
+				f.mu.Unlock()
+				is.Equal(a.Result, dispatch.Undelivered)
+				is.Equal(a.Open, 1)
+				is.Equal(answers, 1)
+				is.Equal((<-late).Result, dispatch.Refused) // the answer of recorder
+				is.Equal(held, 0)
+			})
+		})
+	}
+}
+
+// Guards against copies that settle an order that was given up before all of them are known (rule TWICE), and against
+// late answers that are forgotten because their driver was lost meanwhile (rule LOST, issue 71).
+func TestGivenUpOrderIsSettledByAllItsCopies(t *testing.T) {
+	accepted := reply{Number: 1, Result: dispatch.Accepted}
+	open := reply{Number: 1, Result: dispatch.Unanswered, Open: 2}
+	first, second := reply{Number: 1, Result: dispatch.Refused, Late: 1}, reply{Number: 1, Result: dispatch.Accepted, Late: 2}
+	for _, c := range []struct {
+		before, after []reply // the driver is given up
+		want          []dispatch.Result
+	}{
+		{nil, []reply{accepted, accepted}, []dispatch.Result{dispatch.Accepted}},
+		{nil, []reply{open}, nil},
+		{nil, []reply{open, first, first, open}, nil},
+		{nil, []reply{first, open}, nil},
+		{nil, []reply{open, first, second}, []dispatch.Result{dispatch.Accepted}},
+		{nil, []reply{second, first, open}, []dispatch.Result{dispatch.Accepted}},
+		{nil, []reply{{Number: 1, Result: dispatch.Undelivered}}, []dispatch.Result{dispatch.NotSent}},
+		{nil, []reply{{Number: 1, Result: dispatch.Undelivered, Open: 1}}, nil},
+		{nil, []reply{{Number: 2, Result: dispatch.Accepted}}, nil},
+		{[]reply{open}, []reply{first, second, second}, []dispatch.Result{dispatch.Refused, dispatch.Accepted}},
+		{[]reply{open, first}, []reply{first, second}, []dispatch.Result{dispatch.Refused, dispatch.Accepted}},
+	} {
+		t.Run(fmt.Sprint(c), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var mu sync.Mutex
+				var got []dispatch.Result
+				o := &flight{answer: make(chan reply, 1), left: true, known: map[int]bool{}, late: func(a dispatch.Answer) {
+					mu.Lock()
+					defer mu.Unlock()
+					got = append(got, a.Result)
+				}}
+				d := &remote{flight: map[uint64]*flight{1: o}}
+				for i := range c.before {
+					d.receive(&c.before[i])
+				}
+				d.abandon()
+				synctest.Wait()
+				for i := range c.after {
+					d.receive(&c.after[i])
+					synctest.Wait()
+				}
+				is.New(t).Equal(got, c.want)
+			})
+		})
+	}
+}
