--- a/internal/process/dispatch/cluster_test.go
+++ b/internal/process/dispatch/cluster_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/matryer/is"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/connection/cell"
@@ -22,6 +23,8 @@
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
+var errCommit = errors.New("the outcome of the commit is not known")
+
 // fakeLog is a raft.Log of a single replica. It commits at once and leads until
 // it is told otherwise.
 type fakeLog struct {
@@ -31,6 +34,7 @@
 	term    uint64
 	leads   bool
 	lease   time.Duration
+	fails   bool // commits nothing
 	changed chan struct{}
 }
 
@@ -41,6 +45,9 @@
 	if !l.leads {
 		return nil, raft.ErrNotLeader
 	}
+	if l.fails {
+		return nil, errCommit
+	}
 	if len(command) > raft.MaxCommand {
 		return nil, raft.ErrTooLarge
 	}
@@ -48,6 +55,13 @@
 	return l.machine.Apply(l.index, command), nil
 }
 
+// setFails has commits fail or succeed.
+func (l *fakeLog) setFails(fails bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.fails = fails
+}
+
 func (l *fakeLog) Leader() (string, uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -116,6 +130,7 @@
 	unhealthy          bool          // answers all orders, but does nothing
 	draining           bool          // reports that it drains
 	fails              bool          // runs fail early
+	unreadEnd          int64         // number of an end whose row cannot be read; zero if there is none
 	unread             bool          // the rows of its listings cannot be read
 	slowClock          bool          // its clock is slow by 2%
 	origin             time.Duration // reading of its clock at its start
@@ -147,6 +162,8 @@
 const (
 	maxLease = 6 * time.Second        // the longest lease that a simulated worker grants
 	failTime = 100 * time.Millisecond // until a run fails
+	// maxEndsListed is the number of ends in one listing, as on the platform.
+	maxEndsListed = 500
 )
 
 // fakeWorkers is an Upstream of simulated workers. A task runs for a second
@@ -163,6 +180,7 @@
 	random    *rand.Rand                        // of lose
 	gang      job.ID                            // its members end when one of their workers crashes; empty if unused
 	onStart   func(worker string, o StartOrder) // called after a start was executed; nil if unused
+	onSend    func()                            // called right before a start would leave; nil if unused
 	fates     *fates                            // of orders that get no answer; nil if all get one
 	slow      *slowCopies                       // of starts; nil if there are none
 }
@@ -229,7 +247,7 @@
 	case w == nil || w.refusesConnections:
 		return nil, Answer{Result: NotSent, Reason: ReasonBroken}, false
 	case w.loses:
-		return nil, Answer{Result: Undelivered}, false
+		return nil, Answer{Result: Undelivered, Open: 1}, false
 	case w.silent:
 		return nil, Answer{Result: Unanswered}, false
 	}
@@ -251,6 +269,9 @@
 	}
 	sent := time.Now()
 	time.Sleep(2 * time.Millisecond)
+	if !h.mayLeave(p) {
+		return Answer{Result: Undelivered}
+	}
 	if h.fates.unanswered(p, h, target.ID, func(w *fakeWorker, late bool) { h.fates.start(p, sent, h, target.ID, w, o, late) }) {
 		return Answer{Result: Unanswered}
 	}
@@ -277,6 +298,17 @@
 // ticket returns the ticket of the worker's incarnation, which no other one takes.
 func (w *fakeWorker) ticket(name string) string { return fmt.Sprint(name, " ", w.life) }
 
+// mayLeave reports whether an order may be sent now.
+func (h *fakeWorkers) mayLeave(p Permit) bool {
+	h.mu.Lock()
+	before := h.onSend
+	h.mu.Unlock()
+	if before != nil {
+		before()
+	}
+	return p.Valid()
+}
+
 // carryOut has a worker carry out a start that arrives.
 func (h *fakeWorkers) carryOut(name string, w *fakeWorker, o StartOrder, a Answer) Answer {
 	refuse := func(r Reason) Answer { a.Result, a.Reason = Refused, r; return a }
@@ -426,9 +458,16 @@
 	}
 	w.listings++
 	l := Listing{Complete: true, Ended: slices.Clone(w.ended)}
+	if len(l.Ended) > maxEndsListed {
+		l.Ended, l.Complete = l.Ended[:maxEndsListed], false
+	}
 	for _, e := range l.Ended {
 		h.fates.settle(id, w, e.Task, e.Run)
 	}
+	if i := slices.IndexFunc(l.Ended, func(e EndedRun) bool { return e.Number == w.unreadEnd }); i >= 0 {
+		l.Running, l.UnreadEnd = append(l.Running, ListedRun{Task: l.Ended[i].Task, Run: Unread}), w.unreadEnd
+		l.Ended = slices.Delete(l.Ended, i, i+1)
+	}
 	for id, r := range w.running {
 		percent := r.percent()
 		if h.serving {
--- a/internal/process/driver/fleet.go
+++ b/internal/process/driver/fleet.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"github.com/rosemaryloft/rosemaryloft/internal/boottime"
@@ -73,9 +74,20 @@
 // flight is an order that a driver holds.
 type flight struct {
 	answer   chan reply
+	left     bool                  // it may have reached the driver
+	unsent   bool                  // it was given up and has not left this process; set before answer is sent to
 	answered bool                  // only late answers follow
 	late     func(dispatch.Answer) // see dispatch.Permit; nil if none is waited for
 	known    map[int]bool          // late answers that have arrived; a batch may arrive twice
+	givenUp  *givenUp              // nil unless it was, and late answers are waited for
+}
+
+// givenUp is an order that counts as not delivered, with one open copy. Once all of its copies are
+// known, that one is settled by a late answer.
+type givenUp struct {
+	answered bool            // the driver has answered the order
+	open     int             // copies without an answer by then
+	outcome  dispatch.Answer // that an incarnation accepted, if one did; else any
 }
 
 // NewFleet returns a Fleet.
@@ -115,6 +127,11 @@
 	o := d.flight[r.Number]
 	switch {
 	case o == nil:
+	case o.givenUp != nil:
+		if a, known := o.conclude(r); known {
+			delete(d.flight, r.Number)
+			go o.late(a)
+		}
 	case r.Late > 0:
 		if _, a := r.answer(); o.late != nil && !o.known[r.Late] {
 			o.known[r.Late] = true
@@ -129,6 +146,38 @@
 	}
 }
 
+// conclude notes an answer to an order that was given up. It returns the order's outcome once all copies are
+// known.
+func (o *flight) conclude(r *reply) (dispatch.Answer, bool) {
+	g := o.givenUp
+	_, a := r.answer()
+	switch {
+	case r.Late > 0:
+		o.known[r.Late] = true
+	case g.answered:
+		return dispatch.Answer{}, false // a batch may arrive twice
+	default:
+		g.answered, g.open = true, a.Open
+	}
+	if a.Result == dispatch.Undelivered && a.Open == 0 {
+		a.Result = dispatch.NotSent // its permit has ended
+	}
+	if a.Result == dispatch.Accepted || g.outcome.Result == 0 && (a.Answered() || a.Result == dispatch.NotSent) {
+		g.outcome = a
+	}
+	return g.outcome, g.answered && len(o.known) >= g.open && g.outcome.Result != 0
+}
+
+// giveUp keeps an order without an answer if late answers are waited for, and drops it otherwise. The caller
+// holds the lock of the fleet.
+func (d *remote) giveUp(number uint64) {
+	if o := d.flight[number]; o != nil && o.late != nil && o.left && !o.answered {
+		o.answered, o.givenUp = true, &givenUp{}
+	} else if o != nil && !(o.answered && o.late != nil) {
+		delete(d.flight, number)
+	}
+}
+
 // Run keeps in touch with the drivers while this process leads, until ctx ends.
 func (f *Fleet) Run(ctx context.Context) error {
 	var senders sync.WaitGroup
@@ -186,12 +235,13 @@
 		f.mu.Lock()
 		orders := d.queue
 		d.queue = nil
+		d.setLeft(orders, true)
 		f.mu.Unlock()
 		var p presence
 		call, cancel := context.WithTimeout(ctx, batchTimeout)
 		err := f.options.Peer.Call(call, d.name, MethodDrive, batch{Session: f.session, Orders: orders}, &p)
 		cancel()
-		f.note(d, &p, err)
+		f.note(d, &p, orders, err)
 		pause := presenceInterval
 		if err == nil && p.Cut {
 			f.receive(d.name, p.Replies)
@@ -212,9 +262,18 @@
 	}
 }
 
-// note records whether a driver took a batch. If not, whatever it holds counts as
+// setLeft records whether orders may have reached the driver. The caller holds the lock of the fleet.
+func (d *remote) setLeft(orders []order, left bool) {
+	for i := range orders {
+		if o := d.flight[orders[i].Number]; o != nil {
+			o.left = left
+		}
+	}
+}
+
+// note records whether a driver took a batch of orders. If not, whatever it holds counts as
 // not delivered, and its workers are reached through others until it answers.
-func (f *Fleet) note(d *remote, p *presence, err error) {
+func (f *Fleet) note(d *remote, p *presence, orders []order, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.drivers[d.name] != d {
@@ -227,21 +286,29 @@
 		}
 		return
 	}
+	if errors.Is(err, peer.ErrNotSent) {
+		d.setLeft(orders, false)
+	}
 	if f.routes.drop(d.name) {
 		f.options.Log.Emit(event.DriverLost, zap.String("driver", d.name), zap.Int("orders", len(d.flight)), event.Cause(err))
 	}
 	d.abandon()
 }
 
-// abandon answers all orders that a driver holds. The caller holds the lock of the
-// fleet.
+// abandon answers all orders that a driver holds. Late answers to those that have left still
+// count. The caller holds the lock of the fleet.
 func (d *remote) abandon() {
 	for n, o := range d.flight {
 		if !o.answered {
-			o.answer <- reply{Number: n, Result: dispatch.Undelivered}
+			r := reply{Number: n, Result: dispatch.Undelivered}
+			if o.unsent = !o.left; o.left {
+				r.Open = 1
+			}
+			o.answer <- r
 		}
+		d.giveUp(n)
 	}
-	d.flight, d.queue = map[uint64]*flight{}, nil
+	d.queue = nil
 }
 
 // route returns the driver for a worker, or nil if this process sends the order
@@ -251,20 +318,32 @@
 	return f.drivers[f.routes.choose(w.ID, w.Zone, len(f.workers))]
 }
 
-// send sends an order through a driver and waits for its answer. It returns false
-// if this process has to send the order itself.
+// send sends an order through a driver and waits for its answer. An order that is given up with its
+// driver before it has left this process takes another way: it would count as one that may be
+// carried out later. send returns false if this process has to send the order itself.
 func (f *Fleet) send(p dispatch.Permit, w *job.Worker, o order) (reply, bool) {
+	for {
+		r, unsent, ok := f.try(p, w, o)
+		if !unsent || !p.Valid() {
+			return r, ok
+		}
+	}
+}
+
+// try sends an order through the present driver of its worker. It also reports whether the order was given up
+// with the driver before it left this process.
+func (f *Fleet) try(p dispatch.Permit, w *job.Worker, o order) (r reply, unsent, ok bool) {
 	o.Number, o.Timeout, o.Worker, o.Address = f.number.Add(1), p.Timeout, w.ID, address(w)
 	sent, now := &flight{answer: make(chan reply, 1), late: p.Late, known: map[int]bool{}}, boottime.Now()
 	f.mu.Lock()
 	d := f.route(w)
 	if d == nil {
 		f.mu.Unlock()
-		return reply{}, false
+		return reply{}, false, false
 	}
 	if len(d.queue) >= maxQueued || !p.Valid() {
 		f.mu.Unlock()
-		return reply{Result: dispatch.Undelivered}, true
+		return reply{Result: dispatch.Undelivered}, false, true
 	}
 	o.Stamp = d.reading.Stamp(now, now.Add(dispatch.MaxOrderAge))
 	d.queue, d.flight[o.Number] = append(d.queue, o), sent
@@ -275,17 +354,17 @@
 	}
 	t := time.NewTimer(p.Timeout + answerMargin)
 	defer t.Stop()
-	r, ok := f.await(d, o.Number, sent, t.C)
+	r, ok = f.await(d, o.Number, sent, t.C)
 	if !ok {
-		return reply{Result: dispatch.Undelivered}, true
+		r = reply{Result: dispatch.Undelivered, Open: 1}
 	}
 	if r.Open > 0 && p.Late != nil {
 		time.AfterFunc(p.Await+answerMargin, func() { f.drop(d, o.Number) })
 	}
-	return r, true
+	return r, sent.unsent, true
 }
 
-// await waits for the answer to an order until the end of its time, and drops an order that has none by
+// await waits for the answer to an order until the end of its time, and gives up an order that has none by
 // then. An answer and the end may come together if this process is paused.
 func (f *Fleet) await(d *remote, number uint64, sent *flight, end <-chan time.Time) (reply, bool) {
 	select {
@@ -293,7 +372,9 @@
 		return r, true
 	case <-end:
 	}
-	f.drop(d, number)
+	f.mu.Lock()
+	d.giveUp(number)
+	f.mu.Unlock()
 	select {
 	case r := <-sent.answer:
 		return r, true
