Keep the hold of a former leader while a worker's record is made anew

Callers would see: a task that was done and acknowledged starts again (rule TWICE). Cause: until when starts of an earlier leader may still arrive at a worker was in the worker's record, which a stray notice of leaving removes; the next record acknowledged at once. Change: it is kept per worker ID in the term. Evidence: TestHoldOfAFormerLeaderOutlivesTheRecord fails if the removal drops the time, and passes.

--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -177,7 +177,7 @@
 		return
 	}
 	delete(d.starts, key)
-	if w := t.workers[d.worker]; s.noted && !d.noted() && w != nil && !t.now().Before(w.acknowledgeFrom) {
+	if w := t.workers[d.worker]; s.noted && !d.noted() && w != nil && !t.now().Before(t.acknowledgeFrom[w.ID]) {
 		t.inbox.replaced = append(t.inbox.replaced, d.worker)
 	}
 	list := t.unclear[key.task]
@@ -239,7 +239,7 @@
 // of runs whose start is not proved are kept, too.
 func (t *term) acknowledgedEnd(w *worker) int64 {
 	number, d := w.acknowledged, t.doubtsOf(w)
-	if t.now().Before(w.acknowledgeFrom) || d != nil && d.mayArrive() {
+	if t.now().Before(t.acknowledgeFrom[w.ID]) || d != nil && d.mayArrive() {
 		return 0
 	}
 	if w.unreadEnd > 0 {
--- a/internal/process/dispatch/ends.go
+++ b/internal/process/dispatch/ends.go
@@ -69,7 +69,7 @@
 		return HoldUnread
 	case w.acknowledged <= w.forgotten:
 		return HoldCommit
-	case t.now().Before(w.acknowledgeFrom), d != nil && d.mayArrive() && d.adopted():
+	case t.now().Before(t.acknowledgeFrom[w.ID]), d != nil && d.mayArrive() && d.adopted():
 		return HoldFormer
 	case d != nil && d.mayArrive():
 		return HoldStart
@@ -124,8 +124,8 @@
 // holdFields returns the fields about the starts that keep ends from being acknowledged.
 func (t *term) holdFields(w *worker) []zap.Field {
 	var f []zap.Field
-	if t.now().Before(w.acknowledgeFrom) {
-		f = append(f, zap.Time("until", w.acknowledgeFrom))
+	if t.now().Before(t.acknowledgeFrom[w.ID]) {
+		f = append(f, zap.Time("until", t.acknowledgeFrom[w.ID]))
 	}
 	d := t.doubtsOf(w)
 	if d == nil {
--- a/internal/process/dispatch/ends_test.go
+++ b/internal/process/dispatch/ends_test.go
@@ -286,3 +286,35 @@
 		b.is.Equal(len(b.workers.worker("a").ended), 0)
 	})
 }
+
+// Guards against a worker whose ends are acknowledged although starts of an earlier leader may still arrive, since a
+// stray notice of leaving had its record made anew (rule TWICE).
+func TestHoldOfAFormerLeaderOutlivesTheRecord(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		time.Sleep(time.Second)
+		current := b.term()
+		current.mu.Lock()
+		current.inbox.unclear = append(current.inbox.unclear, job.Start{Task: job.TaskID{Job: "forgotten"}, Run: 1, Worker: "a", Life: 1})
+		current.mu.Unlock()
+		time.Sleep(200 * time.Millisecond)
+		b.changeLeader(1)
+		time.Sleep(200 * time.Millisecond)
+		current = b.term()
+		held := func() bool {
+			current.mu.Lock()
+			defer current.mu.Unlock()
+			w := current.workers["a"]
+			w.lastEnd, w.acknowledged = 1, 1
+			return current.holdOf(w) == HoldFormer
+		}
+		b.is.True(held())
+		current.mu.Lock()
+		current.removeWorker(current.workers["a"], "the worker left")
+		current.mu.Unlock()
+		b.report("a", false)
+		time.Sleep(100 * time.Millisecond)
+		b.is.True(held())
+	})
+}
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -82,26 +82,29 @@
 	unclear        map[job.TaskID][]*doubts // those about starts of a task, each as often as starts
 	copyWaits      map[job.TaskID]time.Time // since when tasks wait for copies of their earlier starts
 	generations    map[string]generation    // by worker
-	missing        map[string]time.Time     // by VM: since when the platform does not list it; used by runWaves only
-	begunAt        map[string]time.Time     // by VM: when its maintenance was accepted in this term; used by runWaves only
-	nextWaveLog    time.Time                // what holds the waves up is not logged before this; used by runWaves only
-	lastPoolLog    time.Time                // when the usage of the pools was last logged
-	floor          bool                     // work that is not in time waits for tickets beside free capacity, as of the latest plan
-	orderUse       orderUse
-	lossShare      lossShare
-	unanswered     map[string]time.Time     // by worker; when an order last got no answer
-	losses         []*loss                  // recent crashes of workers
-	crashes        []pastCrash              // those of the last crash.RateTime
-	recheck        map[string]bool          // by pool: whether a worker crashed since its losses were compared
-	nextRecheck    time.Time                // losses are not compared again before this
-	commonUntil    map[string]time.Time     // by pool: until when crashes of many workers at one time are in common
-	verdicts       map[job.TaskID]time.Time // when tasks that look faulty are given up
-	retried        map[job.TaskID]bool      // tasks that have started again although copies of an earlier start may be carried out
-	leased         map[string]bool          // workers to which the former leader may have sent leases until the term began; used by adopt only
-	waits          waits                    // of tasks that are due
-	evacuated      map[string]time.Time     // by availability zone: as in the state, as of the latest round
-	zoneOrders     map[string]zoneOrder     // by availability zone
-	risky          map[string]time.Time     // by queue: until when its work is kept apart, because its tasks crash their workers
+	// acknowledgeFrom is, by worker, before when no end is acknowledged, since an earlier leader sent starts
+	// that have no answer. It outlives the records of the worker.
+	acknowledgeFrom map[string]time.Time
+	missing         map[string]time.Time // by VM: since when the platform does not list it; used by runWaves only
+	begunAt         map[string]time.Time // by VM: when its maintenance was accepted in this term; used by runWaves only
+	nextWaveLog     time.Time            // what holds the waves up is not logged before this; used by runWaves only
+	lastPoolLog     time.Time            // when the usage of the pools was last logged
+	floor           bool                 // work that is not in time waits for tickets beside free capacity, as of the latest plan
+	orderUse        orderUse
+	lossShare       lossShare
+	unanswered      map[string]time.Time     // by worker; when an order last got no answer
+	losses          []*loss                  // recent crashes of workers
+	crashes         []pastCrash              // those of the last crash.RateTime
+	recheck         map[string]bool          // by pool: whether a worker crashed since its losses were compared
+	nextRecheck     time.Time                // losses are not compared again before this
+	commonUntil     map[string]time.Time     // by pool: until when crashes of many workers at one time are in common
+	verdicts        map[job.TaskID]time.Time // when tasks that look faulty are given up
+	retried         map[job.TaskID]bool      // tasks that have started again although copies of an earlier start may be carried out
+	leased          map[string]bool          // workers to which the former leader may have sent leases until the term began; used by adopt only
+	waits           waits                    // of tasks that are due
+	evacuated       map[string]time.Time     // by availability zone: as in the state, as of the latest round
+	zoneOrders      map[string]zoneOrder     // by availability zone
+	risky           map[string]time.Time     // by queue: until when its work is kept apart, because its tasks crash their workers
 }
 
 // stepState is the leader's in-memory record of a step.
@@ -132,7 +135,7 @@
 		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{}, views: map[loadKey]*loadView{}, refusing: map[string]*refusing{},
 		shares: map[string]*fit.Share{}, excess: map[string]bool{},
 		baselines: map[string]*fit.Baseline{}, coldness: map[string]*fit.Pace{}, allowedShares: map[string]float64{},
-		doubts: map[string]*doubts{}, unclear: map[job.TaskID][]*doubts{}, copyWaits: map[job.TaskID]time.Time{}, generations: map[string]generation{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
+		doubts: map[string]*doubts{}, unclear: map[job.TaskID][]*doubts{}, copyWaits: map[job.TaskID]time.Time{}, generations: map[string]generation{}, acknowledgeFrom: map[string]time.Time{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
 		risky: map[string]time.Time{}, retried: map[job.TaskID]bool{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
 		verdicts: map[job.TaskID]time.Time{}, commonUntil: map[string]time.Time{}, recheck: map[string]bool{}, zoneOrders: map[string]zoneOrder{},
 	}
@@ -225,7 +228,7 @@
 			m.inheritedLeaseEnd = now.Add(time.Duration(float64(t.timing().MaxLease)/minClockRate) + leaseExpiryMargin)
 			t.setGeneration(m)
 			if ago, unclear := v.Doubtful(w.ID); unclear {
-				m.acknowledgeFrom = now.Add(lateOrderTime - ago)
+				t.acknowledgeFrom[w.ID] = now.Add(lateOrderTime - ago)
 			}
 			t.workers[w.ID], t.sorted = m, nil
 		}
--- a/internal/process/dispatch/worker.go
+++ b/internal/process/dispatch/worker.go
@@ -61,7 +61,6 @@
 	unproved          bool      // its latest answer may be of another incarnation
 	undelivered       int       // consecutive orders that another process should have sent and did not
 	undeliveredAt     time.Time // when the latest of these was created
-	acknowledgeFrom   time.Time // no end is acknowledged before, since an earlier leader sent starts that have no answer; zero if it did not
 	heardAt           time.Time // last report or answer in this term; zero if there was none
 	brokeAt           time.Time // when its connections broke; zero if it has answered since
 	replacedAt        time.Time // when another worker was known at its address; zero if none was heard there
