Deliver a start only with the acknowledgement of its poll

An entry VM that was paused between the receipt of a grant and its delivery gave the start orders of that grant to whichever poll of the worker it held by then. If the worker had lost its lease and joined again with the same boot meanwhile, the task had started elsewhere, and the worker executed it a second time (I2): its own lease was valid, and it knew no higher fencing token of the task.

The orders name the latest poll that renewed the lease. An entry VM now leaves the start orders out unless they acknowledge the poll that it holds; the leader sends the start again with the answer to that poll. The workers of TestNoTaskRunsInTwoPlaces took no others before, so that it could not show this.

TestLateStartIsNotDeliveredToALaterPoll fails without the change: the first late start ends the poll.

--- a/internal/request/worker/worker.go
+++ b/internal/request/worker/worker.go
@@ -260,8 +260,9 @@
 
 // Deliver answers the polls that the orders are for. A poll that is acknowledged
 // without orders stays held. Orders that do not acknowledge the held poll are
-// delivered but do not renew the lease. The same holds for a request to rejoin,
-// which the worker answers with its next poll.
+// delivered without the starts and do not renew the lease. The leader sends such
+// starts again, unless the tasks have started elsewhere since. A request to rejoin
+// does not renew the lease either; the worker answers it with its next poll.
 func (a *Adapter) Deliver(list []control.WorkerOrders) {
 	for i := range list {
 		o := &list[i]
@@ -269,10 +270,14 @@
 		if !ok || p.report.Worker.Boot != o.Boot {
 			continue
 		}
+		previous := p.acknowledged.Load()
 		acknowledged := o.Acknowledged >= p.report.Sequence
+		if !acknowledged && previous == nil {
+			o.Starts = nil
+		}
 		switch {
 		case o.Rejoin || len(o.Starts)+len(o.Stops)+len(o.Throttles)+len(o.Ended) > 0 || acknowledged && p.report.Leaving:
-			if previous := p.acknowledged.Load(); previous != nil {
+			if previous != nil {
 				o.Acknowledged = max(o.Acknowledged, previous.Acknowledged)
 			}
 			p.finish(o)
--- a/internal/request/worker/worker_test.go
+++ b/internal/request/worker/worker_test.go
@@ -231,3 +231,26 @@
 		}
 	})
 }
+
+// Guards against a start that an entry VM delivers after a pause, to a poll that the worker sent
+// after its lease had ended and the task had started elsewhere.
+func TestLateStartIsNotDeliveredToALaterPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, _ := newAdapter()
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			starts := []control.StartOrder{{Task: work.TaskID{Job: 5}, Token: 11}}
+			a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: 7, Acknowledged: 1, Starts: starts}})
+			time.Sleep(time.Second)
+			a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: 7, Acknowledged: 1, Starts: starts, Stops: []work.Stop{{Token: 9}}}})
+		}()
+		begin := time.Now()
+		_, body := call(a, "/v1/workers/w/poll", strings.Replace(pollBody, `"sequence":1`, `"sequence":2`, 1), "pool")
+		var o api.Orders
+		is.NoErr(json.Unmarshal(body, &o))
+		is.Equal(time.Since(begin), 1010*time.Millisecond)
+		is.Equal(len(o.Starts), 0)
+		is.Equal(len(o.Stops), 1)
+	})
+}
