Answer a leave only once the leader has it

A stop that was under way when the leave came, for example of a job that was cancelled, answered the leave. The entry VM then had nothing to report any more, the worker ended, and the leader got neither the leave nor the ends in it.

Orders do not answer a leave unless they acknowledge it. The leader sends the stops again with the answer.

TestLeaveIsAnsweredOnceTheLeaderHasIt fails without the change: the stop answers the leave after 10 ms.

--- a/internal/request/worker/worker.go
+++ b/internal/request/worker/worker.go
@@ -261,7 +261,8 @@
 // Deliver answers the polls that the orders are for. A poll that is acknowledged
 // without orders stays held. Orders that do not acknowledge the held poll are
 // delivered without the starts and do not renew the lease. The leader sends such
-// starts again, unless the tasks have started elsewhere since. A request to rejoin
+// starts again, unless the tasks have started elsewhere since. A leave is answered
+// only once the leader has it, as its worker reports nothing after it. A request to rejoin
 // does not renew the lease either; the worker answers it with its next poll.
 func (a *Adapter) Deliver(list []control.WorkerOrders) {
 	for i := range list {
@@ -276,6 +277,7 @@
 			o.Starts = nil
 		}
 		switch {
+		case p.report.Leaving && !acknowledged && !o.Rejoin: // orders that were under way when the leave came
 		case o.Rejoin || len(o.Starts)+len(o.Stops)+len(o.Throttles)+len(o.Ended) > 0 || acknowledged && p.report.Leaving:
 			if previous != nil {
 				o.Acknowledged = max(o.Acknowledged, previous.Acknowledged)
--- a/internal/request/worker/worker_test.go
+++ b/internal/request/worker/worker_test.go
@@ -254,3 +254,24 @@
 		is.Equal(len(o.Stops), 1)
 	})
 }
+
+// Guards against a leave that is answered by orders which were under way, so that the worker ends
+// before the leader has the ends of its tasks.
+func TestLeaveIsAnsweredOnceTheLeaderHasIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, _ := newAdapter()
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			stops := []work.Stop{{Task: work.TaskID{Job: 3, Index: 1}, Token: 9, Mode: work.StopKill}}
+			a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: 7, Stops: stops}})
+			time.Sleep(time.Second)
+			is.Equal(len(a.Reports(nil)), 1)
+			a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: 7, Acknowledged: 1, Stops: stops}})
+		}()
+		begin := time.Now()
+		status, _ := call(a, "/v1/workers/w/leave", pollBody, "pool")
+		is.Equal(status, 200)
+		is.Equal(time.Since(begin), 1010*time.Millisecond)
+	})
+}
