Report held polls again after a renewal without an answer

The leader clears the mark that a worker has new orders as it builds the grant. If the grant is lost, the entry VM does not report the poll again, since it is acknowledged, and the orders wait for the next poll; the same holds for each worker after a change of the leader, since the new one does not know which entry VM holds the poll. docs/design.md says that a start reaches the worker with the next renewal.

The first grant after a renewal without an answer has the next renewal carry all held polls, once. The leader answers a poll that it knows with the orders that the worker has not reported, and does not renew its lease. Polls are not repeated while renewals fail, so that the search for a leader carries no more than before.

TestPollsAreRepeatedAfterALostGrant and TestHeldPollsAreRepeated fail without their parts of the change.

--- a/internal/connection/control/link_test.go
+++ b/internal/connection/control/link_test.go
@@ -435,6 +435,28 @@
 	})
 }
 
+// Guards against orders that stay lost with the answer to a renewal, and against polls that are
+// repeated without a loss.
+func TestPollsAreRepeatedAfterALostGrant(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		g, w := &fakeGroup{leader: "c1"}, &fakeWorkers{}
+		l := newLink(t, g, func(o *Options) { o.Workers = w })
+		search := l.replicas.search()
+		for _, lost := range []bool{false, false, true, false, false} {
+			g.silent = map[string]bool{search.current: lost}
+			if lost {
+				is.True(!l.renew(context.Background(), search, time.Now()))
+				is.Equal(w.repeats, 0)
+			} else {
+				for !l.renew(context.Background(), search, time.Now()) {
+				}
+			}
+		}
+		is.Equal(w.repeats, 1)
+	})
+}
+
 // Guards against incomplete options being accepted.
 func TestOptions(t *testing.T) {
 	is := is.New(t)
@@ -445,10 +467,14 @@
 }
 
 // fakeWorkers returns a fixed list of polls.
-type fakeWorkers struct{ reports []WorkerReport }
+type fakeWorkers struct {
+	reports []WorkerReport
+	repeats int
+}
 
 func (w *fakeWorkers) Reports(into []WorkerReport) []WorkerReport { return append(into, w.reports...) }
 func (w *fakeWorkers) Deliver([]WorkerOrders)                     {}
+func (w *fakeWorkers) Repeat()                                    { w.repeats++ }
 
 func BenchmarkRenewal(b *testing.B) {
 	w := &fakeWorkers{}
--- a/internal/connection/control/options.go
+++ b/internal/connection/control/options.go
@@ -82,6 +82,9 @@
 	// Deliver answers the polls. Orders for a worker without a waiting poll
 	// are dropped; the leader sends them again.
 	Deliver(orders []WorkerOrders)
+	// Repeat has the next renewal carry all waiting polls. A renewal had no answer:
+	// the orders in it are lost, or a new leader does not know where the polls are.
+	Repeat()
 }
 
 // Options configures a Link.
--- a/internal/connection/control/renew.go
+++ b/internal/connection/control/renew.go
@@ -25,6 +25,7 @@
 
 	// The fields below are used only by the renewal loop.
 	sequence    uint64
+	answered    uint64 // sequence of the last renewal whose grant was applied
 	term        uint64 // of the last grant applied
 	routes      routesVersion
 	renewal     Renewal // its slices are reused
@@ -229,7 +230,11 @@
 	l.deadline.Store(int64(deadline.Sub(l.start)))
 	if l.options.Workers != nil {
 		l.options.Workers.Deliver(g.Workers)
+		if l.sequence > l.answered+1 {
+			l.options.Workers.Repeat()
+		}
 	}
+	l.answered = l.sequence
 	return true
 }
 
--- a/internal/request/worker/worker.go
+++ b/internal/request/worker/worker.go
@@ -61,6 +61,7 @@
 	renewer   Renewer
 	waiting   *shard.Map[string, *heldPoll] // by worker name
 	heldCount atomic.Int64
+	repeat    atomic.Bool // the next Reports include the acknowledged polls
 }
 
 // heldPoll is a poll that waits for the leader's answer.
@@ -247,10 +248,15 @@
 	})
 }
 
-// Reports appends the polls that the leader has not acknowledged.
+// Repeat implements control.Workers.
+func (a *Adapter) Repeat() { a.repeat.Store(true) }
+
+// Reports appends the polls that the leader has not acknowledged, or all held
+// polls after Repeat.
 func (a *Adapter) Reports(into []control.WorkerReport) []control.WorkerReport {
+	repeat := a.repeat.Swap(false)
 	a.waiting.Range(func(_ string, p *heldPoll) bool {
-		if p.acknowledged.Load() == nil {
+		if repeat || p.acknowledged.Load() == nil {
 			into = append(into, p.report)
 		}
 		return true
--- a/internal/request/worker/worker_test.go
+++ b/internal/request/worker/worker_test.go
@@ -275,3 +275,20 @@
 		is.Equal(time.Since(begin), 1010*time.Millisecond)
 	})
 }
+
+// Guards against a start that waits for the next poll of its worker because the grant that carried
+// it was lost, or because the leader that knew where the poll is held is gone.
+func TestHeldPollsAreRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, _ := newAdapter()
+		go call(a, "/v1/workers/w/poll", pollBody, "pool")
+		synctest.Wait()
+		a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: 7, Acknowledged: 1}})
+		is.Equal(len(a.Reports(nil)), 0)
+		a.Repeat()
+		is.Equal(len(a.Reports(nil)), 1)
+		is.Equal(len(a.Reports(nil)), 0)
+		time.Sleep(HoldTime)
+	})
+}
