--- a/internal/request/worker/worker.go
+++ b/internal/request/worker/worker.go
@@ -61,6 +61,7 @@
 	renewer   Renewer
 	waiting   *shard.Map[string, *heldPoll] // by worker name
 	heldCount atomic.Int64
+	repeat    atomic.Bool // the next Reports include the acknowledged polls
 }
 
 // heldPoll is a poll that waits for the leader's answer.
@@ -247,10 +248,15 @@
 	})
 }
 
-// Reports appends the polls that the leader has not acknowledged.
+// Repeat implements control.Workers.
+func (a *Adapter) Repeat() { a.repeat.Store(true) }
+
+// Reports appends the polls that the leader has not acknowledged, or all held
+// polls after Repeat.
 func (a *Adapter) Reports(into []control.WorkerReport) []control.WorkerReport {
+	repeat := a.repeat.Swap(false)
 	a.waiting.Range(func(_ string, p *heldPoll) bool {
-		if p.acknowledged.Load() == nil {
+		if repeat || p.acknowledged.Load() == nil {
 			into = append(into, p.report)
 		}
 		return true
@@ -260,8 +266,10 @@
 
 // Deliver answers the polls that the orders are for. A poll that is acknowledged
 // without orders stays held. Orders that do not acknowledge the held poll are
-// delivered but do not renew the lease. The same holds for a request to rejoin,
-// which the worker answers with its next poll.
+// delivered without the starts and do not renew the lease. The leader sends such
+// starts again, unless the tasks have started elsewhere since. A leave is answered
+// only once the leader has it, as its worker reports nothing after it. A request to rejoin
+// does not renew the lease either; the worker answers it with its next poll.
 func (a *Adapter) Deliver(list []control.WorkerOrders) {
 	for i := range list {
 		o := &list[i]
@@ -269,10 +277,15 @@
 		if !ok || p.report.Worker.Boot != o.Boot {
 			continue
 		}
+		previous := p.acknowledged.Load()
 		acknowledged := o.Acknowledged >= p.report.Sequence
+		if !acknowledged && previous == nil {
+			o.Starts = nil
+		}
 		switch {
+		case p.report.Leaving && !acknowledged && !o.Rejoin: // orders that were under way when the leave came
 		case o.Rejoin || len(o.Starts)+len(o.Stops)+len(o.Throttles)+len(o.Ended) > 0 || acknowledged && p.report.Leaving:
-			if previous := p.acknowledged.Load(); previous != nil {
+			if previous != nil {
 				o.Acknowledged = max(o.Acknowledged, previous.Acknowledged)
 			}
 			p.finish(o)
--- a/internal/request/worker/worker_test.go
+++ b/internal/request/worker/worker_test.go
@@ -231,3 +231,64 @@
 		}
 	})
 }
+
+// Guards against a start that an entry VM delivers after a pause, to a poll that the worker sent
+// after its lease had ended and the task had started elsewhere.
+func TestLateStartIsNotDeliveredToALaterPoll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, _ := newAdapter()
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			starts := []control.StartOrder{{Task: work.TaskID{Job: 5}, Token: 11}}
+			a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: 7, Acknowledged: 1, Starts: starts}})
+			time.Sleep(time.Second)
+			a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: 7, Acknowledged: 1, Starts: starts, Stops: []work.Stop{{Token: 9}}}})
+		}()
+		begin := time.Now()
+		_, body := call(a, "/v1/workers/w/poll", strings.Replace(pollBody, `"sequence":1`, `"sequence":2`, 1), "pool")
+		var o api.Orders
+		is.NoErr(json.Unmarshal(body, &o))
+		is.Equal(time.Since(begin), 1010*time.Millisecond)
+		is.Equal(len(o.Starts), 0)
+		is.Equal(len(o.Stops), 1)
+	})
+}
+
+// Guards against a leave that is answered by orders which were under way, so that the worker ends
+// before the leader has the ends of its tasks.
+func TestLeaveIsAnsweredOnceTheLeaderHasIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, _ := newAdapter()
+		go func() {
+			time.Sleep(10 * time.Millisecond)
+			stops := []work.Stop{{Task: work.TaskID{Job: 3, Index: 1}, Token: 9, Mode: work.StopKill}}
+			a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: 7, Stops: stops}})
+			time.Sleep(time.Second)
+			is.Equal(len(a.Reports(nil)), 1)
+			a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: 7, Acknowledged: 1, Stops: stops}})
+		}()
+		begin := time.Now()
+		status, _ := call(a, "/v1/workers/w/leave", pollBody, "pool")
+		is.Equal(status, 200)
+		is.Equal(time.Since(begin), 1010*time.Millisecond)
+	})
+}
+
+// Guards against a start that waits for the next poll of its worker because the grant that carried
+// it was lost, or because the leader that knew where the poll is held is gone.
+func TestHeldPollsAreRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		a, _ := newAdapter()
+		go call(a, "/v1/workers/w/poll", pollBody, "pool")
+		synctest.Wait()
+		a.Deliver([]control.WorkerOrders{{Worker: "w", Boot: 7, Acknowledged: 1}})
+		is.Equal(len(a.Reports(nil)), 0)
+		a.Repeat()
+		is.Equal(len(a.Reports(nil)), 1)
+		is.Equal(len(a.Reports(nil)), 0)
+		time.Sleep(HoldTime)
+	})
+}
