Count the crashes of one worker once, and try work elsewhere

Cause: the verdict took the crashes of one worker for independent of each other. And the trial went to the worker that had just crashed, since a start that was answered and not yet proved binds its task to the next incarnation there, and since an empty worker is chosen by name otherwise.

Of several crashes of one worker (by its address) only the first counts where another one could run the task. The task is bound to no worker that crashed under it if a listing is about to settle its copies. Since trials now move on to workers whose last crash is not known yet, work that crashes its workers was cleared without end as crashing in common with others: at most two crashes of a task are taken back now, and of the last resort of five only crashes soon after a start or during a trial count.

The addresses are a new field of rounds and records. Only leaders decide by them, and they say the outcome with the commands of before, so that replicas of the build before apply the same.

--- a/internal/process/dispatch/chance_test.go
+++ b/internal/process/dispatch/chance_test.go
@@ -187,6 +187,29 @@
 	}
 }
 
+// Guards against work that crashes its workers without end because each of its crashes is taken for one in
+// common with those beside it (rule BUDGET, issue 68).
+func TestKillerEndsWhateverCrashesBeside(t *testing.T) {
+	for _, n := range []int{2, 4, 5, 6} {
+		for _, k := range []int{0, 2, 5, 7} {
+			t.Run(fmt.Sprintf("%d workers, %d", n, k), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					b := newTestCluster(t, workerNames(n)...)
+					defer b.close()
+					b.crashOften(n)
+					time.Sleep(time.Duration(k) * 370 * time.Millisecond) // other workers have crashed last
+					killer := job.TaskID{Job: "killer"}
+					b.crashing(func(id job.TaskID) bool { return id == killer })
+					b.submit("killer", tasks(1))
+					time.Sleep(60 * time.Second)
+					b.is.Equal(b.status("killer"), job.Failed)
+					b.is.True(b.startsOf(killer) <= maxKillerStarts)
+				})
+			})
+		}
+	}
+}
+
 // Guards against work that crashes its workers and is cleared by the crash of an idle worker of
 // long ago, whose record a new leader removes late (rule BUDGET, seed 9303 of the soak).
 func TestLateFoundCrashLiesBeforeTheNextProcess(t *testing.T) {
--- a/internal/process/dispatch/classify.go
+++ b/internal/process/dispatch/classify.go
@@ -215,7 +215,7 @@
 func (t *term) idleWait(p *job.Progress, s *job.Step, id job.TaskID, now time.Time) (taskWait, bool) {
 	k := &p.Tasks[id.Index]
 	n := taskWait{run: k.Run}
-	name, waits := t.boundTo(s, id)
+	name, waits := t.boundTo(p, s, id)
 	switch {
 	case p.Faulty(s, k):
 		n.wait, n.until = WaitVerdict, t.verdicts[id]
--- a/internal/process/dispatch/cluster.go
+++ b/internal/process/dispatch/cluster.go
@@ -38,6 +38,7 @@
 			w.planned.ColdSpeed = t.knownColdness(w.Pool)
 		}
 		w.planned.Trial, w.planned.Settled = w.trialAt(now), now.Sub(w.lastStart) >= settleTime
+		w.planned.Crashed = now.Before(t.crashedUntil[w.Address])
 		w.planned.Evacuated = w.evacuated.Load()
 		w.planned.Usable = w.usable(now, t.timing().ReportInterval)
 		cluster.Workers = append(cluster.Workers, &w.planned)
--- a/internal/process/dispatch/crash.go
+++ b/internal/process/dispatch/crash.go
@@ -84,7 +84,7 @@
 		if r.inherited {
 			e = e.Vague()
 		}
-		t.inbox.crashes = append(t.inbox.crashes, job.Crash{Task: r.id, Run: r.number, Evidence: e})
+		t.noteCrash(w, r, e)
 	}
 	t.emit(event.WorkerCrashed, zap.String("worker", w.ID), zap.String("reason", reason), zap.Int("runs", len(runs)), zap.Int("suspects", suspects),
 		zap.Stringer("latest", runs[latest].id), zap.Int("run", runs[latest].number), zap.Bool("confirmed", runs[latest].confirmed),
@@ -93,6 +93,12 @@
 	t.signal()
 }
 
+// noteCrash has the evidence about a run on a worker known to the next leaders.
+func (t *term) noteCrash(w *worker, r *run, e crash.Evidence) {
+	t.inbox.crashes = append(t.inbox.crashes, job.Crash{Task: r.id, Run: r.number, Evidence: e})
+	t.inbox.places = append(t.inbox.places, job.Place{Task: r.id, Run: r.number, Address: w.Address})
+}
+
 // loseCopies gives up the runs on a silent worker whose tasks may run in several copies,
 // but for those under which this worker or an earlier one may have crashed.
 func (t *term) loseCopies(w *worker, now time.Time) {
@@ -116,7 +122,7 @@
 	for i, r := range runs {
 		if evidence[i].Suspected && !common[i] && !r.endQueued {
 			evidence[i].Confirmed = false
-			t.inbox.crashes = append(t.inbox.crashes, job.Crash{Task: r.id, Run: r.number, Evidence: evidence[i]})
+			t.noteCrash(w, r, evidence[i])
 		}
 	}
 	w.lapsed = runs
--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -104,7 +104,7 @@
 		return
 	}
 	d.Tasks = slices.DeleteFunc(d.Tasks, func(i int) bool {
-		name, waits := t.boundTo(d.Spec, d.Step.Task(i))
+		name, waits := t.boundTo(d.Progress, d.Spec, d.Step.Task(i))
 		switch {
 		case name == "":
 		case d.Spec.Gang:
@@ -152,6 +152,7 @@
 	for _, i := range d.Tasks {
 		if needsTrial(i) {
 			trial.Tasks = append(trial.Tasks, i)
+			trial.Crashed = append(trial.Crashed, d.Progress.CrashedAt(d.Spec, &d.Progress.Tasks[i])...)
 			trial.Likely = trial.Likely || d.Progress.LikelyCrash(d.Spec, &d.Progress.Tasks[i])
 		} else {
 			rest = append(rest, i)
--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -177,6 +177,17 @@
 	return false
 }
 
+// settles reports whether a listing of the known incarnation ends the doubts about a task, since all
+// copies of its starts were answered.
+func (d *doubts) settles(id job.TaskID) bool {
+	for key, s := range d.starts {
+		if key.task == id && s.answered.IsZero() {
+			return false
+		}
+	}
+	return true
+}
+
 // acknowledgedEnd returns the number up to which a worker may forget its ends: none while a copy of a start
 // may still arrive. If the worker ends before, the next incarnation may carry the copy out, and
 // a listing that arrives late there would have it forget that end, as ends are numbered anew. Those
@@ -208,15 +219,15 @@
 // be carried out: the incarnation that has refused them. What it has proved does not bind the next
 // one, which exists only once this one has ended. The task waits if there is no such worker, if the
 // worker's zone is evacuated, if that worker may be what failed it, or if it has started there once already: its next start would have copies
-// of its own.
-func (t *term) boundTo(s *job.Step, id job.TaskID) (name string, waits bool) {
+// of its own. Nor does it start on a worker that crashed under it, if the next listing there settles the copies.
+func (t *term) boundTo(p *job.Progress, s *job.Step, id job.TaskID) (name string, waits bool) {
 	list := t.unclear[id]
 	if len(list) == 0 || s.Copies || s.Lasting {
 		return "", false
 	}
 	d := list[0]
 	w := t.workers[d.worker]
-	if w == nil || w.Life != d.life || w.evacuated.Load() || w.faults >= maxBoundFaults || len(list) > 1 || t.retried[id] {
+	if w == nil || w.Life != d.life || w.evacuated.Load() || w.faults >= maxBoundFaults || len(list) > 1 || t.retried[id] || d.settles(id) && slices.Contains(p.CrashedAt(s, &p.Tasks[id.Index]), w.Address) {
 		return "", true
 	}
 	return d.worker, false
--- a/internal/process/dispatch/inbox.go
+++ b/internal/process/dispatch/inbox.go
@@ -24,6 +24,7 @@
 	workers     []job.Worker
 	gone        []job.Worker
 	crashes     []job.Crash
+	places      []job.Place // of the workers that crashed
 	confirmed   []job.Start // trials that their workers execute
 	cleared     []job.Start // runs whose workers crashed in common with others
 	faulty      []job.Start // runs whose tasks are given up
@@ -56,7 +57,7 @@
 // empty reports whether there is nothing to commit.
 func (n *inbox) empty() bool {
 	return n.catalogue == nil &&
-		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn)+len(n.cleared)+len(n.faulty)+len(n.unclear)+len(n.retried)+len(n.replaced)+len(n.lost)+len(n.evacuations)+len(n.speeds)+len(n.uses) == 0
+		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn)+len(n.cleared)+len(n.faulty)+len(n.unclear)+len(n.retried)+len(n.replaced)+len(n.lost)+len(n.evacuations)+len(n.speeds)+len(n.uses)+len(n.places) == 0
 }
 
 // take removes and returns input of about size bytes, and how many these are. Waiters and
@@ -77,6 +78,7 @@
 	takeItems(&n.confirmed, &in.confirmed, &left, sizeOfRun)
 	// Before the ends, so that a task does not start again before its crash is known.
 	takeItems(&n.crashes, &in.crashes, &left, func(c *job.Crash) int { return runSize + len(c.Task.Job) })
+	takeItems(&n.places, &in.places, &left, func(p *job.Place) int { return runSize + len(p.Task.Job) })
 	takeItems(&n.cleared, &in.cleared, &left, sizeOfRun)
 	takeItems(&n.faulty, &in.faulty, &left, sizeOfRun)
 	takeItems(&n.retried, &in.retried, &left, sizeOfRun)
@@ -205,6 +207,7 @@
 	}
 	n.workers, n.gone = append(in.workers, n.workers...), append(in.gone, n.gone...)
 	n.crashes, n.confirmed = append(in.crashes, n.crashes...), append(in.confirmed, n.confirmed...)
+	n.places = append(in.places, n.places...)
 	n.cleared, n.faulty = append(in.cleared, n.cleared...), append(in.faulty, n.faulty...)
 	n.retried, n.ends = append(in.retried, n.retried...), append(in.ends, n.ends...)
 	n.orphans, n.unclear = append(in.orphans, n.orphans...), append(in.unclear, n.unclear...)
--- a/internal/process/dispatch/loss.go
+++ b/internal/process/dispatch/loss.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -91,6 +93,7 @@
 	l := t.lossOf(w, runs, evidence)
 	l.expires = t.now().Add(lossMemory)
 	t.losses = append(t.losses, l)
+	t.crashedUntil[w.Address] = l.expires
 	t.clearCommon(l, t.lossesIn(w.Pool, w, false))
 	t.recheck[w.Pool] = true
 	return l
@@ -103,6 +106,7 @@
 	}
 	t.nextRecheck = now.Add(recheckInterval)
 	t.losses = slices.DeleteFunc(t.losses, func(l *loss) bool { return now.After(l.expires) })
+	maps.DeleteFunc(t.crashedUntil, func(_ netip.AddrPort, until time.Time) bool { return now.After(until) })
 	for name := range t.recheck {
 		pool := t.lossesIn(name, nil, false)
 		for _, l := range t.losses {
@@ -126,7 +130,7 @@
 		if l.cleared[i] {
 			continue
 		}
-		if common := mass || l.Common(i, pool); common {
+		if common := mass || l.Common(i, pool); common && t.mayClear(&l.runs[i]) {
 			if !mass {
 				t.commonUntil[l.pool] = later(t.commonUntil[l.pool], l.To.Add(lossMemory))
 			}
@@ -140,6 +144,26 @@
 	}
 }
 
+// mayClear reports whether a crash may still be taken back: not without end, since work that crashes its
+// workers among others that crash would go on as long as these do.
+func (t *term) mayClear(s *job.Start) bool {
+	var pending []int // may not be committed yet
+	for _, l := range t.losses {
+		for i := range l.runs {
+			if l.cleared[i] && l.runs[i].Task == s.Task {
+				pending = append(pending, l.runs[i].Run)
+			}
+		}
+	}
+	may := false
+	t.state().View(func(v *job.View) {
+		if r, o, task := v.Find(s.Task); task != nil {
+			may = o.Steps[s.Task.Step].MayClear(&r.Job.Steps[s.Task.Step], task, pending)
+		}
+	})
+	return may
+}
+
 // lossesIn describes a pool. Workers that do not answer and whose connections broke count as
 // crashed; silent ones only if they are asked for, since they may be cut off. One worker is
 // left out.
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -115,12 +115,12 @@
 		Catalogue: in.catalogue, Workers: in.workers, Gone: in.gone, Ends: in.ends, Cancels: in.cancels, Submits: in.submits,
 		Crashes: in.crashes, Confirmed: in.confirmed, Orphans: in.orphans, Settled: in.settled, Waves: in.waves, Steps: in.steps,
 		Withdrawn: in.withdrawn, Cleared: in.cleared, Faulty: in.faulty, Unclear: in.unclear, Retried: in.retried, Replaced: in.replaced, Lost: in.lost,
-		Evacuations: in.evacuations, Speeds: in.speeds, Uses: in.uses,
+		Evacuations: in.evacuations, Speeds: in.speeds, Uses: in.uses, Places: in.places,
 	}
 	if t.over || !t.isLeading() {
 		return r, in, nil
 	}
-	if in.catalogue != nil || len(in.crashes)+len(in.cleared)+len(in.evacuations) > 0 {
+	if in.catalogue != nil || len(in.crashes)+len(in.places)+len(in.cleared)+len(in.evacuations) > 0 {
 		// What starts is decided under the new limits, or with the crashes and the evacuations
 		// known, in the next round.
 		return r, in, nil
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -65,6 +66,7 @@
 	limits         roundLimits
 	admitted       map[string]int                 // by callKey: copies of submissions that wait for the commit of a round
 	unsettled      []string                       // keys of copies whose round failed and may be committed all the same
+	crashedUntil   map[netip.AddrPort]time.Time   // addresses of workers that crashed lately
 	refusals       refusals[string, cell.Verdict] // by refusalKey
 	loads          map[string]*fit.Load           // by pool
 	returns        map[string]*fit.Returns        // by pool
@@ -133,7 +135,7 @@
 		shares: map[string]*fit.Share{}, excess: map[string]bool{},
 		baselines: map[string]*fit.Baseline{}, coldness: map[string]*fit.Pace{}, allowedShares: map[string]float64{},
 		doubts: map[string]*doubts{}, unclear: map[job.TaskID][]*doubts{}, copyWaits: map[job.TaskID]time.Time{}, generations: map[string]generation{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
-		risky: map[string]time.Time{}, retried: map[job.TaskID]bool{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
+		risky: map[string]time.Time{}, crashedUntil: map[netip.AddrPort]time.Time{}, retried: map[job.TaskID]bool{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
 		verdicts: map[job.TaskID]time.Time{}, commonUntil: map[string]time.Time{}, recheck: map[string]bool{}, zoneOrders: map[string]zoneOrder{},
 	}
 }
--- a/internal/process/dispatch/verdict.go
+++ b/internal/process/dispatch/verdict.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -8,6 +9,7 @@
 
 	"github.com/rosemaryloft/rosemaryloft/internal/process/event"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/crash"
+	"github.com/rosemaryloft/rosemaryloft/internal/version/fit"
 	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 )
 
@@ -37,8 +39,8 @@
 }
 
 // rate returns how often workers of a pool crash for reasons other than a job, and than work
-// that was a suspect in several crashes.
-func (t *term) rate(pool string, id job.ID, now time.Time) crash.Rate {
+// that was a suspect in several crashes, and how many of the workers could run a step of the job.
+func (t *term) rate(pool string, id job.ID, s *job.Step, now time.Time) crash.Rate {
 	t.crashes = slices.DeleteFunc(t.crashes, func(c pastCrash) bool { return now.After(c.expires) })
 	suspicions := map[job.ID]int{id: 2}
 	for i := range t.crashes {
@@ -53,11 +55,17 @@
 			rate.Crashes++
 		}
 	}
+	able := map[netip.AddrPort]bool{}
 	for _, w := range t.workers {
-		if w.Pool == pool {
-			rate.Workers++
+		if w.Pool != pool {
+			continue
+		}
+		rate.Workers++
+		if !w.Draining && fit.Able(s, &w.Worker) {
+			able[w.Address] = true
 		}
 	}
+	rate.Able = len(able)
 	return rate
 }
 
@@ -65,7 +73,7 @@
 // workers may have crashed by chance. The caller holds the lock.
 func (t *term) settleVerdict(p *job.Progress, s *job.Step, id job.TaskID, pool string) {
 	k := &p.Tasks[id.Index]
-	start, rate := job.Start{Task: id, Run: k.Run}, t.rate(pool, id.Job, t.now())
+	start, rate := job.Start{Task: id, Run: k.Run}, t.rate(pool, id.Job, s, t.now())
 	proven, chance := p.Proven(s, k, &rate)
 	if proven {
 		t.inbox.faulty = append(t.inbox.faulty, start)
--- a/internal/version/crash/chance.go
+++ b/internal/version/crash/chance.go
@@ -7,8 +7,8 @@
 
 const (
 	// A task is given up if the probability that other reasons crashed its workers during its
-	// trials is at most maxChance, or after mostTried of them, or mostCrashes in all, with those
-	// in common. See docs/policy.md, section "Crashes by chance".
+	// trials is at most maxChance, or after mostTried of them on different workers, or mostCrashes
+	// soon after a start, with those in common and those of one worker. See docs/policy.md, section "Crashes by chance".
 	maxChance   = 1e-3
 	mostTried   = 3
 	mostCrashes = 5
@@ -20,6 +20,7 @@
 type Rate struct {
 	Crashes int // known ones of the last RateTime
 	Workers int // in the pool
+	Able    int // of these, at different addresses, could run the task; with one, each of its crashes counts
 }
 
 // perSecond returns a rate for one worker that the known crashes do not exclude.
@@ -31,10 +32,11 @@
 // reasons. The first crash says nothing, since it is what made the task a suspect, and so do
 // those outside of trials.
 func (r *Record) Chance(rate *Rate) float64 {
-	chance, left := 1.0, r.count(confirmed)-1
+	chance, left := 1.0, r.count(r.counts(rate, confirmed))-1
+	countedTrial := r.counts(rate, tried)
 	for i := len(r.Crashes) - 1; i >= 0 && left > 0; i-- {
-		if c := &r.Crashes[i]; c.Tried {
-			chance *= -math.Expm1(-rate.perSecond() * r.window(&c.Evidence).Seconds())
+		if c := &r.Crashes[i]; countedTrial(c) {
+			chance *= -math.Expm1(-rate.perSecond() * r.window(&c.Evidence, rate).Seconds())
 			left--
 		}
 	}
@@ -42,19 +44,28 @@
 }
 
 // window returns for how long during a trial a crash would have counted as one did. With a
-// second one during a trial it counts at any age.
-func (r *Record) window(e *Evidence) time.Duration {
+// second one during a trial, or if it is like none that counts, it counts at any age.
+func (r *Record) window(e *Evidence, rate *Rate) time.Duration {
 	trial := r.TrialTime()
-	if r.count(tried) > 1 {
+	like := r.count(r.counts(rate, func(c *Crash) bool { return confirmed(c) && c.Evidence.alike(e) })) > 1 // with its own
+	if r.count(r.counts(rate, tried)) > 1 || !like {
 		return trial
 	}
 	first := max(0, time.Duration(float64(e.Age)/likeFactor)-ageMargin)
 	return min(trial, time.Duration(likeFactor*float64(e.Most+ageMargin))) - min(trial, first)
 }
 
+// counts returns a match for those crashes that count for the verdict.
+func (r *Record) counts(rate *Rate, match func(*Crash) bool) func(*Crash) bool {
+	return func(c *Crash) bool { return match(c) && (rate.Able <= 1 || !r.repeated(c)) }
+}
+
+// early matches crashes soon after a start, or during a trial.
+func early(c *Crash) bool { return c.Tried || confirmed(c) && suspected(c) }
+
 // Proven reports whether the crashes under a task that looks faulty suffice to give it up.
 func (r *Record) Proven(rate *Rate) bool {
-	return r.count(tried) >= mostTried || r.count(confirmed)+len(r.Cleared) >= mostCrashes || r.Chance(rate) <= maxChance
+	return r.count(r.counts(rate, tried)) >= mostTried || r.count(early)+len(r.Cleared) >= mostCrashes || r.Chance(rate) <= maxChance
 }
 
 // Retry has the task start again as a trial, until one more worker has crashed under it.
--- a/internal/version/crash/crash.go
+++ b/internal/version/crash/crash.go
@@ -31,6 +31,12 @@
 // Crashes of idle workers are known late, so a task that looks faulty is given up only
 // after a while.
 //
+// # Places
+//
+// A worker that goes down and up by turns is the likeliest cause of its own crashes. So a trial goes
+// to a worker that has not crashed under the task, where another one can run it, and of several
+// crashes of one worker only the first counts for the verdict.
+//
 // # Chance
 //
 // Where workers crash every few seconds, the next one may crash during a trial without cause.
@@ -40,6 +46,7 @@
 package crash
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -146,6 +153,15 @@
 	Paused    int     `cbor:"5,keyasint,omitempty"` // pauses of a task that looks faulty and is never given up
 	UntilMS   int64   `cbor:"6,keyasint,omitempty"` // end of the latest pause, in Unix milliseconds
 	Needed    int     `cbor:"7,keyasint,omitempty"` // crashes before which the task does not look faulty, since fewer may be chance
+	Places    []Place `cbor:"8,keyasint,omitempty"` // of Crashes, as far as they are known; earlier builds keep none
+}
+
+// Place is the address of the worker that crashed under a run. The next process there has another
+// incarnation, and it may have another ID.
+type Place struct {
+	_       struct{} `cbor:",toarray"`
+	Run     int
+	Address netip.AddrPort
 }
 
 // Crash is the evidence about one run.
@@ -179,6 +195,7 @@
 // Clear takes back the evidence about a run whose worker crashed in common with others.
 func (r *Record) Clear(run int) {
 	r.Crashes = slices.DeleteFunc(r.Crashes, func(c Crash) bool { return c.Run == run })
+	r.dropPlaces()
 	if !slices.Contains(r.Cleared, run) {
 		r.Cleared = append(r.Cleared, run)
 		r.Cleared = r.Cleared[max(0, len(r.Cleared)-maxRecorded):]
@@ -188,6 +205,16 @@
 	}
 }
 
+// MayClear reports whether one more crash may be cleared beside some, which are cleared already or will be:
+// mostCrashes in all still have to include enough that count.
+func (r *Record) MayClear(runs []int) bool {
+	if r != nil {
+		runs = slices.Concat(runs, r.Cleared)
+	}
+	slices.Sort(runs)
+	return len(slices.Compact(runs)) < mostCrashes-mostTried
+}
+
 // Pause keeps a task that looks faulty from starting for a while, twice as long each time.
 func (r *Record) Pause(now time.Time) {
 	r.UntilMS = now.Add(min(minPause<<min(r.Paused, maxRecorded), maxPause)).UnixMilli()
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -43,6 +43,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -80,6 +81,7 @@
 	Tried       int            // of these, runs that started as trials
 	Risky       int            // of Tenants, runs of queues whose tasks crash their workers
 	Trial       job.ID         // only trials of this job may start on it now; empty if there is none
+	Crashed     bool           // a worker at its address crashed lately
 	Settled     bool           // nothing has started on it for a while
 	Runs        []Run          // preemptible runs, which can resume from a checkpoint
 
@@ -167,15 +169,17 @@
 	MinAnswerTime time.Duration    // minimum response time of the advice service
 	AllowedShare  float64          // fraction of the workers that the service is expected to allow
 	Advice        *Advice
-	Prefetch      bool          // not ready to start; may only query the advice service
-	Risky         bool          // tasks of the queue crash their workers
-	Trial         bool          // the tasks may have crashed their worker; see package crash
-	Likely        bool          // they probably have
-	Waited        time.Duration // time since tasks of the step became ready
+	Prefetch      bool             // not ready to start; may only query the advice service
+	Risky         bool             // tasks of the queue crash their workers
+	Trial         bool             // the tasks may have crashed their worker; see package crash
+	Likely        bool             // they probably have
+	Crashed       []netip.AddrPort // of workers that crashed under the tasks; see mayShun
+	Waited        time.Duration    // time since tasks of the step became ready
 
 	rank        rank
 	now         time.Time // of the plan
 	fastest     float64   // largest speed of the pool's warm workers; 0 if there are none
+	shunning    bool      // a trial waits for another worker than those that crashed under it
 	prepared    bool
 	gangRun     int // next run number of all members of a gang
 	runNumbers  map[int]int
--- a/internal/version/fit/place.go
+++ b/internal/version/fit/place.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/rosemaryloft/rosemaryloft/internal/version/job"
 	"github.com/rosemaryloft/rosemaryloft/internal/work"
 )
 
@@ -16,6 +17,8 @@
 	// start gets no answer cannot start elsewhere before the lease of the worker is over.
 	slowPenalty        = 4.0
 	trialPenalty       = 1.0 // of a worker without a trial of the same job
+	latelyPenalty      = 0.5 // of one that crashed lately, for a trial
+	crashedPenalty     = 2.0 // of one that crashed under the tasks of a trial
 	unansweringPenalty = 8.0
 	// minCandidates and candidatesPerTask bound the workers that are compared for a
 	// demand. Those with the least free come first, so that the rest would seldom be
@@ -34,6 +37,7 @@
 		return
 	}
 	l.own, p.asking, p.queries, p.allowed = l.own[:0], nil, 0, nil
+	d.shunning = l.mayShun(d)
 	switch {
 	case d.Trial && !d.Prefetch && !l.mayTry(d):
 		p.block(d, NoTrial, 0)
@@ -135,13 +139,17 @@
 // eligible reports whether the worker may run a task of the demand, regardless of
 // its current load.
 func eligible(d *Demand, w *Worker) bool {
-	return d.Spec.Reservation().Fits(w.Capacity) && (d.Spec.Label == "" || slices.Contains(w.Labels, d.Spec.Label)) &&
-		(len(d.Avoid) == 0 || !d.Avoid[w.ID]) && (d.Only == "" || d.Only == w.ID)
+	return Able(d.Spec, &w.Worker) && (len(d.Avoid) == 0 || !d.Avoid[w.ID]) && (d.Only == "" || d.Only == w.ID)
+}
+
+// Able reports whether the worker is large enough for a task of the step and has its label.
+func Able(s *job.Step, w *job.Worker) bool {
+	return s.Reservation().Fits(w.Capacity) && (s.Label == "" || slices.Contains(w.Labels, s.Label))
 }
 
 // fits reports whether the worker can take a task of the demand now.
 func fits(d *Demand, w *Worker) bool {
-	if w.reservedFor != nil && w.reservedFor != d || !d.Spec.Reservation().Fits(w.Free) || !eligible(d, w) || !admits(d, w) || !suits(d, w) {
+	if w.reservedFor != nil && w.reservedFor != d || !d.Spec.Reservation().Fits(w.Free) || !eligible(d, w) || d.shunning && d.crashed(w) || !admits(d, w) || !suits(d, w) {
 		return false
 	}
 	if d.Spec.Spread > 0 && d.Placed[w.ID] >= d.Spec.Spread {
@@ -206,6 +214,12 @@
 	if d.Trial && w.Trial == "" {
 		s = w.others() + trialPenalty
 	}
+	if d.Trial && w.Crashed {
+		s += latelyPenalty
+	}
+	if d.crashed(w) {
+		s += crashedPenalty
+	}
 	s += speedCost(d, w)
 	if d.Spec.Rack != "" && d.Spec.Rack != w.Rack {
 		s += remoteRackPenalty
--- a/internal/version/fit/trial_test.go
+++ b/internal/version/fit/trial_test.go
@@ -1,6 +1,7 @@
 package fit
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -78,6 +79,48 @@
 	is.Equal(p.Starts[0].Worker, workers[0])
 }
 
+// Guards against a trial that goes to a worker that crashed under it, where another one can run it, and
+// against one that waits for others for good (rule LOST, review/13).
+func TestTrialShunsWorkersThatCrashed(t *testing.T) {
+	is := is.New(t)
+	address := func(n byte) netip.AddrPort { return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, n}), 80) }
+	addressed := func(n int) []*Worker {
+		workers := pool(n, cores(8))
+		for i, w := range workers {
+			w.Address = address(byte(i))
+		}
+		return workers
+	}
+	shunning := func(waited time.Duration) *Demand {
+		d := trial("a", 1)
+		d.Crashed, d.Waited = []netip.AddrPort{address(0)}, waited
+		return d
+	}
+	workers := addressed(3)
+	p := Decide(now, []*Demand{shunning(0)}, Cluster{Workers: workers})
+	is.Equal(len(p.Starts), 1)
+	is.True(p.Starts[0].Worker != workers[0])
+
+	p = Decide(now, []*Demand{shunning(0)}, Cluster{Workers: addressed(1)})
+	is.Equal(len(p.Starts), 1) // no other one
+
+	for waited, starts := range map[time.Duration]int{0: 0, shunTime: 1} {
+		workers = addressed(3)
+		fill(workers[1], 8)
+		fill(workers[2], 8)
+		d := shunning(waited)
+		p = Decide(now, []*Demand{d}, Cluster{Workers: workers})
+		is.Equal(len(p.Starts), starts)
+		is.True(workers[0].reservedFor == nil)
+	}
+
+	workers = addressed(3)
+	bound := shunning(0)
+	bound.Only = workers[0].ID
+	p = Decide(now, []*Demand{bound}, Cluster{Workers: workers})
+	is.Equal(len(p.Starts), 1)
+}
+
 // Guards against a pool in which nothing starts because one worker has shrunk below what
 // runs on it: what it lacks counted against what the others have free (rule LOST).
 func TestShrunkenWorkerTakesNothingFromOthers(t *testing.T) {
--- a/internal/version/job/command.go
+++ b/internal/version/job/command.go
@@ -59,11 +59,12 @@
 	Evacuations []Evacuation  `cbor:"25,keyasint,omitempty"` // in the order in which they arrived; no starts are in the same round
 	Speeds      []WorkerSpeed `cbor:"26,keyasint,omitempty"`
 	Uses        []Use         `cbor:"27,keyasint,omitempty"`
+	Places      []Place       `cbor:"28,keyasint,omitempty"` // of Crashes, or of those of earlier rounds
 }
 
 // Empty reports whether the round changes nothing.
 func (r *Round) Empty() bool {
-	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans)+len(r.Waves)+len(r.Steps)+len(r.Crashes)+len(r.Confirmed)+len(r.Withdrawn)+len(r.Cleared)+len(r.Faulty)+len(r.Unclear)+len(r.Retried)+len(r.Replaced)+len(r.Lost)+len(r.Evacuations)+len(r.Speeds)+len(r.Uses) == 0
+	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans)+len(r.Waves)+len(r.Steps)+len(r.Crashes)+len(r.Confirmed)+len(r.Withdrawn)+len(r.Cleared)+len(r.Faulty)+len(r.Unclear)+len(r.Retried)+len(r.Replaced)+len(r.Lost)+len(r.Evacuations)+len(r.Speeds)+len(r.Uses)+len(r.Places) == 0
 }
 
 // Result is the outcome of applying a round.
--- a/internal/version/job/crash.go
+++ b/internal/version/job/crash.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -15,6 +16,16 @@
 	Evidence crash.Evidence
 }
 
+// Place is the address of a worker that crashed under a run. Only the verdicts and the placements of
+// leaders depend on it, so that replicas of earlier builds, which do not know it, start and give up the
+// same tasks.
+type Place struct {
+	_       struct{} `cbor:",toarray"`
+	Task    TaskID
+	Run     int
+	Address netip.AddrPort
+}
+
 // crashes returns the record of the crashes under a task. Members of a gang share one.
 func (p *Progress) crashes(s *Step, t *Task) **crash.Record {
 	if s.Gang {
@@ -92,6 +103,22 @@
 	}
 }
 
+// notePlace records the address of a worker that crashed under a run.
+func (v *View) notePlace(l *Place) {
+	r, o, t := v.Find(l.Task)
+	if t == nil || r.Status.Final() || t.Done {
+		return
+	}
+	if c := *o.Steps[l.Task.Step].crashes(&r.Job.Steps[l.Task.Step], t); c != nil {
+		c.NotePlace(l.Run, l.Address)
+	}
+}
+
+// CrashedAt returns the addresses of the workers that crashed under a task.
+func (p *Progress) CrashedAt(s *Step, t *Task) []netip.AddrPort {
+	return (*p.crashes(s, t)).Addresses()
+}
+
 // clear takes back the evidence about a run.
 func (v *View) clear(s *Start) {
 	r, o, t := v.Find(s.Task)
@@ -103,6 +130,11 @@
 	}
 }
 
+// MayClear reports whether evidence about a task may still be taken back, beside that about some runs.
+func (p *Progress) MayClear(s *Step, t *Task, runs []int) bool {
+	return s.Lasting || (*p.crashes(s, t)).MayClear(runs)
+}
+
 // retry has a task that still looks faulty start as a trial once more.
 func (v *View) retry(s *Start) {
 	r, o, t := v.Find(s.Task)
--- a/internal/version/job/crash_test.go
+++ b/internal/version/job/crash_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -128,6 +129,32 @@
 	is.Equal(m.record("one").Status, Failed) // two others remain
 }
 
+// Guards against a leader that does not know which workers crashed under the tasks of its predecessor, and
+// against a crash of an earlier build, without an address, that changes what starts.
+func TestPlacesOfCrashesAreKept(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(is)
+	m.submit("one", Step{Count: 1})
+	id := TaskID{Job: "one"}
+	at := netip.MustParseAddrPort("10.0.0.1:80")
+	m.apply(Round{Places: []Place{{Task: id, Run: 1, Address: at}, {Task: TaskID{Job: "none"}, Run: 1, Address: at}}})
+	for run := 1; run <= 2; run++ {
+		m.started(id, run, "a")
+		m.crashed(id, run, "a")
+	}
+	m.apply(Round{Places: []Place{{Task: id, Run: 1, Address: at}}})
+	b, err := m.state.Snapshot()
+	is.NoErr(err)
+	is.NoErr(m.state.Restore(b))
+	m.state.View(func(v *View) {
+		r, o, task := v.Find(id)
+		is.Equal(o.Steps[0].CrashedAt(&r.Job.Steps[0], task), []netip.AddrPort{at})
+	})
+	m.noStart(id, 3, "a") // whatever the places are, until the leader decides
+	m.apply(Round{Retried: []Start{{Task: id, Run: 2}}})
+	m.started(id, 3, "a")
+}
+
 // Guards against jobs that are not counted as waiting although their only start was
 // sent to a worker that was gone (rule MIXED, deadly day of nwp-coop, seed 2).
 func TestJobWhoseStartWasLostIsPending(t *testing.T) {
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -275,6 +275,9 @@
 	for i := range r.Crashes {
 		v.crash(&r.Crashes[i], r.Now)
 	}
+	for i := range r.Places {
+		v.notePlace(&r.Places[i])
+	}
 	for i := range r.Cleared {
 		v.clear(&r.Cleared[i])
 	}
