Try a long-running task once more before its first pause

Cause: such a task pauses for 20 s as soon as it looks faulty, which two crashes suffice for. Other tasks have a verdict then, which may try again; the pause had none.

It pauses only after two crashes during trials now. Until then the leader takes the earliest crash back, three times at most, with the command for crashes in common, so that replicas of the build before end the pause as well. The lengths of the pauses stay.

--- a/internal/process/dispatch/loss.go
+++ b/internal/process/dispatch/loss.go
@@ -205,7 +205,11 @@
 	k := &p.Tasks[id.Index]
 	if !p.Faulty(s, k) {
 		delete(t.verdicts, id)
-		return p.Paused(s, k, now)
+		paused := p.Paused(s, k, now)
+		if run, early := p.EarlyPause(s, k); paused && early {
+			t.endPause(id, run, pool)
+		}
+		return paused
 	}
 	due, known := t.verdicts[id]
 	switch {
@@ -218,6 +222,17 @@
 	return true
 }
 
+// endPause has a long-running task start once more by taking back the crash under a run.
+func (t *term) endPause(id job.TaskID, run int, pool string) {
+	s := job.Start{Task: id, Run: run}
+	if slices.Contains(t.inbox.cleared, s) {
+		return
+	}
+	t.inbox.cleared = append(t.inbox.cleared, s)
+	t.emit(event.TaskRetried, zap.Stringer("task", id), zap.Int("run", run), zap.String("pool", pool), zap.Bool("lasting", true))
+	t.signal()
+}
+
 // verdictDelay is the time after a crash within which idle workers that crashed at the same
 // time and are back have reported themselves.
 func (t *term) verdictDelay() time.Duration {
--- a/internal/process/event/dispatch.go
+++ b/internal/process/event/dispatch.go
@@ -37,7 +37,7 @@
 	WorkerReport     = define(916, zapcore.WarnLevel, "report ignored", "A report could not be used; the line has the reason.")
 	WorkerStays      = define(917, zapcore.WarnLevel, "worker stays", "A worker answers although it was announced that it is leaving; the notice was probably of an earlier incarnation and is ignored.")
 	WorkerCrashed    = define(918, zapcore.WarnLevel, "worker crashed", "The worker's life ended without a notice while it executed runs; the line has the one that had started last and how long it had lasted, and how many runs start again as trials.")
-	TaskRetried      = define(994, zapcore.InfoLevel, "task tried again", "A task looks as if it crashed its workers, but workers of its pool crash so often that this may be chance; the line has the probability. It starts as a trial once more.")
+	TaskRetried      = define(994, zapcore.InfoLevel, "task tried again", "A task looks as if it crashed its workers, but workers of its pool crash so often that this may be chance; the line has the probability. It starts as a trial once more, as does a long-running one before it pauses.")
 	CrashInCommon    = define(989, zapcore.InfoLevel, "crash in common", "Other workers without such runs crashed at about the same time, so the crash is no evidence against these, which start again like others.")
 	WorkerResized    = define(925, zapcore.InfoLevel, "worker resized", "A worker reports another capacity or other labels than before; nothing is stopped for it, and nothing starts beyond it.")
 	TaskGivenUp      = define(919, zapcore.WarnLevel, "task given up", "Workers crashed under the task, the last one while nothing else had started on it and others did not crash; its job has failed.")
--- a/internal/version/crash/crash.go
+++ b/internal/version/crash/crash.go
@@ -221,6 +221,20 @@
 	r.Paused++
 }
 
+// EarlyPause reports whether a task pauses after a single crash during a trial, and returns the run of the
+// earliest crash. A pause leaves the task without a run for longer than the work may wait, and one more
+// crash costs less. It ends a few times only, since the crashes during trials may be taken back.
+func (r *Record) EarlyPause() (run int, early bool) {
+	if r == nil || r.UntilMS == 0 || r.count(tried) > 1 || len(r.Cleared) >= maxUnlike {
+		return 0, false
+	}
+	i := slices.IndexFunc(r.Crashes, func(c Crash) bool { return c.Evidence.Confirmed })
+	if i < 0 {
+		return 0, false
+	}
+	return r.Crashes[i].Run, true
+}
+
 // PausedAt reports whether the task may not start at a time.
 func (r *Record) PausedAt(now time.Time) bool { return r != nil && now.UnixMilli() < r.UntilMS }
 
--- a/internal/version/crash/place_test.go
+++ b/internal/version/crash/place_test.go
@@ -47,6 +47,28 @@
 	}
 }
 
+// Guards against a long-running task that crashes its workers and never pauses, because each time one more
+// crash is taken back.
+func TestFewPausesEndEarly(t *testing.T) {
+	is := is.New(t)
+	r, ended := &Record{}, 0
+	for run := 1; run <= 20; run++ {
+		r.Started(run)
+		r.Add(run, Evidence{Age: 5 * ms, Most: 30 * ms, Confirmed: true, Suspected: true, Alone: run%2 == 0}) // every second one is no proof
+		if r.Faulty() {
+			r.Pause(at)
+		}
+		if cleared, early := r.EarlyPause(); early {
+			r.Clear(cleared)
+			ended++
+		}
+	}
+	is.True(ended <= maxUnlike)
+	is.True(r.PausedAt(at))
+	_, early := (*Record)(nil).EarlyPause()
+	is.True(!early)
+}
+
 // Guards against addresses that are kept for crashes that are forgotten, cleared or not known.
 func TestPlacesAreThoseOfCrashes(t *testing.T) {
 	is := is.New(t)
--- a/internal/version/job/crash.go
+++ b/internal/version/job/crash.go
@@ -78,6 +78,12 @@
 	return p.Faulty(s, t) || (*p.crashes(s, t)).PausedAt(now)
 }
 
+// EarlyPause reports whether a long-running task that pauses is to start once more, and the run whose crash
+// is taken back for that. Replicas of earlier builds end the pause with it, too.
+func (p *Progress) EarlyPause(s *Step, t *Task) (run int, early bool) {
+	return (*p.crashes(s, t)).EarlyPause()
+}
+
 // PausedUntil returns the end of the latest pause of a long-running task, or the zero time if it
 // has not paused.
 func (p *Progress) PausedUntil(s *Step, t *Task) time.Time {
--- a/internal/version/job/crash_test.go
+++ b/internal/version/job/crash_test.go
@@ -105,6 +105,42 @@
 	is.True(run <= 5) // less than three starts after three crashes
 }
 
+// Guards against a replica that keeps a long-running task paused whose leader has it start once more. The
+// same commands end the pause on replicas of earlier builds.
+func TestClearedCrashEndsAPause(t *testing.T) {
+	is := is.New(t)
+	m := newMachine(is)
+	m.submit("one", Step{Count: 1, Lasting: true})
+	id := TaskID{Job: "one"}
+	early := func() (run int, early bool) {
+		m.state.View(func(v *View) {
+			if r, o, task := v.Find(id); task != nil {
+				run, early = o.Steps[0].EarlyPause(&r.Job.Steps[0], task)
+			}
+		})
+		return run, early
+	}
+	for run := 1; run <= 2; run++ {
+		_, pauses := early()
+		is.True(!pauses)
+		m.started(id, run, "a")
+		m.crashed(id, run, "a")
+	}
+	m.noStart(id, 3, "a")
+	run, pauses := early()
+	is.True(pauses)
+	is.Equal(run, 1)
+	b, err := m.state.Snapshot()
+	is.NoErr(err)
+	is.NoErr(m.state.Restore(b))
+	m.apply(Round{Cleared: []Start{{Task: id, Run: run}}})
+	m.started(id, 3, "a")
+	m.crashed(id, 3, "a")
+	_, pauses = early()
+	is.True(!pauses) // two during trials
+	m.noStart(id, 4, "a")
+}
+
 // Guards against a task that is tried or given up for crashes that others had in common with
 // its worker (rule LOST, review/5).
 func TestClearedCrashIsNoEvidence(t *testing.T) {
