Keep the cost of crashes of many workers linear

Whether a crash may be taken back as in common looked at all runs of all recent crashes each time, under the leader's lock, which is quadratic when many workers crash at once. The leader keeps the runs by task instead. The addresses that a trial shuns are sorted, without repetitions, as a step may have many tasks.

Evidence: the tests of crashes, trials, pauses and copies in dispatch, of fit (trials and crashes), crash and job passed. The gain was not measured.

--- a/internal/process/dispatch/demand.go
+++ b/internal/process/dispatch/demand.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"net/netip"
 	"slices"
 	"time"
 
@@ -158,6 +159,8 @@
 			rest = append(rest, i)
 		}
 	}
+	slices.SortFunc(trial.Crashed, netip.AddrPort.Compare)
+	trial.Crashed = slices.Compact(trial.Crashed)
 	if d.Tasks = rest; len(rest) > 0 {
 		demands = append(demands, d)
 	}
--- a/internal/process/dispatch/loss.go
+++ b/internal/process/dispatch/loss.go
@@ -137,6 +137,7 @@
 			l.cleared[i] = true
 			l.open--
 			t.inbox.cleared = append(t.inbox.cleared, l.runs[i])
+			t.clearedRuns[l.runs[i].Task] = append(t.clearedRuns[l.runs[i].Task], l.runs[i].Run)
 		}
 	}
 	if n := before - l.open; n > 0 {
@@ -147,18 +148,10 @@
 // mayClear reports whether a crash may still be taken back: not without end, since work that crashes its
 // workers among others that crash would go on as long as these do.
 func (t *term) mayClear(s *job.Start) bool {
-	var pending []int // may not be committed yet
-	for _, l := range t.losses {
-		for i := range l.runs {
-			if l.cleared[i] && l.runs[i].Task == s.Task {
-				pending = append(pending, l.runs[i].Run)
-			}
-		}
-	}
 	may := false
 	t.state().View(func(v *job.View) {
 		if r, o, task := v.Find(s.Task); task != nil {
-			may = o.Steps[s.Task.Step].MayClear(&r.Job.Steps[s.Task.Step], task, pending)
+			may = o.Steps[s.Task.Step].MayClear(&r.Job.Steps[s.Task.Step], task, t.clearedRuns[s.Task])
 		}
 	})
 	return may
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -111,6 +111,11 @@
 				delete(t.timeToDeadline, id)
 			}
 		}
+		for id := range t.clearedRuns {
+			if v.Active[id.Job] == nil {
+				delete(t.clearedRuns, id)
+			}
+		}
 		for id := range t.verdicts {
 			if v.Active[id.Job] == nil {
 				delete(t.verdicts, id)
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -97,6 +97,7 @@
 	recheck        map[string]bool          // by pool: whether a worker crashed since its losses were compared
 	nextRecheck    time.Time                // losses are not compared again before this
 	commonUntil    map[string]time.Time     // by pool: until when crashes of many workers at one time are in common
+	clearedRuns    map[job.TaskID][]int     // runs whose crashes this leader has taken back, committed or not
 	verdicts       map[job.TaskID]time.Time // when tasks that look faulty are given up
 	retried        map[job.TaskID]bool      // tasks that have started again although copies of an earlier start may be carried out
 	leased         map[string]bool          // workers to which the former leader may have sent leases until the term began; used by adopt only
@@ -136,7 +137,7 @@
 		baselines: map[string]*fit.Baseline{}, coldness: map[string]*fit.Pace{}, allowedShares: map[string]float64{},
 		doubts: map[string]*doubts{}, unclear: map[job.TaskID][]*doubts{}, copyWaits: map[job.TaskID]time.Time{}, generations: map[string]generation{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
 		risky: map[string]time.Time{}, crashedUntil: map[netip.AddrPort]time.Time{}, retried: map[job.TaskID]bool{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
-		verdicts: map[job.TaskID]time.Time{}, commonUntil: map[string]time.Time{}, recheck: map[string]bool{}, zoneOrders: map[string]zoneOrder{},
+		clearedRuns: map[job.TaskID][]int{}, verdicts: map[job.TaskID]time.Time{}, commonUntil: map[string]time.Time{}, recheck: map[string]bool{}, zoneOrders: map[string]zoneOrder{},
 	}
 }
 
--- a/internal/version/crash/crash.go
+++ b/internal/version/crash/crash.go
@@ -208,8 +208,9 @@
 // MayClear reports whether one more crash may be cleared beside some, which are cleared already or will be:
 // mostCrashes in all still have to include enough that count.
 func (r *Record) MayClear(runs []int) bool {
+	runs = slices.Clone(runs)
 	if r != nil {
-		runs = slices.Concat(runs, r.Cleared)
+		runs = append(runs, r.Cleared...)
 	}
 	slices.Sort(runs)
 	return len(slices.Compact(runs)) < mostCrashes-mostTried
--- a/internal/version/fit/fit.go
+++ b/internal/version/fit/fit.go
@@ -173,7 +173,7 @@
 	Risky         bool             // tasks of the queue crash their workers
 	Trial         bool             // the tasks may have crashed their worker; see package crash
 	Likely        bool             // they probably have
-	Crashed       []netip.AddrPort // of workers that crashed under the tasks; see mayShun
+	Crashed       []netip.AddrPort // of workers that crashed under the tasks, in order; see mayShun
 	Waited        time.Duration    // time since tasks of the step became ready
 
 	rank        rank
--- a/internal/version/fit/trial.go
+++ b/internal/version/fit/trial.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"net/netip"
 	"slices"
 	"time"
 )
@@ -52,7 +53,10 @@
 }
 
 // crashed reports whether the worker, or another one at its address, crashed under the demand's tasks.
-func (d *Demand) crashed(w *Worker) bool { return slices.Contains(d.Crashed, w.Address) }
+func (d *Demand) crashed(w *Worker) bool {
+	_, found := slices.BinarySearchFunc(d.Crashed, w.Address, netip.AddrPort.Compare)
+	return found
+}
 
 // mayTry reports whether the demand may have trials now.
 func (l *inventory) mayTry(d *Demand) bool {
