--- a/internal/process/dispatch/loss.go
+++ b/internal/process/dispatch/loss.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -91,6 +93,7 @@
 	l := t.lossOf(w, runs, evidence)
 	l.expires = t.now().Add(lossMemory)
 	t.losses = append(t.losses, l)
+	t.crashedUntil[w.Address] = l.expires
 	t.clearCommon(l, t.lossesIn(w.Pool, w, false))
 	t.recheck[w.Pool] = true
 	return l
@@ -103,6 +106,7 @@
 	}
 	t.nextRecheck = now.Add(recheckInterval)
 	t.losses = slices.DeleteFunc(t.losses, func(l *loss) bool { return now.After(l.expires) })
+	maps.DeleteFunc(t.crashedUntil, func(_ netip.AddrPort, until time.Time) bool { return now.After(until) })
 	for name := range t.recheck {
 		pool := t.lossesIn(name, nil, false)
 		for _, l := range t.losses {
@@ -126,13 +130,14 @@
 		if l.cleared[i] {
 			continue
 		}
-		if common := mass || l.Common(i, pool); common {
+		if common := mass || l.Common(i, pool); common && t.mayClear(&l.runs[i]) {
 			if !mass {
 				t.commonUntil[l.pool] = later(t.commonUntil[l.pool], l.To.Add(lossMemory))
 			}
 			l.cleared[i] = true
 			l.open--
 			t.inbox.cleared = append(t.inbox.cleared, l.runs[i])
+			t.clearedRuns[l.runs[i].Task] = append(t.clearedRuns[l.runs[i].Task], l.runs[i].Run)
 		}
 	}
 	if n := before - l.open; n > 0 {
@@ -140,6 +145,18 @@
 	}
 }
 
+// mayClear reports whether a crash may still be taken back: not without end, since work that crashes its
+// workers among others that crash would go on as long as these do.
+func (t *term) mayClear(s *job.Start) bool {
+	may := false
+	t.state().View(func(v *job.View) {
+		if r, o, task := v.Find(s.Task); task != nil {
+			may = o.Steps[s.Task.Step].MayClear(&r.Job.Steps[s.Task.Step], task, t.clearedRuns[s.Task])
+		}
+	})
+	return may
+}
+
 // lossesIn describes a pool. Workers that do not answer and whose connections broke count as
 // crashed; silent ones only if they are asked for, since they may be cut off. One worker is
 // left out.
@@ -181,7 +198,11 @@
 	k := &p.Tasks[id.Index]
 	if !p.Faulty(s, k) {
 		delete(t.verdicts, id)
-		return p.Paused(s, k, now)
+		paused := p.Paused(s, k, now)
+		if run, early := p.EarlyPause(s, k); paused && early {
+			t.endPause(id, run, pool)
+		}
+		return paused
 	}
 	due, known := t.verdicts[id]
 	switch {
@@ -194,6 +215,17 @@
 	return true
 }
 
+// endPause has a long-running task start once more by taking back the crash under a run.
+func (t *term) endPause(id job.TaskID, run int, pool string) {
+	s := job.Start{Task: id, Run: run}
+	if slices.Contains(t.inbox.cleared, s) {
+		return
+	}
+	t.inbox.cleared = append(t.inbox.cleared, s)
+	t.emit(event.TaskRetried, zap.Stringer("task", id), zap.Int("run", run), zap.String("pool", pool), zap.Bool("lasting", true))
+	t.signal()
+}
+
 // verdictDelay is the time after a crash within which idle workers that crashed at the same
 // time and are back have reported themselves.
 func (t *term) verdictDelay() time.Duration {
--- a/internal/version/job/command.go
+++ b/internal/version/job/command.go
@@ -60,6 +60,7 @@
 	Speeds      []WorkerSpeed `cbor:"26,keyasint,omitempty"`
 	Uses        []Use         `cbor:"27,keyasint,omitempty"`
 	Sendings    []Sending     `cbor:"28,keyasint,omitempty"` // of Starts; missing in rounds of earlier builds
+	Places      []Place       `cbor:"29,keyasint,omitempty"` // of Crashes, or of those of earlier rounds
 }
 
 // sending returns how a start of the round is sent.
@@ -72,7 +73,7 @@
 
 // Empty reports whether the round changes nothing.
 func (r *Round) Empty() bool {
-	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans)+len(r.Waves)+len(r.Steps)+len(r.Crashes)+len(r.Confirmed)+len(r.Withdrawn)+len(r.Cleared)+len(r.Faulty)+len(r.Unclear)+len(r.Retried)+len(r.Replaced)+len(r.Lost)+len(r.Evacuations)+len(r.Speeds)+len(r.Uses) == 0
+	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans)+len(r.Waves)+len(r.Steps)+len(r.Crashes)+len(r.Confirmed)+len(r.Withdrawn)+len(r.Cleared)+len(r.Faulty)+len(r.Unclear)+len(r.Retried)+len(r.Replaced)+len(r.Lost)+len(r.Evacuations)+len(r.Speeds)+len(r.Uses)+len(r.Places) == 0
 }
 
 // Result is the outcome of applying a round.
