Settle a ticket of the next incarnation only once it shows no orphan, and keep starts noted

Callers would see: a task runs twice (rule TWICE).

Change: another copy changes when the start was sent only; a doubt about a run that was given up ends with a full listing without an orphan of it. Evidence: TestFurtherCopiesStayNoted and TestTicketOfAnOrphanSettlesNothing failed before and pass, as do the random test and the matrix of waits of dispatch.

--- a/internal/process/dispatch/attempt.go
+++ b/internal/process/dispatch/attempt.go
@@ -116,7 +116,6 @@
 // proveStarts settles the copies that are proved by a listing of the known incarnation: those that were
 // answered before it was sent, and the only copy of a start that it shows.
 func (t *term) proveStarts(w *worker, sent time.Time, l *Listing) {
-	t.proveTickets(w, sent)
 	for _, r := range w.runs {
 		if r.once && r.copies > 0 && l.shows(r) {
 			r.copies, r.unproved = 1, 0
--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -92,7 +92,9 @@
 	if _, known := d.starts[key]; !known {
 		t.unclear[key.task] = append(t.unclear[key.task], d)
 	}
-	d.starts[key] = doubt{sent: sent}
+	s := d.starts[key]
+	s.sent, s.answered = sent, time.Time{}
+	d.starts[key] = s
 }
 
 // setTicket records that the copies of a start have a ticket that had been issued at a time.
@@ -103,8 +105,10 @@
 }
 
 // proveTickets drops the doubts about starts with a ticket that was issued before a listing was sent which
-// the known incarnation has answered: no later one takes it. Such a start is as good as answered.
-func (t *term) proveTickets(w *worker, sent time.Time) {
+// the known incarnation has answered: no later one takes it. Such a start is as good as answered. The known
+// one may have executed the start of a run that was given up, before it was known itself: the
+// doubt goes on until a full listing shows no orphan of it.
+func (t *term) proveTickets(w *worker, sent time.Time, full bool) {
 	d := t.doubtsOf(w)
 	if d == nil {
 		return
@@ -113,8 +117,11 @@
 		if s.ticketAt.IsZero() || !sent.After(s.ticketAt) {
 			continue
 		}
-		if r := w.runs[key.task]; r != nil && r.number == key.run {
+		switch r := w.runs[key.task]; {
+		case r != nil && r.number == key.run:
 			r.proved = true
+		case !full || w.orphans[key] != nil:
+			continue
 		}
 		t.dropDoubt(d, key)
 	}
--- a/internal/process/dispatch/ends_test.go
+++ b/internal/process/dispatch/ends_test.go
@@ -318,3 +318,58 @@
 		b.is.True(held())
 	})
 }
+
+// Guards against a next leader that does not know of a start with copies on their way, since the mark of its worker
+// was cleared with another start: a further copy let this leader forget that the start was noted (rule TWICE).
+func TestFurtherCopiesStayNoted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		time.Sleep(time.Second)
+		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts = true })
+		b.submit("one", tasks(1))
+		time.Sleep(200 * time.Millisecond) // several copies, none of which arrives
+		current := b.term()
+		current.mu.Lock()
+		defer current.mu.Unlock()
+		d := current.doubts["a"]
+		b.is.Equal(len(d.starts), 1)
+		b.is.True(d.noted())
+		other := orphan{job.TaskID{Job: "two"}, 1}
+		current.addDoubt(d, other, current.now())
+		d.starts[other] = doubt{sent: current.now(), noted: true}
+		current.dropDoubt(d, other)
+		b.is.Equal(len(current.dropReplaced(current.inbox.replaced)), 0)
+	})
+}
+
+// Guards against a start whose ticket was for the next incarnation, and that counts as settled as soon as this one is known,
+// although it executes the run (rule TWICE).
+func TestTicketOfAnOrphanSettlesNothing(t *testing.T) {
+	for _, full := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestCluster(t, "a")
+			defer b.close()
+			time.Sleep(time.Second)
+			current := b.term()
+			key := orphan{job.TaskID{Job: "one"}, 1}
+			current.mu.Lock()
+			w := current.workers["a"]
+			d := current.doubtsAbout("a", w.Life)
+			current.addDoubt(d, key, current.now())
+			current.setTicket(d, key, current.now())
+			sent := current.now().Add(time.Millisecond)
+			current.mu.Unlock()
+			l := Listing{Complete: full}
+			if full {
+				l.Running = []ListedRun{{Task: key.task, Run: 1}}
+			}
+			answer := Answer{Result: Accepted, Life: w.Life, Clock: w.clockReading}
+			current.handleListing(w, &ListOrder{Fence: current.fence(w)}, sent, l, answer)
+			b.is.Equal(len(d.starts), 1)
+			time.Sleep(2 * time.Second) // its stop is confirmed, and the worker lists nothing
+			current.handleListing(w, &ListOrder{Fence: current.fence(w)}, current.now(), Listing{Complete: true}, answer)
+			b.is.Equal(len(d.starts), 0)
+		})
+	}
+}
--- a/internal/process/dispatch/list.go
+++ b/internal/process/dispatch/list.go
@@ -234,6 +234,9 @@
 	if l.Complete {
 		t.dropOrphans(w, o.Fence, sent, present)
 	}
+	if w.proves(a) {
+		t.proveTickets(w, sent, l.Complete && l.UnreadEnd == 0 && unread == 0)
+	}
 	t.handleEnds(w, &l, a.Clock)
 	if l.Complete {
 		t.loseMissing(w, sent, present)
