Keep what the next leaders know of starts apart from this leader's doubts

Found by the review of, by orders of events, each with a test that failed on: - a further copy, or a late answer to the first one, let the leader forget that the state had a start as unclear, so that the mark was cleared with another start, or was missing when the next copy left; - a mark stayed where no copy had left, or where the only one was listed as ended; - a new leader marked all young runs again, which held back the ends for the leader after it, while a worker was held already; - a lost driver of an earlier build may have sent several copies of a start; - a ticket settled copies of an earlier run without one.

Whether a further copy may leave is asked under the lock under which it is counted. A new leader notes unsettled runs of its predecessor as adopted, which keeps no ends. A listing settles a start only while no attempt is under way.

--- a/internal/process/dispatch/attempt.go
+++ b/internal/process/dispatch/attempt.go
@@ -76,8 +76,9 @@
 		open = max(1, open)
 	}
 	at.returned = true
-	if a.Copies > 1 || a.Open > 1 || a.Repeated {
-		r.once = false // a driver of an earlier build has sent several
+	r.onItsWay = false
+	if a.Copies > 1 || a.Open > 1 || a.Repeated || a.Result == Undelivered && a.Open > 0 {
+		r.once = false // a driver of an earlier build has sent several, or may have
 	}
 	if open > 1 {
 		r.copies += open - 1
@@ -117,7 +118,7 @@
 // answered before it was sent, and the only copy of a start that it shows.
 func (t *term) proveStarts(w *worker, sent time.Time, l *Listing) {
 	for _, r := range w.runs {
-		if r.once && r.copies > 0 && l.shows(r) {
+		if r.once && !r.onItsWay && r.copies > 0 && l.shows(r) {
 			r.copies, r.unproved = 1, 0
 			t.settleCopy(r)
 			continue
--- a/internal/process/dispatch/doubt.go
+++ b/internal/process/dispatch/doubt.go
@@ -48,7 +48,6 @@
 type doubt struct {
 	sent    time.Time // when the latest copy was sent
 	adopted bool      // by an earlier leader
-	noted   bool      // in the replicated state
 	// ticketAt is when the ticket of the copies had been issued; zero if they have none. An incarnation that
 	// proves itself later is the only one that takes them.
 	ticketAt time.Time
@@ -179,14 +178,11 @@
 
 // dropDoubt records that no copy of a start will be carried out any more.
 func (t *term) dropDoubt(d *doubts, key orphan) {
-	s, known := d.starts[key]
-	if !known {
+	if _, known := d.starts[key]; !known {
 		return
 	}
 	delete(d.starts, key)
-	if w := t.workers[d.worker]; s.noted && !d.noted() && w != nil && !t.now().Before(t.heldUntil[w.ID]) {
-		t.inbox.replaced = append(t.inbox.replaced, d.worker)
-	}
+	t.dropNoted(d.worker, key)
 	list := t.unclear[key.task]
 	i := slices.Index(list, d)
 	if list = slices.Delete(list, i, i+1); len(list) > 0 {
@@ -202,21 +198,6 @@
 	t.signal()
 }
 
-// noted reports whether the next leaders know of any of the starts.
-func (d *doubts) noted() bool {
-	for _, s := range d.starts {
-		if s.noted {
-			return true
-		}
-	}
-	return false
-}
-
-// dropReplaced drops the workers from a list about which the next leaders have to know more since it was made.
-func (t *term) dropReplaced(names []string) []string {
-	return slices.DeleteFunc(names, func(name string) bool { d := t.doubts[name]; return d != nil && d.noted() })
-}
-
 // noteUnclearEnd records an end of a task with copies of a start without an answer: of the run that
 // ended, or of an earlier one.
 func (t *term) noteUnclearEnd(w *worker, e EndedRun) {
@@ -306,43 +287,12 @@
 
 // noteUnclear has the next leaders know that a copy of a run's start has no answer.
 func (t *term) noteUnclear(r *run) {
-	if r.copies > 0 && !r.unclear && !r.proved && !r.spec.Copies {
+	if t.startOpen(r) && !r.unclear && !r.spec.Copies {
 		t.setUnclear(r)
 		t.signal()
 	}
 }
 
-// setUnclear adds a run with a copy of its start without an answer to the next round.
-func (t *term) setUnclear(r *run) {
-	r.unclear = true
-	t.orderUse.unclear++
-	t.inbox.unclear = append(t.inbox.unclear, job.Start{Task: r.id, Run: r.number, Worker: r.worker.ID, Life: r.worker.Life})
-	if d := t.doubts[r.worker.ID]; d != nil {
-		key := orphan{r.id, r.number}
-		if s, known := d.starts[key]; known {
-			s.noted = true
-			d.starts[key] = s
-		}
-	}
-}
-
-// noteFurtherCopies has the next leaders know that a run gets further copies of its start, before any is sent:
-// until then they take the one for arrived that a listing shows. It reports whether they do.
-func (t *term) noteFurtherCopies(r *run) bool {
-	for t.ctx.Err() == nil {
-		t.mu.Lock()
-		c := t.enqueue(func(*inbox) { t.setUnclear(r) })
-		t.mu.Unlock()
-		if t.awaitCommit(t.ctx, c) {
-			t.mu.Lock()
-			r.once = false
-			t.mu.Unlock()
-			return true
-		}
-	}
-	return false
-}
-
 // lease returns the end of the lease that a listing carries, and whether it may carry one. A
 // worker that does not answer may have started again, and would extend what it executes of
 // the former incarnation's starts, and forget ends that are not known. One that has never listed
@@ -568,8 +518,11 @@
 func (t *term) adoptDoubt(w *worker, key orphan, task *job.Task, ago time.Duration) {
 	d, sent := t.doubtsAbout(w.ID, w.Life), t.now().Add(-ago)
 	t.addDoubt(d, key, sent)
-	s := doubt{sent: sent, adopted: true, noted: task.Unclear != ""}
-	if task.Sending == job.SendTicket && w.Life == task.Life {
+	s := doubt{sent: sent, adopted: true}
+	if task.Unclear != "" {
+		t.noted.add(w.ID, key)
+	}
+	if task.Sending == job.SendTicket && w.Life == task.Life && !task.Retried {
 		s.ticketAt = t.now()
 	}
 	d.starts[key] = s
@@ -586,6 +539,10 @@
 	t.adoptDoubt(w, orphan{r.id, r.number}, task, ago)
 	r.copies, r.unclear, r.sending = 1, task.Unclear != "", task.Sending
 	r.once = task.Sending == job.SendOnce && !r.unclear
+	if r.once || task.Sending == job.SendTicket && !r.unclear {
+		t.inbox.adopted = append(t.inbox.adopted, r.start())
+		return
+	}
 	t.noteUnclear(r)
 }
 
--- a/internal/process/dispatch/ends_test.go
+++ b/internal/process/dispatch/ends_test.go
@@ -334,10 +334,10 @@
 		defer current.mu.Unlock()
 		d := current.doubts["a"]
 		b.is.Equal(len(d.starts), 1)
-		b.is.True(d.noted())
+		b.is.Equal(len(current.noted["a"]), 1)
 		other := orphan{job.TaskID{Job: "two"}, 1}
 		current.addDoubt(d, other, current.now())
-		d.starts[other] = doubt{sent: current.now(), noted: true}
+		current.noted.add("a", other)
 		current.dropDoubt(d, other)
 		b.is.Equal(len(current.dropReplaced(current.inbox.replaced)), 0)
 	})
--- a/internal/process/dispatch/faulty.go
+++ b/internal/process/dispatch/faulty.go
@@ -37,6 +37,7 @@
 	dropItems(t, "ended worker", &in.gone, func(i []job.Worker) job.Round { return job.Round{Gone: i} })
 	dropItems(t, "crash", &in.crashes, func(i []job.Crash) job.Round { return job.Round{Crashes: i} })
 	dropItems(t, "place of a crash", &in.places, func(i []job.Place) job.Round { return job.Round{Places: i} })
+	dropItems(t, "adopted run", &in.adopted, func(i []job.Start) job.Round { return job.Round{Adopted: i} })
 	dropItems(t, "trial", &in.confirmed, func(i []job.Start) job.Round { return job.Round{Confirmed: i} })
 	dropItems(t, "cleared run", &in.cleared, func(i []job.Start) job.Round { return job.Round{Cleared: i} })
 	dropItems(t, "end", &in.ends, func(i []job.End) job.Round { return job.Round{Ends: i} })
--- a/internal/process/dispatch/inbox.go
+++ b/internal/process/dispatch/inbox.go
@@ -32,6 +32,7 @@
 	ends        []job.End
 	orphans     []job.Start // runs that were given up and may still be executed
 	unclear     []job.Start // runs with a copy of their start without an answer
+	adopted     []job.Start // runs of earlier leaders whose start is not settled
 	lost        []job.PoolCrash
 	replaced    []string    // workers at whose addresses others answer
 	settled     []job.Start // orphans that can no longer be executed
@@ -57,7 +58,7 @@
 // empty reports whether there is nothing to commit.
 func (n *inbox) empty() bool {
 	return n.catalogue == nil &&
-		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn)+len(n.cleared)+len(n.faulty)+len(n.unclear)+len(n.retried)+len(n.replaced)+len(n.lost)+len(n.evacuations)+len(n.speeds)+len(n.uses)+len(n.places) == 0
+		len(n.workers)+len(n.gone)+len(n.ends)+len(n.orphans)+len(n.settled)+len(n.cancels)+len(n.submits)+len(n.waves)+len(n.steps)+len(n.crashes)+len(n.confirmed)+len(n.withdrawn)+len(n.cleared)+len(n.faulty)+len(n.unclear)+len(n.retried)+len(n.replaced)+len(n.lost)+len(n.evacuations)+len(n.speeds)+len(n.uses)+len(n.places)+len(n.adopted) == 0
 }
 
 // take removes and returns input of about size bytes, and how many these are. Waiters and
@@ -73,6 +74,7 @@
 	takeItems(&n.workers, &in.workers, &left, sizeOfWorker)
 	takeItems(&n.gone, &in.gone, &left, sizeOfWorker)
 	takeItems(&n.unclear, &in.unclear, &left, sizeOfRun)
+	takeItems(&n.adopted, &in.adopted, &left, sizeOfRun)
 	takeItems(&n.replaced, &in.replaced, &left, func(name *string) int { return len(*name) }) // after the starts that it settles
 	takeItems(&n.lost, &in.lost, &left, func(c *job.PoolCrash) int { return runSize * (1 + len(c.Suspects)) })
 	takeItems(&n.confirmed, &in.confirmed, &left, sizeOfRun)
@@ -207,7 +209,7 @@
 	}
 	n.workers, n.gone = append(in.workers, n.workers...), append(in.gone, n.gone...)
 	n.crashes, n.confirmed = append(in.crashes, n.crashes...), append(in.confirmed, n.confirmed...)
-	n.places = append(in.places, n.places...)
+	n.places, n.adopted = append(in.places, n.places...), append(in.adopted, n.adopted...)
 	n.cleared, n.faulty = append(in.cleared, n.cleared...), append(in.faulty, n.faulty...)
 	n.retried, n.ends = append(in.retried, n.retried...), append(in.ends, n.ends...)
 	n.orphans, n.unclear = append(in.orphans, n.orphans...), append(in.unclear, n.unclear...)
--- a/internal/process/dispatch/round.go
+++ b/internal/process/dispatch/round.go
@@ -116,7 +116,7 @@
 		Catalogue: in.catalogue, Workers: in.workers, Gone: in.gone, Ends: in.ends, Cancels: in.cancels, Submits: in.submits,
 		Crashes: in.crashes, Confirmed: in.confirmed, Orphans: in.orphans, Settled: in.settled, Waves: in.waves, Steps: in.steps,
 		Withdrawn: in.withdrawn, Cleared: in.cleared, Faulty: in.faulty, Unclear: in.unclear, Retried: in.retried, Replaced: in.replaced, Lost: in.lost,
-		Evacuations: in.evacuations, Speeds: in.speeds, Uses: in.uses, Places: in.places,
+		Evacuations: in.evacuations, Speeds: in.speeds, Uses: in.uses, Places: in.places, Adopted: in.adopted,
 	}
 	if t.over || !t.isLeading() {
 		return r, in, nil
@@ -307,7 +307,6 @@
 	}
 	r := &run{id: s.Task, number: s.Run, worker: w, spec: d.Demand.Spec, committedAt: now, startedAt: now, lastProgress: now, urgent: d.Demand.Priority == 0,
 		queue: d.Demand.Queue, resumed: d.Demand.Checkpoint(d.Index) != "", sending: sendingOf(&d)}
-	r.once = r.sending == job.SendOnce
 	t.addRun(r)
 	if len(t.unclear[r.id]) > 0 {
 		t.retried[r.id] = true
--- a/internal/process/dispatch/run.go
+++ b/internal/process/dispatch/run.go
@@ -52,7 +52,8 @@
 	answeredAt      time.Time // when the latest of these was accepted
 	sentCopies      int       // of the start order
 	sending         job.Sending
-	once            bool      // no leader has sent a second copy
+	once            bool      // one copy at most may be carried out
+	onItsWay        bool      // an attempt has not returned, so that the number of its copies is not known
 	proved          bool      // only its worker's known incarnation takes copies; see proveTickets
 	copiedAt        time.Time // when the latest copy was sent; zero if an earlier leader sent it
 	unclear         bool      // the next leaders know that a copy has no answer
@@ -116,10 +117,17 @@
 	for number := 1; t.awaitLease(); {
 		t.mu.Lock()
 		w := r.worker
-		if t.over || r.endQueued || r.stopping || !r.startResolvedAt.IsZero() || t.workers[w.ID] != w {
+		if t.sendingOver(r) {
 			t.mu.Unlock()
 			return
 		}
+		if r.sending == job.SendOnce && t.startOpen(r) && !t.noted[w.ID][orphan{r.id, r.number}] {
+			t.mu.Unlock()
+			if number == 2 && t.listStart(r) || !t.noteFurtherCopies(r) {
+				return
+			}
+			continue
+		}
 		switch {
 		case w.evacuated.Load():
 			t.emit(event.StartWithheld, zap.Stringer("task", r.id), zap.Int("run", r.number), zap.String("worker", w.ID), zap.String("zone", w.Zone),
@@ -145,6 +153,8 @@
 			}
 			continue
 		}
+		r.once = r.sending == job.SendOnce && !t.startOpen(r) // else a copy before may be carried out
+		r.onItsWay = true
 		t.separateStart(w)
 		o.Lease, o.Fence = w.extendLease(t.now(), t.leaseDuration()), t.fence(w)
 		target, at := w.Worker, &attempt{run: r, sent: t.now()}
@@ -154,18 +164,13 @@
 		if t.handleStartAnswer(at, t.dispatcher.options.Upstream.Start(p, &target, o), number) {
 			return
 		}
-		if number == 1 && r.sending == job.SendOnce {
-			if t.listStart(r) || !t.noteFurtherCopies(r) {
-				return
-			}
-		}
 		number++
 		sleep(t.ctx, orderRetryDelay)
 	}
 }
 
-// listStart has a worker listed that has not answered a start, and reports whether the listing shows the run. Until
-// a second copy is sent, such a listing proves that none is on its way.
+// listStart has a worker listed that has not answered a start, and reports whether the start is over, as when the
+// listing shows the run. Until a second copy is sent, such a listing proves that none is on its way.
 func (t *term) listStart(r *run) bool {
 	t.mu.Lock()
 	w := r.worker
@@ -175,7 +180,7 @@
 	t.handleListing(w, &o, sent, l, a)
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return !r.startResolvedAt.IsZero()
+	return t.sendingOver(r)
 }
 
 // attemptTimeout returns the bound of an attempt of an order.
--- a/internal/process/dispatch/tend.go
+++ b/internal/process/dispatch/tend.go
@@ -52,6 +52,7 @@
 			t.logStops(w, now)
 		}
 		t.expireDoubts(now)
+		t.expireHolds(now)
 		t.noteHeldEnds(now)
 		t.expireRisks(now)
 		t.recheckLosses(now)
--- a/internal/process/dispatch/term.go
+++ b/internal/process/dispatch/term.go
@@ -84,6 +84,7 @@
 	unclear        map[job.TaskID][]*doubts // those about starts of a task, each as often as starts
 	copyWaits      map[job.TaskID]time.Time // since when tasks wait for copies of their earlier starts
 	generations    map[string]generation    // by worker
+	noted          noted                    // starts that the replicated state has as unclear
 	heldUntil      map[string]time.Time     // by worker: no end is acknowledged before, since an earlier leader sent starts that have no answer
 	missing        map[string]time.Time     // by VM: since when the platform does not list it; used by runWaves only
 	begunAt        map[string]time.Time     // by VM: when its maintenance was accepted in this term; used by runWaves only
@@ -136,7 +137,7 @@
 		urgentUse: map[string]work.Resources{}, returns: map[string]*fit.Returns{}, views: map[loadKey]*loadView{}, refusing: map[string]*refusing{},
 		shares: map[string]*fit.Share{}, excess: map[string]bool{},
 		baselines: map[string]*fit.Baseline{}, coldness: map[string]*fit.Pace{}, allowedShares: map[string]float64{},
-		doubts: map[string]*doubts{}, unclear: map[job.TaskID][]*doubts{}, copyWaits: map[job.TaskID]time.Time{}, generations: map[string]generation{}, heldUntil: map[string]time.Time{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
+		doubts: map[string]*doubts{}, unclear: map[job.TaskID][]*doubts{}, copyWaits: map[job.TaskID]time.Time{}, generations: map[string]generation{}, noted: noted{}, heldUntil: map[string]time.Time{}, missing: map[string]time.Time{}, begunAt: map[string]time.Time{}, unanswered: map[string]time.Time{},
 		risky: map[string]time.Time{}, crashedUntil: map[netip.AddrPort]time.Time{}, retried: map[job.TaskID]bool{}, admitted: map[string]int{}, claims: map[string]cell.Report{},
 		clearedRuns: map[job.TaskID][]int{}, verdicts: map[job.TaskID]time.Time{}, commonUntil: map[string]time.Time{}, recheck: map[string]bool{}, zoneOrders: map[string]zoneOrder{},
 	}
--- a/internal/version/job/command.go
+++ b/internal/version/job/command.go
@@ -61,6 +61,7 @@
 	Uses        []Use         `cbor:"27,keyasint,omitempty"`
 	Sendings    []Sending     `cbor:"28,keyasint,omitempty"` // of Starts; missing in rounds of earlier builds
 	Places      []Place       `cbor:"29,keyasint,omitempty"` // of Crashes, or of those of earlier rounds
+	Adopted     []Start       `cbor:"30,keyasint,omitempty"` // runs of earlier leaders whose start is not settled
 }
 
 // sending returns how a start of the round is sent.
@@ -73,7 +74,7 @@
 
 // Empty reports whether the round changes nothing.
 func (r *Round) Empty() bool {
-	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans)+len(r.Waves)+len(r.Steps)+len(r.Crashes)+len(r.Confirmed)+len(r.Withdrawn)+len(r.Cleared)+len(r.Faulty)+len(r.Unclear)+len(r.Retried)+len(r.Replaced)+len(r.Lost)+len(r.Evacuations)+len(r.Speeds)+len(r.Uses)+len(r.Places) == 0
+	return !r.Lead && r.Catalogue == nil && len(r.Workers)+len(r.Gone)+len(r.Ends)+len(r.Cancels)+len(r.Submits)+len(r.Starts)+len(r.Settled)+len(r.Orphans)+len(r.Waves)+len(r.Steps)+len(r.Crashes)+len(r.Confirmed)+len(r.Withdrawn)+len(r.Cleared)+len(r.Faulty)+len(r.Unclear)+len(r.Retried)+len(r.Replaced)+len(r.Lost)+len(r.Evacuations)+len(r.Speeds)+len(r.Uses)+len(r.Places)+len(r.Adopted) == 0
 }
 
 // Result is the outcome of applying a round.
--- a/internal/version/job/state.go
+++ b/internal/version/job/state.go
@@ -23,6 +23,7 @@
 	Unclear    string        `cbor:"10,keyasint,omitempty"` // worker that has not answered a copy of the start of Run; empty if none
 	Retried    bool          `cbor:"11,keyasint,omitempty"` // Run started on that worker although copies of an earlier start may be on their way there
 	Sending    Sending       `cbor:"12,keyasint,omitempty"` // how the start of Run is sent
+	Adopted    bool          `cbor:"13,keyasint,omitempty"` // a later leader has not seen the start of Run settled
 }
 
 // Started returns when the current run was committed.
@@ -268,6 +269,7 @@
 	v.noteSpeeds(r.Speeds)
 	v.noteUses(r.Uses)
 	v.noteUnclear(r.Unclear, r.Now)
+	v.noteAdopted(r.Adopted)
 	v.addPoolCrashes(r.Lost, r.Now)
 	v.noteReplaced(r.Replaced)
 	for i := range r.Confirmed {
@@ -421,7 +423,7 @@
 	if !t.Retried {
 		t.Unclear = ""
 	}
-	t.Run, t.Worker, t.Life, t.StartedMS, t.Sending = s.Run, s.Worker, s.Life, now.UnixMilli(), sending
+	t.Run, t.Worker, t.Life, t.StartedMS, t.Sending, t.Adopted = s.Run, s.Worker, s.Life, now.UnixMilli(), sending, false
 	if c := *p.crashes(&r.Job.Steps[s.Task.Step], t); c != nil {
 		c.Started(s.Run)
 	}
--- a/internal/version/job/unclear.go
+++ b/internal/version/job/unclear.go
@@ -47,11 +47,22 @@
 	}
 }
 
+// noteAdopted records runs of which a leader knows no more than its predecessor: they are unclear for the next
+// one, too, however long the leaders take to follow each other. No end is kept for them alone.
+func (v *View) noteAdopted(runs []Start) {
+	for i := range runs {
+		s := &runs[i]
+		if _, _, t := v.Find(s.Task); t != nil && t.Run == s.Run && t.Worker == s.Worker && t.Life == s.Life {
+			t.Adopted = true
+		}
+	}
+}
+
 // Unclear reports whether copies of the start of a task's latest run, sent by an earlier leader, may
 // still be carried out, and how long ago the latest of them was sent at least.
 func (v *View) Unclear(t *Task) (ago time.Duration, unclear bool) {
 	age := v.Updated.Sub(t.Started())
-	return max(0, age-copyTime), age < copyTime || t.Unclear != "" && age < maxCopyAge
+	return max(0, age-copyTime), age < copyTime || (t.Unclear != "" || t.Adopted) && age < maxCopyAge
 }
 
 // Doubtful reports whether an earlier leader has sent starts to a worker that have no answer and may
