--- a/internal/process/dispatch/mark_order_test.go
+++ b/internal/process/dispatch/noted_test.go
@@ -245,3 +245,54 @@
 		b.is.True(len(b.workers.worker("a").ended) > 0) // the next incarnation may execute the other copy
 	})
 }
+
+// Guards against a next leader that takes a start of which two copies were sent for one that has arrived, because
+// a listing shows its run (rule TWICE).
+func TestSecondCopyIsKnownToTheNextLeader(t *testing.T) {
+	for _, soon := range []time.Duration{90 * time.Millisecond, 105 * time.Millisecond, 130 * time.Millisecond, 200 * time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			b := newTestCluster(t, "a")
+			defer b.close()
+			b.workers.setRunTime(3 * time.Second)
+			time.Sleep(2 * time.Second)
+			b.changeWorker("a", func(w *fakeWorker) { w.delayedStarts, w.dropsAnswers, w.hidesRuns = 1, true, true })
+			b.submit("one", tasks(1))
+			time.Sleep(soon) // the first copy is held up, the second one executed, or not yet sent
+			b.log.set(false, 2)
+			b.changeWorker("a", func(w *fakeWorker) { w.dropsAnswers, w.hidesRuns = false, false })
+			time.Sleep(100 * time.Millisecond)
+			b.log.set(true, 3)
+			time.Sleep(8 * time.Second)
+			b.is.Equal(len(b.workers.worker("a").late), 1)
+			b.is.True(len(b.workers.worker("a").ended) > 0) // the next incarnation may execute the first copy
+			b.changeWorker("a", func(w *fakeWorker) { w.late = nil })
+			time.Sleep(20 * time.Second)
+			b.is.Equal(len(b.workers.worker("a").ended), 0)
+			b.is.Equal(b.status("one"), job.Completed)
+		})
+	}
+}
+
+// Guards against a next leader that does not know of a start with copies on their way, since the mark of its worker
+// was cleared with another start: a further copy let this leader forget that the start was noted (rule TWICE).
+func TestFurtherCopiesStayNoted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newTestCluster(t, "a")
+		defer b.close()
+		time.Sleep(time.Second)
+		b.changeWorker("a", func(w *fakeWorker) { w.delaysStarts = true })
+		b.submit("one", tasks(1))
+		time.Sleep(200 * time.Millisecond) // several copies, none of which arrives
+		current := b.term()
+		current.mu.Lock()
+		defer current.mu.Unlock()
+		d := current.doubts["a"]
+		b.is.Equal(len(d.starts), 1)
+		b.is.Equal(len(current.noted["a"]), 1)
+		other := orphan{job.TaskID{Job: "two"}, 1}
+		current.addDoubt(d, other, current.now())
+		current.noted.add("a", other)
+		current.dropDoubt(d, other)
+		b.is.Equal(len(current.dropReplaced(current.inbox.replaced)), 0)
+	})
+}
