Count all crashes of work that has crashed each worker which could run it

Cause: since only the first crash of each worker counts where another one could run the work, also once all of them have crashed under it.

Change: it does so as long as a worker is left that could run the work and has not crashed under it.

--- a/internal/version/crash/chance.go
+++ b/internal/version/crash/chance.go
@@ -55,9 +55,11 @@
 	return min(trial, time.Duration(likeFactor*float64(e.Most+ageMargin))) - min(trial, first)
 }
 
-// counts returns a match for those crashes that count for the verdict.
+// counts returns a match for those crashes that count for the verdict: only the first one of each worker, as long
+// as another one is left that could run the task.
 func (r *Record) counts(rate *Rate, match func(*Crash) bool) func(*Crash) bool {
-	return func(c *Crash) bool { return match(c) && (rate.Able <= 1 || !r.repeated(c)) }
+	left := rate.Able > max(1, r.places())
+	return func(c *Crash) bool { return match(c) && !(left && r.repeated(c)) }
 }
 
 // early matches crashes soon after a start, or during a trial.
--- a/internal/version/crash/place.go
+++ b/internal/version/crash/place.go
@@ -34,6 +34,13 @@
 	return list
 }
 
+// places returns the number of different addresses.
+func (r *Record) places() int {
+	list := r.Addresses()
+	slices.SortFunc(list, netip.AddrPort.Compare)
+	return len(slices.Compact(list))
+}
+
 // address returns the address of a crash, or the zero value if it is not known.
 func (r *Record) address(c *Crash) netip.AddrPort {
 	for _, p := range r.Places {
--- a/internal/version/crash/place_test.go
+++ b/internal/version/crash/place_test.go
@@ -47,6 +47,22 @@
 	}
 }
 
+// Guards against work that crashes all workers that could run it, again and again, because only the first crash of each
+// counts where chance explains it (seed 9500 of the soak).
+func TestCrashesCountOnceNoWorkerIsLeft(t *testing.T) {
+	for able, proven := range map[int]bool{2: true, 3: false} {
+		is := is.New(t)
+		r, rate := &Record{}, Rate{Workers: able, Able: able, Crashes: 100}
+		for i, n := range []byte{1, 2, 1, 1} {
+			run := i + 1
+			r.Started(run)
+			is.True(r.Add(run, Evidence{Age: 5 * ms, Most: 30 * ms, Confirmed: true, Suspected: true, Sole: true, Alone: true}))
+			r.NotePlace(run, place(n))
+		}
+		is.Equal(r.Proven(&rate), proven)
+	}
+}
+
 // Guards against a long-running task that crashes its workers and never pauses, because each time one more
 // crash is taken back.
 func TestFewPausesEndEarly(t *testing.T) {
